Lay down the shared types of all slices

Cause: slices can only be built side by side on fixed types. Ruled out: one module of all messages (each slice owns its own; the envelope only joins them) and a base class for configuration parts (mypy's dataclass transform rejects frozen inheritance there).

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements."""
+
+from __future__ import annotations
--- /dev/null
+++ b/models/__init__.py
@@ -0,0 +1,3 @@
+"""Models of the core protocols."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/flamingoladder/client/__init__.py
@@ -0,0 +1,3 @@
+"""The caller library."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/flamingoladder/config/agreed.py
@@ -0,0 +1,100 @@
+"""The agreed state: everything that operators and members have committed, at one version."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from reactivex import Observable
+
+from abc import ABC
+from abc import abstractmethod
+from enum import StrEnum
+
+from flamingoladder.config.model import Deployment
+from flamingoladder.members.state import Member
+
+
+class KeyGrant(msgspec.Struct, frozen=True):
+    """A granted or withdrawn key; ``digest`` is the hex SHA-256 of the key itself."""
+
+    key_id: str
+    workspace: str
+    digest: str
+    withdrawn: bool = False
+
+
+class DrainKind(StrEnum):
+    """What a drain applies to."""
+
+    TARGET = "target"
+    FAILURE_DOMAIN = "failure_domain"
+    HOST = "host"
+
+
+class Drain(msgspec.Struct, frozen=True):
+    """Something that gets no new work. A target's ``name`` is ``service/target``."""
+
+    kind: DrainKind
+    name: str
+    reason: str
+
+
+class Shift(msgspec.Struct, frozen=True):
+    """A shift of a service's traffic between regions.
+
+    ``share`` is the part, 0 to 1, of the traffic of ``from_region`` that moves to ``to_region``;
+    ``cap_per_s`` bounds the moved requests per second, counted at the receiving region.
+    """
+
+    shift_id: str
+    service: str
+    from_region: str
+    to_region: str
+    share: float
+    cap_per_s: float
+    reason: str
+
+
+class AgreedState(msgspec.Struct, frozen=True):
+    """Everything in force at ``version``; each commit raises the version by one."""
+
+    version: int
+    deployment: Deployment
+    grants: tuple[KeyGrant, ...] = ()
+    members: tuple[Member, ...] = ()
+    drains: tuple[Drain, ...] = ()
+    shifts: tuple[Shift, ...] = ()
+
+    @property
+    def members_by_host(self) -> dict[str, Member]:
+        """Return the registered hosts by name."""
+        return {member.host: member for member in self.members}
+
+    @property
+    def grants_by_digest(self) -> dict[str, KeyGrant]:
+        """Return the keys, granted and withdrawn, by the digest of the key."""
+        return {grant.digest: grant for grant in self.grants}
+
+
+class StateInForce(ABC):
+    """What a host has in force, and whether it has proof that nothing newer is in force."""
+
+    @property
+    @abstractmethod
+    def changes(self) -> Observable[AgreedState]:
+        """Return the stream of states, starting with the present one if there is one."""
+
+    @property
+    @abstractmethod
+    def current(self) -> AgreedState | None:
+        """Return the newest state known, or None before the first."""
+
+    @abstractmethod
+    def has_proof(self, now: float) -> bool:
+        """Return whether keyed work and spending of shares may go on at ``now``.
+
+        ``now`` is monotonic time in seconds.
+        """
--- /dev/null
+++ b/src/flamingoladder/console/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/flamingoladder/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""One module for each command."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/flamingoladder/daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The entry daemon: settings and wiring."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/flamingoladder/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""The HTTP port for callers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/flamingoladder/gateway/request.py
@@ -0,0 +1,62 @@
+"""A caller's request, as the slices behind the gateway see it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from flamingoladder.config.model import Route
+    from flamingoladder.verdict import Header
+
+
+class CallerRequest:
+    """A request after its checks.
+
+    ``headers`` go to the upstream: the caller's key is not among them. ``deadline`` is monotonic
+    time in seconds. ``workspace`` and ``key_id`` are None on a route that is open to all.
+    ``digest`` is the hex digest of method, path and body.
+    """
+
+    __slots__ = (
+        "body",
+        "deadline",
+        "digest",
+        "headers",
+        "idempotency_key",
+        "key_id",
+        "method",
+        "path",
+        "request_id",
+        "route",
+        "service",
+        "workspace",
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        service: str,
+        route: Route,
+        method: str,
+        path: str,
+        headers: tuple[Header, ...],
+        body: bytes,
+        digest: str,
+        deadline: float,
+        workspace: str | None,
+        key_id: str | None,
+        idempotency_key: str | None,
+    ) -> None:
+        self.request_id = request_id
+        self.service = service
+        self.route = route
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.digest = digest
+        self.deadline = deadline
+        self.workspace = workspace
+        self.key_id = key_id
+        self.idempotency_key = idempotency_key
--- /dev/null
+++ b/src/flamingoladder/keys/__init__.py
@@ -0,0 +1,3 @@
+"""Callers' keys: digests, grants, withdrawals and checks."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/flamingoladder/ledger/__init__.py
@@ -0,0 +1,3 @@
+"""At-most-once execution of non-idempotent requests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/flamingoladder/members/__init__.py
@@ -0,0 +1,3 @@
+"""The registered entry hosts."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/flamingoladder/members/state.py
@@ -0,0 +1,22 @@
+"""The registered entry hosts."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Member(msgspec.Struct, frozen=True):
+    """An entry host as registered in the platform's table.
+
+    ``incarnation`` is unique to one run of the daemon. ``caller_url`` is the base URL for callers,
+    ``peer_endpoint`` the ZeroMQ endpoint, and ``peer_public_key`` its CURVE public key (Z85).
+    """
+
+    host: str
+    region: str
+    failure_domain: str
+    incarnation: str
+    caller_url: str
+    peer_endpoint: str
+    peer_public_key: str
+    leaving: bool = False
--- /dev/null
+++ b/src/flamingoladder/peers/__init__.py
@@ -0,0 +1,3 @@
+"""Links between entry hosts."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/flamingoladder/peers/link.py
@@ -0,0 +1,53 @@
+"""The interface through which slices talk to the same slices on other entry hosts."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+M = TypeVar("M", bound=msgspec.Struct)
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """The identity of the host that sent a message, as proved by its link key."""
+
+    host: str
+    incarnation: str
+
+
+Handler = Callable[[Peer, M], Awaitable[msgspec.Struct | None]]
+
+
+class PeerLinks(ABC):
+    """Links to all other registered hosts."""
+
+    @property
+    @abstractmethod
+    def hosts(self) -> Collection[str]:
+        """Return the names of the other registered hosts."""
+
+    @abstractmethod
+    def register(self, message_type: type[M], handler: Handler[M]) -> None:
+        """Call ``handler`` for each message of ``message_type``; its result is the reply."""
+
+    @abstractmethod
+    async def ask(
+        self, host: str, message: msgspec.Struct, timeout_s: float
+    ) -> msgspec.Struct | None:
+        """Send ``message`` and return the reply, or None if none came within ``timeout_s``.
+
+        None says nothing about whether the other host has taken the message in.
+        """
+
+    @abstractmethod
+    def tell(self, host: str, message: msgspec.Struct) -> None:
+        """Send ``message`` without waiting; it may be lost."""
--- /dev/null
+++ b/src/flamingoladder/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Interfaces of the platform's table service, object store and host list."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/flamingoladder/upstreams/__init__.py
@@ -0,0 +1,3 @@
+"""Connections to upstream targets."""
+
+from __future__ import annotations
