--- a/Makefile
+++ b/Makefile
@@ -34,4 +34,4 @@
 
 format: setup
 	$(BIN)/black --quiet src tests bench models
-	$(BIN)/ruff check --quiet --fix src tests bench models
+	$(BIN)/ruff check --quiet --fix --unsafe-fixes src tests bench models
--- a/src/flamingoladder/config/agreed.py
+++ b/src/flamingoladder/config/agreed.py
@@ -59,9 +59,14 @@
 
 
 class AgreedState(msgspec.Struct, frozen=True):
-    """Everything in force at ``version``; each commit raises the version by one."""
+    """Everything in force at ``version``; each commit raises the version by one.
+
+    ``division_version`` is the version of the last commit that changed the members or the
+    deployment, and with them the division of allowances.
+    """
 
     version: int
+    division_version: int
     deployment: Deployment
     grants: tuple[KeyGrant, ...] = ()
     members: tuple[Member, ...] = ()
--- /dev/null
+++ b/src/flamingoladder/standins/memory.py
@@ -0,0 +1,158 @@
+"""In-memory table service, object store and host list, with faults that can be switched on."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from flamingoladder.platform.exceptions import OutcomeUnknownError
+from flamingoladder.platform.exceptions import PlatformUnavailableError
+from flamingoladder.platform.hostlist import HostList
+from flamingoladder.platform.objects import ObjectStore
+from flamingoladder.platform.table import Commit
+from flamingoladder.platform.table import Row
+from flamingoladder.platform.table import Rows
+from flamingoladder.platform.table import TableService
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from flamingoladder.platform.hostlist import ListedHost
+    from flamingoladder.platform.table import Condition
+    from flamingoladder.platform.table import Write
+
+
+class Faults:
+    """The faults in effect: ``delay_s`` is the one-way delay in seconds.
+
+    ``lost_answers`` counts the next writes that take effect while their answers are lost.
+    """
+
+    __slots__ = ("delay_s", "down", "lost_answers")
+
+    def __init__(self) -> None:
+        self.down = False
+        self.delay_s = 0.0
+        self.lost_answers = 0
+
+
+class StoredTable:
+    """The rows themselves, shared by all clients."""
+
+    __slots__ = ("reads", "revision", "rows_by_key", "writes")
+
+    def __init__(self) -> None:
+        self.rows_by_key: dict[str, Row] = {}
+        self.revision = 0
+        self.reads = 0
+        self.writes = 0
+
+    def read(self, prefix: str) -> Rows:
+        """Return the rows whose key starts with ``prefix``."""
+        self.reads += 1
+        found = (row for key, row in sorted(self.rows_by_key.items()) if key.startswith(prefix))
+        return Rows(tuple(found), self.revision)
+
+    def transact(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> Commit:
+        """Apply the writes if the conditions hold."""
+        self.writes += 1
+        if not all(self._holds(condition) for condition in conditions):
+            return Commit(False, self.revision)
+        self.revision += 1
+        for write in writes:
+            self._apply(write)
+        return Commit(True, self.revision)
+
+    def _holds(self, condition: Condition) -> bool:
+        row = self.rows_by_key.get(condition.key)
+        return condition.revision == (row.revision if row else 0)
+
+    def _apply(self, write: Write) -> None:
+        if write.value is None:
+            self.rows_by_key.pop(write.key, None)
+            return
+        self.rows_by_key[write.key] = Row(write.key, write.value, self.revision)
+
+
+class MemoryTable(TableService):
+    """One host's access to a stored table, with faults of its own."""
+
+    __slots__ = ("_stored", "faults")
+
+    def __init__(self, stored: StoredTable, faults: Faults | None = None) -> None:
+        self._stored = stored
+        self.faults = faults or Faults()
+
+    async def read(self, prefix: str, timeout_s: float) -> Rows:
+        """Return the rows under ``prefix`` after the round trip's delay."""
+        await self._travel(timeout_s)
+        rows = self._stored.read(prefix)
+        await self._travel(timeout_s)
+        return rows
+
+    async def get(self, key: str, timeout_s: float) -> Row | None:
+        """Return the row of ``key`` after the round trip's delay."""
+        rows = await self.read(key, timeout_s)
+        return rows.by_key.get(key)
+
+    async def transact(
+        self, conditions: Sequence[Condition], writes: Sequence[Write], timeout_s: float
+    ) -> Commit:
+        """Apply the transaction, then lose its answer if that fault is switched on."""
+        await self._travel(timeout_s)
+        commit = self._stored.transact(conditions, writes)
+        if self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
+            await asyncio.sleep(timeout_s)
+            raise OutcomeUnknownError("answer lost")
+        try:
+            await self._travel(timeout_s)
+        except PlatformUnavailableError as error:
+            raise OutcomeUnknownError(str(error)) from error
+        return commit
+
+    async def _travel(self, timeout_s: float) -> None:
+        if self.faults.down or 2 * self.faults.delay_s > timeout_s:
+            await asyncio.sleep(timeout_s)
+            raise PlatformUnavailableError(f"no answer within {timeout_s} s")
+        await asyncio.sleep(self.faults.delay_s)
+
+
+class MemoryObjects(ObjectStore):
+    """An object store in memory."""
+
+    __slots__ = ("_content_by_name", "faults")
+
+    def __init__(self, content_by_name: dict[str, bytes], faults: Faults | None = None) -> None:
+        self._content_by_name = content_by_name
+        self.faults = faults or Faults()
+
+    async def put(self, name: str, content: bytes, timeout_s: float) -> None:
+        """Store the object."""
+        self._check()
+        self._content_by_name[name] = content
+
+    async def get(self, name: str, timeout_s: float) -> bytes | None:
+        """Return the object's content, or None."""
+        self._check()
+        return self._content_by_name.get(name)
+
+    def _check(self) -> None:
+        if self.faults.down:
+            raise PlatformUnavailableError("object store is down")
+
+
+class MemoryHostList(HostList):
+    """A host list in memory."""
+
+    __slots__ = ("faults", "hosts")
+
+    def __init__(self, hosts: tuple[ListedHost, ...] = (), faults: Faults | None = None) -> None:
+        self.hosts = hosts
+        self.faults = faults or Faults()
+
+    async def read(self, timeout_s: float) -> tuple[ListedHost, ...]:
+        """Return the list."""
+        if self.faults.down:
+            raise PlatformUnavailableError("host list is down")
+        return self.hosts
