--- /dev/null
+++ b/tests/models/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the model checks."""
+
+from __future__ import annotations
