Claim a caller's idempotency key by a row before dispatch

A non-idempotent request runs only once its row has been written where none was, or taken over on the holder's own word; a lost answer is resolved by reading the row back by its attempt number.

Ruled out: saying not run whenever the claim can't be written. A repeat whose first request ran through another host before the store went away would be told not run, and a ticket in that refusal would allow a second run. Only the caller can exclude this, so CallerRequest has fresh_key, by default false, and without it the refusal says may have run.

--- a/src/flamingoladder/gateway/request.py
+++ b/src/flamingoladder/gateway/request.py
@@ -14,13 +14,15 @@
 
     ``headers`` go to the upstream: the caller's key is not among them. ``deadline`` is monotonic
     time in seconds. ``workspace`` and ``key_id`` are None on a route that is open to all.
-    ``digest`` is the hex digest of method, path and body.
+    ``digest`` is the hex digest of method, path and body. ``fresh_key`` is the caller's statement
+    that every earlier request with this idempotency key, if any, was answered ``not_run``.
     """
 
     __slots__ = (
         "body",
         "deadline",
         "digest",
+        "fresh_key",
         "headers",
         "idempotency_key",
         "key_id",
@@ -47,6 +49,7 @@
         workspace: str | None,
         key_id: str | None,
         idempotency_key: str | None,
+        fresh_key: bool = False,
     ) -> None:
         self.request_id = request_id
         self.service = service
@@ -60,3 +63,4 @@
         self.workspace = workspace
         self.key_id = key_id
         self.idempotency_key = idempotency_key
+        self.fresh_key = fresh_key
--- /dev/null
+++ b/src/flamingoladder/ledger/exceptions.py
@@ -0,0 +1,7 @@
+"""Errors of the ledger."""
+
+from __future__ import annotations
+
+
+class LedgerRowError(ValueError):
+    """A row of the table or an object is not what the ledger wrote."""
--- /dev/null
+++ b/src/flamingoladder/ledger/records.py
@@ -0,0 +1,143 @@
+"""Rows of the ledger in the platform's table."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from hashlib import sha256
+
+import msgspec
+from expression import Error
+from expression import Ok
+
+from flamingoladder.ledger.exceptions import LedgerRowError
+from flamingoladder.verdict import Answer
+from flamingoladder.verdict import Outcome
+from flamingoladder.verdict import Refusal
+
+CLAIMS_PREFIX = "claims/"
+TICKETS_PREFIX = "tickets/"
+CLOSINGS_PREFIX = "closings/"
+OPEN_WORKSPACE = "~open"
+
+
+class KeptOutcome(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An outcome as kept for repeats: an answer, the object that holds it, or a refusal."""
+
+    answer: Answer | None = None
+    object_name: str | None = None
+    refusal: Refusal | None = None
+
+    @classmethod
+    def of(cls, outcome: Outcome) -> KeptOutcome:
+        """Return the outcome in its kept form."""
+        if outcome.is_ok():
+            return cls(answer=outcome.ok)
+        return cls(refusal=outcome.error)
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the size of the answer's body."""
+        return len(self.answer.body) if self.answer else 0
+
+    def as_outcome(self) -> Outcome:
+        """Return the outcome; an answer must have been fetched from its object first."""
+        if self.answer is not None:
+            return Ok(self.answer)
+        assert self.refusal is not None
+        return Error(self.refusal)
+
+
+class ClaimState(StrEnum):
+    """The state of a claim row; a row whose claim was given up is deleted.
+
+    A ``CLOSED`` key has not run, and no request with it is ever dispatched.
+    """
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    CLOSED = "closed"
+
+
+class ClaimRow(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A claim of an idempotency key by attempt number ``attempt`` of an incarnation."""
+
+    host: str
+    incarnation: str
+    attempt: int
+    digest: str
+    state: ClaimState
+    outcome: KeptOutcome | None = None
+
+
+class ClosingRow(msgspec.Struct, frozen=True):
+    """States that all outcomes of an incarnation have been written and it dispatches no more.
+
+    For tickets this holds for those issued from ``issued_from_s`` on, by the incarnation's own
+    monotonic clock in seconds: rows of earlier ones may have been pruned.
+    """
+
+    issued_from_s: float
+
+
+_encoder = msgspec.msgpack.Encoder()
+_claim_decoder = msgspec.msgpack.Decoder(ClaimRow)
+_closing_decoder = msgspec.msgpack.Decoder(ClosingRow)
+_answer_decoder = msgspec.msgpack.Decoder(Answer)
+
+
+def encode(row: ClaimRow | ClosingRow | Answer) -> bytes:
+    """Return the row or answer as MessagePack."""
+    return _encoder.encode(row)
+
+
+def decode_claim(value: bytes) -> ClaimRow:
+    """Return the claim row in ``value``.
+
+    :raises LedgerRowError: if it holds none.
+    """
+    try:
+        return _claim_decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise LedgerRowError(f"claim row of {len(value)} bytes: {error}") from error
+
+
+def decode_closing(value: bytes) -> ClosingRow:
+    """Return the closing row in ``value``.
+
+    :raises LedgerRowError: if it holds none.
+    """
+    try:
+        return _closing_decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise LedgerRowError(f"closing row of {len(value)} bytes: {error}") from error
+
+
+def decode_answer(value: bytes) -> Answer:
+    """Return the answer in an object's content.
+
+    :raises LedgerRowError: if it holds none.
+    """
+    try:
+        return _answer_decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise LedgerRowError(f"answer of {len(value)} bytes: {error}") from error
+
+
+def claim_name(workspace: str | None, idempotency_key: str) -> str:
+    """Return the key of the claim row of a caller's own idempotency key."""
+    return _name(CLAIMS_PREFIX, workspace, idempotency_key)
+
+
+def ticket_name(workspace: str | None, ticket: str) -> str:
+    """Return the key of the row that keeps a ticket's outcome."""
+    return _name(TICKETS_PREFIX, workspace, ticket)
+
+
+def closing_name(host: str, incarnation: str) -> str:
+    """Return the key of an incarnation's closing row."""
+    return f"{CLOSINGS_PREFIX}{host}/{incarnation}"
+
+
+def _name(prefix: str, workspace: str | None, idempotency_key: str) -> str:
+    digest = sha256(idempotency_key.encode()).hexdigest()
+    return f"{prefix}{workspace or OPEN_WORKSPACE}/{digest}"
--- /dev/null
+++ b/tests/ledger/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of at-most-once execution."""
+
+from __future__ import annotations
