Run tickets without the store, and end a host so that its outcomes can be told

A store outage must not stop bookings. A ticket names the incarnation that issued it, which alone may run it and remembers it beyond its expiry; other hosts ask it. Its outcome goes to the table in the background, and a graceful end writes a closing row after all outcomes, so that an unused ticket of an ended host is told from a used one. A question for an outcome closes an unused key.

--- a/src/flamingoladder/ledger/claims.py
+++ b/src/flamingoladder/ledger/claims.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from flamingoladder.ledger import refusals
@@ -10,10 +9,12 @@
 from flamingoladder.ledger.decisions import Own
 from flamingoladder.ledger.decisions import Takeable
 from flamingoladder.ledger.entries import EntryState
+from flamingoladder.ledger.exceptions import DeadlinePassedError
 from flamingoladder.ledger.messages import HolderWord
+from flamingoladder.ledger.reader import left_until
+from flamingoladder.ledger.reader import timeout_until
 from flamingoladder.ledger.records import ClaimRow
 from flamingoladder.ledger.records import ClaimState
-from flamingoladder.ledger.records import closing_name
 from flamingoladder.ledger.records import decode_claim
 from flamingoladder.ledger.records import encode
 from flamingoladder.platform.exceptions import OutcomeUnknownError
@@ -27,26 +28,31 @@
     from flamingoladder.ledger.decisions import Decision
     from flamingoladder.ledger.entries import Entry
     from flamingoladder.ledger.holders import Holders
+    from flamingoladder.ledger.reader import RowReader
     from flamingoladder.members.state import Member
     from flamingoladder.platform.table import Row
     from flamingoladder.platform.table import TableService
     from flamingoladder.verdict import Outcome
 
 ABSENT = 0
-TABLE_TIMEOUT_S = 1.0
-READ_PAUSE_S = 0.05
 SILENT_ASKS = 2
 
 
 class Claims:
     """Claims keys by rows, and settles what the row of another attempt means."""
 
-    __slots__ = ("_answers", "_holders", "_own", "_table")
+    __slots__ = ("_answers", "_holders", "_own", "_reader", "_table")
 
     def __init__(
-        self, table: TableService, answers: AnswerStore, holders: Holders, own: Member
+        self,
+        table: TableService,
+        reader: RowReader,
+        answers: AnswerStore,
+        holders: Holders,
+        own: Member,
     ) -> None:
         self._table = table
+        self._reader = reader
         self._answers = answers
         self._holders = holders
         self._own = own
@@ -56,7 +62,8 @@
 
         A claim whose answer was lost is resolved by reading.
 
-        :raises PlatformUnavailableError: if the table can't tell inside the deadline.
+        :raises PlatformUnavailableError: if the table failed until the deadline.
+        :raises DeadlinePassedError: if the deadline passed before anything was known.
         """
         revision = ABSENT
         while not await self._written(entry, revision, request.deadline):
@@ -78,23 +85,30 @@
 
         ``attempt`` is the asker's own attempt, if it has made one.
 
-        :raises PlatformUnavailableError: if the table can't tell inside the deadline.
+        :raises PlatformUnavailableError: if the table failed until the deadline.
+        :raises DeadlinePassedError: if the deadline passed before anything was known.
         """
+        row = await self._reader.get(name, deadline)
+        if row is None:
+            return Takeable(ABSENT)
+        claim = decode_claim(row.value)
+        if attempt is not None and self._is_own(claim, attempt):
+            return Own(row.revision)
+        outcome = await self._outcome_in(claim, digest)
+        if outcome is not None:
+            return Known(outcome)
+        try:
+            return await self._by_holder(row, claim, digest, deadline)
+        except (DeadlinePassedError, PlatformUnavailableError):
+            return Known(refusals.in_progress())
+
+    async def _by_holder(
+        self, row: Row, claim: ClaimRow, digest: str | None, deadline: float
+    ) -> Decision:
+        """Return what the holder of an undecided claim says of it."""
         silent = 0
         while silent < SILENT_ASKS:
-            row = await self._read(name, deadline)
-            if row is None:
-                return Takeable(ABSENT)
-            claim = decode_claim(row.value)
-            if attempt is not None and self._is_own(claim, attempt):
-                return Own(row.revision)
-            outcome = await self._outcome_in(claim, digest)
-            if outcome is not None:
-                return Known(outcome)
-            left_s = deadline - asyncio.get_running_loop().time()
-            if left_s <= 0:
-                return Known(refusals.in_progress())
-            reply = await self._holders.ask(name, claim, left_s)
+            reply = await self._holders.ask(row.key, claim, left_until(deadline))
             if reply is None or reply.word is HolderWord.GONE:
                 if await self._has_closed(claim, deadline):
                     return Takeable(row.revision)
@@ -103,11 +117,28 @@
                 return Takeable(row.revision)
             elif reply.outcome is not None:
                 return Known(reply.outcome.as_outcome())
-        return Known(await self._last_look(name, digest, deadline))
+        return Known(await self._last_look(row.key, digest, deadline))
+
+    async def close_key(self, name: str, deadline: float) -> Outcome:
+        """Return what is known of the key; one that has not run is closed for good first.
+
+        :raises PlatformUnavailableError: if the table failed until the deadline.
+        :raises DeadlinePassedError: if the deadline passed before anything was known.
+        """
+        while True:
+            decision = await self.settle(name, None, deadline)
+            if isinstance(decision, Known):
+                return decision.outcome
+            closed = self._row(0, "", ClaimState.CLOSED)
+            try:
+                if await self._transact(name, decision.revision, closed, deadline):
+                    return refusals.key_closed()
+            except OutcomeUnknownError:
+                continue
 
     async def _last_look(self, name: str, digest: str | None, deadline: float) -> Outcome:
         """Return the outcome if the holder wrote it before it became silent."""
-        row = await self._read(name, deadline)
+        row = await self._reader.get(name, deadline)
         if row is None:
             return refusals.owner_unreachable()
         outcome = await self._outcome_in(decode_claim(row.value), digest)
@@ -129,53 +160,38 @@
 
         Then a row that is still claimed is one that was never dispatched.
         """
-        return await self._read(closing_name(claim.host, claim.incarnation), deadline) is not None
+        return await self._reader.closing(claim.host, claim.incarnation, deadline) is not None
 
     async def _written(self, entry: Entry, revision: int, deadline: float) -> bool:
         """Write the claim if the row is at ``revision``; return whether it is certainly held.
 
         :raises PlatformUnavailableError: if the write was not sent.
+        :raises DeadlinePassedError: if there was no time left to send it.
         """
-        claim = ClaimRow(
-            host=self._own.host,
-            incarnation=self._own.incarnation,
-            attempt=entry.attempt,
-            digest=entry.digest,
-            state=ClaimState.CLAIMED,
-        )
+        claim = self._row(entry.attempt, entry.digest, ClaimState.CLAIMED)
         try:
-            commit = await self._table.transact(
-                [Condition(entry.name, revision)],
-                [Write(entry.name, encode(claim))],
-                _timeout_s(deadline),
-            )
+            held_at = await self._transact(entry.name, revision, claim, deadline)
         except OutcomeUnknownError:
             entry.claim_in_doubt = True
             return False
-        if commit.committed:
-            _hold(entry, commit.revision)
-        return commit.committed
-
-    async def _read(self, name: str, deadline: float) -> Row | None:
-        while True:
-            try:
-                return await self._table.get(name, _timeout_s(deadline))
-            except PlatformUnavailableError:
-                _timeout_s(deadline)
-            await asyncio.sleep(READ_PAUSE_S)
+        if held_at is None:
+            return False
+        _hold(entry, held_at)
+        return True
+
+    def _row(self, attempt: int, digest: str, state: ClaimState) -> ClaimRow:
+        return ClaimRow(self._own.host, self._own.incarnation, attempt, digest, state)
+
+    async def _transact(
+        self, name: str, revision: int, claim: ClaimRow, deadline: float
+    ) -> int | None:
+        """Return the row's new revision, or None if it was not at ``revision``."""
+        commit = await self._table.transact(
+            [Condition(name, revision)], [Write(name, encode(claim))], timeout_until(deadline)
+        )
+        return commit.revision if commit.committed else None
 
 
 def _hold(entry: Entry, revision: int) -> None:
     entry.revision = revision
     entry.state = EntryState.HELD
-
-
-def _timeout_s(deadline: float) -> float:
-    """Return the time for one call of the table.
-
-    :raises PlatformUnavailableError: if the deadline has passed.
-    """
-    left_s = deadline - asyncio.get_running_loop().time()
-    if left_s <= 0:
-        raise PlatformUnavailableError("the deadline passed before the table answered")
-    return min(left_s, TABLE_TIMEOUT_S)
--- a/src/flamingoladder/ledger/decisions.py
+++ b/src/flamingoladder/ledger/decisions.py
@@ -29,6 +29,18 @@
         self.revision = revision
 
 
+class Unused:
+    """No request under a ticket has run.
+
+    ``live`` tells whether the issuer may still run one; otherwise none will ever run.
+    """
+
+    __slots__ = ("live",)
+
+    def __init__(self, *, live: bool) -> None:
+        self.live = live
+
+
 class Known:
     """The outcome of the key's other request, or as much as can be said of it."""
 
--- a/src/flamingoladder/ledger/entries.py
+++ b/src/flamingoladder/ledger/entries.py
@@ -125,6 +125,14 @@
         if entry.forget_at <= now:
             self.remove(entry)
 
+    def add_closed(self, name: str, remembered_until: float, refusal: Outcome) -> None:
+        """Remember that nothing is ever dispatched under ``name``."""
+        entry = Entry(name, 0, "", remembered_until)
+        entry.finish(EntryState.GIVEN_UP, refusal)
+        entry.kept = KeptOutcome.of(refusal)
+        entry.forget_at = remembered_until
+        self.add(entry)
+
     def remove(self, entry: Entry) -> None:
         """Drop an entry, unless a later attempt has taken its name."""
         self._drop_kept(entry)
--- a/src/flamingoladder/ledger/exceptions.py
+++ b/src/flamingoladder/ledger/exceptions.py
@@ -5,3 +5,7 @@
 
 class LedgerRowError(ValueError):
     """A row of the table or an object is not what the ledger wrote."""
+
+
+class DeadlinePassedError(Exception):
+    """The request's deadline passed before its key was settled."""
--- a/src/flamingoladder/ledger/executor.py
+++ b/src/flamingoladder/ledger/executor.py
@@ -22,23 +22,33 @@
     from flamingoladder.verdict import Outcome
 
 RUN_GRACE_S = 5.0
+JOIN_GRACE_S = 0.05
 
 
 class Executor:
     """Runs entries to their end, whether or not their callers still wait.
 
-    Once ``closing`` is set nothing is dispatched.
+    Once ``leaving`` is set no new request is accepted; once ``closing`` is set, nothing is
+    dispatched.
     """
 
-    __slots__ = ("_entries", "_recorder", "_tasks", "_writer", "closing")
+    __slots__ = ("_entries", "_recorder", "_tasks", "_writer", "closing", "leaving")
 
     def __init__(self, entries: Entries, writer: OutcomeWriter, recorder: Recorder) -> None:
         self._entries = entries
         self._writer = writer
         self._recorder = recorder
         self._tasks: set[asyncio.Task[None]] = set()
+        self.leaving = False
         self.closing = False
 
+    @property
+    def full(self) -> Reason | None:
+        """Return why no new request is accepted, or None."""
+        if self.leaving:
+            return Reason.HOST_LEAVING
+        return None if self._entries.has_room else Reason.NO_CAPACITY
+
     @property
     def idle(self) -> bool:
         """Return whether no entry is on its way."""
@@ -52,16 +62,17 @@
         task.add_done_callback(self._tasks.discard)
 
     async def join(self, entry: Entry, request: CallerRequest) -> Outcome | None:
-        """Return the entry's outcome, waiting inside the deadline.
+        """Return the entry's outcome, waiting until the deadline.
 
-        None means that only the table has the outcome.
+        The grace lets an outcome win that is reached just at the deadline. None means that only
+        the table has the outcome.
         """
-        if entry.digest != request.digest:
+        if entry.state is not EntryState.GIVEN_UP and entry.digest != request.digest:
             return refusals.key_reused()
         if entry.finished is None:
             return entry.kept.as_outcome() if entry.kept else None
         try:
-            async with asyncio.timeout_at(request.deadline):
+            async with asyncio.timeout_at(request.deadline + JOIN_GRACE_S):
                 return await asyncio.shield(entry.finished)
         except TimeoutError:
             return refusals.in_progress()
--- a/src/flamingoladder/ledger/holders.py
+++ b/src/flamingoladder/ledger/holders.py
@@ -18,8 +18,8 @@
     from flamingoladder.peers.link import Peer
     from flamingoladder.peers.link import PeerLinks
 
-ASK_S = 1.0
-HOLD_S = 0.5
+ASK_S = 0.5
+HOLD_S = 0.25
 
 
 class Holders:
@@ -35,11 +35,11 @@
 
     async def ask(self, name: str, claim: ClaimRow, left_s: float) -> ClaimReply | None:
         """Return the holder's word within ``left_s`` seconds, or None if it can't be had."""
-        if (claim.host, claim.incarnation) == (self._own.host, self._own.incarnation):
-            return self.word_of(name, claim.attempt)
         timeout_s = min(left_s, ASK_S)
         wait_s = min(HOLD_S, timeout_s / 2)
         question = ClaimQuestion(name, claim.incarnation, claim.attempt, wait_s)
+        if claim.host == self._own.host:
+            return await self._settled_word(question)
         reply = await self._links.ask(claim.host, question, timeout_s)
         return reply if isinstance(reply, ClaimReply) else None
 
@@ -56,6 +56,9 @@
         return reply_of(entry)
 
     async def _answer(self, _peer: Peer, question: ClaimQuestion) -> ClaimReply:
+        return await self._settled_word(question)
+
+    async def _settled_word(self, question: ClaimQuestion) -> ClaimReply:
         if question.incarnation != self._own.incarnation:
             return ClaimReply(HolderWord.GONE)
         entry = self._entries.by_name.get(question.name)
--- a/src/flamingoladder/ledger/ledger.py
+++ b/src/flamingoladder/ledger/ledger.py
@@ -1,23 +1,34 @@
-"""The ledger of one host: claim rows for callers' own keys."""
+"""The ledger of one host."""
 
 from __future__ import annotations
 
 import asyncio
-from itertools import count
+from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
+from expression import Error
+
 from flamingoladder.gateway.stages import Ledger
-from flamingoladder.ledger import refusals
 from flamingoladder.ledger.answers import AnswerStore
+from flamingoladder.ledger.claim_runs import ClaimRuns
 from flamingoladder.ledger.claims import Claims
+from flamingoladder.ledger.closing import Closing
 from flamingoladder.ledger.entries import Entries
-from flamingoladder.ledger.entries import Entry
 from flamingoladder.ledger.executor import Executor
 from flamingoladder.ledger.holders import Holders
-from flamingoladder.ledger.records import claim_name
+from flamingoladder.ledger.issued_tickets import IssuedTickets
+from flamingoladder.ledger.marks import Marks
+from flamingoladder.ledger.pruner import Pruner
+from flamingoladder.ledger.reader import RowReader
+from flamingoladder.ledger.records import workspace_name
+from flamingoladder.ledger.ticket_owners import TicketOwners
+from flamingoladder.ledger.ticket_runs import TicketRuns
+from flamingoladder.ledger.tickets import TicketIssuer
+from flamingoladder.ledger.tickets import is_ticket
 from flamingoladder.ledger.writer import OutcomeWriter
-from flamingoladder.platform.exceptions import PlatformUnavailableError
 from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import StateInForce
@@ -30,23 +41,44 @@
     from flamingoladder.timeline.recorder import Recorder
     from flamingoladder.verdict import Outcome
 
+QUESTION_S = 3.0
+FORGET_PAUSE_S = 5.0
+
 
 class ClaimLedger(Ledger):
     """Runs non-idempotent requests at most once over all hosts.
 
-    ``serve`` must run in a task of its own for as long as the host runs.
+    A caller's own idempotency key is claimed by a row of the table; a ticket is run by its issuer
+    alone, without the table. ``serve`` must run in a task of its own for as long as the host runs.
     """
 
-    __slots__ = ("_attempts", "_claims", "_entries", "_executor", "_state", "_writer")
+    __slots__ = (
+        "_claim_runs",
+        "_closing",
+        "_entries",
+        "_issuer",
+        "_pruner",
+        "_ticket_runs",
+        "_writer",
+    )
 
     def __init__(
-        self, entries: Entries, claims: Claims, executor: Executor, writer: OutcomeWriter
+        self,
+        entries: Entries,
+        writer: OutcomeWriter,
+        issuer: TicketIssuer,
+        claim_runs: ClaimRuns,
+        ticket_runs: TicketRuns,
+        closing: Closing,
+        pruner: Pruner,
     ) -> None:
         self._entries = entries
-        self._claims = claims
-        self._executor = executor
         self._writer = writer
-        self._attempts = count(1)
+        self._issuer = issuer
+        self._claim_runs = claim_runs
+        self._ticket_runs = ticket_runs
+        self._closing = closing
+        self._pruner = pruner
 
     @classmethod
     def from_config(
@@ -61,49 +93,66 @@
         """Return the ledger of the incarnation ``own``."""
         entries = Entries()
         answers = AnswerStore(objects)
+        reader = RowReader(table, answers)
         writer = OutcomeWriter(table, answers, entries, recorder)
-        claims = Claims(table, answers, Holders(entries, links, own), own)
-        return cls(entries, claims, Executor(entries, writer, recorder), writer)
+        executor = Executor(entries, writer, recorder)
+        issuer = TicketIssuer(own)
+        claims = Claims(table, reader, answers, Holders(entries, links, own), own)
+        issued = IssuedTickets(issuer, entries, links)
+        owners = TicketOwners(issued, links, reader)
+        return cls(
+            entries,
+            writer,
+            issuer,
+            ClaimRuns(entries, claims, executor, issuer),
+            TicketRuns(entries, issued, owners, executor, state),
+            Closing(executor, writer, table, own),
+            Pruner(table, Marks(table), links, state, recorder, Random(own.incarnation)),
+        )
 
     async def serve(self) -> None:
-        """Write outcomes in the background."""
-        await self._writer.serve()
+        """Write outcomes, forget old entries and prune old rows, for as long as the host runs."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._writer.serve())
+            tasks.create_task(self._forget())
+            tasks.create_task(self._pruner.serve())
 
     async def run_once(self, request: CallerRequest, run: Run) -> Outcome:
         """Claim the request, call ``run`` at most once, and keep the outcome for repeats."""
-        if request.idempotency_key is None:
-            return refusals.not_run(Reason.IDEMPOTENCY_KEY_MISSING, "an idempotency key is needed")
-        name = claim_name(request.workspace, request.idempotency_key)
-        entry = self._entries.by_name.get(name)
-        if entry is None:
-            if not self._entries.has_room:
-                return self._unclaimed(request, Reason.NO_CAPACITY, "too many requests in doubt")
-            entry = self._entry(name, request)
-            self._executor.start(entry, self._claim_and_run(entry, request, run))
-        outcome = await self._executor.join(entry, request)
-        return outcome or refusals.in_progress()
+        key = request.idempotency_key
+        if key is None:
+            return self._key_missing(request)
+        if is_ticket(key):
+            return await self._ticket_runs.run_once(request, key, run)
+        return await self._claim_runs.run_once(request, key, run)
 
     async def outcome_of(self, workspace: str, idempotency_key: str) -> Outcome:
-        """Return what is known of an earlier request."""
-        raise NotImplementedError
+        """Return what is known of an earlier request.
+
+        A key that has not run is closed before the answer says so: no request with it, not even
+        one that is delayed on its way, is ever dispatched afterwards.
+        """
+        deadline = asyncio.get_running_loop().time() + QUESTION_S
+        name = workspace_name(workspace)
+        if is_ticket(idempotency_key):
+            return await self._ticket_runs.outcome_of(name, idempotency_key, deadline)
+        return await self._claim_runs.outcome_of(name, idempotency_key, deadline)
 
     def issue_ticket(self, workspace: str) -> str:
         """Return a new ticket, an idempotency key that only this incarnation may run."""
-        raise NotImplementedError
-
-    def _entry(self, name: str, request: CallerRequest) -> Entry:
         now = asyncio.get_running_loop().time()
-        return Entry(name, next(self._attempts), request.digest, remembered_until=now)
-
-    async def _claim_and_run(self, entry: Entry, request: CallerRequest, run: Run) -> Outcome:
-        try:
-            outcome = await self._claims.claim(entry, request)
-        except PlatformUnavailableError:
-            reason = Reason.CLAIM_STORE_UNAVAILABLE
-            return self._unclaimed(request, reason, "the claim could not be written")
-        if outcome is not None:
-            return outcome
-        return await self._executor.dispatch(entry, request, run)
-
-    def _unclaimed(self, request: CallerRequest, reason: Reason, detail: str) -> Outcome:
-        return refusals.unclaimed(request, reason, detail, "")
+        return self._issuer.issue(workspace_name(workspace), now)
+
+    async def close(self, now: float) -> bool:
+        """End this incarnation gracefully; return whether its closing row is written."""
+        return await self._closing.close(now)
+
+    def _key_missing(self, request: CallerRequest) -> Outcome:
+        refusal = Refusal.not_run(Reason.IDEMPOTENCY_KEY_MISSING, "an idempotency key is needed")
+        ticket = self.issue_ticket(workspace_name(request.workspace))
+        return Error(msgspec.structs.replace(refusal, ticket=ticket))
+
+    async def _forget(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_PAUSE_S)
+            self._entries.forget(asyncio.get_running_loop().time())
--- /dev/null
+++ b/src/flamingoladder/ledger/marks.py
@@ -0,0 +1,76 @@
+"""Tells the age of rows without comparing the clocks of two hosts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.ledger.reader import TABLE_TIMEOUT_S
+from flamingoladder.ledger.records import MARKS_NAME
+from flamingoladder.ledger.records import MarksRow
+from flamingoladder.ledger.records import decode_marks
+from flamingoladder.ledger.records import encode
+from flamingoladder.platform.table import Condition
+from flamingoladder.platform.table import Write
+
+if TYPE_CHECKING:
+    from flamingoladder.platform.table import TableService
+
+MARK_S = 3_600.0
+ANSWERS_KEPT_HOURS = 24
+KEYS_KEPT_HOURS = 31 * 24
+
+
+class Horizon(msgspec.Struct, frozen=True):
+    """Revisions of the table; 0 where the marks do not reach back far enough.
+
+    Rows at or before ``answers`` are at least ``ANSWERS_KEPT_HOURS`` old, those at or before
+    ``keys`` at least ``KEYS_KEPT_HOURS``.
+    """
+
+    answers: int
+    keys: int
+
+
+class Marks:
+    """Past revisions of the table, marked in a row that all hosts share.
+
+    A host that has seen the row unchanged for ``MARK_S`` seconds of its own monotonic clock adds
+    the present revision. So two neighbouring marks are at least that far apart.
+    """
+
+    __slots__ = ("_seen_at", "_seen_revision", "_table")
+
+    def __init__(self, table: TableService) -> None:
+        self._table = table
+        self._seen_revision = -1
+        self._seen_at = 0.0
+
+    async def horizon(self, now: float) -> Horizon:
+        """Return how far back the rows are old enough.
+
+        ``now`` is monotonic time in seconds from before the call. A new mark is added if it is due.
+
+        :raises PlatformError: if the table did not answer.
+        """
+        rows = await self._table.read(MARKS_NAME, TABLE_TIMEOUT_S)
+        row = rows.by_key.get(MARKS_NAME)
+        revision = row.revision if row else 0
+        marks = decode_marks(row.value).revisions if row else ()
+        if revision != self._seen_revision:
+            self._seen_revision = revision
+            self._seen_at = now + TABLE_TIMEOUT_S
+        elif now - self._seen_at >= MARK_S:
+            await self._add(revision, (*marks, rows.revision))
+        return Horizon(_mark(marks, ANSWERS_KEPT_HOURS), _mark(marks, KEYS_KEPT_HOURS))
+
+    async def _add(self, revision: int, marks: tuple[int, ...]) -> None:
+        row = MarksRow(marks[-KEYS_KEPT_HOURS - 1 :])
+        await self._table.transact(
+            [Condition(MARKS_NAME, revision)], [Write(MARKS_NAME, encode(row))], TABLE_TIMEOUT_S
+        )
+
+
+def _mark(marks: tuple[int, ...], hours: int) -> int:
+    return marks[-hours - 1] if len(marks) > hours else 0
--- a/src/flamingoladder/ledger/records.py
+++ b/src/flamingoladder/ledger/records.py
@@ -4,6 +4,7 @@
 
 from enum import StrEnum
 from hashlib import sha256
+from typing import TypeVar
 
 import msgspec
 from expression import Error
@@ -17,6 +18,7 @@
 CLAIMS_PREFIX = "claims/"
 TICKETS_PREFIX = "tickets/"
 CLOSINGS_PREFIX = "closings/"
+MARKS_NAME = "ledger/marks"
 OPEN_WORKSPACE = "~open"
 
 
@@ -79,13 +81,22 @@
     issued_from_s: float
 
 
+class MarksRow(msgspec.Struct, frozen=True):
+    """Revisions of the table, oldest first, each an hour or more older than the next."""
+
+    revisions: tuple[int, ...]
+
+
 _encoder = msgspec.msgpack.Encoder()
 _claim_decoder = msgspec.msgpack.Decoder(ClaimRow)
 _closing_decoder = msgspec.msgpack.Decoder(ClosingRow)
+_marks_decoder = msgspec.msgpack.Decoder(MarksRow)
 _answer_decoder = msgspec.msgpack.Decoder(Answer)
 
+T = TypeVar("T")
 
-def encode(row: ClaimRow | ClosingRow | Answer) -> bytes:
+
+def encode(row: ClaimRow | ClosingRow | MarksRow | Answer) -> bytes:
     """Return the row or answer as MessagePack."""
     return _encoder.encode(row)
 
@@ -95,10 +106,7 @@
 
     :raises LedgerRowError: if it holds none.
     """
-    try:
-        return _claim_decoder.decode(value)
-    except msgspec.DecodeError as error:
-        raise LedgerRowError(f"claim row of {len(value)} bytes: {error}") from error
+    return _decoded(_claim_decoder, value)
 
 
 def decode_closing(value: bytes) -> ClosingRow:
@@ -106,10 +114,15 @@
 
     :raises LedgerRowError: if it holds none.
     """
-    try:
-        return _closing_decoder.decode(value)
-    except msgspec.DecodeError as error:
-        raise LedgerRowError(f"closing row of {len(value)} bytes: {error}") from error
+    return _decoded(_closing_decoder, value)
+
+
+def decode_marks(value: bytes) -> MarksRow:
+    """Return the marks in ``value``.
+
+    :raises LedgerRowError: if it holds none.
+    """
+    return _decoded(_marks_decoder, value)
 
 
 def decode_answer(value: bytes) -> Answer:
@@ -117,18 +130,27 @@
 
     :raises LedgerRowError: if it holds none.
     """
+    return _decoded(_answer_decoder, value)
+
+
+def _decoded(decoder: msgspec.msgpack.Decoder[T], value: bytes) -> T:
     try:
-        return _answer_decoder.decode(value)
+        return decoder.decode(value)
     except msgspec.DecodeError as error:
-        raise LedgerRowError(f"answer of {len(value)} bytes: {error}") from error
+        raise LedgerRowError(f"{len(value)} bytes of {decoder.type}: {error}") from error
+
+
+def workspace_name(workspace: str | None) -> str:
+    """Return the name that stands for the workspace in rows and tickets."""
+    return workspace or OPEN_WORKSPACE
 
 
-def claim_name(workspace: str | None, idempotency_key: str) -> str:
+def claim_name(workspace: str, idempotency_key: str) -> str:
     """Return the key of the claim row of a caller's own idempotency key."""
     return _name(CLAIMS_PREFIX, workspace, idempotency_key)
 
 
-def ticket_name(workspace: str | None, ticket: str) -> str:
+def ticket_name(workspace: str, ticket: str) -> str:
     """Return the key of the row that keeps a ticket's outcome."""
     return _name(TICKETS_PREFIX, workspace, ticket)
 
@@ -138,6 +160,6 @@
     return f"{CLOSINGS_PREFIX}{host}/{incarnation}"
 
 
-def _name(prefix: str, workspace: str | None, idempotency_key: str) -> str:
+def _name(prefix: str, workspace: str, idempotency_key: str) -> str:
     digest = sha256(idempotency_key.encode()).hexdigest()
-    return f"{prefix}{workspace or OPEN_WORKSPACE}/{digest}"
+    return f"{prefix}{workspace}/{digest}"
--- a/src/flamingoladder/ledger/refusals.py
+++ b/src/flamingoladder/ledger/refusals.py
@@ -40,6 +40,26 @@
     return Error(msgspec.structs.replace(refusal, ticket=ticket))
 
 
+def at_issuer(caller_url: str | None) -> Outcome:
+    """Return the refusal of an unused ticket that another host has issued."""
+    refusal = Refusal.not_run(Reason.CLAIM_HELD, "only the host that issued the ticket can run it")
+    hosts = (caller_url,) if caller_url else ()
+    return Error(msgspec.structs.replace(refusal, hosts=hosts))
+
+
+def issuer_closed(ticket: str) -> Outcome:
+    """Return the refusal of an unused ticket whose issuer has ended gracefully."""
+    refusal = Refusal.not_run(Reason.TICKET_INVALID, "the ticket's issuer has ended")
+    return Error(msgspec.structs.replace(refusal, ticket=ticket))
+
+
+def store_unavailable() -> Outcome:
+    """Return the refusal of a question that only the table could answer."""
+    return may_have_run(
+        Reason.CLAIM_STORE_UNAVAILABLE, "the store can't be read at present", ASK_AGAIN_S
+    )
+
+
 def key_reused() -> Outcome:
     """Return the refusal of a request whose key belongs to a different request."""
     return not_run(
--- a/src/flamingoladder/ledger/writer.py
+++ b/src/flamingoladder/ledger/writer.py
@@ -8,6 +8,7 @@
 from enum import auto
 from typing import TYPE_CHECKING
 
+from flamingoladder.ledger.reader import TABLE_TIMEOUT_S
 from flamingoladder.ledger.records import CLAIMS_PREFIX
 from flamingoladder.ledger.records import ClaimRow
 from flamingoladder.ledger.records import ClaimState
@@ -31,7 +32,6 @@
 BATCH_ROWS = 32
 BATCH_S = 0.05
 RETRY_S = 1.0
-TABLE_TIMEOUT_S = 1.0
 
 
 class WriteKind(Enum):
@@ -104,9 +104,7 @@
         async with self._flushing:
             while self._pending:
                 size = min(BATCH_ROWS, len(self._pending))
-                left = await self._written([self._pending.popleft() for _ in range(size)])
-                self._pending.extendleft(reversed(left))
-                if left:
+                if not await self._flushed([self._pending.popleft() for _ in range(size)]):
                     return False
             self._wake.clear()
             return True
@@ -115,6 +113,15 @@
         self._pending.append(pending)
         self._wake.set()
 
+    async def _flushed(self, batch: list[PendingWrite]) -> bool:
+        """Write the batch; what is left, or all of it when cancelled, stays pending."""
+        left = batch
+        try:
+            left = await self._written(batch)
+        finally:
+            self._pending.extendleft(reversed(left))
+        return not left
+
     async def _written(self, batch: Sequence[PendingWrite]) -> list[PendingWrite]:
         """Return what is left of the batch because the platform failed."""
         left = [each for each in batch if not await self._prepared(each)]
@@ -131,6 +138,8 @@
 
     async def _prepared(self, pending: PendingWrite) -> bool:
         """Store a large answer; return False if the object store failed."""
+        if pending.write is not None:
+            return True
         try:
             pending.write = await self._row(pending)
         except PlatformError as error:
--- a/tests/ledger/fleet.py
+++ b/tests/ledger/fleet.py
@@ -9,10 +9,16 @@
 
 from expression import Error
 from expression import Ok
-from reactivex import empty
+from reactivex import just
 
+from flamingoladder.config.agreed import AgreedState
 from flamingoladder.config.agreed import StateInForce
+from flamingoladder.config.model import Delays
+from flamingoladder.config.model import Deployment
+from flamingoladder.config.model import Link
+from flamingoladder.config.model import Places
 from flamingoladder.config.model import Route
+from flamingoladder.config.model import Workspace
 from flamingoladder.gateway.request import CallerRequest
 from flamingoladder.ledger.ledger import ClaimLedger
 from flamingoladder.members.state import Member
@@ -27,28 +33,48 @@
 from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from reactivex import Observable
 
-    from flamingoladder.config.agreed import AgreedState
+    from flamingoladder.platform.table import Commit
+    from flamingoladder.platform.table import Condition
+    from flamingoladder.platform.table import Rows
+    from flamingoladder.platform.table import Write
     from flamingoladder.verdict import Outcome
 
 RUN_S = 0.05
 STORE_DELAY_S = 0.005
 DEADLINE_S = 2.0
+WORKSPACE = "w"
+
 
+class FixedState(StateInForce):
+    """A state in force that never changes."""
 
-class NoState(StateInForce):
-    """A state in force before the first commit."""
+    __slots__ = ("_state",)
+
+    def __init__(self, hosts: Sequence[str]) -> None:
+        members = tuple(Member(host, "", "", "", f"http://{host}", "", "") for host in hosts)
+        places = Places(
+            regions={},
+            delays=Delays(between_domains_ms=1.0, between_regions_ms=20.0, to_clients_ms=8.0),
+            link=Link(mbit_per_s=1.0),
+            store_region="",
+        )
+        workspaces = {WORKSPACE: Workspace()}
+        deployment = Deployment(name="", places=places, services={}, workspaces=workspaces)
+        self._state = AgreedState(1, 1, deployment, members=members)
 
     @property
     def changes(self) -> Observable[AgreedState]:
-        """Return no states."""
-        return empty()
+        """Return the state."""
+        return just(self._state)
 
     @property
-    def current(self) -> AgreedState | None:
-        """Return None."""
-        return None
+    def current(self) -> AgreedState:
+        """Return the state."""
+        return self._state
 
     def has_proof(self, now: float) -> bool:
         """Return True."""
@@ -58,14 +84,14 @@
 class Upstream:
     """Counts runs by key; the next ``refusals_left`` requests are refused before any byte left."""
 
-    __slots__ = ("crashes", "refusals_left", "run_s", "runs", "silent")
+    __slots__ = ("crashes", "ids", "refusals_left", "run_s", "runs")
 
     def __init__(self) -> None:
         self.runs: Counter[str] = Counter()
-        self.run_s = RUN_S
+        self.ids: set[str] = set()
+        self.run_s: dict[str, float] = {}
         self.refusals_left = 0
         self.crashes = False
-        self.silent = False
 
     async def run(self, request: CallerRequest) -> Outcome:
         """Run the request and answer with its idempotency key."""
@@ -74,31 +100,58 @@
             self.refusals_left -= 1
             return Error(Refusal.not_run(Reason.NO_CAPACITY, "no slot"))
         self.runs[key] += 1
-        await asyncio.sleep(self.run_s if not self.silent else 3600.0)
+        self.ids.add(request.request_id)
+        await asyncio.sleep(self.run_s.get(key, RUN_S))
         if self.crashes:
             return Error(Refusal.may_have_run(Reason.UPSTREAM_LOST, "connection reset"))
         return Ok(Answer(201, (), f"{key} run {self.runs[key]}".encode()))
 
 
+class FreezableTable(MemoryTable):
+    """A table whose answers wait while the host that asked is frozen."""
+
+    __slots__ = ("thawed",)
+
+    def __init__(self, stored: StoredTable, faults: Faults) -> None:
+        super().__init__(stored, faults)
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+
+    async def read(self, prefix: str, timeout_s: float) -> Rows:
+        """Return the rows once the host is awake."""
+        rows = await super().read(prefix, timeout_s)
+        await self.thawed.wait()
+        return rows
+
+    async def transact(
+        self, conditions: Sequence[Condition], writes: Sequence[Write], timeout_s: float
+    ) -> Commit:
+        """Return the answer once the host is awake."""
+        commit = await super().transact(conditions, writes, timeout_s)
+        await self.thawed.wait()
+        return commit
+
+
 class Host:
     """One incarnation's ledger; ``faults`` are those of its own access to the table."""
 
-    __slots__ = ("faults", "fleet", "ledger", "member", "task")
+    __slots__ = ("faults", "fleet", "ledger", "member", "serving", "table")
 
     def __init__(self, fleet: Fleet, name: str, incarnation: str) -> None:
         self.fleet = fleet
         self.member = Member(name, "r", "r1", incarnation, f"http://{name}", "", "")
         self.faults = Faults()
         self.faults.delay_s = STORE_DELAY_S
+        self.table = FreezableTable(fleet.stored, self.faults)
         self.ledger = ClaimLedger.from_config(
-            MemoryTable(fleet.stored, self.faults),
+            self.table,
             MemoryObjects(fleet.objects),
             fleet.network.join(name, incarnation),
             Recorder(name, incarnation),
             self.member,
-            NoState(),
+            fleet.state,
         )
-        self.task = asyncio.create_task(self.ledger.serve())
+        self.serving = asyncio.create_task(self.ledger.serve())
 
     async def send(
         self,
@@ -107,43 +160,67 @@
         digest: str = "d1",
         fresh: bool = False,
         deadline_s: float = DEADLINE_S,
+        request_id: str = "",
+        workspace: str = WORKSPACE,
     ) -> Outcome:
         """Send a booking through this host."""
-        now = asyncio.get_running_loop().time()
-        request = booking(key, digest=digest, fresh=fresh, deadline=now + deadline_s)
+        request = CallerRequest(
+            request_id=request_id,
+            service="bookings",
+            route=Route(path="/bookings", methods=("POST",), idempotent=False),
+            method="POST",
+            path="/bookings",
+            headers=(),
+            body=b"",
+            digest=digest,
+            deadline=asyncio.get_running_loop().time() + deadline_s,
+            workspace=workspace,
+            key_id="k",
+            idempotency_key=key,
+            fresh_key=fresh,
+        )
         return await self.ledger.run_once(request, self.fleet.upstream.run)
 
+    def freeze(self) -> None:
+        """Stop the host's dealings with table and peers."""
+        self.table.thawed.clear()
+        self.fleet.network.freeze(self.member.host)
+
+    def thaw(self) -> None:
+        """Let the host go on."""
+        self.table.thawed.set()
+        self.fleet.network.thaw(self.member.host)
+
+    def kill(self) -> None:
+        """End the host at once; requests that an upstream has begun go on there."""
+        self.table.thawed.clear()
+        self.fleet.network.leave(self.member.host)
+        self.serving.cancel()
+
 
 class Fleet:
     """Hosts by name, and what they share."""
 
-    __slots__ = ("by_name", "network", "objects", "stored", "upstream")
+    __slots__ = ("by_name", "network", "objects", "started", "state", "stored", "upstream")
 
     def __init__(self, *names: str, seed: int = 1) -> None:
         self.stored = StoredTable()
         self.objects: dict[str, bytes] = {}
         self.network = Network(Random(seed), delay_s=0.002)
         self.upstream = Upstream()
+        self.state = FixedState(names)
+        self.started = 1
         self.by_name = {name: Host(self, name, f"{name}-1") for name in names}
 
     def __getitem__(self, name: str) -> Host:
         return self.by_name[name]
 
+    def restart(self, name: str) -> Host:
+        """Start a new incarnation of a host."""
+        self.started += 1
+        self.by_name[name] = Host(self, name, f"{name}-{self.started}")
+        return self.by_name[name]
 
-def booking(key: str | None, *, digest: str, fresh: bool, deadline: float) -> CallerRequest:
-    """Return a booking of workspace ``w``."""
-    return CallerRequest(
-        request_id="r",
-        service="bookings",
-        route=Route(path="/bookings", methods=("POST",), idempotent=False),
-        method="POST",
-        path="/bookings",
-        headers=(),
-        body=b"",
-        digest=digest,
-        deadline=deadline,
-        workspace="w",
-        key_id="k",
-        idempotency_key=key,
-        fresh_key=fresh,
-    )
+    def everyone(self) -> tuple[Host, ...]:
+        """Return the present incarnations of all hosts."""
+        return tuple(self.by_name.values())
--- /dev/null
+++ b/tests/ledger/test_tickets.py
@@ -0,0 +1,227 @@
+"""Tests of tickets, of graceful ends and of questions for an outcome."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from flamingoladder.ledger.tickets import REMEMBERED_AFTER_EXPIRY_S
+from flamingoladder.ledger.tickets import TICKET_LIFETIME_S
+from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Verdict
+from tests.ledger.fleet import Fleet
+from tests.ledger.test_failures import LONG_S
+from tests.ledger.test_failures import RAN
+from tests.ledger.test_failures import UNREACHABLE
+from tests.ledger.test_failures import said
+
+INVALID = (Verdict.NOT_RUN, Reason.TICKET_INVALID)
+CLOSED = (Verdict.NOT_RUN, Reason.IDEMPOTENCY_KEY_REUSED)
+
+
+async def _close(fleet: Fleet, name: str) -> bool:
+    closed = await fleet[name].ledger.close(asyncio.get_running_loop().time())
+    fleet[name].kill()
+    return closed
+
+
+def test_ticket_runs_once_at_its_issuer_without_the_store() -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a")
+        fleet["a"].faults.down = True
+        ticket = fleet["a"].ledger.issue_ticket("w")
+        outcomes = await asyncio.gather(*(fleet["a"].send(ticket) for _ in range(3)))
+        outcomes.append(await fleet["a"].send(ticket))
+        assert [said(outcome) for outcome in outcomes] == [RAN] * 4
+        assert fleet.upstream.runs == {ticket: 1}
+        assert said(await fleet["a"].send(ticket, digest="d2")) == CLOSED
+
+    run_on_injected_time(scenario())
+
+
+def test_unused_ticket_at_another_host_names_its_issuer() -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a", "b")
+        ticket = fleet["a"].ledger.issue_ticket("w")
+        refused = await fleet["b"].send(ticket)
+        assert said(refused) == (Verdict.NOT_RUN, Reason.CLAIM_HELD)
+        assert refused.error.hosts == ("http://a",)
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize("pause_s", [0.02, 1.0])
+def test_used_ticket_at_another_host_gets_the_issuers_outcome(pause_s: float) -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a", "b")
+        ticket = fleet["a"].ledger.issue_ticket("w")
+        first = asyncio.create_task(fleet["a"].send(ticket))
+        await asyncio.sleep(pause_s)
+        assert said(await fleet["b"].send(ticket, digest="d2")) == CLOSED
+        repeat = await fleet["b"].send(ticket)
+        assert repeat.ok == (await first).ok
+        assert fleet.upstream.runs == {ticket: 1}
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize(("fresh", "expected"), [(False, UNREACHABLE), (True, Verdict.NOT_RUN)])
+def test_ticket_of_a_killed_issuer(fresh: bool, expected: object) -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a", "b")
+        ticket = fleet["a"].ledger.issue_ticket("w")
+        fleet["a"].kill()
+        fleet.restart("a")
+        for host in fleet.everyone():
+            refused = await host.send(ticket, fresh=fresh, deadline_s=LONG_S)
+            assert expected in (said(refused), said(refused)[0])
+            assert (refused.error.ticket is not None) == fresh
+
+    run_on_injected_time(scenario())
+
+
+def test_ticket_used_at_a_killed_issuer_keeps_its_outcome() -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a", "b")
+        ticket = fleet["a"].ledger.issue_ticket("w")
+        await fleet["a"].send(ticket)
+        await asyncio.sleep(1.0)
+        fleet["a"].kill()
+        assert said(await fleet["b"].send(ticket, deadline_s=LONG_S)) == RAN
+        assert said(await fleet["b"].ledger.outcome_of("w", ticket)) == RAN
+
+    run_on_injected_time(scenario())
+
+
+def test_tickets_of_a_closed_issuer_are_told_apart() -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a", "b")
+        used, unused = (fleet["a"].ledger.issue_ticket("w") for _ in range(2))
+        booking = asyncio.create_task(fleet["a"].send(used))
+        await asyncio.sleep(0.01)
+        assert await _close(fleet, "a")
+        assert said(await booking) == RAN
+        assert said(await fleet["b"].send(used, deadline_s=LONG_S)) == RAN
+        refused = await fleet["b"].send(unused, deadline_s=LONG_S)
+        assert said(refused) == INVALID
+        assert said(await fleet["b"].send(refused.error.ticket)) == RAN
+
+    run_on_injected_time(scenario())
+
+
+def test_no_closing_row_while_an_outcome_is_not_written() -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a", "b")
+        ticket = fleet["a"].ledger.issue_ticket("w")
+        fleet["a"].faults.down = True
+        await fleet["a"].send(ticket)
+        assert not await _close(fleet, "a")
+        assert said(await fleet["b"].send(ticket, deadline_s=LONG_S)) == UNREACHABLE
+
+    run_on_injected_time(scenario())
+
+
+def test_closing_host_accepts_nothing_new() -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a")
+        ticket = fleet["a"].ledger.issue_ticket("w")
+        await fleet["a"].ledger.close(0.0)
+        assert said(await fleet["a"].send(ticket)) == (Verdict.NOT_RUN, Reason.HOST_LEAVING)
+        assert said(await fleet["a"].send("k")) == (Verdict.MAY_HAVE_RUN, Reason.HOST_LEAVING)
+        assert not fleet.upstream.runs
+
+    run_on_injected_time(scenario())
+
+
+def test_claim_left_by_a_closed_host_may_be_taken_over() -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a", "b")
+        fleet["a"].faults.lost_answers = 1
+        booking = asyncio.create_task(fleet["a"].send("k"))
+        await asyncio.sleep(0.1)
+        fleet["a"].faults.down = True
+        await booking
+        row = next(iter(fleet.stored.rows_by_key.values()))
+        fleet["a"].faults.down = False
+        assert await _close(fleet, "a")
+        fleet.stored.rows_by_key[row.key] = row
+        assert said(await fleet["b"].send("k", deadline_s=LONG_S)) == RAN
+        assert fleet.upstream.runs == {"k": 1}
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize("workspace", ["w", "other"])
+def test_forged_ticket_is_refused(workspace: str) -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a")
+        ticket = fleet["a"].ledger.issue_ticket("w")
+        text = ticket if workspace == "other" else ticket[:-1] + ("0" if ticket[-1] != "0" else "1")
+        assert said(await fleet["a"].send(text, workspace=workspace)) == INVALID
+        assert said(await fleet["a"].send(ticket[:20])) == INVALID
+        assert not fleet.upstream.runs
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "used", "expected"),
+    [
+        (TICKET_LIFETIME_S, False, INVALID),
+        (TICKET_LIFETIME_S, True, RAN),
+        (TICKET_LIFETIME_S + REMEMBERED_AFTER_EXPIRY_S + LONG_S, True, RAN),
+        (TICKET_LIFETIME_S + REMEMBERED_AFTER_EXPIRY_S + LONG_S, False, UNREACHABLE),
+    ],
+)
+def test_expired_ticket(pause_s: float, used: bool, expected: object) -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a")
+        ticket = fleet["a"].ledger.issue_ticket("w")
+        if used:
+            await fleet["a"].send(ticket)
+        await asyncio.sleep(pause_s)
+        assert said(await fleet["a"].send(ticket)) == expected
+        assert fleet.upstream.runs[ticket] == int(used)
+
+    run_on_injected_time(scenario())
+
+
+def test_ticket_that_found_no_capacity_may_be_used_again() -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a")
+        ticket = fleet["a"].ledger.issue_ticket("w")
+        fleet.upstream.refusals_left = 1
+        assert said(await fleet["a"].send(ticket)) == (Verdict.NOT_RUN, Reason.NO_CAPACITY)
+        assert said(await fleet["a"].send(ticket)) == RAN
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize("kind", ["own key", "ticket"])
+def test_question_for_an_outcome_closes_an_unused_key(kind: str) -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a", "b")
+        key = fleet["a"].ledger.issue_ticket("w") if kind == "ticket" else "k"
+        assert said(await fleet["b"].ledger.outcome_of("w", key)) == CLOSED
+        for name in ("a", "b"):
+            assert said(await fleet[name].send(key))[0] is Verdict.NOT_RUN
+        assert not fleet.upstream.runs
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize("kind", ["own key", "ticket"])
+def test_question_for_an_outcome_finds_it(kind: str) -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a", "b")
+        key = fleet["a"].ledger.issue_ticket("w") if kind == "ticket" else "k"
+        fleet.upstream.run_s[key] = 1.0
+        booking = asyncio.create_task(fleet["a"].send(key))
+        await asyncio.sleep(0.02)
+        assert said(await fleet["b"].ledger.outcome_of("w", key)) == RAN
+        await booking
+        assert fleet.upstream.runs == {key: 1}
+
+    run_on_injected_time(scenario())
