--- /dev/null
+++ b/models/at_most_once.py
@@ -0,0 +1,394 @@
+"""At most once by claim rows: a caller's own idempotency key in the platform's table.
+
+A caller sends up to three requests with one key, through two hosts; one may be a question for the
+outcome. Any answer of the table may be late or lost, any write may land late, any host may be
+slow, crash or end gracefully at any moment. A host that is frozen is one that takes no step.
+Pruning of old rows is left out: it bounds the promise to the time that a key is kept.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from models.checked import CheckedModel
+
+REQUESTS = 3
+HOSTS = 2
+ABSENT = 0
+
+CLAIM_IS_CONDITIONAL = "claim_is_conditional"
+HELD_BEFORE_DISPATCH = "held_before_dispatch"
+TAKEOVER_ON_WORD_ONLY = "takeover_on_word_only"
+WORD_NEVER_IS_FINAL = "word_never_is_final"
+REMEMBERED_UNTIL_WRITTEN = "remembered_until_written"
+RUN_KEEPS_CLAIM = "run_keeps_claim"
+RELEASE_IS_CONDITIONAL = "release_is_conditional"
+GIVEN_UP_IS_FINAL = "given_up_is_final"
+NOT_RUN_NEEDS_FRESH_KEY = "not_run_needs_fresh_key"
+OUTCOMES_BEFORE_CLOSING = "outcomes_before_closing"
+IDLE_BEFORE_CLOSING = "idle_before_closing"
+CLOSED_KEY_STAYS_CLOSED = "closed_key_stays_closed"
+
+GUARDS = (
+    CLAIM_IS_CONDITIONAL,
+    HELD_BEFORE_DISPATCH,
+    TAKEOVER_ON_WORD_ONLY,
+    WORD_NEVER_IS_FINAL,
+    REMEMBERED_UNTIL_WRITTEN,
+    RUN_KEEPS_CLAIM,
+    RELEASE_IS_CONDITIONAL,
+    GIVEN_UP_IS_FINAL,
+    NOT_RUN_NEEDS_FRESH_KEY,
+    OUTCOMES_BEFORE_CLOSING,
+    IDLE_BEFORE_CLOSING,
+    CLOSED_KEY_STAYS_CLOSED,
+)
+
+
+class Row(NamedTuple):
+    """The claim row: its attempt, ``claimed``, ``done`` or ``closed``, and its revision."""
+
+    attempt: int
+    state: str
+    revision: int
+
+
+class Pending(NamedTuple):
+    """A write on its way to the table: ``claim``, ``close`` or ``release`` at a revision."""
+
+    kind: str
+    attempt: int
+    revision: int
+
+
+class Attempt(NamedTuple):
+    """One request at one host.
+
+    ``phase`` is ``unsent``, ``writing``, ``reading``, ``asking``, ``held``, ``ran``, ``written`` or
+    ``given_up``; ``end`` is ``live``, ``crashed`` or ``closed`` for its incarnation. ``other`` is the
+    attempt that is asked about and ``revision`` that of the row concerned.
+    """
+
+    phase: str = "unsent"
+    end: str = "live"
+    host: int = 0
+    question: bool = False
+    fresh: bool = False
+    verdict: str = ""
+    other: int = 0
+    revision: int = 0
+
+
+class State(NamedTuple):
+    """The whole state; ``false_not_run`` records an answer that was untrue when it was given."""
+
+    row: Row | None = None
+    pending: frozenset[Pending] = frozenset()
+    attempts: tuple[Attempt, ...] = (Attempt(),) * REQUESTS
+    runs: int = 0
+    ticket: bool = False
+    false_not_run: bool = False
+
+
+Step = tuple[str, State]
+
+ON_THE_WAY = ("writing", "reading", "asking", "held")
+
+
+class ClaimRows:
+    """The transitions with the given guards in place."""
+
+    __slots__ = ("_guards",)
+
+    def __init__(self, guards: frozenset[str]) -> None:
+        self._guards = guards
+
+    def transitions(self, state: State) -> list[Step]:
+        """Return every next state."""
+        steps = self._sends(state)
+        for number, attempt in enumerate(state.attempts):
+            if attempt.end != "crashed":
+                steps += self._host_steps(state, number, attempt)
+        for pending in state.pending:
+            steps += self._landings(state, pending)
+        for host in range(HOSTS):
+            steps += self._ends(state, host)
+        return [(label, _renumbered(each)) for label, each in steps]
+
+    def _lacks(self, guard: str) -> bool:
+        return guard not in self._guards
+
+    def _sends(self, state: State) -> list[Step]:
+        number = next((n for n, a in enumerate(state.attempts) if a.phase == "unsent"), None)
+        if number is None or state.ticket:
+            return []
+        earlier = state.attempts[:number]
+        may_be_fresh = all(each.verdict == "not_run" for each in earlier)
+        steps = []
+        for host in range(HOSTS if number else 1):
+            if any(_joins(each, host) for each in earlier):
+                continue
+            for fresh in {False, may_be_fresh}:
+                sent = Attempt("writing", host=host, fresh=fresh)
+                pending = Pending("claim", number, ABSENT)
+                steps.append((f"send {number} to {host}", _put(state, number, sent, pending)))
+            if number:
+                asked = Attempt("reading", host=host, question=True)
+                steps.append((f"question {number} to {host}", _put(state, number, asked)))
+        return steps
+
+    def _host_steps(self, state: State, number: int, attempt: Attempt) -> list[Step]:
+        match attempt.phase:
+            case "writing":
+                return self._writing(state, number, attempt)
+            case "reading":
+                return self._reading(state, number, attempt)
+            case "asking":
+                return self._asking(state, number, attempt)
+            case "held":
+                return self._held(state, number, attempt)
+            case "ran":
+                return self._ran(state, number, attempt)
+            case "given_up":
+                return self._given_up(state, number, attempt)
+        return []
+
+    def _writing(self, state: State, number: int, attempt: Attempt) -> list[Step]:
+        """The answer is late: the claim is resolved by reading."""
+        steps = [("answer lost", _put(state, number, attempt._replace(phase="reading")))]
+        if self._lacks(HELD_BEFORE_DISPATCH) and not attempt.question:
+            steps.append(("assume held", _put(state, number, attempt._replace(phase="held"))))
+        return steps
+
+    def _reading(self, state: State, number: int, attempt: Attempt) -> list[Step]:
+        steps = [("store out", self._unclaimed(state, number, attempt))]
+        row = state.row
+        if row is None:
+            return [*steps, self._write(state, number, attempt, ABSENT)]
+        if row.attempt == number and row.state == "claimed":
+            held = attempt._replace(phase="held", revision=row.revision)
+            return [*steps, ("read own claim", _put(state, number, held))]
+        if row.state == "done":
+            return [*steps, ("read outcome", _answer(state, number, attempt, "ran"))]
+        if row.state == "closed":
+            if self._lacks(CLOSED_KEY_STAYS_CLOSED):
+                return [*steps, self._write(state, number, attempt, row.revision)]
+            return [*steps, ("read closed", _answer(state, number, attempt, "not_run"))]
+        asking = attempt._replace(phase="asking", other=row.attempt, revision=row.revision)
+        return [*steps, ("read claim", _put(state, number, asking))]
+
+    def _asking(self, state: State, number: int, attempt: Attempt) -> list[Step]:
+        steps = [
+            ("unreachable", _answer(state, number, attempt, "may_have_run")),
+            ("read again", _put(state, number, attempt._replace(phase="reading"))),
+        ]
+        holder = state.attempts[attempt.other]
+        if self._may_take_over(holder):
+            steps.append(self._write(state, number, attempt, attempt.revision))
+        if holder.end == "live" and holder.phase == "ran":
+            steps.append(("told outcome", _answer(state, number, attempt, "ran")))
+        return steps
+
+    def _may_take_over(self, holder: Attempt) -> bool:
+        if self._lacks(TAKEOVER_ON_WORD_ONLY):
+            return True
+        if holder.end == "closed":
+            return True
+        if holder.end == "crashed":
+            return False
+        if holder.phase in ON_THE_WAY:
+            return self._lacks(WORD_NEVER_IS_FINAL)
+        if holder.phase == "ran":
+            return self._lacks(REMEMBERED_UNTIL_WRITTEN)
+        return True
+
+    def _write(self, state: State, number: int, attempt: Attempt, revision: int) -> Step:
+        kind = "close" if attempt.question else "claim"
+        writing = attempt._replace(phase="writing", revision=revision)
+        return (kind, _put(state, number, writing, Pending(kind, number, revision)))
+
+    def _unclaimed(self, state: State, number: int, attempt: Attempt) -> State:
+        certain = attempt.fresh or self._lacks(NOT_RUN_NEEDS_FRESH_KEY)
+        verdict = "not_run" if certain and not attempt.question else "may_have_run"
+        return _answer(state, number, attempt._replace(fresh=certain), verdict)
+
+    def _held(self, state: State, number: int, attempt: Attempt) -> list[Step]:
+        ran = attempt._replace(phase="ran", verdict="ran")
+        untrue = state.false_not_run or attempt.verdict == "not_run"
+        dispatched = _put(state, number, ran)
+        steps = [("dispatch", dispatched._replace(runs=state.runs + 1, false_not_run=untrue))]
+        refused = _answer(state, number, attempt._replace(fresh=False), "not_run")
+        release = Pending("release", number, attempt.revision)
+        return [*steps, ("no capacity", refused._replace(pending=refused.pending | {release}))]
+
+    def _ran(self, state: State, number: int, attempt: Attempt) -> list[Step]:
+        row = state.row
+        if self._lacks(RUN_KEEPS_CLAIM):
+            gone = _put(state, number, attempt._replace(phase="given_up", verdict="may_have_run"))
+            release = Pending("release", number, attempt.revision)
+            return [("release", gone._replace(pending=gone.pending | {release}))]
+        if row is not None and (row.attempt, row.state) == (number, "claimed"):
+            done = Row(number, "done", _next_revision(state))
+            return [("write outcome", state._replace(row=done))]
+        return [("outcome confirmed", _put(state, number, attempt._replace(phase="written")))]
+
+    def _given_up(self, state: State, number: int, attempt: Attempt) -> list[Step]:
+        steps: list[Step] = []
+        if attempt.end == "closed":
+            return steps
+        if attempt.verdict == "not_run" and attempt.fresh and not state.ticket:
+            steps.append(("use ticket", state._replace(ticket=True, runs=state.runs + 1)))
+        row = state.row
+        if row is None or (row.attempt, row.state) != (number, "claimed"):
+            return steps
+        release = Pending("release", number, row.revision)
+        if release not in state.pending:
+            steps.append(("clean", state._replace(pending=state.pending | {release})))
+        if self._lacks(GIVEN_UP_IS_FINAL):
+            held = attempt._replace(phase="held", revision=row.revision)
+            steps.append(("resume", _put(state, number, held)))
+        return steps
+
+    def _landings(self, state: State, pending: Pending) -> list[Step]:
+        landed = state._replace(pending=state.pending - {pending})
+        revision = state.row.revision if state.row else ABSENT
+        matches = revision == pending.revision
+        if pending.kind == "release":
+            if matches or self._lacks(RELEASE_IS_CONDITIONAL):
+                landed = landed._replace(row=None)
+            return [("release lands", landed)]
+        if matches or self._lacks(CLAIM_IS_CONDITIONAL):
+            kept = "claimed" if pending.kind == "claim" else "closed"
+            landed = landed._replace(row=Row(pending.attempt, kept, _next_revision(state)))
+            matches = True
+        attempt = state.attempts[pending.attempt]
+        awaited = (attempt.phase, attempt.revision) == ("writing", pending.revision)
+        steps = [(f"{pending.kind} lands", landed)]
+        if awaited and attempt.end == "live":
+            steps.append(("answered", self._answered(landed, pending.attempt, attempt, matches)))
+        return steps
+
+    def _answered(self, landed: State, number: int, attempt: Attempt, committed: bool) -> State:
+        if not committed:
+            return _put(landed, number, attempt._replace(phase="reading"))
+        if attempt.question:
+            return _answer(landed, number, attempt, "not_run")
+        assert landed.row is not None
+        held = attempt._replace(phase="held", revision=landed.row.revision)
+        return _put(landed, number, held)
+
+    def _ends(self, state: State, host: int) -> list[Step]:
+        here = [each for each in state.attempts if _is_live_at(each, host)]
+        if not here:
+            return []
+        steps = [(f"{host} crashes", _ended(state, host, "crashed"))]
+        if all(self._lets_close(each) for each in here):
+            steps.append((f"{host} closes", _ended(state, host, "closed")))
+        return steps
+
+    def _lets_close(self, attempt: Attempt) -> bool:
+        if attempt.phase in ON_THE_WAY:
+            return self._lacks(IDLE_BEFORE_CLOSING) and not attempt.question
+        return attempt.phase != "ran" or self._lacks(OUTCOMES_BEFORE_CLOSING)
+
+
+def _put(state: State, number: int, attempt: Attempt, pending: Pending | None = None) -> State:
+    attempts = (*state.attempts[:number], attempt, *state.attempts[number + 1 :])
+    writes = state.pending | {pending} if pending else state.pending
+    return state._replace(attempts=attempts, pending=writes)
+
+
+def _answer(state: State, number: int, attempt: Attempt, verdict: str) -> State:
+    """Answer the caller, and give up the attempt for good."""
+    given_up = _put(state, number, attempt._replace(phase="given_up", verdict=verdict))
+    untrue = verdict == "not_run" and state.runs > 0
+    return given_up._replace(false_not_run=state.false_not_run or untrue)
+
+
+def _joins(attempt: Attempt, host: int) -> bool:
+    """Return whether a repeat at the host waits for this attempt instead of making its own."""
+    on_the_way = attempt.phase in ON_THE_WAY or attempt.phase == "ran"
+    return _is_live_at(attempt, host) and on_the_way and not attempt.question
+
+
+def _is_live_at(attempt: Attempt, host: int) -> bool:
+    return attempt.phase != "unsent" and (attempt.host, attempt.end) == (host, "live")
+
+
+def _ended(state: State, host: int, end: str) -> State:
+    attempts = (
+        each._replace(end=end) if _is_live_at(each, host) else each for each in state.attempts
+    )
+    return state._replace(attempts=tuple(attempts))
+
+
+def _revisions(state: State) -> set[int]:
+    used = {each.revision for each in state.attempts} | {each.revision for each in state.pending}
+    return used | {state.row.revision if state.row else ABSENT, ABSENT}
+
+
+def _next_revision(state: State) -> int:
+    return max(_revisions(state)) + 1
+
+
+def _renumbered(state: State) -> State:
+    """Return the state without what no longer matters, its revisions counted from 0."""
+    state = state._replace(attempts=tuple(_essence(each) for each in state.attempts))
+    number = {revision: index for index, revision in enumerate(sorted(_revisions(state)))}
+    row = state.row._replace(revision=number[state.row.revision]) if state.row else None
+    pending = (each._replace(revision=number[each.revision]) for each in state.pending)
+    attempts = (each._replace(revision=number[each.revision]) for each in state.attempts)
+    return state._replace(row=row, pending=frozenset(pending), attempts=tuple(attempts))
+
+
+def _essence(attempt: Attempt) -> Attempt:
+    if attempt.end == "crashed":
+        return Attempt("given_up", "crashed", verdict=attempt.verdict)
+    if attempt.phase in ("writing", "held", "ran"):
+        return attempt._replace(other=0)
+    if attempt.phase == "asking":
+        return attempt
+    return attempt._replace(other=0, revision=ABSENT)
+
+
+def _closed_key_never_runs(state: dict[str, Any]) -> bool:
+    closed = any(each.question and each.verdict == "not_run" for each in state["attempts"])
+    return not closed or state["runs"] == 0
+
+
+def build(guards: frozenset[str]) -> Protocol:
+    """Return the protocol with the given guards in place."""
+    return Protocol(
+        name="claim rows",
+        candidate=False,
+        fields=State._fields,
+        initial=State(),
+        transitions=ClaimRows(guards).transitions,
+        invariants={
+            "runs_at_most_once": lambda state: state["runs"] <= 1,
+            "not_run_is_true": lambda state: not state["false_not_run"],
+            "closed_key_never_runs": _closed_key_never_runs,
+        },
+    )
+
+
+def _runs_after_takeover(state: dict[str, Any]) -> bool:
+    first, *later = state["attempts"]
+    return first.phase == "given_up" and any(each.phase == "ran" for each in later)
+
+
+MODELS = (
+    CheckedModel(
+        name="at most once by claim rows",
+        build=build,
+        guards=GUARDS,
+        witnesses={
+            "a request runs": lambda state: state["runs"] == 1,
+            "a ticket runs": lambda state: bool(state["ticket"]),
+            "a later request runs after the first was given up": _runs_after_takeover,
+        },
+    ),
+)
