Model at most once by claim rows and by tickets, with a mutant for each guard

The model refuted the first rule for fresh keys: a caller that says the key is fresh and repeats before the answer could use the ticket of one refusal while the repeat runs. So a fresh key also means that no other request is sent before the answer, and a ticket replaces its key for good.

--- a/models/__main__.py
+++ b/models/__main__.py
@@ -14,7 +14,7 @@
     from models.checked import Report
 
 # Each module has ``MODELS: Sequence[CheckedModel]``.
-MODULES: tuple[str, ...] = ("models.at_most_once",)
+MODULES: tuple[str, ...] = ("models.at_most_once", "models.tickets")
 
 
 def main() -> int:
--- a/models/at_most_once.py
+++ b/models/at_most_once.py
@@ -8,16 +8,32 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
-from typing import NamedTuple
 
 from minicheck import Protocol
 
 from models.checked import CheckedModel
+from models.claim_state import ABSENT
+from models.claim_state import ON_THE_WAY
+from models.claim_state import Attempt
+from models.claim_state import Pending
+from models.claim_state import Row
+from models.claim_state import Scope
+from models.claim_state import State
+from models.claim_state import Step
+from models.claim_state import abandoned
+from models.claim_state import all_not_run
+from models.claim_state import answer
+from models.claim_state import ended
+from models.claim_state import is_live_at
+from models.claim_state import joins
+from models.claim_state import late_writes
+from models.claim_state import next_revision
+from models.claim_state import put
+from models.claim_state import renumbered
 
-REQUESTS = 3
 HOSTS = 2
-ABSENT = 0
 
 CLAIM_IS_CONDITIONAL = "claim_is_conditional"
 HELD_BEFORE_DISPATCH = "held_before_dispatch"
@@ -48,62 +64,13 @@
 )
 
 
-class Row(NamedTuple):
-    """The claim row: its attempt, ``claimed``, ``done`` or ``closed``, and its revision."""
-
-    attempt: int
-    state: str
-    revision: int
-
-
-class Pending(NamedTuple):
-    """A write on its way to the table: ``claim``, ``close`` or ``release`` at a revision."""
-
-    kind: str
-    attempt: int
-    revision: int
-
-
-class Attempt(NamedTuple):
-    """One request at one host.
-
-    ``phase`` is ``unsent``, ``writing``, ``reading``, ``asking``, ``held``, ``ran``, ``written`` or
-    ``given_up``; ``end`` is ``live``, ``crashed`` or ``closed`` for its incarnation. ``other`` is the
-    attempt that is asked about and ``revision`` that of the row concerned.
-    """
-
-    phase: str = "unsent"
-    end: str = "live"
-    host: int = 0
-    question: bool = False
-    fresh: bool = False
-    verdict: str = ""
-    other: int = 0
-    revision: int = 0
-
-
-class State(NamedTuple):
-    """The whole state; ``false_not_run`` records an answer that was untrue when it was given."""
-
-    row: Row | None = None
-    pending: frozenset[Pending] = frozenset()
-    attempts: tuple[Attempt, ...] = (Attempt(),) * REQUESTS
-    runs: int = 0
-    ticket: bool = False
-    false_not_run: bool = False
-
-
-Step = tuple[str, State]
-
-ON_THE_WAY = ("writing", "reading", "asking", "held")
-
-
 class ClaimRows:
     """The transitions with the given guards in place."""
 
-    __slots__ = ("_guards",)
+    __slots__ = ("_guards", "_scope")
 
-    def __init__(self, guards: frozenset[str]) -> None:
+    def __init__(self, scope: Scope, guards: frozenset[str]) -> None:
+        self._scope = scope
         self._guards = guards
 
     def transitions(self, state: State) -> list[Step]:
@@ -114,9 +81,9 @@
                 steps += self._host_steps(state, number, attempt)
         for pending in state.pending:
             steps += self._landings(state, pending)
-        for host in range(HOSTS):
+        for host in range(HOSTS if self._scope.ends else 0):
             steps += self._ends(state, host)
-        return [(label, _renumbered(each)) for label, each in steps]
+        return [(label, renumbered(each)) for label, each in steps]
 
     def _lacks(self, guard: str) -> bool:
         return guard not in self._guards
@@ -127,17 +94,18 @@
             return []
         earlier = state.attempts[:number]
         may_be_fresh = all(each.verdict == "not_run" for each in earlier)
+        state = state._replace(attempts=tuple(abandoned(each) for each in state.attempts))
         steps = []
         for host in range(HOSTS if number else 1):
-            if any(_joins(each, host) for each in earlier):
+            if any(joins(each, host) for each in earlier):
                 continue
             for fresh in {False, may_be_fresh}:
                 sent = Attempt("writing", host=host, fresh=fresh)
                 pending = Pending("claim", number, ABSENT)
-                steps.append((f"send {number} to {host}", _put(state, number, sent, pending)))
-            if number:
+                steps.append((f"send {number} to {host}", put(state, number, sent, pending)))
+            if number and self._scope.questions:
                 asked = Attempt("reading", host=host, question=True)
-                steps.append((f"question {number} to {host}", _put(state, number, asked)))
+                steps.append((f"question {number} to {host}", put(state, number, asked)))
         return steps
 
     def _host_steps(self, state: State, number: int, attempt: Attempt) -> list[Step]:
@@ -158,9 +126,13 @@
 
     def _writing(self, state: State, number: int, attempt: Attempt) -> list[Step]:
         """The answer is late: the claim is resolved by reading."""
-        steps = [("answer lost", _put(state, number, attempt._replace(phase="reading")))]
+        steps: list[Step] = []
+        sent = any(each.attempt == number for each in state.pending)
+        if not sent or late_writes(state) < self._scope.late_writes:
+            reading = attempt._replace(phase="reading")
+            steps.append(("answer lost", put(state, number, reading)))
         if self._lacks(HELD_BEFORE_DISPATCH) and not attempt.question:
-            steps.append(("assume held", _put(state, number, attempt._replace(phase="held"))))
+            steps.append(("assume held", put(state, number, attempt._replace(phase="held"))))
         return steps
 
     def _reading(self, state: State, number: int, attempt: Attempt) -> list[Step]:
@@ -170,26 +142,26 @@
             return [*steps, self._write(state, number, attempt, ABSENT)]
         if row.attempt == number and row.state == "claimed":
             held = attempt._replace(phase="held", revision=row.revision)
-            return [*steps, ("read own claim", _put(state, number, held))]
+            return [*steps, ("read own claim", put(state, number, held))]
         if row.state == "done":
-            return [*steps, ("read outcome", _answer(state, number, attempt, "ran"))]
+            return [*steps, ("read outcome", answer(state, number, attempt, "ran"))]
         if row.state == "closed":
             if self._lacks(CLOSED_KEY_STAYS_CLOSED):
                 return [*steps, self._write(state, number, attempt, row.revision)]
-            return [*steps, ("read closed", _answer(state, number, attempt, "not_run"))]
+            return [*steps, ("read closed", answer(state, number, attempt, "not_run"))]
         asking = attempt._replace(phase="asking", other=row.attempt, revision=row.revision)
-        return [*steps, ("read claim", _put(state, number, asking))]
+        return [*steps, ("read claim", put(state, number, asking))]
 
     def _asking(self, state: State, number: int, attempt: Attempt) -> list[Step]:
         steps = [
-            ("unreachable", _answer(state, number, attempt, "may_have_run")),
-            ("read again", _put(state, number, attempt._replace(phase="reading"))),
+            ("unreachable", answer(state, number, attempt, "may_have_run")),
+            ("read again", put(state, number, attempt._replace(phase="reading"))),
         ]
         holder = state.attempts[attempt.other]
         if self._may_take_over(holder):
             steps.append(self._write(state, number, attempt, attempt.revision))
         if holder.end == "live" and holder.phase == "ran":
-            steps.append(("told outcome", _answer(state, number, attempt, "ran")))
+            steps.append(("told outcome", answer(state, number, attempt, "ran")))
         return steps
 
     def _may_take_over(self, holder: Attempt) -> bool:
@@ -208,39 +180,39 @@
     def _write(self, state: State, number: int, attempt: Attempt, revision: int) -> Step:
         kind = "close" if attempt.question else "claim"
         writing = attempt._replace(phase="writing", revision=revision)
-        return (kind, _put(state, number, writing, Pending(kind, number, revision)))
+        return (kind, put(state, number, writing, Pending(kind, number, revision)))
 
     def _unclaimed(self, state: State, number: int, attempt: Attempt) -> State:
         certain = attempt.fresh or self._lacks(NOT_RUN_NEEDS_FRESH_KEY)
         verdict = "not_run" if certain and not attempt.question else "may_have_run"
-        return _answer(state, number, attempt._replace(fresh=certain), verdict)
+        return answer(state, number, attempt._replace(fresh=certain), verdict)
 
     def _held(self, state: State, number: int, attempt: Attempt) -> list[Step]:
-        ran = attempt._replace(phase="ran", verdict="ran")
+        ran = attempt._replace(phase="ran", verdict="unheard" if attempt.abandoned else "ran")
         untrue = state.false_not_run or attempt.verdict == "not_run"
-        dispatched = _put(state, number, ran)
+        dispatched = put(state, number, ran)
         steps = [("dispatch", dispatched._replace(runs=state.runs + 1, false_not_run=untrue))]
-        refused = _answer(state, number, attempt._replace(fresh=False), "not_run")
+        refused = answer(state, number, attempt._replace(fresh=False), "not_run")
         release = Pending("release", number, attempt.revision)
         return [*steps, ("no capacity", refused._replace(pending=refused.pending | {release}))]
 
     def _ran(self, state: State, number: int, attempt: Attempt) -> list[Step]:
         row = state.row
         if self._lacks(RUN_KEEPS_CLAIM):
-            gone = _put(state, number, attempt._replace(phase="given_up", verdict="may_have_run"))
+            gone = put(state, number, attempt._replace(phase="given_up", verdict="may_have_run"))
             release = Pending("release", number, attempt.revision)
             return [("release", gone._replace(pending=gone.pending | {release}))]
         if row is not None and (row.attempt, row.state) == (number, "claimed"):
-            done = Row(number, "done", _next_revision(state))
+            done = Row(number, "done", next_revision(state))
             return [("write outcome", state._replace(row=done))]
-        return [("outcome confirmed", _put(state, number, attempt._replace(phase="written")))]
+        return [("outcome confirmed", put(state, number, attempt._replace(phase="written")))]
 
     def _given_up(self, state: State, number: int, attempt: Attempt) -> list[Step]:
         steps: list[Step] = []
         if attempt.end == "closed":
             return steps
-        if attempt.verdict == "not_run" and attempt.fresh and not state.ticket:
-            steps.append(("use ticket", state._replace(ticket=True, runs=state.runs + 1)))
+        if attempt.fresh and not state.ticket and all_not_run(state):
+            steps.append(("use ticket", state._replace(ticket=True)))
         row = state.row
         if row is None or (row.attempt, row.state) != (number, "claimed"):
             return steps
@@ -249,7 +221,7 @@
             steps.append(("clean", state._replace(pending=state.pending | {release})))
         if self._lacks(GIVEN_UP_IS_FINAL):
             held = attempt._replace(phase="held", revision=row.revision)
-            steps.append(("resume", _put(state, number, held)))
+            steps.append(("resume", put(state, number, held)))
         return steps
 
     def _landings(self, state: State, pending: Pending) -> list[Step]:
@@ -262,7 +234,7 @@
             return [("release lands", landed)]
         if matches or self._lacks(CLAIM_IS_CONDITIONAL):
             kept = "claimed" if pending.kind == "claim" else "closed"
-            landed = landed._replace(row=Row(pending.attempt, kept, _next_revision(state)))
+            landed = landed._replace(row=Row(pending.attempt, kept, next_revision(state)))
             matches = True
         attempt = state.attempts[pending.attempt]
         awaited = (attempt.phase, attempt.revision) == ("writing", pending.revision)
@@ -273,20 +245,20 @@
 
     def _answered(self, landed: State, number: int, attempt: Attempt, committed: bool) -> State:
         if not committed:
-            return _put(landed, number, attempt._replace(phase="reading"))
+            return put(landed, number, attempt._replace(phase="reading"))
         if attempt.question:
-            return _answer(landed, number, attempt, "not_run")
+            return answer(landed, number, attempt, "not_run")
         assert landed.row is not None
         held = attempt._replace(phase="held", revision=landed.row.revision)
-        return _put(landed, number, held)
+        return put(landed, number, held)
 
     def _ends(self, state: State, host: int) -> list[Step]:
-        here = [each for each in state.attempts if _is_live_at(each, host)]
+        here = [each for each in state.attempts if is_live_at(each, host)]
         if not here:
             return []
-        steps = [(f"{host} crashes", _ended(state, host, "crashed"))]
+        steps = [(f"{host} crashes", ended(state, host, "crashed"))]
         if all(self._lets_close(each) for each in here):
-            steps.append((f"{host} closes", _ended(state, host, "closed")))
+            steps.append((f"{host} closes", ended(state, host, "closed")))
         return steps
 
     def _lets_close(self, attempt: Attempt) -> bool:
@@ -295,80 +267,21 @@
         return attempt.phase != "ran" or self._lacks(OUTCOMES_BEFORE_CLOSING)
 
 
-def _put(state: State, number: int, attempt: Attempt, pending: Pending | None = None) -> State:
-    attempts = (*state.attempts[:number], attempt, *state.attempts[number + 1 :])
-    writes = state.pending | {pending} if pending else state.pending
-    return state._replace(attempts=attempts, pending=writes)
-
-
-def _answer(state: State, number: int, attempt: Attempt, verdict: str) -> State:
-    """Answer the caller, and give up the attempt for good."""
-    given_up = _put(state, number, attempt._replace(phase="given_up", verdict=verdict))
-    untrue = verdict == "not_run" and state.runs > 0
-    return given_up._replace(false_not_run=state.false_not_run or untrue)
-
-
-def _joins(attempt: Attempt, host: int) -> bool:
-    """Return whether a repeat at the host waits for this attempt instead of making its own."""
-    on_the_way = attempt.phase in ON_THE_WAY or attempt.phase == "ran"
-    return _is_live_at(attempt, host) and on_the_way and not attempt.question
-
-
-def _is_live_at(attempt: Attempt, host: int) -> bool:
-    return attempt.phase != "unsent" and (attempt.host, attempt.end) == (host, "live")
-
-
-def _ended(state: State, host: int, end: str) -> State:
-    attempts = (
-        each._replace(end=end) if _is_live_at(each, host) else each for each in state.attempts
-    )
-    return state._replace(attempts=tuple(attempts))
-
-
-def _revisions(state: State) -> set[int]:
-    used = {each.revision for each in state.attempts} | {each.revision for each in state.pending}
-    return used | {state.row.revision if state.row else ABSENT, ABSENT}
-
-
-def _next_revision(state: State) -> int:
-    return max(_revisions(state)) + 1
-
-
-def _renumbered(state: State) -> State:
-    """Return the state without what no longer matters, its revisions counted from 0."""
-    state = state._replace(attempts=tuple(_essence(each) for each in state.attempts))
-    number = {revision: index for index, revision in enumerate(sorted(_revisions(state)))}
-    row = state.row._replace(revision=number[state.row.revision]) if state.row else None
-    pending = (each._replace(revision=number[each.revision]) for each in state.pending)
-    attempts = (each._replace(revision=number[each.revision]) for each in state.attempts)
-    return state._replace(row=row, pending=frozenset(pending), attempts=tuple(attempts))
-
-
-def _essence(attempt: Attempt) -> Attempt:
-    if attempt.end == "crashed":
-        return Attempt("given_up", "crashed", verdict=attempt.verdict)
-    if attempt.phase in ("writing", "held", "ran"):
-        return attempt._replace(other=0)
-    if attempt.phase == "asking":
-        return attempt
-    return attempt._replace(other=0, revision=ABSENT)
-
-
 def _closed_key_never_runs(state: dict[str, Any]) -> bool:
     closed = any(each.question and each.verdict == "not_run" for each in state["attempts"])
     return not closed or state["runs"] == 0
 
 
-def build(guards: frozenset[str]) -> Protocol:
-    """Return the protocol with the given guards in place."""
+def build(scope: Scope, guards: frozenset[str]) -> Protocol:
+    """Return the protocol within ``scope`` with the given guards in place."""
     return Protocol(
         name="claim rows",
         candidate=False,
         fields=State._fields,
-        initial=State(),
-        transitions=ClaimRows(guards).transitions,
+        initial=State(attempts=(Attempt(),) * scope.requests),
+        transitions=ClaimRows(scope, guards).transitions,
         invariants={
-            "runs_at_most_once": lambda state: state["runs"] <= 1,
+            "runs_at_most_once": lambda state: state["runs"] + state["ticket"] <= 1,
             "not_run_is_true": lambda state: not state["false_not_run"],
             "closed_key_never_runs": _closed_key_never_runs,
         },
@@ -380,15 +293,22 @@
     return first.phase == "given_up" and any(each.phase == "ran" for each in later)
 
 
+WITNESSES = {
+    "a request runs": lambda state: state["runs"] == 1,
+    "a ticket runs": lambda state: bool(state["ticket"]),
+    "a later request runs after the first was given up": _runs_after_takeover,
+}
+WHOLE = Scope(requests=2, late_writes=4, questions=True, ends=True)
+THREE = Scope(requests=3, late_writes=1, questions=False, ends=False)
+
+IN_THREE = (RELEASE_IS_CONDITIONAL,)
+IN_TWO = tuple(guard for guard in GUARDS if guard not in IN_THREE)
+
 MODELS = (
     CheckedModel(
-        name="at most once by claim rows",
-        build=build,
-        guards=GUARDS,
-        witnesses={
-            "a request runs": lambda state: state["runs"] == 1,
-            "a ticket runs": lambda state: bool(state["ticket"]),
-            "a later request runs after the first was given up": _runs_after_takeover,
-        },
+        "claim rows, 2 requests", partial(build, WHOLE), GUARDS, WITNESSES, mutants=IN_TWO
+    ),
+    CheckedModel(
+        "claim rows, 3 requests", partial(build, THREE), GUARDS, WITNESSES, mutants=IN_THREE
     ),
 )
--- a/models/checked.py
+++ b/models/checked.py
@@ -28,6 +28,7 @@
 
     ``guards`` names every guard, as the code names it. ``witnesses`` are predicates that some
     reachable state must satisfy, so that an invariant can't hold for want of behaviour.
+    ``mutants`` names the guards whose mutants are checked in this model; None stands for all.
     """
 
     name: str
@@ -35,6 +36,7 @@
     guards: tuple[str, ...]
     witnesses: Mapping[str, Predicate] = {}
     max_states: int = MAX_STATES
+    mutants: tuple[str, ...] | None = None
 
 
 class Counterexample(msgspec.Struct, frozen=True):
@@ -73,6 +75,7 @@
     protocol = model.build(guards)
     found = _search(model, _with_witnesses(protocol, model.witnesses))
     properties = found["properties"]
+    mutants = model.guards if model.mutants is None else model.mutants
     broken = [_counterexample(name, properties[name]) for name in protocol.invariants]
     return Report(
         model=model.name,
@@ -80,7 +83,7 @@
         invariants=tuple(protocol.invariants),
         broken=tuple(each for each in broken if each is not None),
         missing=tuple(name for name in model.witnesses if properties[name]["holds"]),
-        by_guard={guard: _mutant(model, guards - {guard}) for guard in model.guards},
+        by_guard={guard: _mutant(model, guards - {guard}) for guard in mutants},
     )
 
 
--- a/src/flamingoladder/gateway/request.py
+++ b/src/flamingoladder/gateway/request.py
@@ -15,7 +15,8 @@
     ``headers`` go to the upstream: the caller's key is not among them. ``deadline`` is monotonic
     time in seconds. ``workspace`` and ``key_id`` are None on a route that is open to all.
     ``digest`` is the hex digest of method, path and body. ``fresh_key`` is the caller's statement
-    that every earlier request with this idempotency key, if any, was answered ``not_run``.
+    that every earlier request with this idempotency key, if any, was answered ``not_run``, and
+    that it sends no other before this one is answered.
     """
 
     __slots__ = (
