--- a/src/flamingoladder/ledger/pruner.py
+++ b/src/flamingoladder/ledger/pruner.py
@@ -64,6 +64,9 @@
         loop = asyncio.get_running_loop()
         while True:
             horizon = await self._horizon(loop.time())
+            if horizon.answers == 0:
+                await asyncio.sleep(HORIZON_PAUSE_S)
+                continue
             until = loop.time() + HORIZON_PAUSE_S
             while loop.time() < until:
                 await asyncio.sleep(SHARD_PAUSE_S * (1 + len(self._links.hosts)))
@@ -96,8 +99,6 @@
             return Horizon(0, 0)
 
     async def _pruned(self, prefix: str, horizon: Horizon) -> None:
-        if horizon.answers == 0:
-            return
         try:
             rows = await self.prune(prefix, horizon)
         except PlatformError:
