--- a/models/at_most_once.py
+++ b/models/at_most_once.py
@@ -32,6 +32,7 @@
 from models.claim_state import next_revision
 from models.claim_state import put
 from models.claim_state import renumbered
+from models.claim_state import tell_joined
 
 HOSTS = 2
 
@@ -47,6 +48,7 @@
 OUTCOMES_BEFORE_CLOSING = "outcomes_before_closing"
 IDLE_BEFORE_CLOSING = "idle_before_closing"
 CLOSED_KEY_STAYS_CLOSED = "closed_key_stays_closed"
+FRESH_WORD_IS_ITS_OWN = "fresh_word_is_its_own"
 
 GUARDS = (
     CLAIM_IS_CONDITIONAL,
@@ -61,6 +63,7 @@
     OUTCOMES_BEFORE_CLOSING,
     IDLE_BEFORE_CLOSING,
     CLOSED_KEY_STAYS_CLOSED,
+    FRESH_WORD_IS_ITS_OWN,
 )
 
 
@@ -97,7 +100,13 @@
         state = state._replace(attempts=tuple(abandoned(each) for each in state.attempts))
         steps = []
         for host in range(HOSTS if number else 1):
-            if any(joins(each, host) for each in earlier):
+            joined = next((n for n, each in enumerate(earlier) if joins(each, host)), None)
+            if joined is not None:
+                waiting = Attempt("joined", host=host, other=joined)
+                waits = put(state, number, waiting)
+                if earlier[joined].phase == "ran":
+                    waits = tell_joined(waits, joined, "ran")
+                steps.append((f"{number} joins {joined}", waits))
                 continue
             for fresh in {False, may_be_fresh}:
                 sent = Attempt("writing", host=host, fresh=fresh)
@@ -185,12 +194,13 @@
     def _unclaimed(self, state: State, number: int, attempt: Attempt) -> State:
         certain = attempt.fresh or self._lacks(NOT_RUN_NEEDS_FRESH_KEY)
         verdict = "not_run" if certain and not attempt.question else "may_have_run"
-        return answer(state, number, attempt._replace(fresh=certain), verdict)
+        told = verdict if self._lacks(FRESH_WORD_IS_ITS_OWN) else "may_have_run"
+        return answer(state, number, attempt._replace(fresh=certain), verdict, told)
 
     def _held(self, state: State, number: int, attempt: Attempt) -> list[Step]:
         ran = attempt._replace(phase="ran", verdict="unheard" if attempt.abandoned else "ran")
         untrue = state.false_not_run or attempt.verdict == "not_run"
-        dispatched = put(state, number, ran)
+        dispatched = tell_joined(put(state, number, ran), number, "ran")
         steps = [("dispatch", dispatched._replace(runs=state.runs + 1, false_not_run=untrue))]
         refused = answer(state, number, attempt._replace(fresh=False), "not_run")
         release = Pending("release", number, attempt.revision)
@@ -301,7 +311,7 @@
 WHOLE = Scope(requests=2, late_writes=4, questions=True, ends=True)
 THREE = Scope(requests=3, late_writes=1, questions=False, ends=False)
 
-IN_THREE = (RELEASE_IS_CONDITIONAL,)
+IN_THREE = (RELEASE_IS_CONDITIONAL, FRESH_WORD_IS_ITS_OWN)
 IN_TWO = tuple(guard for guard in GUARDS if guard not in IN_THREE)
 
 MODELS = (
--- a/models/claim_state.py
+++ b/models/claim_state.py
@@ -41,10 +41,11 @@
 class Attempt(NamedTuple):
     """One request at one host.
 
-    ``phase`` is ``unsent``, ``writing``, ``reading``, ``asking``, ``held``, ``ran``, ``written`` or
-    ``given_up``; ``end`` is ``live``, ``crashed`` or ``closed``, for its incarnation. ``other`` is
-    the attempt that is asked about and ``revision`` that of the row concerned. The caller no longer
-    hears the answer to a request that it has ``abandoned`` by sending the next one.
+    ``phase`` is ``unsent``, ``writing``, ``reading``, ``asking``, ``held``, ``ran``, ``written``,
+    ``given_up``, or ``joined`` while it waits for another attempt of its host. ``end`` is ``live``,
+    ``crashed`` or ``closed``, for its incarnation. ``other`` is the attempt that is asked about or
+    joined, ``revision`` that of the row concerned. The caller no longer hears the answer to a
+    request that it has ``abandoned`` by sending the next one.
     """
 
     phase: str = "unsent"
@@ -83,12 +84,29 @@
     return state._replace(attempts=attempts, pending=writes)
 
 
-def answer(state: State, number: int, attempt: Attempt, verdict: str) -> State:
-    """Answer the caller, and give up the attempt for good."""
+def answer(
+    state: State, number: int, attempt: Attempt, verdict: str, told: str | None = None
+) -> State:
+    """Answer the caller and give up the attempt for good; ``told`` goes to those who joined."""
+    state = put(state, number, attempt._replace(phase="given_up"))
+    return tell_joined(_heard(state, number, verdict), number, told or verdict)
+
+
+def tell_joined(state: State, number: int, verdict: str) -> State:
+    """Answer the requests at the same host that wait for the attempt."""
+    for other, attempt in enumerate(state.attempts):
+        if (attempt.phase, attempt.other, attempt.end) == ("joined", number, "live"):
+            given_up = put(state, other, attempt._replace(phase="given_up"))
+            state = _heard(given_up, other, verdict)
+    return state
+
+
+def _heard(state: State, number: int, verdict: str) -> State:
+    attempt = state.attempts[number]
     verdict = "unheard" if attempt.abandoned else verdict
-    given_up = put(state, number, attempt._replace(phase="given_up", verdict=verdict))
-    untrue = verdict == "not_run" and state.runs > 0
-    return given_up._replace(false_not_run=state.false_not_run or untrue)
+    untrue = state.false_not_run or (verdict == "not_run" and state.runs > 0)
+    heard = put(state, number, attempt._replace(verdict=verdict))
+    return heard._replace(false_not_run=untrue)
 
 
 def all_not_run(state: State) -> bool:
@@ -153,7 +171,7 @@
 def _essence(attempt: Attempt) -> Attempt:
     if attempt.end == "crashed":
         return Attempt("given_up", "crashed", verdict=attempt.verdict)
-    if attempt.phase == "asking" or (attempt.other == 0 and attempt.revision == ABSENT):
+    if attempt.phase in ("asking", "joined") or (attempt.other == 0 and attempt.revision == ABSENT):
         return attempt
     if attempt.phase in ("writing", "held", "ran"):
         return attempt._replace(other=0)
