--- a/src/flamingoladder/ledger/claim_runs.py
+++ b/src/flamingoladder/ledger/claim_runs.py
@@ -98,6 +98,6 @@
 
 
 def _given_up(entry: Entry, reason: Reason) -> Outcome:
-    """Return the outcome for repeats that waited; the word of the first caller is not theirs."""
+    """Return the outcome for repeats that waited; guard ``fresh_word_is_its_own``."""
     entry.unclaimed = reason
     return refusals.may_have_run(reason, refusals.EARLIER_IN_DOUBT)
--- a/src/flamingoladder/ledger/claims.py
+++ b/src/flamingoladder/ledger/claims.py
@@ -105,7 +105,10 @@
     async def _by_holder(
         self, row: Row, claim: ClaimRow, digest: str | None, deadline: float
     ) -> Decision:
-        """Return what the holder of an undecided claim says of it."""
+        """Return what the holder of an undecided claim says of it.
+
+        Silence never lets the key be taken: guard ``takeover_on_word_only``.
+        """
         silent = 0
         while silent < SILENT_ASKS:
             reply = await self._holders.ask(row.key, claim, left_until(deadline))
@@ -145,6 +148,7 @@
         return outcome or refusals.owner_unreachable()
 
     async def _outcome_in(self, claim: ClaimRow, digest: str | None) -> Outcome | None:
+        """Return the outcome that a row gives; guard ``closed_key_stays_closed``."""
         if claim.state is ClaimState.CLOSED:
             return refusals.key_closed()
         if digest is not None and claim.digest != digest:
@@ -185,7 +189,10 @@
     async def _transact(
         self, name: str, revision: int, claim: ClaimRow, deadline: float
     ) -> int | None:
-        """Return the row's new revision, or None if it was not at ``revision``."""
+        """Return the row's new revision, or None if it was not at ``revision``.
+
+        Guard ``claim_is_conditional``.
+        """
         commit = await self._table.transact(
             [Condition(name, revision)], [Write(name, encode(claim))], timeout_until(deadline)
         )
--- a/src/flamingoladder/ledger/closing.py
+++ b/src/flamingoladder/ledger/closing.py
@@ -40,7 +40,8 @@
         """Accept nothing new, wait for what runs, write all outcomes, then the closing row.
 
         Return whether the closing row is certainly written; without it repeats of requests that
-        this incarnation may have accepted are answered ``may_have_run``.
+        this incarnation may have accepted are answered ``may_have_run``. Guards
+        ``idle_before_closing`` and ``outcomes_before_closing``.
         """
         self._executor.leaving = True
         deadline = now + CLOSE_S
--- a/src/flamingoladder/ledger/executor.py
+++ b/src/flamingoladder/ledger/executor.py
@@ -100,6 +100,7 @@
         return run(request)
 
     def _refused(self, entry: Entry, request: CallerRequest, now: float) -> Outcome | None:
+        """Guards ``held_before_dispatch`` and ``given_up_is_final``."""
         if entry.state is not EntryState.HELD:
             return refusals.not_run(Reason.CLAIM_HELD, "this host does not hold the claim")
         if now >= request.deadline:
@@ -120,6 +121,7 @@
         self._conclude(entry, outcome)
 
     def _conclude(self, entry: Entry, outcome: Outcome) -> None:
+        """Keep the outcome of a run; only what has not run is released: ``run_keeps_claim``."""
         if entry.state is EntryState.RUNNING and _may_have_run(outcome):
             self._entries.keep(entry, outcome)
             entry.finish(EntryState.DONE, outcome)
--- a/src/flamingoladder/ledger/holders.py
+++ b/src/flamingoladder/ledger/holders.py
@@ -48,7 +48,8 @@
 
         An entry that was dispatched is forgotten only after its row has changed for good. So an
         unknown attempt is one that was given up, or whose row the asker has seen too early: in
-        both cases a write on condition of the row's old revision is safe.
+        both cases a write on condition of the row's old revision is safe. Guards
+        ``word_never_is_final`` and ``remembered_until_written``.
         """
         entry = self._entries.by_name.get(name)
         if entry is None or entry.attempt != attempt:
--- a/src/flamingoladder/ledger/issued_tickets.py
+++ b/src/flamingoladder/ledger/issued_tickets.py
@@ -47,7 +47,10 @@
         links.register(TicketQuestion, self._answer)
 
     def status(self, workspace: str, text: str, ticket: Ticket, now: float) -> TicketStatus:
-        """Return the status at ``now`` of a ticket of this incarnation that has no entry."""
+        """Return the status at ``now`` of a ticket of this incarnation that has no entry.
+
+        Guards ``expired_is_refused`` and ``forgotten_is_unknown``.
+        """
         if not self.issuer.is_genuine(workspace, text):
             return TicketStatus.FORGED
         if now < ticket.expires_s:
@@ -57,7 +60,7 @@
         return TicketStatus.FORGOTTEN
 
     def close(self, name: str, ticket: Ticket) -> None:
-        """Make sure that an unused ticket is never used."""
+        """Make sure that an unused ticket is never used; guard ``closed_ticket_stays_closed``."""
         self._entries.add_closed(name, ticket.remembered_until, refusals.key_closed())
 
     async def word(self, question: TicketQuestion) -> ClaimReply:
--- a/src/flamingoladder/ledger/pruner.py
+++ b/src/flamingoladder/ledger/pruner.py
@@ -77,7 +77,7 @@
 
         A caller's own key outlives its answer: its row is deleted only with ``horizon.keys``. With
         the outcome of a ticket goes its issuer's closing row, which states that all outcomes are
-        there. Return the number of rows pruned.
+        there: guard ``closing_pruned_with_outcomes``. Return the number of rows pruned.
 
         :raises PlatformError: if the table did not answer.
         """
--- a/src/flamingoladder/ledger/refusals.py
+++ b/src/flamingoladder/ledger/refusals.py
@@ -33,7 +33,7 @@
 
     Only the caller can know that no earlier request with the key is in doubt. Without its word
     for that, "not run" might be false of the key, and a ticket would allow a second run. The
-    ticket replaces the key for good.
+    ticket replaces the key for good. Guard ``not_run_needs_fresh_key``.
     """
     if not fresh_key:
         return may_have_run(reason, f"{detail}; {EARLIER_IN_DOUBT}")
--- a/src/flamingoladder/ledger/ticket_owners.py
+++ b/src/flamingoladder/ledger/ticket_owners.py
@@ -94,7 +94,8 @@
         """Return what the issuer left in the table.
 
         The closing row is read before and after: it is there only once all outcomes are, and
-        is deleted together with the first outcome that is pruned.
+        is deleted together with the first outcome that is pruned. Guards ``closing_read_before``
+        and ``closing_read_after``.
         """
         closed_before = await self._has_closed(ticket, deadline)
         outcome = await self._reader.ticket_outcome(name, digest, deadline)
@@ -105,5 +106,6 @@
         return None
 
     async def _has_closed(self, ticket: Ticket, deadline: float) -> bool:
+        """Return whether a closing row speaks of the ticket; ``closing_covers_recent_only``."""
         closing = await self._reader.closing(ticket.host, ticket.incarnation, deadline)
         return closing is not None and ticket.issued_s >= closing.issued_from_s
--- a/src/flamingoladder/ledger/ticket_runs.py
+++ b/src/flamingoladder/ledger/ticket_runs.py
@@ -50,7 +50,10 @@
         self._state = state
 
     async def run_once(self, request: CallerRequest, text: str, run: Run) -> Outcome:
-        """Run the request if this incarnation issued the ticket and it is unused."""
+        """Run the request if this incarnation issued the ticket and it is unused.
+
+        Guards ``only_issuer_runs`` and ``one_entry_per_ticket``.
+        """
         ticket = parse(text)
         if ticket is None:
             return refusals.not_run(Reason.TICKET_INVALID, "the ticket can't be read")
--- a/src/flamingoladder/ledger/tickets.py
+++ b/src/flamingoladder/ledger/tickets.py
@@ -33,7 +33,10 @@
 
     @property
     def remembered_until(self) -> float:
-        """Return until when the issuer certainly remembers whether the ticket was used."""
+        """Return until when the issuer certainly remembers whether the ticket was used.
+
+        Guard ``remembered_past_expiry``.
+        """
         return self.expires_s + REMEMBERED_AFTER_EXPIRY_S
 
 
--- a/src/flamingoladder/ledger/writer.py
+++ b/src/flamingoladder/ledger/writer.py
@@ -176,7 +176,7 @@
         return True
 
     async def _tried(self, pending: PendingWrite) -> bool:
-        """Return whether nothing is left to write.
+        """Return whether nothing is left to write; guard ``release_is_conditional``.
 
         :raises PlatformError: if the table did not answer.
         """
