Reach the platform over HTTP, with a stand-in that speaks the same

Cause: entry daemons and tests need the table service, object store and host list as a separate process.

--- /dev/null
+++ b/src/flamingoladder/console/environment.py
@@ -0,0 +1,12 @@
+"""Settings read from environment variables, for flags that are not given."""
+
+from __future__ import annotations
+
+import os
+
+PREFIX = "FLAMINGOLADDER_"
+
+
+def text(name: str, default: str = "") -> str:
+    """Return the variable ``FLAMINGOLADDER_<name>``, or ``default`` if it is not set."""
+    return os.environ.get(PREFIX + name, default)
--- a/src/flamingoladder/platform/exceptions.py
+++ b/src/flamingoladder/platform/exceptions.py
@@ -13,3 +13,7 @@
 
 class OutcomeUnknownError(PlatformError):
     """A write was sent but its answer was lost: it may have taken effect."""
+
+
+class PlatformRefusedError(PlatformUnavailableError):
+    """The service refused the call, such as for a wrong token; the call had no effect."""
--- /dev/null
+++ b/src/flamingoladder/standins/etcd.py
@@ -0,0 +1,75 @@
+"""The etcd v3 key-value operations on a stored table."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from flamingoladder.platform.etcd_messages import ALL_KEYS
+from flamingoladder.platform.etcd_messages import KeyValue
+from flamingoladder.platform.etcd_messages import RangeRequest
+from flamingoladder.platform.etcd_messages import RangeResponse
+from flamingoladder.platform.etcd_messages import ResponseHeader
+from flamingoladder.platform.etcd_messages import TxnRequest
+from flamingoladder.platform.etcd_messages import TxnResponse
+from flamingoladder.platform.table import Condition
+from flamingoladder.platform.table import Write
+
+if TYPE_CHECKING:
+    from flamingoladder.platform.etcd_messages import Compare
+    from flamingoladder.platform.etcd_messages import RequestOp
+    from flamingoladder.platform.table import Row
+    from flamingoladder.standins.memory import StoredTable
+
+MAX_TXN_OPERATIONS = 128
+
+
+class MalformedRequestError(Exception):
+    """A request that etcd would refuse as invalid."""
+
+
+def apply_range(table: StoredTable, request: RangeRequest) -> RangeResponse:
+    """Return the rows that the request asks for."""
+    everything = table.read("")
+    found = (_key_value(row) for row in everything.rows if _in_range(row.key.encode(), request))
+    return RangeResponse(ResponseHeader(str(everything.revision)), tuple(found))
+
+
+def apply_txn(table: StoredTable, request: TxnRequest) -> TxnResponse:
+    """Apply the transaction.
+
+    :raises MalformedRequestError: if it has too many operations, or two on one key.
+    """
+    writes = [_write(operation) for operation in request.success]
+    if max(len(writes), len(request.compare)) > MAX_TXN_OPERATIONS:
+        raise MalformedRequestError("too many operations in txn request")
+    if len({write.key for write in writes}) < len(writes):
+        raise MalformedRequestError("duplicate key given in txn request")
+    commit = table.transact([_condition(compare) for compare in request.compare], writes)
+    return TxnResponse(ResponseHeader(str(commit.revision)), commit.committed)
+
+
+def _in_range(key: bytes, request: RangeRequest) -> bool:
+    if not request.range_end:
+        return key == request.key
+    if request.range_end == ALL_KEYS:
+        return key >= request.key
+    return request.key <= key < request.range_end
+
+
+def _key_value(row: Row) -> KeyValue:
+    return KeyValue(row.key.encode(), row.value, str(row.revision))
+
+
+def _condition(compare: Compare) -> Condition:
+    if (compare.target, compare.result) != ("MOD", "EQUAL"):
+        raise MalformedRequestError("only comparisons of mod_revision for equality")
+    return Condition(compare.key.decode(), int(compare.mod_revision))
+
+
+def _write(operation: RequestOp) -> Write:
+    put = operation.request_put
+    if put is not None:
+        return Write(put.key.decode(), put.value)
+    if operation.request_delete_range is None:
+        raise MalformedRequestError("empty operation")
+    return Write(operation.request_delete_range.key.decode(), None)
