Add the upstream stand-in

Cause: gateways need targets with slots, sheds, drains, cold starts, deadlines, crashes and silent connections, and tests need a record of every run. Ruled out: one process a target (40 processes for one deployment); one process serves a block of ports and keeps one record over all of them.

--- a/src/flamingoladder/console/application.py
+++ b/src/flamingoladder/console/application.py
@@ -7,10 +7,12 @@
 import defopt
 
 from flamingoladder.console.commands.standin_platform import standin_platform
+from flamingoladder.console.commands.standin_upstreams import standin_upstreams
 from flamingoladder.console.commands.version import version
 
 COMMANDS = [
     standin_platform,
+    standin_upstreams,
     version,
 ]
 
--- a/src/flamingoladder/standins/etcd.py
+++ b/src/flamingoladder/standins/etcd.py
@@ -13,6 +13,7 @@
 from flamingoladder.platform.etcd_messages import TxnResponse
 from flamingoladder.platform.table import Condition
 from flamingoladder.platform.table import Write
+from flamingoladder.standins.exceptions import MalformedRequestError
 
 if TYPE_CHECKING:
     from flamingoladder.platform.etcd_messages import Compare
@@ -23,10 +24,6 @@
 MAX_TXN_OPERATIONS = 128
 
 
-class MalformedRequestError(Exception):
-    """A request that etcd would refuse as invalid."""
-
-
 def apply_range(table: StoredTable, request: RangeRequest) -> RangeResponse:
     """Return the rows that the request asks for."""
     everything = table.read("")
--- a/src/flamingoladder/standins/platform_server.py
+++ b/src/flamingoladder/standins/platform_server.py
@@ -20,9 +20,9 @@
 from flamingoladder.platform.etcd_messages import TXN_PATH
 from flamingoladder.platform.etcd_messages import RangeRequest
 from flamingoladder.platform.etcd_messages import TxnRequest
-from flamingoladder.standins.etcd import MalformedRequestError
 from flamingoladder.standins.etcd import apply_range
 from flamingoladder.standins.etcd import apply_txn
+from flamingoladder.standins.exceptions import MalformedRequestError
 from flamingoladder.standins.platform import FaultSettings
 from flamingoladder.standins.platform import HostSettings
 from flamingoladder.standins.platform import PlatformState
