Run stand-ins as processes, relay connections and prove the client's errors

Cause: tests and the demo start, freeze and kill real processes and cut or stall their connections; the platform client's verdict on a failed call decides what a booking may be told. Ruled out: a process manager of its own kind for tests and demo each.

--- a/src/flamingoladder/standins/exceptions.py
+++ b/src/flamingoladder/standins/exceptions.py
@@ -13,3 +13,11 @@
 
 class ShedError(StandinError):
     """An upstream turned a request away without running it."""
+
+
+class ProcessNotReadyError(StandinError):
+    """A process ended or did not answer in time."""
+
+
+class NoFreePortsError(StandinError):
+    """No block of free ports was found."""
--- a/tests/standins/test_upstream_server.py
+++ b/tests/standins/test_upstream_server.py
@@ -12,10 +12,10 @@
 import pytest
 import pytest_asyncio
 
+from flamingoladder.standins.control import UpstreamControl
 from flamingoladder.standins.upstream import UpstreamTarget
 from flamingoladder.standins.upstream_messages import Control
 from flamingoladder.standins.upstream_messages import LoadReport
-from flamingoladder.standins.upstream_messages import RunsReport
 from flamingoladder.standins.upstream_messages import RunState
 from flamingoladder.standins.upstream_messages import UpstreamSettings
 from flamingoladder.standins.upstream_runs import RunLog
@@ -31,29 +31,21 @@
 PATIENCE_S = 10.0
 
 
-class Upstream:
+class Upstream(UpstreamControl):
     """A target with two slots and a queue of one, and a client."""
 
-    def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
-        self._url = url
-        self._session = session
+    __slots__ = ("_callers", "url")
+
+    def __init__(self, url: str, callers: aiohttp.ClientSession) -> None:
+        super().__init__(url)
+        self.url = url
+        self._callers = callers
 
     async def get(self, path: str, headers: Mapping[str, str] | None = None) -> tuple[int, bytes]:
         """Return status and body of a request."""
-        async with self._session.get(self._url + path, headers=headers) as response:
+        async with self._callers.get(self.url + path, headers=headers) as response:
             return response.status, await response.read()
 
-    async def runs(self, query: str = "") -> RunsReport:
-        """Return the record of runs."""
-        body = (await self.get(f"/runs{query}"))[1]
-        return msgspec.json.decode(body, type=RunsReport)
-
-    async def control(self, control: Control) -> None:
-        """Send a control message."""
-        body = msgspec.json.encode(control)
-        async with self._session.put(f"{self._url}/control", data=body) as response:
-            assert response.status == HTTPStatus.NO_CONTENT
-
     async def until(self, states: list[RunState]) -> None:
         """Wait until the runs are in these states."""
         async with asyncio.timeout(PATIENCE_S):
@@ -82,7 +74,7 @@
     assert await upstream.get("/book/3", headers) == (HTTPStatus.OK, b"r1r1r")
     assert (await upstream.runs()).authorization_seen is False
     await upstream.get("/book/4", {"X-Request-Id": "r2", "Authorization": "Bearer secret"})
-    report = await upstream.runs("?idempotency_key=k1")
+    report = await upstream.runs(idempotency_key="k1")
     assert [(run.request_id, run.target, run.path) for run in report.runs] == [
         ("r1", "catalogue-01", "/book/3")
     ]
