--- a/tests/platform/test_http_objects_and_hosts.py
+++ b/tests/platform/test_http_objects_and_hosts.py
@@ -10,10 +10,14 @@
 from flamingoladder.platform.hostlist import ListedHost
 from flamingoladder.platform.http_hosts import HttpHostList
 from flamingoladder.platform.http_objects import HttpObjects
+from flamingoladder.platform.http_transport import HttpCall
+from flamingoladder.platform.http_transport import HttpReply
+from flamingoladder.platform.http_transport import HttpTransport
 from flamingoladder.standins.platform import FaultSettings
 from flamingoladder.standins.platform import HostSettings
 from flamingoladder.standins.platform import LaggingHosts
 from flamingoladder.standins.platform import PlatformState
+from tests.platform.access import TOKEN
 from tests.platform.access import connected
 from tests.platform.access import served
 
@@ -59,6 +63,33 @@
         assert await hosts.read(TIMEOUT_S) == SECOND
 
 
+class CountingTransport(HttpTransport):
+    """A transport that keeps the statuses of its replies."""
+
+    def __init__(self, url: str, token: str) -> None:
+        super().__init__(url, token)
+        self.statuses: list[int] = []
+
+    async def read(self, call: HttpCall, timeout_s: float) -> HttpReply:
+        """Make the call."""
+        reply = await super().read(call, timeout_s)
+        self.statuses.append(reply.status)
+        return reply
+
+
+async def test_an_unchanged_host_list_is_not_transferred_again() -> None:
+    state = PlatformState()
+    async with served(state) as server:
+        transport = CountingTransport(server.url, TOKEN)
+        hosts = HttpHostList(transport)
+        for _ in range(3):
+            await hosts.read(TIMEOUT_S)
+        state.hosts.put(HostSettings(FIRST), 0)
+        await hosts.read(TIMEOUT_S)
+        await transport.close()
+    assert transport.statuses == [200, 304, 304, 200]
+
+
 def test_a_changed_host_list_is_seen_late() -> None:
     hosts = LaggingHosts()
     hosts.put(HostSettings(FIRST, lag_s=0), 10.0)
--- a/tests/standins/test_upstream_server.py
+++ b/tests/standins/test_upstream_server.py
@@ -150,6 +150,14 @@
     assert (await upstream.get("/b"))[0] == HTTPStatus.OK
 
 
+async def test_a_request_on_a_silent_connection_does_not_run(upstream: Upstream) -> None:
+    assert (await upstream.get("/a"))[0] == HTTPStatus.OK
+    await upstream.control(Control(silence=True))
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(upstream.get("/b"), GIVE_UP_S)
+    assert [run.path for run in (await upstream.runs()).runs] == ["/a"]
+
+
 def _target(settings: UpstreamSettings) -> UpstreamTarget:
     return UpstreamTarget("catalogue-01", settings, Random(1), 100.0)
 
