Link peers over ZeroMQ with a CURVE key for each incarnation

Cause: slices of different hosts have to talk, and a stranger must not join. Ruled out: one secret for the fleet (its rotation needs a stop or two keys per socket); instead each incarnation makes a key and publishes it in the platform's table, so there is nothing to rotate.

--- /dev/null
+++ b/tests/peers/test_zmq_links.py
@@ -0,0 +1,105 @@
+"""Tests of peer links over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+import zmq
+import zmq.asyncio
+
+from flamingoladder.freshness.messages import VouchReply
+from flamingoladder.freshness.messages import VouchRequest
+from flamingoladder.members.state import Member
+from flamingoladder.peers.connection import configure
+from flamingoladder.peers.keys import LinkKeys
+from flamingoladder.peers.link import Peer
+from flamingoladder.peers.zmq_links import ZmqLinks
+from flamingoladder.timeline.recorder import Recorder
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import msgspec
+
+ANSWER_TIMEOUT_S = 5.0
+REFUSED_TIMEOUT_S = 0.4
+
+
+class Host:
+    """Links of one host, bound to a free port of the loopback interface."""
+
+    def __init__(self, host: str) -> None:
+        self.keys = LinkKeys.generate()
+        self.recorder = Recorder(host, f"{host}-1")
+        self.links = ZmqLinks(self.keys, self.recorder)
+        self.links.start("tcp://127.0.0.1:*")
+        endpoint = self.links._socket.getsockopt_string(zmq.LAST_ENDPOINT)
+        self.member = Member(
+            host, "r", "d", f"{host}-1", "http://127.0.0.1:1", endpoint, self.keys.public_key
+        )
+        self.links.register(VouchRequest, self._vouch)
+
+    async def _vouch(self, peer: Peer, message: VouchRequest) -> msgspec.Struct:
+        return VouchReply(message.version, peer == Peer("h1", "h1-1"))
+
+
+@pytest.fixture
+async def hosts() -> AsyncIterator[tuple[Host, Host]]:
+    pair = (Host("h1"), Host("h2"))
+    yield pair
+    for host in pair:
+        host.links.close()
+
+
+async def _ask_until_answered(asker: Host, host: str) -> msgspec.Struct | None:
+    async with asyncio.timeout(ANSWER_TIMEOUT_S):
+        while True:
+            reply = await asker.links.ask(host, VouchRequest(1), 0.2)
+            if reply is not None:
+                return reply
+
+
+async def test_a_registered_host_is_answered(hosts: tuple[Host, Host]) -> None:
+    first, second = hosts
+    for host in hosts:
+        host.links.update_directory([first.member, second.member])
+    assert await _ask_until_answered(first, "h2") == VouchReply(1, True)
+
+
+async def test_a_host_that_is_registered_later_is_answered(hosts: tuple[Host, Host]) -> None:
+    first, second = hosts
+    first.links.update_directory([second.member])
+    assert await first.links.ask("h2", VouchRequest(1), REFUSED_TIMEOUT_S) is None
+    assert second.links.authenticator.unknown_key_seen.is_set()
+    second.links.update_directory([first.member])
+    assert await _ask_until_answered(first, "h2") == VouchReply(1, True)
+
+
+async def test_a_claim_to_be_another_host_is_ignored(hosts: tuple[Host, Host]) -> None:
+    first, second = hosts
+    for host in hosts:
+        host.links.update_directory([first.member, second.member])
+    await _ask_until_answered(first, "h2")
+    first.recorder.host = "h3"
+    assert await first.links.ask("h2", VouchRequest(1), REFUSED_TIMEOUT_S) is None
+    kinds = [event.kind for event in second.recorder.since(0)]
+    assert kinds == ["peer.wrong_sender"]
+
+
+async def test_a_truncated_message_changes_nothing(hosts: tuple[Host, Host]) -> None:
+    first, second = hosts
+    for host in hosts:
+        host.links.update_directory([first.member, second.member])
+    socket = first.links._context.socket(zmq.DEALER)
+    configure(socket, first.keys)
+    socket.curve_serverkey = second.keys.public_key.encode()
+    socket.connect(second.member.peer_endpoint)
+    recorded = asyncio.Event()
+    second.recorder.events.subscribe(lambda event: recorded.set())
+    await socket.send(b"\x95\xa2h1")
+    async with asyncio.timeout(ANSWER_TIMEOUT_S):
+        await recorded.wait()
+    assert await _ask_until_answered(first, "h2") == VouchReply(1, True)
+    assert [event.kind for event in second.recorder.since(0)] == ["peer.bad_message"]
