Serve callers: checks, admission, dispatch and the system's own paths

Cause: callers need one HTTP port that refuses truthfully and hands requests to the stages. Ruled out: cancelling a non-idempotent request with its caller's connection, as that would leave a claim half way; it runs on in a task of its own. Routing on the encoded path, as an upstream that decodes it could be led from an open route to a keyed one. Seen failing without its guard: the check before dispatch, the shield, the wait for what is in progress, the refusal while stopping, and the dropping of header fields that hold the key.

--- /dev/null
+++ b/src/flamingoladder/gateway/in_progress.py
@@ -0,0 +1,35 @@
+"""Counts what is in progress, so that a stop can wait for it."""
+
+from __future__ import annotations
+
+import asyncio
+
+
+class InProgress:
+    """A count of pieces of work, each entered as a context."""
+
+    __slots__ = ("_idle", "count")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def __enter__(self) -> None:
+        """Count one piece of work more."""
+        self.count += 1
+        self._idle.clear()
+
+    def __exit__(self, *_exception: object) -> None:
+        """Count one piece of work less."""
+        self.count -= 1
+        if self.count == 0:
+            self._idle.set()
+
+    async def wait_until_idle(self, timeout_s: float) -> bool:
+        """Return whether the count fell to 0 within ``timeout_s`` seconds."""
+        try:
+            await asyncio.wait_for(self._idle.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return True
--- /dev/null
+++ b/src/flamingoladder/gateway/routing.py
@@ -0,0 +1,64 @@
+"""The choice of a route by method and longest path prefix."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import unquote
+
+from expression import Error
+from expression import Ok
+
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Refusal
+
+if TYPE_CHECKING:
+    from expression import Result
+
+    from flamingoladder.config.model import Deployment
+    from flamingoladder.config.model import Route
+    from flamingoladder.config.model import Service
+
+
+def find_route(
+    deployment: Deployment, service: str, method: str, raw_path: str
+) -> Result[Route, Refusal]:
+    """Return the route of a request whose path, still percent-encoded, is ``raw_path``.
+
+    Paths that an upstream could take for another path are refused, as they could pass a keyed
+    route off as an open one.
+    """
+    declared = deployment.services.get(service)
+    if declared is None:
+        return Error(Refusal.not_run(Reason.UNKNOWN_SERVICE, f"no service {service!r}"))
+    path = unquote(raw_path, errors="surrogateescape")
+    if _is_ambiguous(path):
+        detail = "the path has empty or dot segments, backslashes or control characters"
+        return Error(Refusal.not_run(Reason.BAD_REQUEST, detail))
+    route = _longest_match(declared, method, path)
+    if route is None:
+        detail = f"service {service!r} has no route for {method} on this path"
+        return Error(Refusal.not_run(Reason.UNKNOWN_ROUTE, detail))
+    return Ok(route)
+
+
+def _longest_match(service: Service, method: str, path: str) -> Route | None:
+    matching = [
+        route for route in service.routes if method in route.methods and _covers(route.path, path)
+    ]
+    return max(matching, key=_prefix_length, default=None)
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.path)
+
+
+def _covers(prefix: str, path: str) -> bool:
+    return path == prefix or path.startswith(prefix.rstrip("/") + "/")
+
+
+def _is_ambiguous(path: str) -> bool:
+    if "//" in path or "\\" in path or ";" in path:
+        return True
+    if any(character < " " or character == "\x7f" for character in path):
+        return True
+    return "/." in path and any(segment in {".", ".."} for segment in path.split("/"))
--- a/src/flamingoladder/gateway/stages.py
+++ b/src/flamingoladder/gateway/stages.py
@@ -11,7 +11,11 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from flamingoladder.config.agreed import StateInForce
     from flamingoladder.gateway.request import CallerRequest
+    from flamingoladder.keys.check import KeyCheck
+    from flamingoladder.steering.lookup import LookupProvider
+    from flamingoladder.timeline.recorder import Recorder
     from flamingoladder.verdict import Outcome
     from flamingoladder.verdict import Refusal
 
@@ -57,3 +61,28 @@
 
         Only idempotent requests are sent a second time, unless no byte of the first left.
         """
+
+
+class GatewayStages:
+    """The stages of one entry host."""
+
+    __slots__ = ("admission", "dispatcher", "keys", "ledger", "lookups", "recorder", "state")
+
+    def __init__(
+        self,
+        *,
+        state: StateInForce,
+        keys: KeyCheck,
+        admission: Admission,
+        ledger: Ledger,
+        dispatcher: Dispatcher,
+        lookups: LookupProvider,
+        recorder: Recorder,
+    ) -> None:
+        self.state = state
+        self.keys = keys
+        self.admission = admission
+        self.ledger = ledger
+        self.dispatcher = dispatcher
+        self.lookups = lookups
+        self.recorder = recorder
--- /dev/null
+++ b/src/flamingoladder/steering/lookup.py
@@ -0,0 +1,113 @@
+"""The look-up: which entry hosts callers of a service are to use."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+
+import msgspec
+from expression import Error
+from expression import Ok
+
+from flamingoladder.config.agreed import DrainKind
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Refusal
+
+if TYPE_CHECKING:
+    from expression import Result
+
+    from flamingoladder.config.agreed import AgreedState
+    from flamingoladder.config.agreed import StateInForce
+    from flamingoladder.members.state import Member
+
+
+class LookupHost(msgspec.Struct, frozen=True):
+    """An entry host of an answer: ``url`` is its base URL, ``weight`` is above 0."""
+
+    host: str
+    url: str
+    region: str
+    failure_domain: str
+    weight: float
+
+
+class LookupAnswer(msgspec.Struct, frozen=True):
+    """The entry hosts to use, best first; the answer may be cached for ``lifetime_s`` seconds."""
+
+    service: str
+    hosts: tuple[LookupHost, ...]
+    lifetime_s: float
+    plan_version: int
+
+
+class LookupProvider(ABC):
+    """Answers look-ups."""
+
+    @abstractmethod
+    def lookup(self, service: str, now: float) -> Result[LookupAnswer, Refusal]:
+        """Return the answer for ``service`` at ``now`` (monotonic seconds), or a refusal."""
+
+
+class MemberLookup(LookupProvider):
+    """Names all members that take work, nearest to this host first, with equal weights."""
+
+    __slots__ = ("_answers_by_service", "_failure_domain", "_region", "_state", "_subscription")
+
+    def __init__(self, state: StateInForce, failure_domain: str, region: str) -> None:
+        self._state = state
+        self._failure_domain = failure_domain
+        self._region = region
+        self._answers_by_service: dict[str, LookupAnswer] = {}
+        self._subscription = state.changes.subscribe(self._forget)
+
+    def lookup(self, service: str, now: float) -> Result[LookupAnswer, Refusal]:
+        """Return the answer for ``service``."""
+        kept = self._answers_by_service.get(service)
+        if kept is not None:
+            return Ok(kept)
+        state = self._state.current
+        if state is None:
+            return Error(Refusal.not_run(Reason.NO_PROOF, "no configuration is known yet"))
+        if service not in state.deployment.services:
+            return Error(Refusal.not_run(Reason.UNKNOWN_SERVICE, f"no service {service!r}"))
+        members = members_taking_work(state)
+        if not members:
+            return Error(Refusal.not_run(Reason.NO_CAPACITY, "no entry host takes work"))
+        answer = self._answer(service, state, members)
+        self._answers_by_service[service] = answer
+        return Ok(answer)
+
+    def close(self) -> None:
+        """Stop following the agreed state."""
+        self._subscription.dispose()
+
+    def _answer(
+        self, service: str, state: AgreedState, members: tuple[Member, ...]
+    ) -> LookupAnswer:
+        ordered = sorted(members, key=self._distance)
+        hosts = tuple(_lookup_host(member) for member in ordered)
+        lifetime_s = state.deployment.defaults.lookup_lifetime_s
+        return LookupAnswer(service, hosts, lifetime_s, state.version)
+
+    def _distance(self, member: Member) -> tuple[bool, bool, str]:
+        other_domain = member.failure_domain != self._failure_domain
+        return member.region != self._region, other_domain, member.host
+
+    def _forget(self, _state: AgreedState) -> None:
+        self._answers_by_service = {}
+
+
+def members_taking_work(state: AgreedState) -> tuple[Member, ...]:
+    """Return the members that neither leave nor are drained, alone or with their domain."""
+    hosts = {drain.name for drain in state.drains if drain.kind is DrainKind.HOST}
+    domains = {drain.name for drain in state.drains if drain.kind is DrainKind.FAILURE_DOMAIN}
+    return tuple(
+        member
+        for member in state.members
+        if not member.leaving and member.host not in hosts and member.failure_domain not in domains
+    )
+
+
+def _lookup_host(member: Member) -> LookupHost:
+    return LookupHost(member.host, member.caller_url, member.region, member.failure_domain, 1.0)
--- a/src/flamingoladder/verdict.py
+++ b/src/flamingoladder/verdict.py
@@ -46,6 +46,7 @@
     UPSTREAM_SILENT = "upstream_silent"
     ANSWER_NOT_KEPT = "answer_not_kept"
     HOST_LEAVING = "host_leaving"
+    INTERNAL_ERROR = "internal_error"
 
 
 class Header(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/tests/gateway/fakes.py
@@ -0,0 +1,268 @@
+"""Small stand-ins for the stages and the agreed state."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+from expression import Error
+from expression import Ok
+from reactivex.subject import BehaviorSubject
+
+from flamingoladder.config.agreed import AgreedState
+from flamingoladder.config.agreed import KeyGrant
+from flamingoladder.config.agreed import StateInForce
+from flamingoladder.config.model import Defaults
+from flamingoladder.config.model import Delays
+from flamingoladder.config.model import Deployment
+from flamingoladder.config.model import FailureDomain
+from flamingoladder.config.model import Link
+from flamingoladder.config.model import Places
+from flamingoladder.config.model import Region
+from flamingoladder.config.model import Route
+from flamingoladder.config.model import Service
+from flamingoladder.config.model import Target
+from flamingoladder.config.model import Workspace
+from flamingoladder.gateway.server import GatewayServer
+from flamingoladder.gateway.stages import Admission
+from flamingoladder.gateway.stages import Dispatcher
+from flamingoladder.gateway.stages import GatewayStages
+from flamingoladder.gateway.stages import Ledger
+from flamingoladder.keys.check import GrantedKeys
+from flamingoladder.keys.check import digest_of
+from flamingoladder.members.state import Member
+from flamingoladder.steering.lookup import MemberLookup
+from flamingoladder.timeline.recorder import Recorder
+from flamingoladder.verdict import Answer
+from flamingoladder.verdict import Header
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from multidict import CIMultiDictProxy
+    from reactivex import Observable
+
+    from flamingoladder.gateway.request import CallerRequest
+    from flamingoladder.gateway.stages import Run
+    from flamingoladder.verdict import Outcome
+
+KEY = "fl-key-of-midnight-sun"
+OTHER_KEY = "fl-key-of-ferry-camp"
+ROUTES = (
+    Route(path="/"),
+    Route(path="/open", open=True),
+    Route(path="/bookings", methods=("POST", "PUT"), idempotent=False),
+)
+
+
+def member(host: str, region: str = "north", domain: str = "north-a") -> Member:
+    """Return a registered host."""
+    return Member(host, region, domain, f"{host}-1", f"http://{host}", f"tcp://{host}", "")
+
+
+def agreed(targets: dict[str, Target] | None = None, **defaults: object) -> AgreedState:
+    """Return a state with one service, two regions, two workspaces and three hosts."""
+    deployment = Deployment(
+        name="test",
+        defaults=msgspec.convert(defaults, Defaults),
+        places=Places(
+            regions={
+                name: Region(failure_domains={f"{name}-a": FailureDomain()})
+                for name in ("north", "south")
+            },
+            delays=Delays(between_domains_ms=1, between_regions_ms=20, to_clients_ms=5),
+            link=Link(mbit_per_s=1_000),
+            store_region="north",
+        ),
+        services={"desk": Service(routes=ROUTES, targets=targets or {})},
+        workspaces={"midnight-sun": Workspace(), "ferry-camp": Workspace()},
+    )
+    grants = (
+        KeyGrant("k1", "midnight-sun", digest_of(KEY)),
+        KeyGrant("k2", "ferry-camp", digest_of(OTHER_KEY)),
+    )
+    members = (member("h1"), member("h2", "south", "south-a"), member("h3"))
+    return AgreedState(1, 1, deployment, grants, members)
+
+
+class FixedState(StateInForce):
+    """A state that the test sets, with or without proof."""
+
+    __slots__ = ("_subject", "proof")
+
+    def __init__(self, state: AgreedState) -> None:
+        self._subject: BehaviorSubject[AgreedState] = BehaviorSubject(state)
+        self.proof = True
+
+    @property
+    def changes(self) -> Observable[AgreedState]:
+        """Return the stream of states."""
+        return self._subject
+
+    @property
+    def current(self) -> AgreedState:
+        """Return the present state."""
+        return self._subject.value
+
+    def has_proof(self, now: float) -> bool:
+        """Return what the test has set."""
+        return self.proof
+
+    def set(self, **changes: object) -> None:
+        """Put a changed state in force."""
+        version = self.current.version + 1
+        self._subject.on_next(msgspec.structs.replace(self.current, version=version, **changes))
+
+
+class Gate:
+    """A point that tasks pass only while it is open; ``reached`` tells that one came."""
+
+    __slots__ = ("opened", "reached")
+
+    def __init__(self) -> None:
+        self.opened = asyncio.Event()
+        self.opened.set()
+        self.reached = asyncio.Event()
+
+    async def passed(self) -> None:
+        """Wait until the gate is open."""
+        self.reached.set()
+        await self.opened.wait()
+
+
+class GatedAdmission(Admission):
+    """Admits each request that passes the gate."""
+
+    __slots__ = ("gate",)
+
+    def __init__(self) -> None:
+        self.gate = Gate()
+
+    async def admit(self, request: CallerRequest) -> Refusal | None:
+        """Wait for the gate."""
+        await self.gate.passed()
+        return None
+
+
+class MemoryLedger(Ledger):
+    """Keeps outcomes of one process."""
+
+    __slots__ = ("outcomes_by_key",)
+
+    def __init__(self) -> None:
+        self.outcomes_by_key: dict[tuple[str | None, str | None], Outcome] = {}
+
+    async def run_once(self, request: CallerRequest, run: Run) -> Outcome:
+        """Run the request unless its outcome is known."""
+        key = (request.workspace, request.idempotency_key)
+        if key not in self.outcomes_by_key:
+            self.outcomes_by_key[key] = await run(request)
+        return self.outcomes_by_key[key]
+
+    async def outcome_of(self, workspace: str, idempotency_key: str) -> Outcome:
+        """Return the kept outcome."""
+        unknown = Refusal.not_run(Reason.CLAIM_OWNER_UNREACHABLE, "never seen")
+        return self.outcomes_by_key.get((workspace, idempotency_key), Error(unknown))
+
+    def issue_ticket(self, workspace: str) -> str:
+        """Return a ticket."""
+        return f"ticket-{workspace}"
+
+
+class RecordingDispatcher(Dispatcher):
+    """Keeps the requests and answers each that passes the gate with its own path."""
+
+    __slots__ = ("gate", "requests")
+
+    def __init__(self) -> None:
+        self.requests: list[CallerRequest] = []
+        self.gate = Gate()
+
+    async def dispatch(self, request: CallerRequest) -> Outcome:
+        """Answer with the path."""
+        self.requests.append(request)
+        await self.gate.passed()
+        if request.path == "/fault":
+            raise RuntimeError("fault in a stage")
+        headers = (Header("X-Kind", "echo"), Header("Flamingoladder-Verdict", "not_run"))
+        return Ok(Answer(200, headers, request.path.encode()))
+
+
+class Gateway:
+    """A gateway with fakes behind it and a client session before it."""
+
+    __slots__ = ("admission", "dispatcher", "ledger", "recorder", "server", "session", "state")
+
+    def __init__(self, state: FixedState, dispatcher: Dispatcher | None = None) -> None:
+        self.state = state
+        self.admission = GatedAdmission()
+        self.ledger = MemoryLedger()
+        self.dispatcher = RecordingDispatcher()
+        self.recorder = Recorder("h1", "h1-1")
+        stages = GatewayStages(
+            state=state,
+            keys=GrantedKeys(state),
+            admission=self.admission,
+            ledger=self.ledger,
+            dispatcher=dispatcher or self.dispatcher,
+            lookups=MemberLookup(state, "north-a", "north"),
+            recorder=self.recorder,
+        )
+        self.server = GatewayServer(stages, "127.0.0.1", 0)
+        self.session = aiohttp.ClientSession()
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f"http://127.0.0.1:{self.server.port}"
+
+    async def send(
+        self, path: str, method: str = "GET", key: str | None = KEY, **options: object
+    ) -> Reply:
+        """Send a request to the service with the key and return the reply."""
+        headers = dict(options.pop("headers", {}))  # type: ignore[call-overload]
+        if key is not None:
+            headers["Authorization"] = f"Bearer {key}"
+        url = f"{self.url}{path}"
+        async with self.session.request(method, url, headers=headers, **options) as response:  # type: ignore[arg-type]
+            return Reply(response.status, response.headers, await response.read())
+
+
+class Reply:
+    """A reply as a caller sees it."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status: int, headers: CIMultiDictProxy[str], body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @property
+    def verdict(self) -> str | None:
+        """Return the verdict."""
+        return self.headers.get("Flamingoladder-Verdict")
+
+    @property
+    def refusal(self) -> Refusal:
+        """Return the body as a refusal."""
+        return msgspec.json.decode(self.body, type=Refusal)
+
+
+@asynccontextmanager
+async def running_gateway(
+    state: AgreedState | None = None, dispatcher: Dispatcher | None = None
+) -> AsyncIterator[Gateway]:
+    """Run a gateway for one test."""
+    gateway = Gateway(FixedState(state or agreed()), dispatcher)
+    await gateway.server.start()
+    try:
+        yield gateway
+    finally:
+        await gateway.session.close()
+        await gateway.server.stop(1.0)
--- /dev/null
+++ b/tests/gateway/test_server.py
@@ -0,0 +1,167 @@
+"""Tests of the request path with fakes behind it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+
+from flamingoladder.steering.lookup import LookupAnswer
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Verdict
+from tests.gateway.fakes import KEY
+from tests.gateway.fakes import OTHER_KEY
+from tests.gateway.fakes import agreed
+from tests.gateway.fakes import running_gateway
+
+BOOKING = {"Idempotency-Key": "b1"}
+
+
+async def test_an_answer_comes_back_whole_with_its_verdict() -> None:
+    async with running_gateway() as gateway:
+        reply = await gateway.send("/services/desk/items/7?size=2")
+        assert reply.status == 200
+        assert reply.body == b"/items/7?size=2"
+        assert reply.verdict == Verdict.RAN
+        assert reply.headers["X-Kind"] == "echo"
+        assert reply.headers["X-Request-Id"] == gateway.dispatcher.requests[0].request_id
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "key", "headers", "reason"),
+    [
+        ("/services/none/x", "GET", KEY, {}, Reason.UNKNOWN_SERVICE),
+        ("/services/desk/x", "DELETE", KEY, {}, Reason.UNKNOWN_ROUTE),
+        ("/services/desk/x", "GET", None, {}, Reason.KEY_MISSING),
+        ("/services/desk/x", "GET", "guess", {}, Reason.KEY_UNKNOWN),
+        ("/services/desk/x", "GET", None, {"Authorization": "Basic eA=="}, Reason.BAD_REQUEST),
+        ("/services/desk/bookings", "POST", KEY, {}, Reason.IDEMPOTENCY_KEY_MISSING),
+        ("/services/desk/bookings", "POST", KEY, {"Idempotency-Key": "a b"}, Reason.BAD_REQUEST),
+        ("/services/desk/x", "GET", KEY, {"Flamingoladder-Deadline-Ms": "-1"}, Reason.BAD_REQUEST),
+        (
+            "/services/desk/x",
+            "GET",
+            KEY,
+            {"Flamingoladder-Deadline-Ms": "0"},
+            Reason.DEADLINE_PASSED,
+        ),
+        (f"/services/desk/x?k={KEY}", "GET", KEY, {}, Reason.BAD_REQUEST),
+        ("/services/desk/bookings", "POST", KEY, {"Idempotency-Key": KEY}, Reason.BAD_REQUEST),
+        ("/services/desk/x", "GET", KEY, {"X-Pad": "p" * 20_000}, Reason.HEADERS_TOO_LARGE),
+    ],
+)
+async def test_a_bad_request_is_refused_before_admission(
+    path: str, method: str, key: str | None, headers: dict[str, str], reason: Reason
+) -> None:
+    async with running_gateway() as gateway:
+        reply = await gateway.send(path, method, key, headers=headers)
+        assert (reply.refusal.reason, reply.refusal.verdict) == (reason, Verdict.NOT_RUN)
+        assert reply.headers["Flamingoladder-Reason"] == reason
+        assert gateway.dispatcher.requests == []
+
+
+async def test_a_body_over_the_limit_names_limit_and_setting() -> None:
+    async with running_gateway(agreed(max_body_bytes=100)) as gateway:
+        reply = await gateway.send(
+            "/services/desk/bookings", "POST", data=b"x" * 101, headers=BOOKING
+        )
+        assert reply.status == 413
+        assert "100 bytes (setting defaults.max_body_bytes)" in reply.refusal.detail
+
+
+async def test_no_proof_refuses_keyed_work_and_names_other_hosts_but_serves_open_routes() -> None:
+    async with running_gateway() as gateway:
+        gateway.state.proof = False
+        reply = await gateway.send("/services/desk/x")
+        assert reply.refusal.reason is Reason.NO_PROOF
+        assert reply.refusal.hosts == ("http://h2", "http://h3")
+        assert (await gateway.send("/services/desk/open/x", key=None)).status == 200
+
+
+async def test_a_key_withdrawn_while_the_request_is_held_stops_it() -> None:
+    async with running_gateway() as gateway:
+        gateway.admission.gate.opened.clear()
+        sent = asyncio.create_task(gateway.send("/services/desk/x"))
+        await gateway.admission.gate.reached.wait()
+        withdrawn = [
+            msgspec.structs.replace(grant, withdrawn=True) for grant in gateway.state.current.grants
+        ]
+        gateway.state.set(grants=tuple(withdrawn))
+        gateway.admission.gate.opened.set()
+        assert (await sent).refusal.reason is Reason.KEY_WITHDRAWN
+        assert gateway.dispatcher.requests == []
+
+
+async def test_the_upstream_side_never_holds_the_key() -> None:
+    headers = {
+        "Cookie": f"a=1; key={KEY}",
+        "X-Fine": "1",
+        "X-Copy": KEY.replace("-", "%2D"),
+        "Connection": "X-Hop",
+        "X-Hop": "1",
+    }
+    async with running_gateway() as gateway:
+        await gateway.send("/services/desk/x", headers=headers)
+        [request] = gateway.dispatcher.requests
+        names = {header.name for header in request.headers}
+        assert "X-Fine" in names
+        assert not names & {"Authorization", "Cookie", "X-Copy", "Connection", "X-Hop", "Host"}
+
+
+async def test_a_fault_stays_with_its_own_request() -> None:
+    async with running_gateway() as gateway:
+        replies = await asyncio.gather(
+            *(gateway.send(f"/services/desk/{name}") for name in ("fault", "x", "y"))
+        )
+        assert [reply.status for reply in replies] == [500, 200, 200]
+        assert replies[0].refusal.verdict is Verdict.MAY_HAVE_RUN
+
+
+async def test_a_booking_runs_once_even_if_its_caller_hangs_up() -> None:
+    async with running_gateway() as gateway:
+        gateway.dispatcher.gate.opened.clear()
+        sent = asyncio.create_task(gateway.send("/services/desk/bookings", "POST", headers=BOOKING))
+        await gateway.dispatcher.gate.reached.wait()
+        sent.cancel()
+        await asyncio.sleep(0.05)
+        gateway.dispatcher.gate.opened.set()
+        reply = await gateway.send("/v1/outcomes/b1")
+        while reply.verdict == Verdict.NOT_RUN:
+            reply = await gateway.send("/v1/outcomes/b1")
+        assert reply.body == b"/bookings"
+        assert (await gateway.send("/v1/outcomes/b1", key=OTHER_KEY)).status != 200
+
+
+async def test_a_stop_finishes_what_is_in_progress_and_refuses_what_is_new() -> None:
+    async with running_gateway() as gateway:
+        gateway.dispatcher.gate.opened.clear()
+        sent = asyncio.create_task(gateway.send("/services/desk/x"))
+        await gateway.dispatcher.gate.reached.wait()
+        stopped = asyncio.create_task(gateway.server.stop(5.0))
+        await asyncio.sleep(0)
+        late = await gateway.send("/services/desk/y")
+        assert (late.refusal.reason, late.refusal.verdict) == (Reason.HOST_LEAVING, Verdict.NOT_RUN)
+        gateway.dispatcher.gate.opened.set()
+        assert (await sent).body == b"/x"
+        assert await stopped
+
+
+async def test_own_paths() -> None:
+    async with running_gateway() as gateway:
+        answer = msgspec.json.decode(
+            (await gateway.send("/v1/lookup?service=desk")).body, type=LookupAnswer
+        )
+        assert [host.host for host in answer.hosts] == ["h1", "h3", "h2"]
+        assert (answer.plan_version, answer.lifetime_s) == (1, 5.0)
+        assert (
+            await gateway.send("/v1/lookup?service=none")
+        ).refusal.reason is Reason.UNKNOWN_SERVICE
+        assert (
+            await gateway.send("/v1/tickets", "POST")
+        ).body == b'{"ticket":"ticket-midnight-sun"}'
+        assert (await gateway.send("/v1/tickets", "POST", key=None)).status == 401
+        assert (await gateway.send("/health/ready")).status == 200
+        gateway.state.proof = False
+        assert (await gateway.send("/health/ready")).status == 503
+        assert (await gateway.send("/health/live")).status == 200
