Keep the agreed state: head row, proofs, commits and registration

Cause: each slice needs what is in force and whether that is still the newest. One row 'head' names the parts of the state; parts above 2 KiB are objects named by their digest, so that a key withdrawal rewrites only the grants. Every change is one write that requires the row to be unchanged. Hosts read the row at an interval and register themselves. Ruled out: one object for the whole state (each withdrawal would rewrite the configuration).

--- /dev/null
+++ b/src/flamingoladder/freshness/committer.py
@@ -0,0 +1,160 @@
+"""Commits changes of the agreed state."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import TYPE_CHECKING
+from uuid import uuid4
+
+from expression import Error
+from expression import Ok
+
+from flamingoladder.freshness.attempt import Committed
+from flamingoladder.freshness.attempt import PendingChange
+from flamingoladder.freshness.attempt import Retry
+from flamingoladder.freshness.commits import CommitRefused
+from flamingoladder.freshness.commits import CommitReport
+from flamingoladder.freshness.commits import RefusalKind
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from expression import Result
+
+    from flamingoladder.freshness.announcer import Announcement
+    from flamingoladder.freshness.announcer import Announcer
+    from flamingoladder.freshness.attempt import Attempts
+    from flamingoladder.freshness.changes import Change
+    from flamingoladder.freshness.intents import IntentRound
+    from flamingoladder.freshness.knowledge import Knowledge
+    from flamingoladder.freshness.settings import FreshnessSettings
+    from flamingoladder.timeline.recorder import Recorder
+
+RETRY_S = 0.05
+RESOLVE_S = 1.0
+
+
+class Committer:
+    """Commits changes for the operators and for the host itself."""
+
+    __slots__ = (
+        "_announcer",
+        "_attempts",
+        "_intents",
+        "_knowledge",
+        "_lock",
+        "_recorder",
+        "_settings",
+        "_withdrawn",
+        "tasks",
+    )
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        attempts: Attempts,
+        intents: IntentRound,
+        announcer: Announcer,
+        recorder: Recorder,
+        settings: FreshnessSettings,
+    ) -> None:
+        self._knowledge = knowledge
+        self._attempts = attempts
+        self._intents = intents
+        self._announcer = announcer
+        self._recorder = recorder
+        self._settings = settings
+        self._lock = asyncio.Lock()
+        self._withdrawn: set[str] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def is_open(self, change_id: str) -> bool:
+        """Return whether a change announced by this host was, or may yet be, committed."""
+        return change_id not in self._withdrawn
+
+    async def commit(self, change: Change) -> Result[CommitReport, CommitRefused]:
+        """Commit ``change`` and wait, within bounds, until it is in force everywhere."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        pending = PendingChange(uuid4().hex, change)
+        end = await self._settle(pending, started + self._settings.commit_timeout_s)
+        if isinstance(end, CommitRefused):
+            self._refuse(pending, end)
+            return Error(end)
+        announcement = self._announce(pending, end)
+        in_force = await self._announcer.wait_in_force(announcement)
+        seconds = loop.time() - started
+        hosts = tuple(sorted(announcement.installed_on))
+        version = end.head.version
+        self._recorder.record(
+            "change.in_force" if in_force else "change.not_in_force",
+            change=pending.change_id,
+            version=version,
+            seconds=round(seconds, 3),
+        )
+        return Ok(CommitReport(pending.change_id, version, True, in_force, hosts, seconds))
+
+    async def _settle(self, pending: PendingChange, deadline: float) -> Committed | CommitRefused:
+        """Make attempts, one change at a time, until one ends or ``deadline`` is reached."""
+        loop = asyncio.get_running_loop()
+        async with self._lock:
+            while True:
+                end = await self._attempts.make(pending)
+                if isinstance(end, Committed):
+                    return end
+                if isinstance(end, CommitRefused) and pending.unknown_base is None:
+                    return end
+                if loop.time() >= deadline:
+                    return self._given_up(pending, end)
+                await asyncio.sleep(RETRY_S)
+
+    def _given_up(self, pending: PendingChange, end: CommitRefused | Retry) -> CommitRefused:
+        if isinstance(end, CommitRefused):
+            return end
+        present = self._knowledge.installed
+        return pending.refused(RefusalKind.CONFLICT, f"attempts ended: {end.why}", present)
+
+    def _refuse(self, pending: PendingChange, refused: CommitRefused) -> None:
+        self._recorder.record(
+            "change.refused",
+            change=pending.change_id,
+            scope=pending.change.scope,
+            why=refused.kind,
+            detail=refused.detail,
+        )
+        if refused.kind is not RefusalKind.OUTCOME_UNKNOWN:
+            self._withdraw(pending)
+        elif pending.change.suspended_key is not None:
+            self._start(self._resolve(pending))
+
+    def _withdraw(self, pending: PendingChange) -> None:
+        self._withdrawn.add(pending.change_id)
+        self._intents.withdraw(pending.change_id, self._knowledge.members_by_host)
+
+    def _announce(self, pending: PendingChange, end: Committed) -> Announcement:
+        self._recorder.record(
+            "change.committed",
+            change=pending.change_id,
+            scope=pending.change.scope,
+            version=end.head.version,
+        )
+        now = asyncio.get_running_loop().time()
+        return self._announcer.start(end.head, now if end.locked else math.inf)
+
+    async def _resolve(self, pending: PendingChange) -> None:
+        """Go on with a withdrawal of unknown outcome: its key stays refused until it is known."""
+        while True:
+            end = await self._settle(pending, asyncio.get_running_loop().time())
+            if isinstance(end, Committed):
+                self._announce(pending, end)
+                return
+            if end.kind is RefusalKind.REJECTED:
+                self._withdraw(pending)
+                return
+            await asyncio.sleep(RESOLVE_S)
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/src/flamingoladder/freshness/guards.py
@@ -0,0 +1,70 @@
+"""The decisions that keep proofs sound; ``models/freshness.py`` checks them under these names.
+
+Versions only rise. ``installed`` is the version that a host acts on, ``known`` the newest whose
+existence it has learned of. Times are monotonic seconds of the host that decides.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Mapping
+
+    from flamingoladder.members.state import Member
+
+
+def has_majority(hosts: Collection[str], members_by_host: Mapping[str, Member]) -> bool:
+    """Return whether ``hosts`` hold a majority of the registered hosts, if there are any."""
+    counted = sum(1 for host in members_by_host if host in hosts)
+    return 2 * counted > len(members_by_host) or not members_by_host
+
+
+def proof_is_young(asked_at: float, proof_s: float, now: float) -> bool:
+    """Return whether a proof whose question was sent at ``asked_at`` still holds at ``now``."""
+    return now < asked_at + proof_s
+
+
+def is_registered(member: Member, members_by_host: Mapping[str, Member]) -> bool:
+    """Return whether this incarnation is registered; no other one may use or give proof."""
+    registered = members_by_host.get(member.host)
+    return registered is not None and registered.incarnation == member.incarnation
+
+
+def may_install(version: int, installed: int) -> bool:
+    """Return whether ``version`` may be put in force: never a lower one than before."""
+    return version > installed
+
+
+def may_vouch(asked: int, installed: int, known: int) -> bool:
+    """Return whether a host may say that it knows nothing newer than version ``asked``."""
+    return asked == installed == known
+
+
+def may_acknowledge(base: int, known: int) -> bool:
+    """Return whether a host may acknowledge an intent on top of version ``base``."""
+    return known <= base
+
+
+def intent_is_open(base: int, installed: int) -> bool:
+    """Return whether an intent on top of ``base`` may still be, or have been, committed."""
+    return installed <= base
+
+
+def may_count_vouch(incarnation: str, registered: Member) -> bool:
+    """Return whether a vouch counts: only the registered incarnation remembers what it said."""
+    return incarnation == registered.incarnation
+
+
+def may_shorten_wait(last_removal_at: float, wait_s: float, now: float) -> bool:
+    """Return whether the registered hosts are all that can hold a proof.
+
+    A host that was removed within the last ``wait_s`` may hold one, and nobody asks it any more.
+    """
+    return now >= last_removal_at + wait_s
+
+
+def wait_is_over(since: float, wait_s: float, now: float) -> bool:
+    """Return whether every proof whose question was sent before ``since`` has ended."""
+    return now >= since + wait_s
--- /dev/null
+++ b/src/flamingoladder/freshness/head.py
@@ -0,0 +1,147 @@
+"""The table's row ``head``: the version in force, its content and its recent history."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+from flamingoladder.config.agreed import AgreedState
+from flamingoladder.config.agreed import Drain
+from flamingoladder.config.agreed import KeyGrant
+from flamingoladder.config.agreed import Shift
+from flamingoladder.config.model import Deployment
+from flamingoladder.members.state import Member
+
+HEAD_KEY = "head"
+INLINE_BYTES = 2_048
+RECENT_CHANGES = 32
+
+
+class Part(msgspec.Struct, frozen=True, array_like=True):
+    """A part of the state: its encoding if that is small, else the name of an object."""
+
+    content: bytes | None
+    name: str | None = None
+
+
+class Parts(msgspec.Struct, frozen=True, array_like=True):
+    """The parts of the agreed state; a change rewrites only those that it touches."""
+
+    deployment: Part
+    grants: Part
+    members: Part
+    drains: Part
+    shifts: Part
+
+
+class RecentChange(msgspec.Struct, frozen=True, array_like=True):
+    """A commit of the recent past; ``proof_s`` is the lifetime of proofs of its version."""
+
+    change_id: str
+    version: int
+    proof_s: float
+
+
+class Head(msgspec.Struct, frozen=True, array_like=True):
+    """The content of the row."""
+
+    version: int
+    division_version: int
+    parts: Parts
+    recent: tuple[RecentChange, ...]
+
+    @property
+    def longest_proof_s(self) -> float:
+        """Return the longest lifetime in seconds that a recent version gave to proofs."""
+        return max(change.proof_s for change in self.recent)
+
+    def has_change(self, change_id: str) -> bool:
+        """Return whether the change is among the recent ones."""
+        return any(change.change_id == change_id for change in self.recent)
+
+
+class EncodedHead(msgspec.Struct, frozen=True):
+    """A head together with the objects that it names, by their name."""
+
+    head: Head
+    content_by_name: dict[str, bytes]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_head_decoder = msgspec.msgpack.Decoder(Head)
+_deployment_decoder = msgspec.msgpack.Decoder(Deployment)
+_grants_decoder = msgspec.msgpack.Decoder(tuple[KeyGrant, ...])
+_members_decoder = msgspec.msgpack.Decoder(tuple[Member, ...])
+_drains_decoder = msgspec.msgpack.Decoder(tuple[Drain, ...])
+_shifts_decoder = msgspec.msgpack.Decoder(tuple[Shift, ...])
+
+
+def encode_head(head: Head) -> bytes:
+    """Return the row's value."""
+    return _encoder.encode(head)
+
+
+def decode_head(value: bytes) -> Head:
+    """Return the head in the row's value.
+
+    :raises msgspec.DecodeError: if it is none.
+    """
+    return _head_decoder.decode(value)
+
+
+def encode_state(
+    state: AgreedState, change_id: str, recent: tuple[RecentChange, ...]
+) -> EncodedHead:
+    """Return the head of ``state``, committed by ``change_id`` after the changes of ``recent``."""
+    content_by_name: dict[str, bytes] = {}
+    parts = Parts(
+        _part(state.deployment, content_by_name),
+        _part(state.grants, content_by_name),
+        _part(state.members, content_by_name),
+        _part(state.drains, content_by_name),
+        _part(state.shifts, content_by_name),
+    )
+    change = RecentChange(change_id, state.version, state.deployment.defaults.proof_s)
+    kept = (*recent, change)[-RECENT_CHANGES:]
+    return EncodedHead(Head(state.version, state.division_version, parts, kept), content_by_name)
+
+
+def object_names(head: Head) -> tuple[str, ...]:
+    """Return the names of the objects that the head refers to."""
+    parts = msgspec.structs.astuple(head.parts)
+    return tuple(part.name for part in parts if part.name is not None)
+
+
+def decode_state(head: Head, content_by_name: dict[str, bytes]) -> AgreedState:
+    """Return the state of ``head``, whose objects are all in ``content_by_name``."""
+    parts = head.parts
+    return AgreedState(
+        head.version,
+        head.division_version,
+        _deployment_decoder.decode(_content(parts.deployment, content_by_name)),
+        _grants_decoder.decode(_content(parts.grants, content_by_name)),
+        _members_decoder.decode(_content(parts.members, content_by_name)),
+        _drains_decoder.decode(_content(parts.drains, content_by_name)),
+        _shifts_decoder.decode(_content(parts.shifts, content_by_name)),
+    )
+
+
+def object_name(content: bytes) -> str:
+    """Return the name of an object, which its content determines."""
+    return f"sha256-{hashlib.sha256(content).hexdigest()}"
+
+
+def _part(value: object, content_by_name: dict[str, bytes]) -> Part:
+    content = _encoder.encode(value)
+    if len(content) <= INLINE_BYTES:
+        return Part(content)
+    name = object_name(content)
+    content_by_name[name] = content
+    return Part(None, name)
+
+
+def _content(part: Part, content_by_name: dict[str, bytes]) -> bytes:
+    if part.content is not None:
+        return part.content
+    return content_by_name[part.name or ""]
--- /dev/null
+++ b/src/flamingoladder/freshness/keeper.py
@@ -0,0 +1,152 @@
+"""The state in force on one host, its proof, and commits of changes."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from flamingoladder.config.agreed import StateInForce
+from flamingoladder.freshness.announcer import Announcer
+from flamingoladder.freshness.attempt import Attempts
+from flamingoladder.freshness.committer import Committer
+from flamingoladder.freshness.intents import IntentRound
+from flamingoladder.freshness.knowledge import Knowledge
+from flamingoladder.freshness.renewal import ProofRenewer
+from flamingoladder.freshness.responder import Responder
+from flamingoladder.freshness.status import gather_status
+from flamingoladder.freshness.storage import HeadStorage
+from flamingoladder.members.registrar import Registrar
+from flamingoladder.members.silence import Silence
+
+if TYPE_CHECKING:
+    from expression import Result
+    from reactivex import Observable
+
+    from flamingoladder.config.agreed import AgreedState
+    from flamingoladder.freshness.changes import Change
+    from flamingoladder.freshness.commits import CommitRefused
+    from flamingoladder.freshness.commits import CommitReport
+    from flamingoladder.freshness.settings import FreshnessSettings
+    from flamingoladder.freshness.status import FreshnessStatus
+    from flamingoladder.members.state import Member
+    from flamingoladder.peers.link import PeerLinks
+    from flamingoladder.platform.hostlist import HostList
+    from flamingoladder.platform.objects import ObjectStore
+    from flamingoladder.platform.table import TableService
+    from flamingoladder.timeline.recorder import Recorder
+
+
+class StateKeeper(StateInForce):
+    """Keeps the agreed state of one host.
+
+    Start it only once the host's fixed ports are bound: that makes it certain that earlier
+    incarnations of this host are dead.
+    """
+
+    __slots__ = (
+        "_committer",
+        "_knowledge",
+        "_links",
+        "_registrar",
+        "_renewer",
+        "_settings",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        renewer: ProofRenewer,
+        committer: Committer,
+        registrar: Registrar,
+        links: PeerLinks,
+        settings: FreshnessSettings,
+    ) -> None:
+        self._knowledge = knowledge
+        self._renewer = renewer
+        self._committer = committer
+        self._registrar = registrar
+        self._links = links
+        self._settings = settings
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: FreshnessSettings,
+        member: Member,
+        table: TableService,
+        objects: ObjectStore,
+        host_list: HostList,
+        links: PeerLinks,
+        recorder: Recorder,
+    ) -> StateKeeper:
+        """Return a keeper for ``member``; to be called with a running event loop."""
+        now = asyncio.get_running_loop().time()
+        knowledge = Knowledge(member, now)
+        silence = Silence(now)
+        storage = HeadStorage(table, objects, links, settings)
+        renewer = ProofRenewer(knowledge, storage, links, silence, recorder, settings)
+        intents = IntentRound(knowledge, table, links, silence, settings)
+        attempts = Attempts(knowledge, storage, renewer, intents)
+        announcer = Announcer(knowledge, links, silence, settings)
+        committer = Committer(knowledge, attempts, intents, announcer, recorder, settings)
+        registrar = Registrar(
+            knowledge, committer, table, host_list, links, silence, recorder, settings
+        )
+        Responder(knowledge, storage, renewer, committer, silence).register(links)
+        return cls(knowledge, renewer, committer, registrar, links, settings)
+
+    @property
+    def changes(self) -> Observable[AgreedState]:
+        """Return the stream of states, starting with the present one if there is one.
+
+        A key whose withdrawal may have been committed is withdrawn in these states, and may come
+        back, at the same version, once it is certain that the withdrawal was not committed.
+        """
+        return self._knowledge.changes
+
+    @property
+    def current(self) -> AgreedState | None:
+        """Return the newest state known, or None before the first."""
+        return self._knowledge.effective
+
+    @property
+    def is_registered(self) -> bool:
+        """Return whether this incarnation is registered."""
+        return self._knowledge.is_registered
+
+    def has_proof(self, now: float) -> bool:
+        """Return whether nothing newer than the state can be in force at ``now``."""
+        return self._knowledge.has_proof(now)
+
+    def start(self) -> None:
+        """Start to renew the proof and to register this host."""
+        self._tasks = [
+            asyncio.create_task(self._renewer.run()),
+            asyncio.create_task(self._registrar.run()),
+        ]
+
+    async def commit(self, change: Change) -> Result[CommitReport, CommitRefused]:
+        """Commit ``change``; see ``CommitReport`` and ``CommitRefused``."""
+        return await self._committer.commit(change)
+
+    async def status(self) -> FreshnessStatus:
+        """Return what all reachable hosts have in force."""
+        available = not self._renewer.store_is_out
+        return await gather_status(self._knowledge, self._links, self._settings, available)
+
+    async def mark_leaving(self) -> bool:
+        """Commit that this host is leaving, at the start of a graceful shutdown."""
+        return await self._registrar.mark_leaving()
+
+    async def remove(self) -> bool:
+        """Commit the end of this host's registration, at the end of a graceful shutdown."""
+        return await self._registrar.remove()
+
+    async def close(self) -> None:
+        """Stop all tasks; the host's proof then ends by itself."""
+        tasks = (*self._tasks, *self._committer.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/src/flamingoladder/freshness/knowledge.py
@@ -0,0 +1,169 @@
+"""What one host knows of the agreed state, and since when it has proof."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import msgspec
+from reactivex.subject import ReplaySubject
+
+from flamingoladder.freshness import guards
+from flamingoladder.freshness.changes import NO_STATE_VERSION
+from flamingoladder.freshness.changes import with_keys_withdrawn
+
+if TYPE_CHECKING:
+    from reactivex import Observable
+
+    from flamingoladder.config.agreed import AgreedState
+    from flamingoladder.freshness.head import Head
+    from flamingoladder.members.state import Member
+
+
+class OpenIntent(msgspec.Struct, frozen=True):
+    """A change that the host of the given incarnation announced; its outcome is not known yet."""
+
+    change_id: str
+    base_version: int
+    suspended_key: str | None
+    host: str
+    incarnation: str
+    since: float
+
+
+class Knowledge:
+    """The newest state, open intents and proof of one host.
+
+    ``effective`` is the state with the keys withdrawn whose withdrawal may have been committed.
+    """
+
+    __slots__ = (
+        "_asked_at",
+        "_excepted_keys",
+        "_subject",
+        "effective",
+        "head",
+        "intents_by_change",
+        "known",
+        "last_removal_at",
+        "member",
+        "state",
+    )
+
+    def __init__(self, member: Member, now: float) -> None:
+        self.member = member
+        self.head: Head | None = None
+        self.state: AgreedState | None = None
+        self.effective: AgreedState | None = None
+        self.known = NO_STATE_VERSION
+        self.intents_by_change: dict[str, OpenIntent] = {}
+        self.last_removal_at = now
+        self._asked_at = -math.inf
+        self._excepted_keys: frozenset[str] = frozenset()
+        self._subject: ReplaySubject[AgreedState] = ReplaySubject(buffer_size=1)
+
+    @property
+    def changes(self) -> Observable[AgreedState]:
+        """Return the stream of effective states."""
+        return self._subject
+
+    @property
+    def installed(self) -> int:
+        """Return the version that this host acts on, 0 before the first."""
+        return self.state.version if self.state else NO_STATE_VERSION
+
+    @property
+    def members_by_host(self) -> dict[str, Member]:
+        """Return the registered hosts by name."""
+        return self.state.members_by_host if self.state else {}
+
+    @property
+    def is_registered(self) -> bool:
+        """Return whether this incarnation is registered."""
+        return guards.is_registered(self.member, self.members_by_host)
+
+    @property
+    def suspended_keys(self) -> frozenset[str]:
+        """Return the ids of the keys whose withdrawal may have been committed."""
+        keys = (intent.suspended_key for intent in self.intents_by_change.values())
+        return frozenset(key for key in keys if key is not None)
+
+    def has_proof(self, now: float) -> bool:
+        """Return whether nothing newer than the state can be in force at ``now``."""
+        if self.state is None or not self.is_registered:
+            return False
+        return guards.proof_is_young(self._asked_at, self.state.deployment.defaults.proof_s, now)
+
+    def proof_age_s(self, now: float) -> float | None:
+        """Return the age of the newest proof in seconds, or None before the first."""
+        return None if math.isinf(self._asked_at) else now - self._asked_at
+
+    def learn_of(self, version: int) -> None:
+        """Take in that ``version`` exists."""
+        self.known = max(self.known, version)
+
+    def install(self, head: Head, state: AgreedState, now: float) -> bool:
+        """Put ``state`` in force; return whether it is newer than the one before."""
+        self.learn_of(state.version)
+        if not guards.may_install(state.version, self.installed):
+            return False
+        if self._may_have_removed_a_host(state):
+            self.last_removal_at = now
+        self.head = head
+        self.state = state
+        self._excepted_keys = frozenset()
+        self._close_settled_intents()
+        self._refresh(always=True)
+        return True
+
+    def open_intent(self, intent: OpenIntent) -> bool:
+        """Record an intent; return whether it is acknowledged."""
+        self.learn_of(intent.base_version)
+        if not guards.may_acknowledge(intent.base_version, self.known):
+            return False
+        self.intents_by_change[intent.change_id] = intent
+        self._refresh()
+        return True
+
+    def close_intent(self, change_id: str) -> None:
+        """Forget an intent that can no longer be committed."""
+        if self.intents_by_change.pop(change_id, None) is not None:
+            self._refresh()
+
+    def may_vouch(self, asked: int) -> bool:
+        """Return whether this host may vouch for version ``asked``."""
+        return guards.may_vouch(asked, self.installed, self.known)
+
+    def renew(self, version: int, asked_at: float, excepted_keys: frozenset[str]) -> bool:
+        """Take in proof that ``version`` was the newest at ``asked_at``, except for some keys.
+
+        It proves the same of any later version, which settles these keys, too.
+        """
+        if version > self.installed or asked_at <= self._asked_at:
+            return False
+        if version < self.installed:
+            excepted_keys = frozenset()
+        self._asked_at = asked_at
+        if excepted_keys != self._excepted_keys:
+            self._excepted_keys = excepted_keys
+            self._refresh()
+        return True
+
+    def _may_have_removed_a_host(self, state: AgreedState) -> bool:
+        skipped = state.version > self.installed + 1
+        return skipped or not set(self.members_by_host) <= set(state.members_by_host)
+
+    def _close_settled_intents(self) -> None:
+        self.intents_by_change = {
+            change_id: intent
+            for change_id, intent in self.intents_by_change.items()
+            if guards.intent_is_open(intent.base_version, self.installed)
+        }
+
+    def _refresh(self, always: bool = False) -> None:
+        if self.state is None:
+            return
+        effective = with_keys_withdrawn(self.state, self.suspended_keys | self._excepted_keys)
+        if always or effective != self.effective:
+            self.effective = effective
+            self._subject.on_next(effective)
--- a/src/flamingoladder/freshness/messages.py
+++ b/src/flamingoladder/freshness/messages.py
@@ -12,10 +12,124 @@
 
 
 class VouchReply(msgspec.Struct, frozen=True, tag="vouch_reply"):
-    """``vouched`` holds only if ``version`` equals the asker's and no other rule forbids it."""
+    """``vouched`` holds only if ``version`` equals the asker's and no other rule forbids it.
+
+    ``version`` is the newest that the sender has, ``incarnation`` the sender's own. The vouch
+    excepts the keys of ``suspended_keys``, whose withdrawal may have been committed.
+    """
 
     version: int
     vouched: bool
+    incarnation: str = ""
+    suspended_keys: tuple[str, ...] = ()
+
+
+class Intent(msgspec.Struct, frozen=True, tag="intent"):
+    """Announces a change that the sender is about to commit on top of ``base_version``.
+
+    ``suspended_key`` is the id of the key to refuse until the outcome is known, if any.
+    """
+
+    change_id: str
+    base_version: int
+    suspended_key: str | None = None
+
+
+class IntentReply(msgspec.Struct, frozen=True, tag="intent_reply"):
+    """Acknowledges an intent, unless the sender knows a version above its base."""
+
+    acknowledged: bool
+    version: int
+    incarnation: str
+
+
+class IntentWithdrawn(msgspec.Struct, frozen=True, tag="intent_withdrawn"):
+    """Says that the sender's change has not been committed and won't be."""
+
+    change_id: str
+
+
+class IntentQuestion(msgspec.Struct, frozen=True, tag="intent_question"):
+    """Asks the host that announced ``change_id`` whether it is still open."""
+
+    change_id: str
+
+
+class IntentAnswer(msgspec.Struct, frozen=True, tag="intent_answer"):
+    """Whether the change may still be committed, or may have been; from the given incarnation."""
+
+    open: bool
+    incarnation: str
+
+
+class HeadAnnounced(msgspec.Struct, frozen=True, tag="head_announced"):
+    """Brings the newest head known to the sender, as in the table's row."""
+
+    head: bytes
+
+
+class HeadKnown(msgspec.Struct, frozen=True, tag="head_known"):
+    """``known`` is the newest version the sender knows of, ``installed`` what it acts on."""
+
+    known: int
+    installed: int
+    incarnation: str
+
+
+class HeadRequest(msgspec.Struct, frozen=True, tag="head_request"):
+    """Asks for the newest head that the other host knows."""
+
+
+class HeadReply(msgspec.Struct, frozen=True, tag="head_reply"):
+    """The head, or None."""
+
+    head: bytes | None
+
+
+class ObjectRequest(msgspec.Struct, frozen=True, tag="object_request"):
+    """Asks for the content of an object that a head names."""
+
+    name: str
+
+
+class ObjectReply(msgspec.Struct, frozen=True, tag="object_reply"):
+    """The content, or None."""
+
+    content: bytes | None
+
+
+class StatusRequest(msgspec.Struct, frozen=True, tag="status_request"):
+    """Asks what is in force on the other host."""
+
+
+class HostStatus(msgspec.Struct, frozen=True, tag="freshness_status"):
+    """What is in force on one host.
+
+    ``proof_age_s`` is the age in seconds of the newest proof, None without one.
+    """
+
+    host: str
+    incarnation: str
+    version: int
+    has_proof: bool
+    proof_age_s: float | None
+    open_intents: tuple[str, ...]
 
 
-FreshnessMessage = VouchRequest | VouchReply
+FreshnessMessage = (
+    VouchRequest
+    | VouchReply
+    | Intent
+    | IntentReply
+    | IntentWithdrawn
+    | IntentQuestion
+    | IntentAnswer
+    | HeadAnnounced
+    | HeadKnown
+    | HeadRequest
+    | HeadReply
+    | ObjectRequest
+    | ObjectReply
+    | StatusRequest
+    | HostStatus
+)
--- /dev/null
+++ b/src/flamingoladder/freshness/storage.py
@@ -0,0 +1,127 @@
+"""Reads and writes the head and its objects in the platform's services."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.freshness.exceptions import StateMissingError
+from flamingoladder.freshness.head import HEAD_KEY
+from flamingoladder.freshness.head import Head
+from flamingoladder.freshness.head import decode_head
+from flamingoladder.freshness.head import decode_state
+from flamingoladder.freshness.head import encode_head
+from flamingoladder.freshness.head import object_name
+from flamingoladder.freshness.head import object_names
+from flamingoladder.freshness.messages import ObjectReply
+from flamingoladder.freshness.messages import ObjectRequest
+from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.platform.table import Condition
+from flamingoladder.platform.table import Write
+
+if TYPE_CHECKING:
+    from flamingoladder.config.agreed import AgreedState
+    from flamingoladder.freshness.head import EncodedHead
+    from flamingoladder.freshness.settings import FreshnessSettings
+    from flamingoladder.peers.link import PeerLinks
+    from flamingoladder.platform.objects import ObjectStore
+    from flamingoladder.platform.table import Commit
+    from flamingoladder.platform.table import TableService
+
+
+class StoredHead(msgspec.Struct, frozen=True):
+    """The head as read from the table; ``revision`` is 0 and ``head`` None if there is none."""
+
+    head: Head | None
+    revision: int
+
+
+class HeadStorage:
+    """Access to the head, with a cache of the objects of the newest head seen."""
+
+    __slots__ = ("_content_by_name", "_links", "_objects", "_settings", "_table")
+
+    def __init__(
+        self,
+        table: TableService,
+        objects: ObjectStore,
+        links: PeerLinks,
+        settings: FreshnessSettings,
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._links = links
+        self._settings = settings
+        self._content_by_name: dict[str, bytes] = {}
+
+    async def read(self) -> StoredHead:
+        """Return the head in the table.
+
+        :raises PlatformUnavailableError: if the table did not answer in time.
+        """
+        row = await self._table.get(HEAD_KEY, self._settings.store_timeout_s)
+        if row is None:
+            return StoredHead(None, 0)
+        return StoredHead(decode_head(row.value), row.revision)
+
+    async def load(self, head: Head, source: str | None = None) -> AgreedState:
+        """Return the state of ``head``; the host ``source`` is asked for what the store lacks.
+
+        :raises StateMissingError: if an object can't be had.
+        """
+        names = object_names(head)
+        content_by_name = {name: await self._content(name, source) for name in names}
+        self._content_by_name = content_by_name
+        return decode_state(head, content_by_name)
+
+    async def put_objects(self, encoded: EncodedHead) -> None:
+        """Store the objects that the store may lack.
+
+        :raises PlatformError: if the object store did not answer; the call may be repeated.
+        """
+        for name, content in encoded.content_by_name.items():
+            if name not in self._content_by_name:
+                await self._objects.put(name, content, self._settings.store_timeout_s)
+
+    async def replace(self, base: StoredHead, head: Head) -> Commit:
+        """Write ``head`` if the row is still at ``base``.
+
+        The registered incarnations are part of the row, so the condition covers them too.
+
+        :raises PlatformError: if the table did not answer in time.
+        """
+        condition = Condition(HEAD_KEY, base.revision)
+        write = Write(HEAD_KEY, encode_head(head))
+        return await self._table.transact((condition,), (write,), self._settings.store_timeout_s)
+
+    def adopt(self, encoded: EncodedHead) -> None:
+        """Keep the objects of a head that this host has committed."""
+        self._content_by_name = encoded.content_by_name
+
+    def content_of(self, name: str) -> bytes | None:
+        """Return an object of the newest head, for another host."""
+        return self._content_by_name.get(name)
+
+    async def _content(self, name: str, source: str | None) -> bytes:
+        content = self._content_by_name.get(name)
+        if content is None:
+            content = await self._stored_content(name)
+        if content is None and source is not None:
+            content = await self._content_from(source, name)
+        if content is None:
+            raise StateMissingError(f"object {name} can't be read")
+        return content
+
+    async def _stored_content(self, name: str) -> bytes | None:
+        try:
+            return await self._objects.get(name, self._settings.store_timeout_s)
+        except PlatformError:
+            return None
+
+    async def _content_from(self, host: str, name: str) -> bytes | None:
+        request = ObjectRequest(name)
+        reply = await self._links.ask(host, request, self._settings.peer_timeout_s)
+        if not isinstance(reply, ObjectReply) or reply.content is None:
+            return None
+        return reply.content if object_name(reply.content) == name else None
--- /dev/null
+++ b/src/flamingoladder/members/changes.py
@@ -0,0 +1,107 @@
+"""Changes of the registered hosts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from msgspec.structs import replace
+
+from flamingoladder.freshness.changes import Change
+
+if TYPE_CHECKING:
+    from flamingoladder.config.agreed import AgreedState
+    from flamingoladder.freshness.changes import Rejection
+    from flamingoladder.members.state import Member
+
+
+class RegisterMember(Change):
+    """Registers the incarnations in ``started``, ``member``'s own among them.
+
+    Two majorities of hosts must meet from one version to the next. So of hosts that are not yet
+    registered only ``member`` is added, except to an empty list; hosts that have restarted keep
+    their place and are taken along together.
+    """
+
+    __slots__ = ("member", "started")
+
+    def __init__(self, member: Member, started: tuple[Member, ...] = ()) -> None:
+        self.member = member
+        self.started = started
+
+    @property
+    def scope(self) -> str:
+        """Return ``member:<host>``."""
+        return f"member:{self.member.host}"
+
+    def apply(self, state: AgreedState) -> AgreedState | Rejection:
+        """Register the new incarnations."""
+        by_host = state.members_by_host
+        for member in (*self.started, self.member):
+            if self._may_take(member, state):
+                by_host[member.host] = _registered(member, by_host.get(member.host))
+        return _with_members(state, by_host)
+
+    def _may_take(self, member: Member, state: AgreedState) -> bool:
+        if not state.members or member.host == self.member.host:
+            return True
+        return member.host in state.members_by_host
+
+
+class MarkLeaving(Change):
+    """Marks a host as leaving, so that look-ups no longer name it."""
+
+    __slots__ = ("host",)
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+
+    @property
+    def scope(self) -> str:
+        """Return ``member:<host>``."""
+        return f"member:{self.host}"
+
+    def apply(self, state: AgreedState) -> AgreedState | Rejection:
+        """Mark the host."""
+        by_host = state.members_by_host
+        member = by_host.get(self.host)
+        if member is None or member.leaving:
+            return state
+        by_host[self.host] = replace(member, leaving=True)
+        return _with_members(state, by_host)
+
+
+class RemoveMember(Change):
+    """Removes a host; ``incarnation`` restricts this to one run of its daemon."""
+
+    __slots__ = ("host", "incarnation")
+
+    def __init__(self, host: str, incarnation: str | None = None) -> None:
+        self.host = host
+        self.incarnation = incarnation
+
+    @property
+    def scope(self) -> str:
+        """Return ``member:<host>``."""
+        return f"member:{self.host}"
+
+    def apply(self, state: AgreedState) -> AgreedState | Rejection:
+        """Remove the host."""
+        by_host = state.members_by_host
+        member = by_host.get(self.host)
+        if member is None or self.incarnation not in (None, member.incarnation):
+            return state
+        del by_host[self.host]
+        return _with_members(state, by_host)
+
+
+def _registered(member: Member, earlier: Member | None) -> Member:
+    if earlier is not None and earlier.incarnation == member.incarnation:
+        return earlier
+    return member
+
+
+def _with_members(state: AgreedState, by_host: dict[str, Member]) -> AgreedState:
+    members = tuple(by_host[host] for host in sorted(by_host))
+    if members == state.members:
+        return state
+    return replace(state, members=members)
--- /dev/null
+++ b/src/flamingoladder/members/directory.py
@@ -0,0 +1,58 @@
+"""The directory of started daemons: one row for each host, with its newest incarnation."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.members.state import Member
+from flamingoladder.platform.table import Condition
+from flamingoladder.platform.table import Write
+
+if TYPE_CHECKING:
+    from flamingoladder.platform.table import TableService
+
+DIRECTORY_PREFIX = "hosts/"
+
+_decoder = msgspec.json.Decoder(Member)
+
+
+async def read_directory(table: TableService, timeout_s: float) -> dict[str, Member]:
+    """Return the newest incarnation of each host that ever started, by host.
+
+    :raises PlatformUnavailableError: if no answer came within ``timeout_s`` seconds.
+    """
+    rows = await table.read(DIRECTORY_PREFIX, timeout_s)
+    members = [_decoder.decode(row.value) for row in rows.rows]
+    return {member.host: member for member in members}
+
+
+async def enter_directory(table: TableService, member: Member, timeout_s: float) -> bool:
+    """Write ``member``'s row in place of an earlier incarnation's; return whether it is there.
+
+    A host runs one daemon at a time, so an earlier incarnation is dead. The write requires the
+    row to be unchanged since it was read: a delayed write of an earlier incarnation then fails.
+
+    :raises PlatformError: if the table did not answer; the call may be repeated.
+    """
+    key = DIRECTORY_PREFIX + member.host
+    row = await table.get(key, timeout_s)
+    if row is not None and _decoder.decode(row.value).incarnation == member.incarnation:
+        return True
+    condition = Condition(key, row.revision if row else 0)
+    write = Write(key, msgspec.json.encode(member))
+    commit = await table.transact((condition,), (write,), timeout_s)
+    return commit.committed
+
+
+async def leave_directory(table: TableService, member: Member, timeout_s: float) -> None:
+    """Delete the row of ``member``'s host, unless a later incarnation has written it.
+
+    :raises PlatformError: if the table did not answer; the call may be repeated.
+    """
+    key = DIRECTORY_PREFIX + member.host
+    row = await table.get(key, timeout_s)
+    if row is None or _decoder.decode(row.value).incarnation != member.incarnation:
+        return
+    await table.transact((Condition(key, row.revision),), (Write(key, None),), timeout_s)
--- /dev/null
+++ b/src/flamingoladder/members/registrar.py
@@ -0,0 +1,164 @@
+"""Registers this host's incarnation, and removes hosts that have gone."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from flamingoladder.freshness.changes import NO_STATE_VERSION
+from flamingoladder.freshness.messages import VouchReply
+from flamingoladder.freshness.messages import VouchRequest
+from flamingoladder.members.changes import MarkLeaving
+from flamingoladder.members.changes import RegisterMember
+from flamingoladder.members.changes import RemoveMember
+from flamingoladder.members.directory import enter_directory
+from flamingoladder.members.directory import leave_directory
+from flamingoladder.members.directory import read_directory
+from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.platform.hostlist import HostStatus
+
+if TYPE_CHECKING:
+    from flamingoladder.freshness.committer import Committer
+    from flamingoladder.freshness.knowledge import Knowledge
+    from flamingoladder.freshness.settings import FreshnessSettings
+    from flamingoladder.members.silence import Silence
+    from flamingoladder.members.state import Member
+    from flamingoladder.peers.link import PeerLinks
+    from flamingoladder.platform.hostlist import HostList
+    from flamingoladder.platform.table import TableService
+    from flamingoladder.timeline.recorder import Recorder
+
+CHECK_S = 2.0
+
+
+class Registrar:
+    """The task that keeps this host registered and removes dead ones."""
+
+    __slots__ = (
+        "_committer",
+        "_host_list",
+        "_knowledge",
+        "_links",
+        "_recorder",
+        "_settings",
+        "_silence",
+        "_table",
+        "is_leaving",
+    )
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        committer: Committer,
+        table: TableService,
+        host_list: HostList,
+        links: PeerLinks,
+        silence: Silence,
+        recorder: Recorder,
+        settings: FreshnessSettings,
+    ) -> None:
+        self._knowledge = knowledge
+        self._committer = committer
+        self._table = table
+        self._host_list = host_list
+        self._links = links
+        self._silence = silence
+        self._recorder = recorder
+        self._settings = settings
+        self.is_leaving = False
+
+    async def run(self) -> None:
+        """Enter the directory, register, then look for dead hosts, for good."""
+        await self._enter()
+        while not self.is_leaving:
+            if not self._knowledge.is_registered:
+                await self._register()
+                await asyncio.sleep(self._settings.poll_s)
+                continue
+            await self._remove_dead()
+            await asyncio.sleep(CHECK_S)
+
+    async def mark_leaving(self) -> bool:
+        """Commit that this host is leaving; return whether that is committed."""
+        self.is_leaving = True
+        result = await self._committer.commit(MarkLeaving(self._knowledge.member.host))
+        return result.is_ok()
+
+    async def remove(self) -> bool:
+        """Commit the end of this host's registration; return whether that is committed."""
+        self.is_leaving = True
+        member = self._knowledge.member
+        result = await self._committer.commit(RemoveMember(member.host, member.incarnation))
+        if result.is_error():
+            return False
+        await self._leave_directory(member)
+        return True
+
+    async def _enter(self) -> None:
+        while True:
+            if await self._entered():
+                return
+            await asyncio.sleep(self._settings.poll_s)
+
+    async def _entered(self) -> bool:
+        member = self._knowledge.member
+        try:
+            return await enter_directory(self._table, member, self._settings.store_timeout_s)
+        except PlatformError:
+            return False
+
+    async def _leave_directory(self, member: Member) -> None:
+        try:
+            await leave_directory(self._table, member, self._settings.store_timeout_s)
+        except PlatformError as error:
+            self._recorder.record("member.row_left", member=member.host, error=error)
+
+    async def _register(self) -> None:
+        if self._knowledge.installed == NO_STATE_VERSION:
+            return
+        try:
+            directory = await read_directory(self._table, self._settings.store_timeout_s)
+        except PlatformError:
+            return
+        change = RegisterMember(self._knowledge.member, tuple(directory.values()))
+        result = await self._committer.commit(change)
+        if result.is_ok():
+            self._recorder.record("member.registered", version=result.ok.version)
+
+    async def _remove_dead(self) -> None:
+        unlisted = await self._unlisted()
+        await asyncio.gather(*(self._probe(host) for host in unlisted))
+        now = asyncio.get_running_loop().time()
+        for host in unlisted:
+            if self._silence.silent_s(host, now) >= self._patience_s(host, now):
+                await self._remove(self._knowledge.members_by_host[host])
+
+    async def _unlisted(self) -> list[str]:
+        """Return the registered hosts that the platform no longer lists as live."""
+        try:
+            listed = await self._host_list.read(self._settings.store_timeout_s)
+        except PlatformError:
+            return []
+        live = {entry.host for entry in listed if entry.status is HostStatus.LIVE}
+        own = self._knowledge.member.host
+        return [host for host in self._knowledge.members_by_host if host not in {own, *live}]
+
+    async def _probe(self, host: str) -> None:
+        request = VouchRequest(self._knowledge.installed)
+        reply = await self._links.ask(host, request, self._settings.peer_timeout_s)
+        if isinstance(reply, VouchReply):
+            self._silence.heard(host, asyncio.get_running_loop().time())
+
+    def _patience_s(self, dead: str, now: float) -> float:
+        """Return the silence to wait for; hosts take their turn in order of their names."""
+        own = self._knowledge.member.host
+        hosts = sorted(host for host in self._knowledge.members_by_host if host != dead)
+        rank = hosts.index(own) if own in hosts else len(hosts)
+        return self._settings.dead_after_s + rank * CHECK_S
+
+    async def _remove(self, member: Member) -> None:
+        result = await self._committer.commit(RemoveMember(member.host, member.incarnation))
+        if result.is_error():
+            return
+        self._recorder.record("member.removed", member=member.host)
+        await self._leave_directory(member)
--- /dev/null
+++ b/tests/freshness/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of proofs and commits."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/freshness/fleet.py
@@ -0,0 +1,174 @@
+"""Several state keepers in one process, with cuts, outages, freezes and restarts."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+
+from msgspec.structs import replace
+
+from flamingoladder.config.agreed import AgreedState
+from flamingoladder.config.agreed import KeyGrant
+from flamingoladder.config.model import Defaults
+from flamingoladder.config.model import Delays
+from flamingoladder.config.model import Deployment
+from flamingoladder.config.model import FailureDomain
+from flamingoladder.config.model import Link
+from flamingoladder.config.model import Places
+from flamingoladder.config.model import Region
+from flamingoladder.config.model import Workspace
+from flamingoladder.freshness.changes import ApplyConfiguration
+from flamingoladder.freshness.changes import Change
+from flamingoladder.freshness.changes import GrantKey
+from flamingoladder.freshness.keeper import StateKeeper
+from flamingoladder.freshness.settings import FreshnessSettings
+from flamingoladder.members.state import Member
+from flamingoladder.platform.hostlist import HostStatus
+from flamingoladder.platform.hostlist import ListedHost
+from flamingoladder.standins.memory import Faults
+from flamingoladder.standins.memory import MemoryHostList
+from flamingoladder.standins.memory import MemoryObjects
+from flamingoladder.standins.memory import MemoryTable
+from flamingoladder.standins.memory import StoredTable
+from flamingoladder.standins.network import Network
+from flamingoladder.timeline.recorder import Recorder
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from flamingoladder.freshness.commits import CommitRefused
+    from flamingoladder.freshness.commits import CommitReport
+
+SETTINGS = FreshnessSettings()
+PROOF_S = Defaults().proof_s
+WAIT_S = PROOF_S * (1 + Defaults().clock_drift)
+PEER_DELAY_S = 0.02
+
+DEPLOYMENT = Deployment(
+    name="test",
+    places=Places(
+        regions={"north": Region(failure_domains={"n1": FailureDomain()})},
+        delays=Delays(between_domains_ms=1, between_regions_ms=20, to_clients_ms=8),
+        link=Link(mbit_per_s=100),
+        store_region="north",
+    ),
+    services={},
+    workspaces={"camp": Workspace()},
+)
+KEY = KeyGrant("k1", "camp", "d1")
+
+
+def renamed(name: str) -> Deployment:
+    """Return another configuration."""
+    return replace(DEPLOYMENT, name=name)
+
+
+class Fleet:
+    """Keepers by host, over one table, object store, host list and network."""
+
+    def __init__(self, size: int, seed: int = 1, delay_s: float = PEER_DELAY_S) -> None:
+        self.hosts = [f"h{number}" for number in range(1, size + 1)]
+        self.network = Network(Random(seed), delay_s)
+        self.stored = StoredTable()
+        self.content_by_name: dict[str, bytes] = {}
+        listed = tuple(ListedHost(host, HostStatus.LIVE) for host in self.hosts)
+        self.host_list = MemoryHostList(listed)
+        self.faults_by_host = {host: Faults() for host in self.hosts}
+        self.keepers_by_host: dict[str, StateKeeper] = {}
+        self.starts = 0
+
+    @property
+    def first(self) -> StateKeeper:
+        """Return the keeper of the first host."""
+        return self.keepers_by_host[self.hosts[0]]
+
+    @property
+    def now(self) -> float:
+        """Return the injected time."""
+        return asyncio.get_running_loop().time()
+
+    def start(self, host: str) -> StateKeeper:
+        """Start a new incarnation of ``host``."""
+        self.starts += 1
+        incarnation = f"i{self.starts}"
+        member = Member(host, "north", "n1", incarnation, "", "", "")
+        faults = self.faults_by_host[host]
+        keeper = StateKeeper.from_config(
+            SETTINGS,
+            member,
+            MemoryTable(self.stored, faults),
+            MemoryObjects(self.content_by_name, faults),
+            self.host_list,
+            self.network.join(host, incarnation),
+            Recorder(host, incarnation),
+        )
+        keeper.start()
+        self.keepers_by_host[host] = keeper
+        return keeper
+
+    async def kill(self, host: str) -> None:
+        """End the host's daemon without a word."""
+        self.network.leave(host)
+        await self.keepers_by_host.pop(host).close()
+
+    async def form(self) -> None:
+        """Start all hosts, apply a configuration, grant a key and wait for the registrations."""
+        for host in self.hosts:
+            self.start(host)
+        await self.committed(ApplyConfiguration(0, DEPLOYMENT))
+        await self.until(lambda: all(keeper.is_registered for keeper in self.keepers))
+        await self.committed(GrantKey(KEY))
+
+    @property
+    def keepers(self) -> list[StateKeeper]:
+        """Return the keepers of the running hosts."""
+        return list(self.keepers_by_host.values())
+
+    async def until(self, condition: Callable[[], bool], within_s: float = 20.0) -> float:
+        """Wait for ``condition`` and return for how long, in seconds."""
+        started = self.now
+        while not condition():
+            assert self.now < started + within_s, "the condition never came true"
+            await asyncio.sleep(0.01)
+        return self.now - started
+
+    async def committed(self, change: Change, host: str = "h1") -> CommitReport:
+        """Commit ``change`` through ``host``."""
+        result = await self.keepers_by_host[host].commit(change)
+        assert result.is_ok(), result
+        return result.ok
+
+    async def refused(self, change: Change, host: str = "h1") -> CommitRefused:
+        """Commit ``change`` through ``host``, which must refuse it."""
+        result = await self.keepers_by_host[host].commit(change)
+        assert result.is_error(), result
+        return result.error
+
+    def cut_peers(self, host: str) -> None:
+        """Cut ``host`` from all other hosts."""
+        self.cut([host], [other for other in self.hosts if other != host])
+
+    def cut(self, one: list[str], other: list[str]) -> None:
+        """Cut two groups of hosts from each other."""
+        pairs = {(first, second) for first in one for second in other}
+        self.network.cuts |= pairs | {(second, first) for first, second in pairs}
+
+    def cut_store(self, hosts: list[str], down: bool = True) -> None:
+        """Cut ``hosts`` from the store, or connect them again."""
+        for host in hosts:
+            self.faults_by_host[host].down = down
+
+    def state(self, host: str) -> AgreedState:
+        """Return what ``host`` has in force."""
+        state = self.keepers_by_host[host].current
+        assert state is not None
+        return state
+
+    def serves(self, host: str, key_id: str = KEY.key_id) -> bool:
+        """Return whether ``host`` would now run a request with the key."""
+        keeper = self.keepers_by_host.get(host)
+        if keeper is None or keeper.current is None or not keeper.has_proof(self.now):
+            return False
+        grants = {grant.key_id: grant for grant in keeper.current.grants}
+        return key_id in grants and not grants[key_id].withdrawn
--- /dev/null
+++ b/tests/freshness/test_keeper.py
@@ -0,0 +1,53 @@
+"""Tests of the state keeper, on injected time."""
+
+from __future__ import annotations
+
+from flamingoladder.freshness.changes import ApplyConfiguration
+from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.standins.loop import run_on_injected_time
+from tests.freshness.fleet import KEY
+from tests.freshness.fleet import Fleet
+from tests.freshness.fleet import renamed
+
+IN_FORCE_S = 4.0
+
+
+def test_first_start_registers_all_hosts_and_gives_proof() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(7)
+        await fleet.form()
+        assert all(fleet.serves(host) for host in fleet.hosts)
+        assert [member.host for member in fleet.state("h3").members] == fleet.hosts
+
+    run_on_injected_time(scenario())
+
+
+def test_change_is_in_force_everywhere_in_time() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(7)
+        await fleet.form()
+        seen: list[str] = []
+        fleet.keepers_by_host["h7"].changes.subscribe(
+            lambda state: seen.append(state.deployment.name)
+        )
+        report = await fleet.committed(
+            ApplyConfiguration(fleet.state("h1").version, renamed("second"))
+        )
+        assert report.in_force
+        assert report.seconds < IN_FORCE_S
+        assert report.in_force_on == tuple(fleet.hosts)
+        assert {fleet.state(host).version for host in fleet.hosts} == {report.version}
+        assert seen == ["test", "second"]
+
+    run_on_injected_time(scenario())
+
+
+def test_withdrawn_key_stops_everywhere() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(7)
+        await fleet.form()
+        report = await fleet.committed(WithdrawKey(KEY.key_id))
+        assert report.in_force
+        assert not any(fleet.serves(host) for host in fleet.hosts)
+
+    run_on_injected_time(scenario())
--- /dev/null
+++ b/tests/members/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the registered hosts."""
+
+from __future__ import annotations
