Add the operator API and its commands

Cause: operators apply configurations, grant and withdraw keys, drain, shift, and read the time line while traffic runs. The expected version of a configuration was the state's version, which every restart of a host raises: operators would have met conflicts with nobody; it is now the version of the last change of the deployment itself. Ruled out: one role for all tokens; importing all commands at each start (a daemon's memory is bounded).

--- a/src/flamingoladder/config/agreed.py
+++ b/src/flamingoladder/config/agreed.py
@@ -62,11 +62,13 @@
     """Everything in force at ``version``; each commit raises the version by one.
 
     ``division_version`` is the version of the last commit that changed the members or the
-    deployment, and with them the division of allowances.
+    deployment, and with them the division of allowances. ``configuration_version`` is the version
+    of the last commit that changed the deployment; operators name it when they change it.
     """
 
     version: int
     division_version: int
+    configuration_version: int
     deployment: Deployment
     grants: tuple[KeyGrant, ...] = ()
     members: tuple[Member, ...] = ()
--- a/src/flamingoladder/console/application.py
+++ b/src/flamingoladder/console/application.py
@@ -2,19 +2,51 @@
 
 from __future__ import annotations
 
+import importlib
 import sys
+from typing import TYPE_CHECKING
 
 import defopt
 
-from flamingoladder.console.commands.standin_platform import standin_platform
-from flamingoladder.console.commands.version import version
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
-COMMANDS = [
-    standin_platform,
-    version,
-]
+COMMANDS_PACKAGE = "flamingoladder.console.commands"
+COMMANDS = (
+    "apply",
+    "check",
+    "daemon",
+    "demo",
+    "drain",
+    "exceptions",
+    "forget",
+    "grant",
+    "keys",
+    "shift_end",
+    "shift_start",
+    "show",
+    "standin_platform",
+    "standin_upstreams",
+    "status",
+    "timeline",
+    "undrain",
+    "version",
+    "withdraw",
+)
 
 
 def main() -> None:
-    """Run the command that the arguments name; its return value is the exit status."""
-    sys.exit(defopt.run(COMMANDS, cli_options="has_default", no_negated_flags=True))
+    """Run the command that the arguments name; its return value is the exit status.
+
+    Only the named command is imported, as a daemon's memory is bounded.
+    """
+    named = sys.argv[1].replace("-", "_") if len(sys.argv) > 1 else ""
+    names = (named,) if named in COMMANDS else COMMANDS
+    commands = [_command(name) for name in names]
+    sys.exit(defopt.run({function.__name__.replace("_", "-"): function for function in commands}))
+
+
+def _command(name: str) -> Callable[..., int]:
+    module = importlib.import_module(f"{COMMANDS_PACKAGE}.{name}")
+    command: Callable[..., int] = getattr(module, name)
+    return command
--- /dev/null
+++ b/src/flamingoladder/console/commands/exceptions.py
@@ -0,0 +1,23 @@
+"""``flamingoladder exceptions``."""
+
+from __future__ import annotations
+
+from flamingoladder.console.operator_console import Call
+from flamingoladder.console.operator_console import OperatorConsole
+from flamingoladder.operators.messages import StateReply
+
+
+def exceptions(*, url: str = "", token: str = "", json: bool = False) -> int:
+    """List the exceptions from the fleet-wide defaults, with their reasons.
+
+    :param url: operator URLs, separated by commas; else FLAMINGOLADDER_OPERATOR_URL
+    :param token: operator token; else FLAMINGOLADDER_OPERATOR_TOKEN
+    :param json: print JSON
+    """
+    console = OperatorConsole.from_options(url, token, json)
+    return console.run(Call("GET", "/v1/state", StateReply), _text)
+
+
+def _text(reply: StateReply) -> str:
+    lines = [f"{item.path} = {item.value}  ({item.reason})" for item in reply.exceptions]
+    return "\n".join(lines) or "no exceptions"
--- /dev/null
+++ b/src/flamingoladder/daemon/directory_watcher.py
@@ -0,0 +1,53 @@
+"""Keeps the peer links in step with the directory of started daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from flamingoladder.members.directory import read_directory
+from flamingoladder.platform.exceptions import PlatformError
+
+if TYPE_CHECKING:
+    from flamingoladder.peers.zmq_links import ZmqLinks
+    from flamingoladder.platform.table import TableService
+    from flamingoladder.timeline.recorder import Recorder
+
+READ_INTERVAL_S = 5.0
+RETRY_INTERVAL_S = 0.2
+READ_TIMEOUT_S = 0.5
+
+
+class DirectoryWatcher:
+    """Reads the directory at intervals, and at once when an unknown host knocks.
+
+    While the platform does not answer, the links stay as they are.
+    """
+
+    __slots__ = ("_links", "_recorder", "_table")
+
+    def __init__(self, table: TableService, links: ZmqLinks, recorder: Recorder) -> None:
+        self._table = table
+        self._links = links
+        self._recorder = recorder
+
+    async def run(self) -> None:
+        """Follow the directory until cancelled."""
+        unknown_key_seen = self._links.authenticator.unknown_key_seen
+        while True:
+            unknown_key_seen.clear()
+            await self.read_once()
+            await asyncio.sleep(RETRY_INTERVAL_S)
+            try:
+                await asyncio.wait_for(unknown_key_seen.wait(), READ_INTERVAL_S)
+            except TimeoutError:
+                continue
+
+    async def read_once(self) -> None:
+        """Read the directory and pass it on."""
+        try:
+            by_host = await read_directory(self._table, READ_TIMEOUT_S)
+        except PlatformError as error:
+            self._recorder.record("directory.unreadable", error=error)
+            return
+        self._links.update_directory(by_host.values())
--- a/src/flamingoladder/freshness/attempt.py
+++ b/src/flamingoladder/freshness/attempt.py
@@ -162,5 +162,10 @@
     divided_anew = (
         state is None or state.members != changed.members or state.deployment != changed.deployment
     )
-    division_version = version if divided_anew else changed.division_version
-    return replace(changed, version=version, division_version=division_version)
+    configured_anew = state is None or state.deployment != changed.deployment
+    return replace(
+        changed,
+        version=version,
+        division_version=version if divided_anew else changed.division_version,
+        configuration_version=version if configured_anew else changed.configuration_version,
+    )
--- a/src/flamingoladder/freshness/changes.py
+++ b/src/flamingoladder/freshness/changes.py
@@ -52,7 +52,10 @@
 
 
 class ApplyConfiguration(Change):
-    """Puts a configuration in place of version ``expected_version``; 0 expects that none is."""
+    """Puts a configuration in place of another.
+
+    ``expected_version`` is the configuration version that it was made from; 0 expects none.
+    """
 
     __slots__ = ("deployment", "expected_version")
 
@@ -66,18 +69,19 @@
         return "config"
 
     def apply(self, state: AgreedState) -> AgreedState | Rejection:
-        """Replace the deployment if nothing else was committed since the expected version."""
+        """Replace the deployment if no other was committed since the expected version."""
         if state.deployment == self.deployment:
             return state
-        if state.version != self.expected_version:
-            return self._conflict(state.version)
+        if state.configuration_version != self.expected_version:
+            return self._conflict(state.configuration_version)
         return replace(state, deployment=self.deployment)
 
     def create(self) -> AgreedState | Rejection:
         """Return the first state."""
         if self.expected_version != NO_STATE_VERSION:
             return self._conflict(NO_STATE_VERSION)
-        return AgreedState(NO_STATE_VERSION, NO_STATE_VERSION, self.deployment)
+        version = NO_STATE_VERSION
+        return AgreedState(version, version, version, self.deployment)
 
     def _conflict(self, present: int) -> Rejection:
         return Rejection(f"expected version {self.expected_version}, found {present}", True)
--- a/src/flamingoladder/freshness/head.py
+++ b/src/flamingoladder/freshness/head.py
@@ -48,6 +48,7 @@
 
     version: int
     division_version: int
+    configuration_version: int
     parts: Parts
     recent: tuple[RecentChange, ...]
 
@@ -104,7 +105,8 @@
     )
     change = RecentChange(change_id, state.version, state.deployment.defaults.proof_s)
     kept = (*recent, change)[-RECENT_CHANGES:]
-    return EncodedHead(Head(state.version, state.division_version, parts, kept), content_by_name)
+    head = Head(state.version, state.division_version, state.configuration_version, parts, kept)
+    return EncodedHead(head, content_by_name)
 
 
 def object_names(head: Head) -> tuple[str, ...]:
@@ -119,6 +121,7 @@
     return AgreedState(
         head.version,
         head.division_version,
+        head.configuration_version,
         _deployment_decoder.decode(_content(parts.deployment, content_by_name)),
         _grants_decoder.decode(_content(parts.grants, content_by_name)),
         _members_decoder.decode(_content(parts.members, content_by_name)),
--- /dev/null
+++ b/src/flamingoladder/operators/__init__.py
@@ -0,0 +1,3 @@
+"""The operator API over HTTP."""
+
+from __future__ import annotations
--- a/tests/freshness/test_keeper.py
+++ b/tests/freshness/test_keeper.py
@@ -31,7 +31,7 @@
             lambda state: seen.append(state.deployment.name)
         )
         report = await fleet.committed(
-            ApplyConfiguration(fleet.state("h1").version, renamed("second"))
+            ApplyConfiguration(fleet.state("h1").configuration_version, renamed("second"))
         )
         assert report.in_force
         assert report.seconds < IN_FORCE_S
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -87,7 +87,7 @@
         KeyGrant("k2", "ferry-camp", digest_of(OTHER_KEY)),
     )
     members = (member("h1"), member("h2", "south", "south-a"), member("h3"))
-    return AgreedState(1, 1, deployment, grants, members)
+    return AgreedState(1, 1, 1, deployment, grants, members)
 
 
 class FixedState(StateInForce):
