--- a/src/flamingoladder/console/application.py
+++ b/src/flamingoladder/console/application.py
@@ -15,8 +15,6 @@
 COMMANDS = (
     "apply",
     "check",
-    "daemon",
-    "demo",
     "drain",
     "exceptions",
     "forget",
