Run commands by name, with their annotations at hand

Cause: seen with flamingoladder check: NameError: Path, as the linter had moved an import that defopt evaluates into a typing-only block. Ruled out: unquoted annotations.

--- a/src/flamingoladder/console/commands/apply.py
+++ b/src/flamingoladder/console/commands/apply.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from pathlib import Path
 
 from flamingoladder.console.exit_codes import ExitCode
 from flamingoladder.console.files import read_file
@@ -11,9 +11,6 @@
 from flamingoladder.console.reports import report_text
 from flamingoladder.freshness.commits import CommitReport
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 
 def apply(
     file: Path, *, expected_version: int, url: str = "", token: str = "", json: bool = False
--- a/src/flamingoladder/console/commands/check.py
+++ b/src/flamingoladder/console/commands/check.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 import sys
-from typing import TYPE_CHECKING
+from pathlib import Path
 
 from flamingoladder.config.reader import read_deployment
 from flamingoladder.console.exit_codes import ExitCode
 from flamingoladder.console.files import read_file
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 
 def check(file: Path) -> int:
     """Check a configuration file without applying it.
--- a/src/flamingoladder/console/commands/drain.py
+++ b/src/flamingoladder/console/commands/drain.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+from flamingoladder.config.agreed import DrainKind
 from flamingoladder.console.operator_console import Call
 from flamingoladder.console.operator_console import OperatorConsole
 from flamingoladder.console.reports import report_text
 from flamingoladder.freshness.commits import CommitReport
 from flamingoladder.operators.messages import ReasonRequest
 
-if TYPE_CHECKING:
-    from flamingoladder.config.agreed import DrainKind
-
 
 def drain(
     kind: DrainKind, name: str, *, reason: str, url: str = "", token: str = "", json: bool = False
--- a/src/flamingoladder/console/commands/timeline.py
+++ b/src/flamingoladder/console/commands/timeline.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import sys
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -21,10 +22,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from pathlib import Path
 
     from flamingoladder.timeline.events import Event
 
+
 FOLLOW_INTERVAL_S = 1.0
 
 
--- a/src/flamingoladder/console/commands/undrain.py
+++ b/src/flamingoladder/console/commands/undrain.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+from flamingoladder.config.agreed import DrainKind
 from flamingoladder.console.operator_console import Call
 from flamingoladder.console.operator_console import OperatorConsole
 from flamingoladder.console.reports import report_text
 from flamingoladder.freshness.commits import CommitReport
 
-if TYPE_CHECKING:
-    from flamingoladder.config.agreed import DrainKind
-
 
 def undrain(
     kind: DrainKind, name: str, *, url: str = "", token: str = "", json: bool = False
