Dispatch to targets with the true verdict of each attempt

Cause: a refusal that says not run must be true, and a booking must reach a target once. Ruled out: judging from the library's exceptions whether a byte left; they are raised before and after the write. A request counts as sent from the moment it has a connection, which is known before the write. Ruled out too: kept connections for non-idempotent work, as one closed by the target under the request leaves the outcome unknown; such work goes over a new connection. Found by test: aiohttp repeats a PUT of its own accord when its connection is lost, so a booking ran twice; the connector now refuses an exchange its second connection. Also found: bytes that a target sends on an idle connection passed for the answer to the next request.

--- a/src/flamingoladder/gateway/stages.py
+++ b/src/flamingoladder/gateway/stages.py
@@ -59,7 +59,8 @@
     async def dispatch(self, request: CallerRequest) -> Outcome:
         """Choose a target, send the request within its deadline and return the whole answer.
 
-        Only idempotent requests are sent a second time, unless no byte of the first left.
+        Only idempotent requests are sent a second time, unless no byte of the first left or the
+        target said by its shed marker that it did not run the first.
         """
 
 
--- a/src/flamingoladder/peers/envelope.py
+++ b/src/flamingoladder/peers/envelope.py
@@ -10,8 +10,16 @@
 from flamingoladder.shares.messages import SharesMessage
 from flamingoladder.steering.messages import SteeringMessage
 from flamingoladder.timeline.messages import TimelineMessage
-
-Body = FreshnessMessage | LedgerMessage | SharesMessage | SteeringMessage | TimelineMessage
+from flamingoladder.upstreams.messages import UpstreamMessage
+
+Body = (
+    FreshnessMessage
+    | LedgerMessage
+    | SharesMessage
+    | SteeringMessage
+    | TimelineMessage
+    | UpstreamMessage
+)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/src/flamingoladder/upstreams/attempt.py
@@ -0,0 +1,74 @@
+"""One attempt to have a target run a request."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+import msgspec
+from expression import Result
+
+from flamingoladder.steering.chooser import AttemptEnd
+from flamingoladder.verdict import Answer
+
+if TYPE_CHECKING:
+    from aiohttp import ClientResponse
+
+
+class AttemptFailure(msgspec.Struct, frozen=True):
+    """An attempt without a whole answer.
+
+    ``may_have_run`` is False only if no byte of the request can have left, or if the target itself
+    says that it shed the request before running it. ``suspect`` is True if a kept connection
+    was lost: the fault may be the connection's alone, so the target may be tried again.
+    """
+
+    end: AttemptEnd
+    may_have_run: bool
+    detail: str
+    suspect: bool = False
+
+
+AttemptResult: TypeAlias = Result[Answer, AttemptFailure]
+
+
+class Exchange:
+    """The progress of one attempt.
+
+    ``connected`` is set before the request is written, so no byte can have left while it is False.
+    ``reused`` tells a kept connection from a new one. ``silent`` is set while no new byte of the
+    answer has come for the check time.
+    """
+
+    __slots__ = ("_timeout", "connected", "deadline", "response", "reused", "silent")
+
+    def __init__(self, deadline: float) -> None:
+        self.deadline = deadline
+        self.connected = False
+        self.silent = False
+        self.reused = False
+        self.response: ClientResponse | None = None
+        self._timeout: asyncio.Timeout | None = None
+
+    @property
+    def progress(self) -> int:
+        """Return a number that grows with each part of the answer; it is 0 before the head."""
+        return 0 if self.response is None else 1 + self.response.content.total_bytes
+
+    def open(self) -> asyncio.Timeout:
+        """Return the context that bounds the attempt by the deadline, in monotonic seconds."""
+        self._timeout = asyncio.timeout_at(self.deadline)
+        return self._timeout
+
+    def abandon(self) -> None:
+        """End the attempt now; its connection is closed."""
+        if self._timeout is None or self._timeout.expired():
+            return
+        self._timeout.reschedule(asyncio.get_running_loop().time())
+
+    def close(self) -> None:
+        """Close the connection unless the whole answer was read from it."""
+        self._timeout = None
+        if self.response is not None:
+            self.response.close()
--- /dev/null
+++ b/src/flamingoladder/upstreams/connector.py
@@ -0,0 +1,72 @@
+"""A connector that tells an exchange when it gets a connection, and gives it one only once."""
+
+from __future__ import annotations
+
+from contextvars import ContextVar
+from typing import TYPE_CHECKING
+from weakref import WeakSet
+
+import aiohttp
+
+from flamingoladder.upstreams.exceptions import SecondSendError
+
+if TYPE_CHECKING:
+    from asyncio import Transport
+
+    from aiohttp import ClientRequest
+    from aiohttp import ClientTimeout
+    from aiohttp.connector import Connection
+    from aiohttp.tracing import Trace
+
+    from flamingoladder.upstreams.attempt import Exchange
+
+current_exchange: ContextVar[Exchange | None] = ContextVar("current_exchange", default=None)
+
+
+class ExchangeConnector(aiohttp.TCPConnector):
+    """Marks the current exchange as connected before a byte of its request can be written.
+
+    aiohttp repeats a GET, PUT or DELETE whose connection is lost; here that is not its decision, so
+    a second connection for one exchange is refused. A kept connection that holds bytes nobody
+    asked for is closed, as they would pass for the answer to the next request.
+    """
+
+    def __init__(self, limit: int, *, keep_s: float | None) -> None:
+        if keep_s is None:
+            super().__init__(limit=limit, force_close=True)
+        else:
+            super().__init__(limit=limit, keepalive_timeout=keep_s)
+        self._used: WeakSet[Transport] = WeakSet()
+
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: ClientTimeout
+    ) -> Connection:
+        """Return a connection for the current exchange.
+
+        :raises SecondSendError: if the exchange had a connection before.
+        """
+        exchange = current_exchange.get()
+        if exchange is not None and exchange.connected:
+            raise SecondSendError
+        connection = await self._clean_connection(req, traces, timeout)
+        if exchange is not None:
+            exchange.connected = True
+            exchange.reused = self._mark_used(connection)
+        return connection
+
+    async def _clean_connection(
+        self, req: ClientRequest, traces: list[Trace], timeout: ClientTimeout
+    ) -> Connection:
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            if connection.protocol is None or not connection.protocol.should_close:
+                return connection
+            connection.close()
+
+    def _mark_used(self, connection: Connection) -> bool:
+        transport = connection.transport
+        if transport is None:
+            return True
+        used = transport in self._used
+        self._used.add(transport)
+        return used
--- a/src/flamingoladder/verdict.py
+++ b/src/flamingoladder/verdict.py
@@ -67,7 +67,8 @@
 class Refusal(msgspec.Struct, frozen=True, omit_defaults=True):
     """A refusal of the system itself.
 
-    ``verdict`` is ``NOT_RUN`` only where no byte of the request can have left for an upstream.
+    ``verdict`` is ``NOT_RUN`` only where no byte of the request can have left for an upstream, or
+    where the upstream said by its shed marker that it did not run it.
     ``retry_after_s`` is in seconds. ``hosts`` names other entry hosts (base URLs) to try.
     ``ticket`` is a ticket that the caller may use as the idempotency key of a repeat.
     """
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -127,8 +127,9 @@
         await asyncio.sleep(0.05)
         gateway.dispatcher.gate.opened.set()
         reply = await gateway.send("/v1/outcomes/b1")
-        while reply.verdict == Verdict.NOT_RUN:
-            reply = await gateway.send("/v1/outcomes/b1")
+        async with asyncio.timeout(2.0):
+            while reply.verdict == Verdict.NOT_RUN:
+                reply = await gateway.send("/v1/outcomes/b1")
         assert reply.body == b"/bookings"
         assert (await gateway.send("/v1/outcomes/b1", key=OTHER_KEY)).status != 200
 
--- /dev/null
+++ b/tests/upstreams/parts.py
@@ -0,0 +1,96 @@
+"""A dispatcher before scripted targets."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from random import Random
+from typing import TYPE_CHECKING
+
+from flamingoladder.config.model import Route
+from flamingoladder.config.model import Target
+from flamingoladder.gateway.permission import KeyedPermission
+from flamingoladder.gateway.request import CallerRequest
+from flamingoladder.keys.check import GrantedKeys
+from flamingoladder.standins.network import Network
+from flamingoladder.steering.least_in_flight import LeastInFlight
+from flamingoladder.timeline.recorder import Recorder
+from flamingoladder.upstreams.crash_guard import CrashGuard
+from flamingoladder.upstreams.dispatcher import UpstreamDispatcher
+from flamingoladder.upstreams.health import HealthBoard
+from flamingoladder.upstreams.targets import TargetPools
+from tests.gateway.fakes import FixedState
+from tests.gateway.fakes import agreed
+from tests.upstreams.scripted import running
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from flamingoladder.standins.network import NetworkLinks
+    from tests.upstreams.scripted import ScriptedTarget
+
+DEADLINE_S = 2.0
+IDEMPOTENT = Route(path="/")
+ONCE = Route(path="/bookings", methods=("POST", "PUT"), idempotent=False)
+
+
+class Parts:
+    """A dispatcher with what it stands on."""
+
+    __slots__ = ("board", "chooser", "dispatcher", "guard", "pools", "recorder", "state")
+
+    def __init__(self, state: FixedState, links: NetworkLinks) -> None:
+        self.state = state
+        self.board = HealthBoard()
+        self.pools = TargetPools(state)
+        self.chooser = LeastInFlight(state, self.board, "north")
+        self.guard = CrashGuard(links)
+        self.recorder = Recorder("h1", "h1-1")
+        self.dispatcher = UpstreamDispatcher(
+            state=state,
+            chooser=self.chooser,
+            pools=self.pools,
+            guard=self.guard,
+            permission=KeyedPermission(state, GrantedKeys(state), "h1"),
+            recorder=self.recorder,
+        )
+
+
+@asynccontextmanager
+async def dispatching(*targets: ScriptedTarget, **defaults: object) -> AsyncIterator[Parts]:
+    """Run a dispatcher whose nearest target is the first."""
+    async with running(*targets):
+        domains = ["north-a"] + ["south-a"] * (len(targets) - 1)
+        declared = {
+            target.name: Target(address=target.address, failure_domain=domain)
+            for target, domain in zip(targets, domains, strict=True)
+        }
+        network = Network(Random(1))
+        parts = Parts(FixedState(agreed(declared, **defaults)), network.join("h1", "h1-1"))
+        try:
+            yield parts
+        finally:
+            await parts.pools.close()
+
+
+def request_for(
+    route: Route = IDEMPOTENT,
+    method: str | None = None,
+    deadline_s: float = DEADLINE_S,
+    request_id: str = "r1",
+) -> CallerRequest:
+    """Return a request of workspace midnight-sun."""
+    return CallerRequest(
+        request_id=request_id,
+        service="desk",
+        route=route,
+        method=method or route.methods[0],
+        path="/x",
+        headers=(),
+        body=b"" if route.idempotent else b"book",
+        digest="d1",
+        deadline=asyncio.get_running_loop().time() + deadline_s,
+        workspace="midnight-sun",
+        key_id="k1",
+        idempotency_key=None if route.idempotent else "b1",
+    )
--- /dev/null
+++ b/tests/upstreams/scripted.py
@@ -0,0 +1,151 @@
+"""A target that behaves, connection by connection and request by request, as a test says."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+CONTENT_LENGTH = b"content-length:"
+
+
+class Act(Enum):
+    """What the target does with one request."""
+
+    ANSWER = "answers with its name"
+    ANSWER_AND_CLOSE = "answers, and closes the connection a moment later without notice"
+    ANSWER_TWICE = "answers, then while the connection is idle a second time without an id"
+    ANSWER_AGAIN_LATE = "answers, then a moment later a second time with the id"
+    CLOSE = "reads the whole request and closes"
+    CROSSED = "answers with another request's id"
+    HALF = "sends half of an answer and closes"
+    NO_LENGTH = "sends an answer that ends where the connection ends"
+    SHED = "sheds"
+    SILENT = "reads the request and is silent"
+    UNMARKED_503 = "answers 503 of its own accord"
+
+
+class ScriptedTarget:
+    """A target; ``acts`` are done in order, then ``ANSWER``. Probes are answered always."""
+
+    __slots__ = (
+        "_server",
+        "_writers",
+        "accepts_and_closes",
+        "acts",
+        "connections",
+        "name",
+        "received",
+        "repeated",
+    )
+
+    def __init__(self, name: str, *acts: Act) -> None:
+        self.name = name
+        self.acts = list(acts)
+        self.accepts_and_closes = False
+        self.connections = 0
+        self.received: list[str] = []
+        self.repeated = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def address(self) -> str:
+        """Return the target's ``ip:port``."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+
+    async def stop(self) -> None:
+        """Close the port and all connections."""
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while not self.accepts_and_closes and await self._serve_one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        head = await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(_content_length(head))
+        if head.startswith((b"GET /health", b"GET /load")):
+            writer.write(_answer("{}"))
+            return True
+        self.received.append(head.decode("latin-1"))
+        act = self.acts.pop(0) if self.acts else Act.ANSWER
+        return await self._do(act, writer)
+
+    async def _do(self, act: Act, writer: asyncio.StreamWriter) -> bool:
+        match act:
+            case Act.CLOSE:
+                return False
+            case Act.SILENT:
+                await asyncio.sleep(60.0)
+            case Act.HALF:
+                writer.write(_answer(self.name * 2)[: -len(self.name)])
+                return False
+            case Act.NO_LENGTH:
+                writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
+                return False
+            case Act.SHED:
+                writer.write(_answer("shed", "503 Busy", "Flamingoladder-Shed: 1\r\n"))
+            case Act.UNMARKED_503:
+                writer.write(_answer("own", "503 Busy"))
+            case Act.CROSSED:
+                writer.write(_answer("other", extra="X-Request-Id: other\r\n"))
+            case Act.ANSWER_TWICE:
+                writer.write(_answer(self.name))
+                await asyncio.sleep(0.005)
+                writer.write(_answer("late"))
+                self.repeated.set()
+            case Act.ANSWER_AGAIN_LATE:
+                writer.write(_answer(self.name))
+                await asyncio.sleep(0.01)
+                writer.write(_answer("late", extra="X-Request-Id: 0\r\n"))
+            case Act.ANSWER_AND_CLOSE:
+                writer.write(_answer(self.name))
+                return False
+            case Act.ANSWER:
+                writer.write(_answer(self.name))
+        return True
+
+
+@asynccontextmanager
+async def running(*targets: ScriptedTarget) -> AsyncIterator[None]:
+    """Run the targets for one test."""
+    for target in targets:
+        await target.start()
+    try:
+        yield
+    finally:
+        for target in targets:
+            await target.stop()
+
+
+def _content_length(head: bytes) -> int:
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(CONTENT_LENGTH):
+            return int(line[len(CONTENT_LENGTH) :])
+    return 0
+
+
+def _answer(body: str, status: str = "200 OK", extra: str = "") -> bytes:
+    return f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{extra}\r\n{body}".encode()
