Wire the entry daemon and a local deployment of real processes

Cause: the whole path has to run end to end before it is deepened. Seen on the first runs: a key could not be granted within 5 s of the start (no majority), as links were only read at start; the watcher now reads the directory when a registered incarnation has no link. Ruled out: polling the directory faster (reads grow with the fleet). Open: the repeat of a booking through another host right after the start is answered may_have_run (the link was refused once and not tried again for 2 s), and the graceful stop of all hosts without a store takes over 30 s; both are next.

--- a/src/flamingoladder/config/agreed.py
+++ b/src/flamingoladder/config/agreed.py
@@ -62,8 +62,10 @@
     """Everything in force at ``version``; each commit raises the version by one.
 
     ``division_version`` is the version of the last commit that changed the members or the
-    deployment, and with them the division of allowances. ``configuration_version`` is the version
-    of the last commit that changed the deployment; operators name it when they change it.
+    deployment, and with them the division of allowances; ``previous_division_version`` is the
+    value of ``division_version`` that this commit replaced, 0 if it isn't known.
+    ``configuration_version`` is the version of the last commit that changed the deployment;
+    operators name it when they change it.
     """
 
     version: int
@@ -74,6 +76,7 @@
     members: tuple[Member, ...] = ()
     drains: tuple[Drain, ...] = ()
     shifts: tuple[Shift, ...] = ()
+    previous_division_version: int = 0
 
     @property
     def members_by_host(self) -> dict[str, Member]:
--- a/src/flamingoladder/console/application.py
+++ b/src/flamingoladder/console/application.py
@@ -15,6 +15,7 @@
 COMMANDS = (
     "apply",
     "check",
+    "daemon",
     "drain",
     "exceptions",
     "forget",
--- a/src/flamingoladder/daemon/directory_watcher.py
+++ b/src/flamingoladder/daemon/directory_watcher.py
@@ -9,6 +9,10 @@
 from flamingoladder.platform.exceptions import PlatformError
 
 if TYPE_CHECKING:
+    from reactivex import Observable
+    from reactivex.abc import DisposableBase
+
+    from flamingoladder.config.agreed import AgreedState
     from flamingoladder.peers.zmq_links import ZmqLinks
     from flamingoladder.platform.table import TableService
     from flamingoladder.timeline.recorder import Recorder
@@ -19,27 +23,32 @@
 
 
 class DirectoryWatcher:
-    """Reads the directory at intervals, and at once when an unknown host knocks.
+    """Reads the directory at intervals, and at once when it may have changed.
 
-    While the platform does not answer, the links stay as they are.
+    That is when an unknown host asks for a link, or when an incarnation is registered that has no
+    link yet. While the platform does not answer, the links stay as they are.
     """
 
-    __slots__ = ("_links", "_recorder", "_table")
+    __slots__ = ("_links", "_outdated", "_recorder", "_table")
 
     def __init__(self, table: TableService, links: ZmqLinks, recorder: Recorder) -> None:
         self._table = table
         self._links = links
         self._recorder = recorder
+        self._outdated = links.authenticator.unknown_key_seen
+
+    def follow(self, changes: Observable[AgreedState]) -> DisposableBase:
+        """Look at each state for members without a link until the result is disposed of."""
+        return changes.subscribe(self._compare)
 
     async def run(self) -> None:
         """Follow the directory until cancelled."""
-        unknown_key_seen = self._links.authenticator.unknown_key_seen
         while True:
-            unknown_key_seen.clear()
+            self._outdated.clear()
             await self.read_once()
             await asyncio.sleep(RETRY_INTERVAL_S)
             try:
-                await asyncio.wait_for(unknown_key_seen.wait(), READ_INTERVAL_S)
+                await asyncio.wait_for(self._outdated.wait(), READ_INTERVAL_S)
             except TimeoutError:
                 continue
 
@@ -51,3 +60,7 @@
             self._recorder.record("directory.unreadable", error=error)
             return
         self._links.update_directory(by_host.values())
+
+    def _compare(self, state: AgreedState) -> None:
+        if not self._links.covers(state.members):
+            self._outdated.set()
--- /dev/null
+++ b/src/flamingoladder/daemon/upstream_side.py
@@ -0,0 +1,68 @@
+"""Builds what stands between the ledger and the upstream targets."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from flamingoladder.steering.least_in_flight import LeastInFlight
+from flamingoladder.upstreams.crash_guard import CrashGuard
+from flamingoladder.upstreams.dispatcher import UpstreamDispatcher
+from flamingoladder.upstreams.health import HealthBoard
+from flamingoladder.upstreams.probes import TargetProbes
+from flamingoladder.upstreams.targets import TargetPools
+
+if TYPE_CHECKING:
+    from flamingoladder.config.agreed import StateInForce
+    from flamingoladder.gateway.permission import Permission
+    from flamingoladder.members.state import Member
+    from flamingoladder.peers.link import PeerLinks
+    from flamingoladder.timeline.recorder import Recorder
+
+
+class UpstreamSide:
+    """The dispatcher of one host with its connections and probes."""
+
+    __slots__ = ("_chooser", "_pools", "_probes", "dispatcher")
+
+    def __init__(
+        self,
+        dispatcher: UpstreamDispatcher,
+        chooser: LeastInFlight,
+        pools: TargetPools,
+        probes: TargetProbes,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self._chooser = chooser
+        self._pools = pools
+        self._probes = probes
+
+    @classmethod
+    def from_config(
+        cls,
+        own: Member,
+        state: StateInForce,
+        permission: Permission,
+        links: PeerLinks,
+        recorder: Recorder,
+    ) -> UpstreamSide:
+        """Return the upstream side of ``own``; probes start with the first state."""
+        board = HealthBoard()
+        pools = TargetPools(state)
+        chooser = LeastInFlight(state, board, own.region)
+        dispatcher = UpstreamDispatcher(
+            state=state,
+            chooser=chooser,
+            pools=pools,
+            guard=CrashGuard(links),
+            permission=permission,
+            recorder=recorder,
+        )
+        probes = TargetProbes(state, pools, board, recorder, Random())
+        return cls(dispatcher, chooser, pools, probes)
+
+    async def close(self) -> None:
+        """Stop the probes and close all connections."""
+        self._chooser.close()
+        await self._probes.close()
+        await self._pools.close()
--- a/src/flamingoladder/freshness/attempt.py
+++ b/src/flamingoladder/freshness/attempt.py
@@ -162,10 +162,12 @@
     divided_anew = (
         state is None or state.members != changed.members or state.deployment != changed.deployment
     )
-    configured_anew = state is None or state.deployment != changed.deployment
-    return replace(
-        changed,
-        version=version,
-        division_version=version if divided_anew else changed.division_version,
-        configuration_version=version if configured_anew else changed.configuration_version,
-    )
+    if divided_anew:
+        changed = replace(
+            changed,
+            division_version=version,
+            previous_division_version=changed.division_version,
+        )
+    if state is None or state.deployment != changed.deployment:
+        changed = replace(changed, configuration_version=version)
+    return replace(changed, version=version)
--- a/src/flamingoladder/freshness/head.py
+++ b/src/flamingoladder/freshness/head.py
@@ -48,6 +48,7 @@
 
     version: int
     division_version: int
+    previous_division_version: int
     configuration_version: int
     parts: Parts
     recent: tuple[RecentChange, ...]
@@ -105,7 +106,14 @@
     )
     change = RecentChange(change_id, state.version, state.deployment.defaults.proof_s)
     kept = (*recent, change)[-RECENT_CHANGES:]
-    head = Head(state.version, state.division_version, state.configuration_version, parts, kept)
+    head = Head(
+        state.version,
+        state.division_version,
+        state.previous_division_version,
+        state.configuration_version,
+        parts,
+        kept,
+    )
     return EncodedHead(head, content_by_name)
 
 
@@ -127,6 +135,7 @@
         _members_decoder.decode(_content(parts.members, content_by_name)),
         _drains_decoder.decode(_content(parts.drains, content_by_name)),
         _shifts_decoder.decode(_content(parts.shifts, content_by_name)),
+        head.previous_division_version,
     )
 
 
--- a/src/flamingoladder/peers/zmq_links.py
+++ b/src/flamingoladder/peers/zmq_links.py
@@ -70,6 +70,15 @@
         """Return the names of the other hosts in the directory."""
         return tuple(self._directory.by_host)
 
+    def covers(self, members: Iterable[Member]) -> bool:
+        """Return whether there is a link to the incarnation of each other member."""
+        by_host = self._directory.by_host
+        return all(
+            member.host == self._recorder.host
+            or (member.host in by_host and by_host[member.host].incarnation == member.incarnation)
+            for member in members
+        )
+
     def start(self, endpoint: str) -> None:
         """Accept links on ``endpoint``, such as ``tcp://127.0.0.1:7001``.
 
--- /dev/null
+++ b/src/flamingoladder/standins/deployment.py
@@ -0,0 +1,261 @@
+"""A whole deployment on this machine: platform and upstream stand-ins, and entry daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import secrets
+from typing import TYPE_CHECKING
+from typing import Any
+
+import aiohttp
+import msgspec
+import yaml
+
+from flamingoladder.config.reader import validate
+from flamingoladder.console.operator_console import Call
+from flamingoladder.console.operator_console import OperatorConsole
+from flamingoladder.freshness.commits import CommitReport
+from flamingoladder.operators.messages import KeyReply
+from flamingoladder.operators.messages import KeyRequest
+from flamingoladder.platform.hostlist import HostStatus
+from flamingoladder.platform.hostlist import ListedHost
+from flamingoladder.standins.exceptions import CallFailedError
+from flamingoladder.standins.platform import FaultSettings
+from flamingoladder.standins.platform import HostSettings
+from flamingoladder.standins.processes import LOOPBACK
+from flamingoladder.standins.processes import Processes
+from flamingoladder.standins.processes import free_ports
+from flamingoladder.standins.upstream_messages import RunsReport
+
+if TYPE_CHECKING:
+    from pathlib import Path
+    from random import Random
+
+    from flamingoladder.config.model import Deployment
+    from flamingoladder.console.operator_console import R
+    from flamingoladder.standins.processes import ManagedProcess
+
+HOSTS = 7
+PORTS_PER_HOST = 3
+POLL_S = 0.05
+READY_TIMEOUT_S = 20.0
+PLATFORM = "platform"
+
+
+class LocalHost(msgspec.Struct, frozen=True):
+    """An entry host of the local deployment and its base URLs."""
+
+    name: str
+    region: str
+    failure_domain: str
+    caller_port: int
+
+    @property
+    def caller_url(self) -> str:
+        """Return the base URL for callers."""
+        return f"http://{LOOPBACK}:{self.caller_port}"
+
+    @property
+    def operator_url(self) -> str:
+        """Return the base URL for operators."""
+        return f"http://{LOOPBACK}:{self.caller_port + 1}"
+
+
+class LocalDeployment:
+    """A deployment whose processes are real and whose addresses are all on the loopback interface.
+
+    ``upstream_arguments`` are further flags of the upstream stand-ins.
+    """
+
+    __slots__ = (
+        "_document",
+        "_token",
+        "_upstream_arguments",
+        "deployment",
+        "first_ports_by_service",
+        "hosts",
+        "operator_token",
+        "platform_url",
+        "processes",
+    )
+
+    def __init__(
+        self,
+        processes: Processes,
+        document: dict[str, Any],
+        random: Random,
+        upstream_arguments: tuple[str, ...] = (),
+    ) -> None:
+        self.processes = processes
+        self._document = document
+        self._upstream_arguments = upstream_arguments
+        self._token = secrets.token_hex(16)
+        self.operator_token = secrets.token_hex(16)
+        self.first_ports_by_service = self._move_targets(random)
+        self.deployment: Deployment = validate(document).ok
+        first = free_ports(1 + HOSTS * PORTS_PER_HOST, random)
+        self.platform_url = f"http://{LOOPBACK}:{first}"
+        self.hosts = self._place_hosts(first + 1)
+
+    @classmethod
+    def from_file(
+        cls,
+        processes: Processes,
+        path: Path,
+        random: Random,
+        upstream_arguments: tuple[str, ...] = (),
+    ) -> LocalDeployment:
+        """Return the deployment of a configuration file, its targets moved to free ports."""
+        return cls(processes, yaml.safe_load(path.read_text()), random, upstream_arguments)
+
+    @property
+    def host_names(self) -> tuple[str, ...]:
+        """Return the names of all hosts."""
+        return tuple(host.name for host in self.hosts)
+
+    @property
+    def console(self) -> OperatorConsole:
+        """Return a console that tries the hosts in turn."""
+        urls = ",".join(host.operator_url for host in self.hosts)
+        return OperatorConsole.from_options(urls, self.operator_token, json=True)
+
+    def process_of(self, host: str) -> ManagedProcess:
+        """Return the process of an entry host."""
+        return self.processes.by_name[host]
+
+    async def start(self) -> None:
+        """Start everything, apply the configuration and wait until all hosts are ready."""
+        self._start_platform()
+        for service in self.deployment.services:
+            self._start_upstreams(service)
+        platform = self.processes.by_name[PLATFORM]
+        await platform.wait_until_ready(f"{self.platform_url}/counts")
+        await self.list_hosts(self.host_names)
+        for host in self.hosts:
+            self.start_host(host)
+        for host in self.hosts:
+            process = self.process_of(host.name)
+            await process.wait_until_ready(f"{host.caller_url}/health/live")
+        content = yaml.safe_dump(self._document).encode()
+        await self.operate(
+            Call("PUT", "/v1/configuration", CommitReport, content, {"If-Match": '"0"'})
+        )
+        await asyncio.gather(*(self.wait_until_ready(host) for host in self.hosts))
+
+    def start_host(self, host: LocalHost) -> ManagedProcess:
+        """Start the daemon of a host, or start it again."""
+        known = self.processes.by_name.get(host.name)
+        if known is not None:
+            known.start()
+            return known
+        digest = hashlib.sha256(self.operator_token.encode()).hexdigest()
+        settings = {
+            "HOST": host.name,
+            "REGION": host.region,
+            "FAILURE_DOMAIN": host.failure_domain,
+            "ADDRESS": LOOPBACK,
+            "CALLER_PORT": str(host.caller_port),
+            "OPERATOR_PORT": str(host.caller_port + 1),
+            "PEER_PORT": str(host.caller_port + 2),
+            "PLATFORM_URL": self.platform_url,
+            "PLATFORM_TOKEN": self._token,
+            "OPERATOR_TOKENS": f"operator={digest}",
+        }
+        environment = {f"FLAMINGOLADDER_{name}": value for name, value in settings.items()}
+        return self.processes.start(host.name, "daemon", environment=environment)
+
+    async def wait_until_ready(self, host: LocalHost) -> None:
+        """Return once the host is ready for callers.
+
+        :raises TimeoutError: if that takes too long.
+        """
+        async with asyncio.timeout(READY_TIMEOUT_S), aiohttp.ClientSession() as session:
+            while True:
+                if await _is_ok(session, f"{host.caller_url}/health/ready"):
+                    return
+                await asyncio.sleep(POLL_S)
+
+    async def grant(self, workspace: str) -> KeyReply:
+        """Return a new key of the workspace."""
+        return await self.operate(Call("POST", "/v1/keys", KeyReply, KeyRequest(workspace)))
+
+    async def operate(self, call: Call[R]) -> R:
+        """Make a call of the operator API.
+
+        :raises CallFailedError: if it is refused.
+        """
+        result = await self.console.send(call)
+        if result.is_error():
+            raise CallFailedError(str(result.error))
+        return result.ok
+
+    async def runs(self, service: str) -> RunsReport:
+        """Return the runs that a service's targets have seen."""
+        url = f"http://{LOOPBACK}:{self.first_ports_by_service[service]}/runs"
+        async with aiohttp.ClientSession() as session, session.get(url) as response:
+            return msgspec.json.decode(await response.read(), type=RunsReport)
+
+    async def set_faults(self, faults: FaultSettings) -> None:
+        """Switch faults of the platform on or off."""
+        await self._control("/faults", msgspec.json.encode(faults))
+
+    async def list_hosts(self, hosts: tuple[str, ...]) -> None:
+        """Let the platform's list hold just these hosts, as live."""
+        listed = tuple(ListedHost(host, HostStatus.LIVE) for host in hosts)
+        await self._control("/hosts", msgspec.json.encode(HostSettings(hosts=listed)))
+
+    async def _control(self, path: str, body: bytes) -> None:
+        headers = {"Authorization": f"Bearer {self._token}"}
+        async with (
+            aiohttp.ClientSession() as session,
+            session.put(self.platform_url + path, data=body, headers=headers) as response,
+        ):
+            if not response.ok:
+                raise CallFailedError(f"{path}: status {response.status}")
+
+    def _move_targets(self, random: Random) -> dict[str, int]:
+        first_ports = {}
+        for name, service in self._document["services"].items():
+            first = free_ports(len(service["targets"]), random)
+            first_ports[name] = first
+            for offset, target in enumerate(service["targets"].values()):
+                target["address"] = f"{LOOPBACK}:{first + offset}"
+        return first_ports
+
+    def _place_hosts(self, first_port: int) -> tuple[LocalHost, ...]:
+        regions = list(self.deployment.places.regions.items())
+        hosts = []
+        for index in range(HOSTS):
+            name, region = regions[index % len(regions)]
+            domains = list(region.failure_domains)
+            domain = domains[index // len(regions) % len(domains)]
+            port = first_port + index * PORTS_PER_HOST
+            hosts.append(LocalHost(f"host-{index + 1}", name, domain, port))
+        return tuple(hosts)
+
+    def _start_platform(self) -> None:
+        port = self.platform_url.rpartition(":")[2]
+        environment = {"FLAMINGOLADDER_PLATFORM_TOKEN": self._token}
+        self.processes.start(PLATFORM, "standin-platform", "--port", port, environment=environment)
+
+    def _start_upstreams(self, service: str) -> None:
+        self.processes.start(
+            service,
+            "standin-upstreams",
+            "--first-port",
+            str(self.first_ports_by_service[service]),
+            "--count",
+            str(len(self.deployment.services[service].targets)),
+            "--service",
+            service,
+            *self._upstream_arguments,
+        )
+
+
+async def _is_ok(session: aiohttp.ClientSession, url: str) -> bool:
+    try:
+        async with session.get(url) as response:
+            return response.ok
+    except aiohttp.ClientError:
+        return False
--- a/src/flamingoladder/standins/exceptions.py
+++ b/src/flamingoladder/standins/exceptions.py
@@ -21,3 +21,7 @@
 
 class NoFreePortsError(StandinError):
     """No block of free ports was found."""
+
+
+class CallFailedError(StandinError):
+    """A call of the operator API or of a stand-in's control was refused."""
--- a/tests/ledger/fleet.py
+++ b/tests/ledger/fleet.py
@@ -64,7 +64,7 @@
         )
         workspaces = {WORKSPACE: Workspace()}
         deployment = Deployment(name="", places=places, services={}, workspaces=workspaces)
-        self._state = AgreedState(1, 1, deployment, members=members)
+        self._state = AgreedState(1, 1, 1, deployment, members=members)
 
     @property
     def changes(self) -> Observable[AgreedState]:
