--- a/src/flamingoladder/config/agreed.py
+++ b/src/flamingoladder/config/agreed.py
@@ -62,7 +62,8 @@
     """Everything in force at ``version``; each commit raises the version by one.
 
     ``division_version`` is the version of the last commit that changed the members or the
-    deployment, and with them the division of allowances.
+    deployment, and with them the division of allowances; ``previous_division_version`` is the
+    value of ``division_version`` that this commit replaced, 0 if it isn't known.
     """
 
     version: int
@@ -72,6 +73,7 @@
     members: tuple[Member, ...] = ()
     drains: tuple[Drain, ...] = ()
     shifts: tuple[Shift, ...] = ()
+    previous_division_version: int = 0
 
     @property
     def members_by_host(self) -> dict[str, Member]:
