Judge targets by own requests first, and guard against requests that crash them

Cause: health and load endpoints lag or mislead, and a request that crashes each target is sent again. Ruled out: counting every lost connection as a crash; attempts in progress at one crash count as one, and an answer clears the request, else a popular request would be refused after another's crash. Ruled out: abandoning a silent non-idempotent request before its deadline, as its outcome would be no better known. Found by test: a connection whose crossed answer was refused went back to the idle ones; failed attempts now abort their connection. Conclusion: the path from socket to the upstream stand-in works, with the key left behind.

--- a/src/flamingoladder/steering/least_in_flight.py
+++ b/src/flamingoladder/steering/least_in_flight.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from random import Random
 
     from flamingoladder.config.agreed import AgreedState
     from flamingoladder.config.agreed import StateInForce
@@ -33,18 +34,20 @@
         "_board",
         "_in_flight_by_target",
         "_ramp_s",
+        "_random",
         "_region",
         "_subscription",
         "_targets_by_service",
-        "_turn",
         "_waiting",
     )
 
-    def __init__(self, state: StateInForce, board: HealthBoard, region: str) -> None:
+    def __init__(
+        self, state: StateInForce, board: HealthBoard, region: str, random: Random
+    ) -> None:
         self._board = board
+        self._random = random
         self._region = region
         self._ramp_s = 0.0
-        self._turn = 0
         self._in_flight_by_target: dict[str, int] = {}
         self._targets_by_service: dict[str, list[DeclaredTarget]] = {}
         self._waiting: deque[asyncio.Future[None]] = deque()
@@ -99,12 +102,11 @@
             < self._board.of(target.name).slots(target.slots, self._ramp_s, now)
         ]
 
-    def _preference(self, target: DeclaredTarget) -> tuple[bool, float, int]:
+    def _preference(self, target: DeclaredTarget) -> tuple[bool, float, float]:
         part_in_use = self._in_flight(target) / target.slots
-        return target.region != self._region, part_in_use, hash((target.name, self._turn))
+        return target.region != self._region, part_in_use, self._random.random()
 
     def _take(self, target: DeclaredTarget) -> Reservation:
-        self._turn += 1
         self._in_flight_by_target[target.name] = self._in_flight(target) + 1
         return HeldSlot(self, target)
 
--- a/src/flamingoladder/upstreams/attempt.py
+++ b/src/flamingoladder/upstreams/attempt.py
@@ -13,6 +13,8 @@
 from flamingoladder.verdict import Answer
 
 if TYPE_CHECKING:
+    from asyncio import Transport
+
     from aiohttp import ClientResponse
 
 
@@ -22,12 +24,14 @@
     ``may_have_run`` is False only if no byte of the request can have left, or if the target itself
     says that it shed the request before running it. ``suspect`` is True if a kept connection
     was lost: the fault may be the connection's alone, so the target may be tried again.
+    ``answer`` is the target's own answer, to be passed on if there is no better one.
     """
 
     end: AttemptEnd
     may_have_run: bool
     detail: str
     suspect: bool = False
+    answer: Answer | None = None
 
 
 AttemptResult: TypeAlias = Result[Answer, AttemptFailure]
@@ -41,13 +45,14 @@
     answer has come for the check time.
     """
 
-    __slots__ = ("_timeout", "connected", "deadline", "response", "reused", "silent")
+    __slots__ = ("_timeout", "connected", "deadline", "response", "reused", "silent", "transport")
 
     def __init__(self, deadline: float) -> None:
         self.deadline = deadline
         self.connected = False
         self.silent = False
         self.reused = False
+        self.transport: Transport | None = None
         self.response: ClientResponse | None = None
         self._timeout: asyncio.Timeout | None = None
 
@@ -67,8 +72,11 @@
             return
         self._timeout.reschedule(asyncio.get_running_loop().time())
 
-    def close(self) -> None:
-        """Close the connection unless the whole answer was read from it."""
+    def end(self, *, whole: bool) -> None:
+        """End the attempt; without a whole answer its connection is closed.
+
+        No other request can then meet what still comes from that connection.
+        """
         self._timeout = None
-        if self.response is not None:
-            self.response.close()
+        if not whole and self.transport is not None:
+            self.transport.abort()
--- a/src/flamingoladder/upstreams/connections.py
+++ b/src/flamingoladder/upstreams/connections.py
@@ -95,14 +95,13 @@
         url = URL(self.base_url + request.path, encoded=True)
         return await pool.send(request, url, exchange)
 
-    async def get_over_new_connection(self, path: str, timeout_s: float) -> bytes | None:
-        """Return the body of a GET of ``path``, or None without a status 200 in time."""
+    async def get_over_new_connection(self, path: str, timeout_s: float) -> Answer | None:
+        """Return the answer to a GET of ``path``, or None if none came in time."""
         token = current_exchange.set(None)
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._fresh.session.get(self.base_url + path) as response:
-                    body = await response.read()
-                    return body if response.ok else None
+                    return Answer(response.status, (), await response.read())
         except (aiohttp.ClientError, OSError, TimeoutError):
             return None
         finally:
@@ -124,16 +123,19 @@
     session: aiohttp.ClientSession, request: CallerRequest, url: URL, exchange: Exchange
 ) -> AttemptResult:
     token = current_exchange.set(exchange)
+    whole = False
     try:
         async with exchange.open():
-            return await _exchange(session, request, url, exchange)
+            result = await _exchange(session, request, url, exchange)
+            whole = result.is_ok()
+            return result
     except TimeoutError:
         return Error(_timed_out(exchange))
     except (aiohttp.ClientError, OSError) as error:
         return Error(_broken(exchange, error))
     finally:
         current_exchange.reset(token)
-        exchange.close()
+        exchange.end(whole=whole)
 
 
 async def _exchange(
--- a/src/flamingoladder/upstreams/connector.py
+++ b/src/flamingoladder/upstreams/connector.py
@@ -51,6 +51,7 @@
         connection = await self._clean_connection(req, traces, timeout)
         if exchange is not None:
             exchange.connected = True
+            exchange.transport = connection.transport
             exchange.reused = self._mark_used(connection)
         return connection
 
--- a/src/flamingoladder/upstreams/crash_guard.py
+++ b/src/flamingoladder/upstreams/crash_guard.py
@@ -17,6 +17,7 @@
 
 SIGHTINGS_LIFETIME_S = 600.0
 SAME_CRASH_S = 1.0
+LONG_AGO = float("-inf")
 MAX_REQUESTS = 10_000
 
 Fingerprint = tuple[str | None, str, str, str]
@@ -32,12 +33,15 @@
         self._last_by_target: dict[str, float] = {}
         self.last = 0.0
 
-    def add(self, target: str, now: float) -> bool:
-        """Count a loss; several at one target at about the same time are one crash."""
-        last = self._last_by_target.get(target)
+    def add(self, target: str, started: float, now: float) -> bool:
+        """Count a loss at ``now`` of an attempt from ``started``.
+
+        Attempts in progress at one crash are lost together and count as one.
+        """
+        last = self._last_by_target.get(target, LONG_AGO)
         self._last_by_target[target] = now
         self.last = now
-        if last is not None and now - last < SAME_CRASH_S:
+        if started <= last:
             return False
         self._crashes += 1
         return True
@@ -75,10 +79,10 @@
         detail = f"this request was in progress at {sightings.crashes} crashes of targets"
         return Refusal.not_run(Reason.REQUEST_CRASHES_UPSTREAMS, detail)
 
-    def saw_loss(self, request: CallerRequest, target: str, now: float) -> None:
-        """Count a target lost while it ran the request, and tell the peers."""
+    def saw_loss(self, request: CallerRequest, target: str, started: float, now: float) -> None:
+        """Count a target lost at ``now`` while it ran the request, and tell the peers."""
         sighting = CrashSighting(*_fingerprint(request), target)
-        if not self._count(sighting, now):
+        if not self._count(sighting, started, now):
             return
         for host in self._links.hosts:
             self._links.tell(host, sighting)
@@ -89,15 +93,16 @@
             self._sightings_by_fingerprint.pop(_fingerprint(request), None)
 
     async def _on_sighting(self, _peer: Peer, sighting: CrashSighting) -> None:
-        self._count(sighting, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._count(sighting, now - SAME_CRASH_S, now)
 
-    def _count(self, sighting: CrashSighting, now: float) -> bool:
+    def _count(self, sighting: CrashSighting, started: float, now: float) -> bool:
         fingerprint = (sighting.workspace, sighting.service, sighting.route, sighting.digest)
         sightings = self._sightings_by_fingerprint.setdefault(fingerprint, Sightings())
         self._sightings_by_fingerprint.move_to_end(fingerprint)
         if len(self._sightings_by_fingerprint) > MAX_REQUESTS:
             self._sightings_by_fingerprint.popitem(last=False)
-        return sightings.add(sighting.target, now)
+        return sightings.add(sighting.target, started, now)
 
 
 def _fingerprint(request: CallerRequest) -> Fingerprint:
--- a/src/flamingoladder/upstreams/dispatcher.py
+++ b/src/flamingoladder/upstreams/dispatcher.py
@@ -32,11 +32,11 @@
     from flamingoladder.upstreams.attempt import AttemptResult
     from flamingoladder.upstreams.crash_guard import CrashGuard
     from flamingoladder.upstreams.targets import TargetPools
-    from flamingoladder.verdict import Answer
     from flamingoladder.verdict import Outcome
 
 MS_PER_S = 1_000
 SERVICE_UNAVAILABLE = 503
+SHED_MARKER = fields.SHED.lower()
 SHED_RETRY_S = 1.0
 
 REASON_BY_END = {
@@ -73,6 +73,8 @@
 
     def given_up(self, failure: AttemptFailure) -> Outcome:
         """Return the outcome of ending after ``failure``."""
+        if failure.answer is not None:
+            return Ok(failure.answer)
         reason = REASON_BY_END[failure.end]
         retry_after_s = SHED_RETRY_S if failure.end is AttemptEnd.SHED else None
         detail = f"{failure.detail} (attempt {self.attempts})"
@@ -114,11 +116,12 @@
             held = await self._reserve(dispatch, defaults)
             if isinstance(held, Refusal):
                 return dispatch.refused(held)
+            started = asyncio.get_running_loop().time()
             result = await self._attempt(dispatch, held, defaults)
             if result.is_ok():
                 self._guard.saw_answer(request)
                 return Ok(result.ok)
-            self._take_in(dispatch, held.target, result.error)
+            self._take_in(dispatch, held.target, started, result.error)
             if not self._may_retry(dispatch, result.error, defaults):
                 return dispatch.given_up(result.error)
 
@@ -150,7 +153,8 @@
         end = AttemptEnd.CANCELLED
         dispatch.attempts += 1
         try:
-            result = _without_shed(await self._send(dispatch, held, defaults))
+            sent = await self._send(dispatch, held, defaults)
+            result = _without_shed(sent, idempotent=dispatch.request.route.idempotent)
             end = AttemptEnd.ANSWERED if result.is_ok() else result.error.end
             return result
         finally:
@@ -173,7 +177,9 @@
         with SilenceWatch(exchange, connections, check_s, may_abandon):
             return await connections.send(request, exchange)
 
-    def _take_in(self, dispatch: Dispatch, target: str, failure: AttemptFailure) -> None:
+    def _take_in(
+        self, dispatch: Dispatch, target: str, started: float, failure: AttemptFailure
+    ) -> None:
         dispatch.failed(target, failure)
         request = dispatch.request
         self._recorder.record(
@@ -185,7 +191,8 @@
             may_have_run=failure.may_have_run,
         )
         if failure.end is AttemptEnd.LOST:
-            self._guard.saw_loss(request, target, asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            self._guard.saw_loss(request, target, started, now)
 
     def _may_retry(self, dispatch: Dispatch, failure: AttemptFailure, defaults: Defaults) -> bool:
         if dispatch.attempts >= defaults.attempts:
@@ -200,13 +207,17 @@
         return self._budget.take()
 
 
-def _without_shed(result: AttemptResult) -> AttemptResult:
-    if result.is_ok() and _is_shed(result.ok):
-        return Error(AttemptFailure(AttemptEnd.SHED, False, "the target shed the request"))
-    return result
-
+def _without_shed(result: AttemptResult, *, idempotent: bool) -> AttemptResult:
+    """Return a shed request as a failure.
 
-def _is_shed(answer: Answer) -> bool:
-    if answer.status != SERVICE_UNAVAILABLE:
-        return False
-    return any(header.name.lower() == fields.SHED.lower() for header in answer.headers)
+    Only the marker says for certain that the target did not run it. An unmarked 503 is the target's
+    answer, but makes another attempt worth while if running twice does no harm.
+    """
+    if result.is_error() or result.ok.status != SERVICE_UNAVAILABLE:
+        return result
+    if any(header.name.lower() == SHED_MARKER for header in result.ok.headers):
+        return Error(AttemptFailure(AttemptEnd.SHED, False, "the target shed the request"))
+    if not idempotent:
+        return result
+    detail = "the target answered 503"
+    return Error(AttemptFailure(AttemptEnd.SHED, True, detail, answer=result.ok))
--- a/src/flamingoladder/upstreams/probe_messages.py
+++ b/src/flamingoladder/upstreams/probe_messages.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
 import msgspec
 
+if TYPE_CHECKING:
+    from flamingoladder.verdict import Answer
+
+B = TypeVar("B", bound=msgspec.Struct)
+
+OK = 200
 DRAINING = "draining"
 
 
@@ -14,10 +23,11 @@
 
 
 class LoadBody(msgspec.Struct, frozen=True):
-    """The JSON body of a target's ``/load``: requests in progress and slots."""
+    """The JSON body of a target's ``/load``: requests in progress, slots, whether it drains."""
 
     in_progress: int
     slots: int
+    draining: bool = False
 
 
 class ProbeReply(msgspec.Struct, frozen=True):
@@ -28,25 +38,30 @@
     load: float | None = None
 
 
-def read_probe(health: bytes | None, load: bytes | None) -> ProbeReply:
-    """Return what the bodies of ``/health`` and ``/load`` say; None is a body not received."""
-    if health is None:
-        return ProbeReply(ok=False)
-    return ProbeReply(True, _is_draining(health), _load(load))
-
+def read_probe(health: Answer | None, load: Answer | None) -> ProbeReply:
+    """Return what the answers of ``/health`` and ``/load`` say; None is an answer not received.
 
-def _is_draining(health: bytes) -> bool:
-    try:
-        return msgspec.json.decode(health, type=HealthBody).status == DRAINING
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return False
+    A target is well if ``/health`` has status 200. It drains if either body says so.
+    """
+    ok = health is not None and health.status == OK
+    status = _body(health, HealthBody)
+    report = _body(load, LoadBody)
+    draining = (status is not None and status.status == DRAINING) or bool(
+        report and report.draining
+    )
+    return ProbeReply(ok, draining, _load(report))
 
 
-def _load(load: bytes | None) -> float | None:
-    if load is None:
+def _body(answer: Answer | None, body_type: type[B]) -> B | None:
+    if answer is None:
         return None
     try:
-        body = msgspec.json.decode(load, type=LoadBody)
+        return msgspec.json.decode(answer.body, type=body_type)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
-    return body.in_progress / body.slots if body.slots > 0 else None
+
+
+def _load(report: LoadBody | None) -> float | None:
+    if report is None or report.slots <= 0:
+        return None
+    return report.in_progress / report.slots
--- a/src/flamingoladder/upstreams/probes.py
+++ b/src/flamingoladder/upstreams/probes.py
@@ -70,11 +70,11 @@
 
     async def _probe(self, target: DeclaredTarget) -> None:
         connections = self._pools.of(target.address)
-        health_body = await connections.get_over_new_connection(HEALTH_PATH, PROBE_TIMEOUT_S)
-        load_body = None
-        if health_body is not None:
-            load_body = await connections.get_over_new_connection(LOAD_PATH, PROBE_TIMEOUT_S)
-        reply = read_probe(health_body, load_body)
+        health_answer = await connections.get_over_new_connection(HEALTH_PATH, PROBE_TIMEOUT_S)
+        load_answer = None
+        if health_answer is not None:
+            load_answer = await connections.get_over_new_connection(LOAD_PATH, PROBE_TIMEOUT_S)
+        reply = read_probe(health_answer, load_answer)
         health = self._board.of(target.name)
         if (reply.ok, reply.draining) != (health.probe_ok, health.draining):
             self._recorder.record(
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -55,7 +55,7 @@
 OTHER_KEY = "fl-key-of-ferry-camp"
 ROUTES = (
     Route(path="/"),
-    Route(path="/open", open=True),
+    Route(path="/open", methods=("GET", "HEAD"), open=True),
     Route(path="/bookings", methods=("POST", "PUT"), idempotent=False),
 )
 
@@ -256,10 +256,10 @@
 
 @asynccontextmanager
 async def running_gateway(
-    state: AgreedState | None = None, dispatcher: Dispatcher | None = None
+    state: FixedState | None = None, dispatcher: Dispatcher | None = None
 ) -> AsyncIterator[Gateway]:
     """Run a gateway for one test."""
-    gateway = Gateway(FixedState(state or agreed()), dispatcher)
+    gateway = Gateway(state or FixedState(agreed()), dispatcher)
     await gateway.server.start()
     try:
         yield gateway
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -12,6 +12,7 @@
 from flamingoladder.verdict import Verdict
 from tests.gateway.fakes import KEY
 from tests.gateway.fakes import OTHER_KEY
+from tests.gateway.fakes import FixedState
 from tests.gateway.fakes import agreed
 from tests.gateway.fakes import running_gateway
 
@@ -62,7 +63,7 @@
 
 
 async def test_a_body_over_the_limit_names_limit_and_setting() -> None:
-    async with running_gateway(agreed(max_body_bytes=100)) as gateway:
+    async with running_gateway(FixedState(agreed(max_body_bytes=100))) as gateway:
         reply = await gateway.send(
             "/services/desk/bookings", "POST", data=b"x" * 101, headers=BOOKING
         )
--- /dev/null
+++ b/tests/gateway/test_whole_path.py
@@ -0,0 +1,95 @@
+"""Tests of the path from a caller's socket through the gateway to upstream stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.config.model import Target
+from flamingoladder.standins.upstream import UpstreamTarget
+from flamingoladder.standins.upstream_messages import UpstreamSettings
+from flamingoladder.standins.upstream_runs import RunLog
+from flamingoladder.standins.upstream_server import UpstreamServer
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Verdict
+from tests.gateway.fakes import KEY
+from tests.gateway.fakes import FixedState
+from tests.gateway.fakes import agreed
+from tests.gateway.fakes import running_gateway
+from tests.upstreams.parts import parts_for
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from tests.gateway.fakes import Gateway
+
+BOOKING = {"Idempotency-Key": "b1"}
+ONE_SLOT = UpstreamSettings(slots=1, queue=0, service_ms=1.0)
+
+
+@asynccontextmanager
+async def whole_path() -> AsyncIterator[tuple[Gateway, RunLog]]:
+    """Run a gateway before one upstream with one slot."""
+    log = RunLog()
+    target = UpstreamTarget("t1", ONE_SLOT, Random(1), asyncio.get_running_loop().time())
+    upstream = UpstreamServer(target, log, "127.0.0.1", 0)
+    await upstream.start()
+    address = f"127.0.0.1:{upstream.server.port}"
+    declared = Target(address=address, failure_domain="north-a", slots=1)
+    state = FixedState(agreed({"t1": declared}))
+    parts = parts_for(state)
+    async with running_gateway(state, parts.dispatcher) as gateway:
+        try:
+            yield gateway, log
+        finally:
+            await parts.pools.close()
+    await upstream.stop()
+
+
+async def test_work_runs_for_the_workspace_and_its_key_stays_behind() -> None:
+    async with whole_path() as (gateway, log):
+        cookies = {"Cookie": f"key={KEY}"}
+        looked_up = await gateway.send("/services/desk/items/7", headers=cookies)
+        assert (looked_up.status, looked_up.verdict) == (200, Verdict.RAN)
+        booked = await gateway.send("/services/desk/bookings", "POST", headers=BOOKING, data=b"b")
+        assert booked.verdict == Verdict.RAN
+        report = log.report({})
+        assert [run.path for run in report.runs] == ["/items/7", "/bookings"]
+        assert not report.authorization_seen
+        assert "cookie" not in report.header_names
+
+
+async def test_a_key_withdrawn_while_the_request_waits_for_a_slot_stops_it() -> None:
+    async with whole_path() as (gateway, log):
+        slow = {"X-Standin-Delay-Ms": "200"}
+        first = asyncio.create_task(gateway.send("/services/desk/first", headers=slow))
+        await _first_run(log)
+        second = asyncio.create_task(gateway.send("/services/desk/second"))
+        await asyncio.sleep(0.05)
+        grants = gateway.state.current.grants
+        withdrawn = tuple(msgspec.structs.replace(grant, withdrawn=True) for grant in grants)
+        gateway.state.set(grants=withdrawn)
+        assert (await second).refusal.reason is Reason.KEY_WITHDRAWN
+        assert (await first).verdict == Verdict.RAN
+        assert [run.path for run in log.report({}).runs] == ["/first"]
+
+
+async def test_head_requests_and_large_answers_come_back_whole() -> None:
+    async with whole_path() as (gateway, _):
+        size = 3_000_000
+        large = await gateway.send("/services/desk/x", headers={"X-Standin-Body-Bytes": str(size)})
+        assert len(large.body) == size
+        head = await gateway.send("/services/desk/open/x", "HEAD", headers={"X-Request-Id": "abc"})
+        assert (head.status, head.body, head.headers["Content-Length"]) == (200, b"", "3")
+
+
+async def _first_run(log: RunLog) -> None:
+    async with asyncio.timeout(2.0):
+        while True:
+            if log.report({}).runs:
+                return
+            await asyncio.sleep(0.001)
--- a/tests/upstreams/parts.py
+++ b/tests/upstreams/parts.py
@@ -43,7 +43,7 @@
         self.state = state
         self.board = HealthBoard()
         self.pools = TargetPools(state)
-        self.chooser = LeastInFlight(state, self.board, "north")
+        self.chooser = LeastInFlight(state, self.board, "north", Random(1))
         self.guard = CrashGuard(links)
         self.recorder = Recorder("h1", "h1-1")
         self.dispatcher = UpstreamDispatcher(
@@ -56,6 +56,11 @@
         )
 
 
+def parts_for(state: FixedState) -> Parts:
+    """Return a dispatcher of host h1, in region north."""
+    return Parts(state, Network(Random(1)).join("h1", "h1-1"))
+
+
 @asynccontextmanager
 async def dispatching(*targets: ScriptedTarget, **defaults: object) -> AsyncIterator[Parts]:
     """Run a dispatcher whose nearest target is the first."""
@@ -65,8 +70,7 @@
             target.name: Target(address=target.address, failure_domain=domain)
             for target, domain in zip(targets, domains, strict=True)
         }
-        network = Network(Random(1))
-        parts = Parts(FixedState(agreed(declared, **defaults)), network.join("h1", "h1-1"))
+        parts = parts_for(FixedState(agreed(declared, **defaults)))
         try:
             yield parts
         finally:
--- a/tests/upstreams/scripted.py
+++ b/tests/upstreams/scripted.py
@@ -26,6 +26,8 @@
     NO_LENGTH = "sends an answer that ends where the connection ends"
     SHED = "sheds"
     SILENT = "reads the request and is silent"
+    SLOW = "answers after 150 ms"
+    STALL = "sends half of an answer and is silent"
     UNMARKED_503 = "answers 503 of its own accord"
 
 
@@ -38,7 +40,9 @@
         "accepts_and_closes",
         "acts",
         "connections",
+        "hung_up",
         "name",
+        "reached",
         "received",
         "repeated",
     )
@@ -49,7 +53,9 @@
         self.accepts_and_closes = False
         self.connections = 0
         self.received: list[str] = []
+        self.reached = asyncio.Event()
         self.repeated = asyncio.Event()
+        self.hung_up = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -91,14 +97,28 @@
             return True
         self.received.append(head.decode("latin-1"))
         act = self.acts.pop(0) if self.acts else Act.ANSWER
-        return await self._do(act, writer)
+        self.reached.set()
+        return await self._do(act, reader, writer)
 
-    async def _do(self, act: Act, writer: asyncio.StreamWriter) -> bool:
+    async def _hang(self, reader: asyncio.StreamReader) -> bool:
+        await reader.read()
+        self.hung_up.set()
+        return False
+
+    async def _do(
+        self, act: Act, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
         match act:
             case Act.CLOSE:
                 return False
             case Act.SILENT:
-                await asyncio.sleep(60.0)
+                return await self._hang(reader)
+            case Act.STALL:
+                writer.write(_answer(self.name * 2)[: -len(self.name)])
+                return await self._hang(reader)
+            case Act.SLOW:
+                await asyncio.sleep(0.15)
+                writer.write(_answer(self.name))
             case Act.HALF:
                 writer.write(_answer(self.name * 2)[: -len(self.name)])
                 return False
--- a/tests/upstreams/test_dispatcher.py
+++ b/tests/upstreams/test_dispatcher.py
@@ -115,6 +115,22 @@
         assert len(only.received) == 4
 
 
+async def test_a_connection_with_a_crossed_answer_is_not_used_again() -> None:
+    only = ScriptedTarget("only", Act.CROSSED)
+    async with dispatching(only, attempts=1) as parts:
+        assert (await parts.dispatcher.dispatch(request_for())).is_error()
+        assert (await parts.dispatcher.dispatch(request_for())).is_ok()
+        assert only.connections == 2
+
+
+async def test_idle_connections_are_kept_for_idempotent_work_only() -> None:
+    only = ScriptedTarget("only")
+    async with dispatching(only) as parts:
+        for route in (IDEMPOTENT, IDEMPOTENT, ONCE, ONCE, IDEMPOTENT):
+            assert (await parts.dispatcher.dispatch(request_for(route))).is_ok()
+        assert only.connections == 3
+
+
 async def test_a_shed_booking_with_nowhere_to_go_has_not_run() -> None:
     only = ScriptedTarget("only", Act.SHED)
     async with dispatching(only) as parts:
