Keep links alive before they are needed, and encode answers' header names

Cause 1: a link refused before the peer learned of this host stayed down until some question had gone unanswered for 2 s; heartbeats now open it anew within 0.25 s. Cause 2: the repeat of a booking was answered may_have_run and the daemon ended with status 1, since header names of aiohttp's client are a subclass of str that msgspec does not encode: the ledger's writer had died of it. Shown failing first: test_an_answer_can_be_encoded. Ruled out: accepting all link keys.

--- a/src/flamingoladder/daemon/application.py
+++ b/src/flamingoladder/daemon/application.py
@@ -9,6 +9,7 @@
 from flamingoladder.daemon.directory_watcher import DirectoryWatcher
 from flamingoladder.daemon.identity import member_of
 from flamingoladder.daemon.identity import new_incarnation
+from flamingoladder.daemon.supervision import supervised
 from flamingoladder.daemon.tls import tls_context
 from flamingoladder.daemon.upstream_side import UpstreamSide
 from flamingoladder.freshness.keeper import StateKeeper
@@ -127,8 +128,8 @@
         self._directory.follow(self._keeper.changes)
         self._keeper.start()
         self._tasks = [
-            asyncio.create_task(self._directory.run()),
-            asyncio.create_task(self._ledger.serve()),
+            asyncio.create_task(supervised("directory", self._directory.run, self._recorder)),
+            asyncio.create_task(supervised("ledger", self._ledger.serve, self._recorder)),
         ]
         self._recorder.record("daemon.started", address=settings.address)
 
--- a/src/flamingoladder/daemon/upstream_side.py
+++ b/src/flamingoladder/daemon/upstream_side.py
@@ -49,7 +49,8 @@
         """Return the upstream side of ``own``; probes start with the first state."""
         board = HealthBoard()
         pools = TargetPools(state)
-        chooser = LeastInFlight(state, board, own.region)
+        random = Random()
+        chooser = LeastInFlight(state, board, own.region, random)
         dispatcher = UpstreamDispatcher(
             state=state,
             chooser=chooser,
@@ -58,7 +59,7 @@
             permission=permission,
             recorder=recorder,
         )
-        probes = TargetProbes(state, pools, board, recorder, Random())
+        probes = TargetProbes(state, pools, board, recorder, random)
         return cls(dispatcher, chooser, pools, probes)
 
     async def close(self) -> None:
--- a/src/flamingoladder/peers/connection.py
+++ b/src/flamingoladder/peers/connection.py
@@ -29,6 +29,7 @@
 QUEUED_MESSAGES = 1_000
 MESSAGE_BYTES = 4_194_304
 SILENCE_S = 2.0
+UNANSWERED_START_S = 0.25
 
 
 def configure(socket: zmq.asyncio.Socket, keys: LinkKeys) -> None:
@@ -53,6 +54,7 @@
         "_socket",
         "_task",
         "_unanswered_since",
+        "_was_answered",
         "member",
     )
 
@@ -62,6 +64,7 @@
         self._recorder = recorder
         self._questions = 0
         self._unanswered_since: float | None = None
+        self._was_answered = False
         self._replies_by_question: dict[int, asyncio.Future[msgspec.Struct | None]] = {}
         self._task = asyncio.create_task(self._receive())
 
@@ -84,9 +87,14 @@
         return cls(socket, member, recorder)
 
     def is_silent(self, now: float) -> bool:
-        """Return whether questions have gone unanswered for longer than ``SILENCE_S``."""
+        """Return whether questions have gone unanswered for too long.
+
+        That is ``SILENCE_S``, or ``UNANSWERED_START_S`` if nothing was ever answered: the peer may
+        have refused the link before it learned of this host, and ZeroMQ does not try again then.
+        """
         since = self._unanswered_since
-        return since is not None and now - since > SILENCE_S
+        bound_s = SILENCE_S if self._was_answered else UNANSWERED_START_S
+        return since is not None and now - since >= bound_s
 
     async def ask(self, message: msgspec.Struct, timeout_s: float) -> msgspec.Struct | None:
         """Return the reply, or None if none came within ``timeout_s`` seconds."""
@@ -134,6 +142,7 @@
                 continue
             self._recorder.clock.observe(envelope.clock)
             self._unanswered_since = None
+            self._was_answered = True
             reply = self._replies_by_question.get(envelope.question)
             if reply is not None and not reply.done():
                 reply.set_result(envelope.body)
--- a/src/flamingoladder/peers/envelope.py
+++ b/src/flamingoladder/peers/envelope.py
@@ -7,6 +7,7 @@
 from flamingoladder.freshness.messages import FreshnessMessage
 from flamingoladder.ledger.messages import LedgerMessage
 from flamingoladder.peers.exceptions import PeerMessageError
+from flamingoladder.peers.messages import LinkMessage
 from flamingoladder.shares.messages import SharesMessage
 from flamingoladder.steering.messages import SteeringMessage
 from flamingoladder.timeline.messages import TimelineMessage
@@ -15,6 +16,7 @@
 Body = (
     FreshnessMessage
     | LedgerMessage
+    | LinkMessage
     | SharesMessage
     | SteeringMessage
     | TimelineMessage
--- a/src/flamingoladder/peers/zmq_links.py
+++ b/src/flamingoladder/peers/zmq_links.py
@@ -22,6 +22,7 @@
 from flamingoladder.peers.link import M
 from flamingoladder.peers.link import Peer
 from flamingoladder.peers.link import PeerLinks
+from flamingoladder.peers.messages import Heartbeat
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -35,6 +36,8 @@
     from flamingoladder.timeline.recorder import Recorder
 
 HANDLERS_AT_ONCE = 1_000
+HEARTBEAT_INTERVAL_S = 1.0
+HEARTBEAT_TIMEOUT_S = 0.3
 
 
 class ZmqLinks(PeerLinks):
@@ -46,6 +49,7 @@
         "_directory",
         "_handlers_by_type",
         "_handling",
+        "_heartbeats_by_host",
         "_keys",
         "_recorder",
         "_socket",
@@ -60,10 +64,12 @@
         self._directory = PeerDirectory(recorder.host)
         self.authenticator = LinkAuthenticator(self._context, self._directory)
         self._connections_by_host: dict[str, PeerConnection] = {}
+        self._heartbeats_by_host: dict[str, asyncio.Task[None]] = {}
         self._handlers_by_type: dict[type, Handler[Any]] = {}
         self._handling: set[asyncio.Task[None]] = set()
         self._socket: zmq.asyncio.Socket = self._context.socket(zmq.ROUTER)
         self._task: asyncio.Task[None] | None = None
+        self.register(Heartbeat, self._answer_heartbeat)
 
     @property
     def hosts(self) -> Collection[str]:
@@ -93,7 +99,7 @@
 
     def close(self) -> None:
         """Drop all links."""
-        for task in [self._task, *self._handling]:
+        for task in [self._task, *self._handling, *self._heartbeats_by_host.values()]:
             if task is not None:
                 task.cancel()
         for connection in self._connections_by_host.values():
@@ -108,9 +114,11 @@
             if self._directory.by_host.get(host) != connection.member:
                 connection.close()
                 del self._connections_by_host[host]
+                self._heartbeats_by_host.pop(host).cancel()
         for host, member in self._directory.by_host.items():
             if host not in self._connections_by_host:
                 self._open(member)
+                self._heartbeats_by_host[host] = asyncio.create_task(self._keep_alive(host))
 
     def register(self, message_type: type[M], handler: Handler[M]) -> None:
         """Call ``handler`` for each message of ``message_type``."""
@@ -134,6 +142,12 @@
         if connection is not None:
             connection.tell(message)
 
+    async def _keep_alive(self, host: str) -> None:
+        while True:
+            reply = await self.ask(host, Heartbeat(), HEARTBEAT_TIMEOUT_S)
+            if reply is not None:
+                await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+
     def _open(self, member: Member) -> None:
         self._connections_by_host[member.host] = PeerConnection.open(
             self._context, member, self._keys, self._recorder
@@ -175,6 +189,9 @@
         self._recorder.clock.observe(envelope.clock)
         return envelope
 
+    async def _answer_heartbeat(self, _peer: Peer, heartbeat: Heartbeat) -> msgspec.Struct:
+        return heartbeat
+
     async def _handle(self, route: bytes, envelope: Envelope) -> None:
         handler = self._handlers_by_type.get(type(envelope.body))
         if handler is None:
--- a/src/flamingoladder/upstreams/connections.py
+++ b/src/flamingoladder/upstreams/connections.py
@@ -157,7 +157,7 @@
         )
     body = await response.read()
     headers = tuple(
-        Header(name, value)
+        Header(str(name), value)
         for name, value in response.headers.items()
         if _passes(name.lower(), request.method)
     )
--- a/tests/upstreams/test_dispatcher.py
+++ b/tests/upstreams/test_dispatcher.py
@@ -5,8 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 
+from flamingoladder.verdict import Answer
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
 from tests.upstreams.parts import IDEMPOTENT
@@ -58,6 +60,13 @@
         assert outcome.ok.body == b"second"
 
 
+async def test_an_answer_can_be_encoded() -> None:
+    only = ScriptedTarget("only")
+    async with dispatching(only) as parts:
+        answer = (await parts.dispatcher.dispatch(request_for(ONCE))).ok
+        assert msgspec.msgpack.decode(msgspec.msgpack.encode(answer), type=Answer) == answer
+
+
 @pytest.mark.parametrize("route", [IDEMPOTENT, ONCE])
 async def test_a_refused_connection_sends_any_work_elsewhere(route: Route) -> None:
     first, second = ScriptedTarget("first"), ScriptedTarget("second")
