Move sending once over one connection out of the upstreams slice

Cause: gateway and caller library both have to send a request at most once over a connection and say whether it may have run. Ruled out: a copy in each.

--- a/src/flamingoladder/upstreams/connector.py
+++ b/src/flamingoladder/transport/connector.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from flamingoladder.upstreams.exceptions import SecondSendError
+from flamingoladder.transport.exceptions import SecondSendError
 
 if TYPE_CHECKING:
     from asyncio import Transport
@@ -18,7 +18,7 @@
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
 
-    from flamingoladder.upstreams.attempt import Exchange
+    from flamingoladder.transport.exchange import Exchange
 
 current_exchange: ContextVar[Exchange | None] = ContextVar("current_exchange", default=None)
 
--- a/src/flamingoladder/upstreams/exceptions.py
+++ b/src/flamingoladder/transport/exceptions.py
@@ -1,4 +1,4 @@
-"""Errors of connections to targets."""
+"""Errors of sending."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/src/flamingoladder/transport/pool.py
@@ -0,0 +1,90 @@
+"""Connections that are used together and retired together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from flamingoladder.transport.connector import ExchangeConnector
+from flamingoladder.transport.sending import send
+
+if TYPE_CHECKING:
+    from flamingoladder.transport.exchange import Exchange
+    from flamingoladder.transport.sending import Outgoing
+    from flamingoladder.transport.sending import SendResult
+
+CONNECT_TIMEOUT_S = 0.5
+KEPT_IDLE_S = 15.0
+MAX_ANSWER_FIELD_BYTES = 65_536
+
+AUTO_FIELDS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+
+
+class Pool:
+    """At most ``limit`` connections, kept or new for each request."""
+
+    __slots__ = ("_retired", "_users", "session")
+
+    def __init__(self, limit: int, *, keep: bool) -> None:
+        self.session = aiohttp.ClientSession(
+            connector=ExchangeConnector(limit, keep_s=KEPT_IDLE_S if keep else None),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            timeout=TIMEOUT,
+            skip_auto_headers=AUTO_FIELDS,
+            max_field_size=MAX_ANSWER_FIELD_BYTES,
+            max_line_size=MAX_ANSWER_FIELD_BYTES,
+        )
+        self._users = 0
+        self._retired = False
+
+    async def send(self, outgoing: Outgoing, exchange: Exchange) -> SendResult:
+        """Send the request and return its whole answer."""
+        self._users += 1
+        try:
+            return await send(self.session, outgoing, exchange)
+        finally:
+            self._users -= 1
+            await self._close_if_unused()
+
+    async def retire(self) -> None:
+        """Close the idle connections now and the others as their requests end."""
+        self._retired = True
+        await self._close_if_unused()
+
+    async def _close_if_unused(self) -> None:
+        if self._retired and not self._users:
+            await self.session.close()
+
+
+class PoolPair:
+    """Kept connections, and new ones for requests that must not meet a dying kept one.
+
+    A non-idempotent request over a kept connection could meet one that the other end has just
+    closed, or that has gone silent; its outcome would be unknown for the sake of one round trip.
+    """
+
+    __slots__ = ("_kept", "_limit", "fresh")
+
+    def __init__(self, limit: int) -> None:
+        self._limit = max(1, limit // 2)
+        self._kept = Pool(self._limit, keep=True)
+        self.fresh = Pool(self._limit, keep=False)
+
+    async def send(self, outgoing: Outgoing, exchange: Exchange, *, idempotent: bool) -> SendResult:
+        """Send the request over a kept or, if it is not idempotent, a new connection."""
+        pool = self._kept if idempotent else self.fresh
+        return await pool.send(outgoing, exchange)
+
+    async def renew(self) -> None:
+        """Use none of the kept connections for new requests."""
+        old = self._kept
+        self._kept = Pool(self._limit, keep=True)
+        await old.retire()
+
+    async def close(self) -> None:
+        """Close the connections as their requests end."""
+        await self._kept.retire()
+        await self.fresh.retire()
--- /dev/null
+++ b/src/flamingoladder/transport/sending.py
@@ -0,0 +1,151 @@
+"""Sends one request over one connection, once."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+import aiohttp
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from flamingoladder.gateway import fields
+from flamingoladder.transport.connector import current_exchange
+from flamingoladder.verdict import Answer
+from flamingoladder.verdict import Header
+
+if TYPE_CHECKING:
+    from multidict import CIMultiDict
+    from yarl import URL
+
+    from flamingoladder.transport.exchange import Exchange
+
+NO_CONTENT = 204
+NOT_MODIFIED = 304
+
+
+class FailureKind(StrEnum):
+    """Why there is no whole answer."""
+
+    NO_CONNECTION = "no_connection"
+    LOST = "lost"
+    SILENT = "silent"
+    TIMEOUT = "timeout"
+
+
+class SendFailure(msgspec.Struct, frozen=True):
+    """A request without a whole answer; no byte of it left only if it got no connection.
+
+    ``reused`` is True if it went over a kept connection, whose fault this may be.
+    """
+
+    kind: FailureKind
+    detail: str
+    reused: bool
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a byte of the request may have left."""
+        return self.kind is not FailureKind.NO_CONNECTION
+
+
+class Outgoing:
+    """A request as it goes out."""
+
+    __slots__ = ("body", "headers", "method", "request_id", "url")
+
+    def __init__(
+        self, method: str, url: URL, headers: CIMultiDict[str], body: bytes, request_id: str
+    ) -> None:
+        self.method = method
+        self.url = url
+        self.headers = headers
+        self.body = body
+        self.request_id = request_id
+
+
+SendResult: TypeAlias = Result[Answer, SendFailure]
+
+
+async def send(
+    session: aiohttp.ClientSession, outgoing: Outgoing, exchange: Exchange
+) -> SendResult:
+    """Send the request, once, and return the whole answer.
+
+    The connection is closed if this fails or is cancelled.
+    """
+    token = current_exchange.set(exchange)
+    whole = False
+    try:
+        async with exchange.open():
+            result = await _exchange(session, outgoing, exchange)
+            whole = result.is_ok()
+            return result
+    except TimeoutError:
+        return Error(_timed_out(exchange))
+    except (aiohttp.ClientError, OSError) as error:
+        return Error(_broken(exchange, error))
+    finally:
+        current_exchange.reset(token)
+        exchange.end(whole=whole)
+
+
+async def _exchange(
+    session: aiohttp.ClientSession, outgoing: Outgoing, exchange: Exchange
+) -> SendResult:
+    response = await session.request(
+        outgoing.method,
+        outgoing.url,
+        data=outgoing.body or None,
+        headers=outgoing.headers,
+        allow_redirects=False,
+    )
+    exchange.response = response
+    if response.headers.get(fields.REQUEST_ID, outgoing.request_id) != outgoing.request_id:
+        return Error(_lost(exchange, "the answer is to another request"))
+    if not _ends_detectably(response, outgoing.method):
+        return Error(_lost(exchange, "the answer has no length and no chunks, so no certain end"))
+    body = await response.read()
+    headers = tuple(
+        Header(name, value)
+        for name, value in response.headers.items()
+        if _passes(name.lower(), outgoing.method)
+    )
+    return Ok(Answer(response.status, headers, body))
+
+
+def _ends_detectably(response: aiohttp.ClientResponse, method: str) -> bool:
+    if method == "HEAD" or response.status in {NO_CONTENT, NOT_MODIFIED}:
+        return True
+    if "Content-Length" in response.headers:
+        return True
+    return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+
+
+def _passes(name: str, method: str) -> bool:
+    if name == "content-length":
+        return method == "HEAD"
+    return name not in fields.CONNECTION_FIELDS
+
+
+def _timed_out(exchange: Exchange) -> SendFailure:
+    if not exchange.connected:
+        return SendFailure(FailureKind.NO_CONNECTION, "no connection in time", reused=False)
+    if exchange.silent:
+        detail = "nothing came from the connection for too long"
+        return SendFailure(FailureKind.SILENT, detail, exchange.reused)
+    return SendFailure(FailureKind.TIMEOUT, "no whole answer in time", exchange.reused)
+
+
+def _broken(exchange: Exchange, error: Exception) -> SendFailure:
+    name = type(error).__name__
+    if not exchange.connected:
+        return SendFailure(FailureKind.NO_CONNECTION, f"no connection: {name}", reused=False)
+    return _lost(exchange, f"the connection was lost: {name}")
+
+
+def _lost(exchange: Exchange, detail: str) -> SendFailure:
+    return SendFailure(FailureKind.LOST, detail, exchange.reused)
--- a/src/flamingoladder/upstreams/dispatcher.py
+++ b/src/flamingoladder/upstreams/dispatcher.py
@@ -12,8 +12,8 @@
 from flamingoladder.gateway import fields
 from flamingoladder.gateway.stages import Dispatcher
 from flamingoladder.steering.chooser import AttemptEnd
+from flamingoladder.transport.exchange import Exchange
 from flamingoladder.upstreams.attempt import AttemptFailure
-from flamingoladder.upstreams.attempt import Exchange
 from flamingoladder.upstreams.retry_budget import RetryBudget
 from flamingoladder.upstreams.silence import SilenceWatch
 from flamingoladder.upstreams.silence import check_time_s
--- a/src/flamingoladder/upstreams/silence.py
+++ b/src/flamingoladder/upstreams/silence.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from flamingoladder.upstreams.attempt import Exchange
+    from flamingoladder.transport.exchange import Exchange
     from flamingoladder.upstreams.connections import TargetConnections
 
 HEALTH_PATH = "/health"
