--- a/src/flamingoladder/standins/exceptions.py
+++ b/src/flamingoladder/standins/exceptions.py
@@ -13,3 +13,15 @@
 
 class ShedError(StandinError):
     """An upstream turned a request away without running it."""
+
+
+class ProcessNotReadyError(StandinError):
+    """A process ended or did not answer in time."""
+
+
+class NoFreePortsError(StandinError):
+    """No block of free ports was found."""
+
+
+class CallFailedError(StandinError):
+    """A call of the operator API or of a stand-in's control was refused."""
