Add the caller library

Cause: callers need look-ups, fail-over, idempotency keys and verdicts without writing them anew. Ruled out: sending a non-idempotent call again after a lost connection, although its idempotency key would make that safe; the outcome is asked for instead. Ruled out: a refused question about an outcome that says not run; it says nothing of the request asked for, so it is told as may have run.

--- /dev/null
+++ b/src/flamingoladder/client/call.py
@@ -0,0 +1,59 @@
+"""One call of a service, with what its repeats have in common."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from uuid import uuid4
+
+if TYPE_CHECKING:
+    from flamingoladder.verdict import Header
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+
+class Call:
+    """A call; all its repeats carry the same request id and idempotency key.
+
+    ``host`` is the base URL of the entry host that it was sent to last. ``ticket`` is the ticket in
+    use as idempotency key, if that host gave one. ``idempotent`` must be False unless the route is
+    declared idempotent.
+    """
+
+    __slots__ = (
+        "body",
+        "headers",
+        "host",
+        "idempotency_key",
+        "idempotent",
+        "method",
+        "path",
+        "request_id",
+        "service",
+        "ticket",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        path: str,
+        method: str = "GET",
+        body: bytes = b"",
+        headers: tuple[Header, ...] = (),
+        idempotent: bool | None = None,
+        idempotency_key: str | None = None,
+    ) -> None:
+        self.service = service
+        self.path = path
+        self.method = method
+        self.body = body
+        self.headers = headers
+        self.idempotent = method in IDEMPOTENT_METHODS if idempotent is None else idempotent
+        self.idempotency_key = idempotency_key or uuid4().hex
+        self.request_id = uuid4().hex
+        self.host: str | None = None
+        self.ticket: str | None = None
+
+    @property
+    def key_in_use(self) -> str:
+        """Return the idempotency key under which the outcome can be asked for."""
+        return self.ticket or self.idempotency_key
--- /dev/null
+++ b/src/flamingoladder/client/caller.py
@@ -0,0 +1,168 @@
+"""The caller library: sends calls to entry hosts and reports the verdict."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+from uuid import uuid4
+
+import msgspec
+from expression import Error
+
+from flamingoladder.client.entry_hosts import MS_PER_S
+from flamingoladder.client.entry_hosts import EntryHosts
+from flamingoladder.client.hosts import CachedLookup
+from flamingoladder.client.hosts import ordered_urls
+from flamingoladder.steering.lookup import LookupAnswer
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Refusal
+from flamingoladder.verdict import Verdict
+
+if TYPE_CHECKING:
+    from flamingoladder.client.call import Call
+    from flamingoladder.client.settings import CallerSettings
+    from flamingoladder.verdict import Outcome
+
+LOOKUP_TIMEOUT_S = 0.5
+
+WORTH_ANOTHER_HOST = frozenset(
+    {
+        Reason.CLAIM_OWNER_UNREACHABLE,
+        Reason.CLAIM_STORE_UNAVAILABLE,
+        Reason.HOST_LEAVING,
+        Reason.HOST_LOST,
+        Reason.HOST_UNREACHABLE,
+        Reason.INTERNAL_ERROR,
+        Reason.LINK_BUDGET,
+        Reason.NO_CAPACITY,
+        Reason.NO_PROOF,
+        Reason.TICKET_INVALID,
+        Reason.UPSTREAM_SHED,
+        Reason.UPSTREAM_UNREACHABLE,
+    }
+)
+
+
+class Caller:
+    """Calls services through the entry hosts that the system names.
+
+    A non-idempotent call is sent again only after ``NOT_RUN``; after ``MAY_HAVE_RUN``, ask with
+    ``outcome_of`` what became of it.
+    """
+
+    __slots__ = ("_hosts", "_lookups_by_service", "_random", "_settings")
+
+    def __init__(self, settings: CallerSettings, random: Random | None = None) -> None:
+        self._settings = settings
+        self._random = random or Random()
+        self._hosts = EntryHosts(settings)
+        self._lookups_by_service: dict[str, CachedLookup] = {}
+
+    async def __aenter__(self) -> Caller:
+        """Return the caller itself."""
+        return self
+
+    async def __aexit__(self, *_exception: object) -> None:
+        """Close all connections."""
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._hosts.close()
+
+    async def call(self, call: Call) -> Outcome:
+        """Send the call, to other entry hosts too if that helps, and return its outcome."""
+        deadline = self._now() + self._settings.deadline_ms / MS_PER_S
+        urls = await self._urls_for(call.service, deadline)
+        last = Refusal.not_run(Reason.HOST_UNREACHABLE, "no entry host is known")
+        may_have_run = False
+        for position, url in enumerate(urls):
+            if self._now() >= deadline:
+                break
+            is_last = position + 1 == len(urls)
+            outcome = await self._send(url, call, deadline, is_last=is_last)
+            if outcome.is_ok():
+                return outcome
+            last = outcome.error
+            may_have_run |= last.verdict is not Verdict.NOT_RUN
+            if not _is_worth_another_host(call, last):
+                break
+            urls += [other for other in last.hosts if other not in urls]
+        return Error(_with_verdict(last, may_have_run))
+
+    async def outcome_of(self, call: Call) -> Outcome:
+        """Return what the system knows of an earlier non-idempotent call.
+
+        ``NOT_RUN`` promises that it has not run and that its idempotency key cannot run it.
+        """
+        deadline = self._now() + self._settings.deadline_ms / MS_PER_S
+        path = f"/v1/outcomes/{quote(call.key_in_use, safe='')}"
+        urls = [call.host] if call.host else []
+        urls += [url for url in await self._urls_for(call.service, deadline) if url not in urls]
+        outcome: Outcome = Error(Refusal.may_have_run(Reason.HOST_UNREACHABLE, "no host answered"))
+        for url in urls:
+            answered = await self._hosts.get(url, path, uuid4().hex, self._half(deadline))
+            if answered.is_ok() or answered.error.reason not in WORTH_ANOTHER_HOST:
+                return answered
+            outcome = Error(Refusal.may_have_run(answered.error.reason, answered.error.detail))
+        return outcome
+
+    async def _send(self, url: str, call: Call, deadline: float, *, is_last: bool) -> Outcome:
+        give_up = self._half(deadline) if call.idempotent and not is_last else deadline
+        call.host = url
+        call.ticket = None
+        outcome = await self._hosts.send(url, call, deadline, give_up)
+        if outcome.is_ok() or not _offers_ticket(call, outcome.error):
+            return outcome
+        call.ticket = outcome.error.ticket
+        return await self._hosts.send(url, call, deadline, give_up)
+
+    async def _urls_for(self, service: str, deadline: float) -> list[str]:
+        """Return the hosts to use: of a live answer, else of an old one, else the settings'."""
+        kept = self._lookups_by_service.get(service)
+        if kept is None or self._now() >= kept.ends:
+            kept = await self._look_up(service, deadline) or kept
+        if kept is None:
+            return list(self._settings.entry_urls)
+        return ordered_urls(kept.answer, self._random)
+
+    async def _look_up(self, service: str, deadline: float) -> CachedLookup | None:
+        path = f"/v1/lookup?service={quote(service, safe='')}"
+        for url in self._settings.entry_urls:
+            asked = self._now()
+            give_up = min(asked + LOOKUP_TIMEOUT_S, self._half(deadline))
+            outcome = await self._hosts.get(url, path, uuid4().hex, give_up)
+            if outcome.is_error():
+                continue
+            answer = msgspec.json.decode(outcome.ok.body, type=LookupAnswer)
+            self._lookups_by_service[service] = CachedLookup(answer, asked)
+            return self._lookups_by_service[service]
+        return None
+
+    def _half(self, deadline: float) -> float:
+        return (self._now() + deadline) / 2
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _offers_ticket(call: Call, refusal: Refusal) -> bool:
+    if call.idempotent or refusal.verdict is not Verdict.NOT_RUN:
+        return False
+    return refusal.reason is Reason.CLAIM_STORE_UNAVAILABLE and refusal.ticket is not None
+
+
+def _is_worth_another_host(call: Call, refusal: Refusal) -> bool:
+    if refusal.verdict is not Verdict.NOT_RUN and not call.idempotent:
+        return False
+    if refusal.reason is Reason.DEADLINE_PASSED:
+        return call.idempotent
+    return refusal.reason in WORTH_ANOTHER_HOST
+
+
+def _with_verdict(refusal: Refusal, may_have_run: bool) -> Refusal:
+    if not may_have_run:
+        return refusal
+    return msgspec.structs.replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
--- a/src/flamingoladder/daemon/upstream_side.py
+++ b/src/flamingoladder/daemon/upstream_side.py
@@ -49,7 +49,7 @@
         """Return the upstream side of ``own``; probes start with the first state."""
         board = HealthBoard()
         pools = TargetPools(state)
-        chooser = LeastInFlight(state, board, own.region)
+        chooser = LeastInFlight(state, board, own.region, Random())
         dispatcher = UpstreamDispatcher(
             state=state,
             chooser=chooser,
--- a/src/flamingoladder/gateway/forwarding.py
+++ b/src/flamingoladder/gateway/forwarding.py
@@ -6,7 +6,7 @@
 from urllib.parse import unquote
 from urllib.parse import unquote_plus
 
-from flamingoladder.gateway import fields
+from flamingoladder import fields
 from flamingoladder.verdict import Header
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
--- a/src/flamingoladder/gateway/handler.py
+++ b/src/flamingoladder/gateway/handler.py
@@ -8,7 +8,7 @@
 from expression import Error
 from expression import Ok
 
-from flamingoladder.gateway import fields
+from flamingoladder import fields
 from flamingoladder.gateway.forwarding import forwarded_headers
 from flamingoladder.gateway.forwarding import refusal_of_misplaced_key
 from flamingoladder.gateway.intake import bearer_key
@@ -60,12 +60,15 @@
             self._record_fault(request_id, error)
             return Error(Refusal.not_run(Reason.INTERNAL_ERROR, FAULT_DETAIL))
         if admitted.is_error():
+            self._record_refusal(request_id, None, admitted.error)
             return Error(admitted.error)
         try:
-            return await self._run(admitted.ok)
+            outcome = await self._run(admitted.ok)
         except Exception as error:
             self._record_fault(request_id, error)
             return Error(Refusal.may_have_run(Reason.INTERNAL_ERROR, FAULT_DETAIL))
+        self._record_outcome(admitted.ok, outcome)
+        return outcome
 
     def authorize(self, request: web.BaseRequest, now: float) -> Result[KeyGrant, Refusal]:
         """Return the grant of the caller's key, or a refusal."""
@@ -160,6 +163,34 @@
             return Error(refusal)
         return await self._stages.dispatcher.dispatch(request)
 
+    def _record_outcome(self, request: CallerRequest, outcome: Outcome) -> None:
+        """Record what an operator may ask for: refusals, and all that runs at most once."""
+        if outcome.is_error():
+            self._record_refusal(request.request_id, request, outcome.error)
+            return
+        if request.route.idempotent:
+            return
+        self._stages.recorder.record(
+            "request.ran",
+            request=request.request_id,
+            workspace=request.workspace,
+            key_id=request.key_id,
+            service=request.service,
+            status=outcome.ok.status,
+        )
+
+    def _record_refusal(
+        self, request_id: str, request: CallerRequest | None, refusal: Refusal
+    ) -> None:
+        self._stages.recorder.record(
+            "request.refused",
+            request=request_id,
+            workspace=request.workspace if request else None,
+            key_id=request.key_id if request else None,
+            reason=refusal.reason.value,
+            verdict=refusal.verdict.value,
+        )
+
     def _record_fault(self, request_id: str, error: Exception) -> None:
         self._stages.recorder.record(
             "request.failed", request=request_id, error=type(error).__name__
--- a/src/flamingoladder/gateway/intake.py
+++ b/src/flamingoladder/gateway/intake.py
@@ -10,7 +10,7 @@
 from expression import Error
 from expression import Ok
 
-from flamingoladder.gateway import fields
+from flamingoladder import fields
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 
--- a/src/flamingoladder/gateway/reply.py
+++ b/src/flamingoladder/gateway/reply.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from flamingoladder.gateway import fields
+from flamingoladder import fields
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
@@ -47,6 +47,8 @@
     Reason.UPSTREAM_SILENT: 504,
     Reason.ANSWER_NOT_KEPT: 410,
     Reason.HOST_LEAVING: 503,
+    Reason.HOST_LOST: 502,
+    Reason.HOST_UNREACHABLE: 502,
     Reason.INTERNAL_ERROR: 500,
 }
 
--- a/src/flamingoladder/gateway/server.py
+++ b/src/flamingoladder/gateway/server.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import msgspec
 from aiohttp import web
 
 from flamingoladder.gateway.handler import RequestHandler
@@ -32,6 +33,8 @@
 MAX_FIELDS = 10_000
 CLOSE_TIMEOUT_S = 5.0
 
+OUTCOMES = "/v1/outcomes/"
+
 
 class Phase(Enum):
     """How far the server has gone towards its stop."""
@@ -116,7 +119,7 @@
         application = web.Application()
         application.router.add_get("/v1/lookup", self._lookup)
         application.router.add_post("/v1/tickets", self._guarded(self._ticket))
-        application.router.add_get("/v1/outcomes/{key}", self._guarded(self._outcome))
+        application.router.add_get(OUTCOMES + "{key}", self._guarded(self._outcome))
         application.router.add_get("/health/live", self._live)
         application.router.add_get("/health/ready", self._ready)
         application.router.add_route("*", "/services/{rest:.*}", self._guarded(self._service))
@@ -130,7 +133,7 @@
         async def handler(request: web.Request) -> web.Response:
             request_id = request_id_of(request)
             if self._phase is Phase.STOPPING:
-                return self._closing(refusal_response(self._leaving(), request_id))
+                return self._closing(refusal_response(self._leaving(request), request_id))
             with self._in_progress:
                 response = await handle(request, request_id)
             return self._closing(response) if self._phase is not Phase.SERVING else response
@@ -141,13 +144,14 @@
         response.force_close()
         return response
 
-    def _leaving(self) -> Refusal:
-        return Refusal(
+    def _leaving(self, request: web.Request) -> Refusal:
+        refusal = Refusal(
             Verdict.NOT_RUN,
             Reason.HOST_LEAVING,
             "this host is stopping; use another one",
             hosts=other_hosts(self._stages.state, self._stages.recorder.host),
         )
+        return _fate_unknown(refusal) if request.path.startswith(OUTCOMES) else refusal
 
     async def _service(self, request: web.Request, request_id: str) -> web.Response:
         now = asyncio.get_running_loop().time()
@@ -163,7 +167,7 @@
     async def _outcome(self, request: web.Request, request_id: str) -> web.Response:
         grant = self._handler.authorize(request, asyncio.get_running_loop().time())
         if grant.is_error():
-            return refusal_response(grant.error, request_id)
+            return refusal_response(_fate_unknown(grant.error), request_id)
         key = request.match_info["key"]
         outcome = await self._stages.ledger.outcome_of(grant.ok.workspace, key)
         return outcome_response(outcome, request_id)
@@ -188,3 +192,8 @@
         if not self._stages.state.has_proof(now):
             return "no proof that the agreed state is the newest"
         return None
+
+
+def _fate_unknown(refusal: Refusal) -> Refusal:
+    """Return a refused question about an earlier request, which says nothing of that request."""
+    return msgspec.structs.replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
--- a/src/flamingoladder/steering/lookup.py
+++ b/src/flamingoladder/steering/lookup.py
@@ -23,7 +23,11 @@
 
 
 class LookupHost(msgspec.Struct, frozen=True):
-    """An entry host of an answer: ``url`` is its base URL, ``weight`` is above 0."""
+    """An entry host of an answer; ``url`` is its base URL.
+
+    ``weight`` is its part of the requests, in proportion to the other weights; a host of weight 0
+    is only for requests that another host refused as not run.
+    """
 
     host: str
     url: str
@@ -50,7 +54,10 @@
 
 
 class MemberLookup(LookupProvider):
-    """Names all members that take work, nearest to this host first, with equal weights."""
+    """Names all members that take work, nearest to this host first.
+
+    Those of this host's region get equal weights, the others 0 unless there are none.
+    """
 
     __slots__ = ("_answers_by_service", "_failure_domain", "_region", "_state", "_subscription")
 
@@ -86,7 +93,8 @@
         self, service: str, state: AgreedState, members: tuple[Member, ...]
     ) -> LookupAnswer:
         ordered = sorted(members, key=self._distance)
-        hosts = tuple(_lookup_host(member) for member in ordered)
+        nearest_region = ordered[0].region
+        hosts = tuple(_lookup_host(member, nearest_region) for member in ordered)
         lifetime_s = state.deployment.defaults.lookup_lifetime_s
         return LookupAnswer(service, hosts, lifetime_s, state.version)
 
@@ -109,5 +117,6 @@
     )
 
 
-def _lookup_host(member: Member) -> LookupHost:
-    return LookupHost(member.host, member.caller_url, member.region, member.failure_domain, 1.0)
+def _lookup_host(member: Member, nearest_region: str) -> LookupHost:
+    weight = 1.0 if member.region == nearest_region else 0.0
+    return LookupHost(member.host, member.caller_url, member.region, member.failure_domain, weight)
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -12,7 +12,7 @@
 from expression import Ok
 from expression import Result
 
-from flamingoladder.gateway import fields
+from flamingoladder import fields
 from flamingoladder.transport.connector import current_exchange
 from flamingoladder.verdict import Answer
 from flamingoladder.verdict import Header
--- a/src/flamingoladder/upstreams/connections.py
+++ b/src/flamingoladder/upstreams/connections.py
@@ -11,7 +11,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from flamingoladder.gateway import fields
+from flamingoladder import fields
 from flamingoladder.steering.chooser import AttemptEnd
 from flamingoladder.transport.pool import PoolPair
 from flamingoladder.transport.sending import FailureKind
--- a/src/flamingoladder/upstreams/dispatcher.py
+++ b/src/flamingoladder/upstreams/dispatcher.py
@@ -9,7 +9,7 @@
 from expression import Error
 from expression import Ok
 
-from flamingoladder.gateway import fields
+from flamingoladder import fields
 from flamingoladder.gateway.stages import Dispatcher
 from flamingoladder.steering.chooser import AttemptEnd
 from flamingoladder.transport.exchange import Exchange
--- a/src/flamingoladder/verdict.py
+++ b/src/flamingoladder/verdict.py
@@ -46,6 +46,8 @@
     UPSTREAM_SILENT = "upstream_silent"
     ANSWER_NOT_KEPT = "answer_not_kept"
     HOST_LEAVING = "host_leaving"
+    HOST_LOST = "host_lost"
+    HOST_UNREACHABLE = "host_unreachable"
     INTERNAL_ERROR = "internal_error"
 
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -196,7 +196,16 @@
 class Gateway:
     """A gateway with fakes behind it and a client session before it."""
 
-    __slots__ = ("admission", "dispatcher", "ledger", "recorder", "server", "session", "state")
+    __slots__ = (
+        "admission",
+        "dispatcher",
+        "ledger",
+        "recorder",
+        "server",
+        "session",
+        "stages",
+        "state",
+    )
 
     def __init__(self, state: FixedState, dispatcher: Dispatcher | None = None) -> None:
         self.state = state
@@ -204,7 +213,7 @@
         self.ledger = MemoryLedger()
         self.dispatcher = RecordingDispatcher()
         self.recorder = Recorder("h1", "h1-1")
-        stages = GatewayStages(
+        self.stages = GatewayStages(
             state=state,
             keys=GrantedKeys(state),
             admission=self.admission,
@@ -213,7 +222,7 @@
             lookups=MemberLookup(state, "north-a", "north"),
             recorder=self.recorder,
         )
-        self.server = GatewayServer(stages, "127.0.0.1", 0)
+        self.server = GatewayServer(self.stages, "127.0.0.1", 0)
         self.session = aiohttp.ClientSession()
 
     @property
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -167,3 +167,11 @@
         gateway.state.proof = False
         assert (await gateway.send("/health/ready")).status == 503
         assert (await gateway.send("/health/live")).status == 200
+
+
+async def test_a_refused_question_about_an_outcome_promises_nothing() -> None:
+    async with running_gateway() as gateway:
+        refused = [await gateway.send("/v1/outcomes/b1", key=key) for key in (None, "guess")]
+        gateway.state.proof = False
+        refused.append(await gateway.send("/v1/outcomes/b1"))
+        assert [reply.verdict for reply in refused] == [Verdict.MAY_HAVE_RUN] * 3
