--- a/src/flamingoladder/config/agreed.py
+++ b/src/flamingoladder/config/agreed.py
@@ -62,16 +62,21 @@
     """Everything in force at ``version``; each commit raises the version by one.
 
     ``division_version`` is the version of the last commit that changed the members or the
-    deployment, and with them the division of allowances.
+    deployment, and with them the division of allowances; ``previous_division_version`` is the
+    value of ``division_version`` that this commit replaced, 0 if it isn't known.
+    ``configuration_version`` is the version of the last commit that changed the deployment;
+    operators name it when they change it.
     """
 
     version: int
     division_version: int
+    configuration_version: int
     deployment: Deployment
     grants: tuple[KeyGrant, ...] = ()
     members: tuple[Member, ...] = ()
     drains: tuple[Drain, ...] = ()
     shifts: tuple[Shift, ...] = ()
+    previous_division_version: int = 0
 
     @property
     def members_by_host(self) -> dict[str, Member]:
--- a/src/flamingoladder/peers/envelope.py
+++ b/src/flamingoladder/peers/envelope.py
@@ -7,11 +7,21 @@
 from flamingoladder.freshness.messages import FreshnessMessage
 from flamingoladder.ledger.messages import LedgerMessage
 from flamingoladder.peers.exceptions import PeerMessageError
+from flamingoladder.peers.messages import LinkMessage
 from flamingoladder.shares.messages import SharesMessage
 from flamingoladder.steering.messages import SteeringMessage
 from flamingoladder.timeline.messages import TimelineMessage
-
-Body = FreshnessMessage | LedgerMessage | SharesMessage | SteeringMessage | TimelineMessage
+from flamingoladder.upstreams.messages import UpstreamMessage
+
+Body = (
+    FreshnessMessage
+    | LedgerMessage
+    | LinkMessage
+    | SharesMessage
+    | SteeringMessage
+    | TimelineMessage
+    | UpstreamMessage
+)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
