Let no stray answer reach a call to the platform

Cause: an answer that nobody had asked for (such as a 408 before a server closes an idle connection) stayed on a kept connection, and the next table read took it as its own; the new test got revision 9 where 1 was right. Now the client uses the connector that upstream connections use, which closes a kept connection with unread bytes, refuses aiohttp's own second send, and marks a call that got a connection. It replaces the client's own trace hooks.

--- a/src/flamingoladder/platform/http_transport.py
+++ b/src/flamingoladder/platform/http_transport.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from http import HTTPMethod
 from http import HTTPStatus
-from typing import TYPE_CHECKING
 
 import aiohttp
 import msgspec
@@ -12,9 +12,9 @@
 from flamingoladder.platform.exceptions import OutcomeUnknownError
 from flamingoladder.platform.exceptions import PlatformRefusedError
 from flamingoladder.platform.exceptions import PlatformUnavailableError
-
-if TYPE_CHECKING:
-    from types import SimpleNamespace
+from flamingoladder.transport.connector import ExchangeConnector
+from flamingoladder.transport.connector import current_exchange
+from flamingoladder.transport.exchange import Exchange
 
 CONNECTION_LIMIT = 32
 IDLE_CONNECTION_S = 30.0
@@ -92,32 +92,31 @@
             await pool.session.close()
 
     async def _exchange(self, call: HttpCall, timeout_s: float) -> HttpReply:
-        attempt = _Attempt()
         pool = self._pool = self._pool or _Pool()
         pool.calls += 1
+        exchange = Exchange(asyncio.get_running_loop().time() + timeout_s)
+        token = current_exchange.set(exchange)
         try:
-            return await self._send(pool, call, timeout_s, attempt)
+            async with exchange.open():
+                return await self._send(pool, call)
         except TimeoutError as error:
-            if attempt.connected:
+            if exchange.connected:
                 self._retire(pool)
-            raise attempt.failure(f"no answer within {timeout_s} s") from error
-        except aiohttp.ClientError as error:
-            raise attempt.failure(f"{type(error).__name__}: {error}") from error
+            raise _failure(exchange, f"no answer within {timeout_s} s") from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise _failure(exchange, f"{type(error).__name__}: {error}") from error
         finally:
+            current_exchange.reset(token)
             pool.calls -= 1
             await pool.close_if_unused()
 
-    async def _send(
-        self, pool: _Pool, call: HttpCall, timeout_s: float, attempt: _Attempt
-    ) -> HttpReply:
+    async def _send(self, pool: _Pool, call: HttpCall) -> HttpReply:
         async with pool.session.request(
             call.method,
             self._url + call.path,
             data=call.body,
             headers={**self._headers, **call.headers},
-            timeout=aiohttp.ClientTimeout(total=timeout_s),
             allow_redirects=False,
-            trace_request_ctx=attempt,
         ) as response:
             body = await response.read()
             return HttpReply(response.status, body, response.headers.get("ETag"))
@@ -128,21 +127,6 @@
             self._pool = None
 
 
-class _Attempt:
-    """Whether a call had a connection, so that some of it may have been sent."""
-
-    __slots__ = ("connected",)
-
-    def __init__(self) -> None:
-        self.connected = False
-
-    def failure(self, reason: str) -> PlatformUnavailableError | OutcomeUnknownError:
-        """Return the error for a call that failed for ``reason``."""
-        if self.connected:
-            return OutcomeUnknownError(reason)
-        return PlatformUnavailableError(reason)
-
-
 class _Pool:
     """A session with its connections, closed when it is retired and its last call has ended."""
 
@@ -152,11 +136,9 @@
         self.calls = 0
         self.retired = False
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=CONNECTION_LIMIT, keepalive_timeout=IDLE_CONNECTION_S
-            ),
+            connector=ExchangeConnector(CONNECTION_LIMIT, keep_s=IDLE_CONNECTION_S),
             cookie_jar=aiohttp.DummyCookieJar(),
-            trace_configs=[_tracing()],
+            timeout=aiohttp.ClientTimeout(total=None),
         )
 
     async def close_if_unused(self) -> None:
@@ -165,14 +147,7 @@
             await self.session.close()
 
 
-def _tracing() -> aiohttp.TraceConfig:
-    config = aiohttp.TraceConfig()
-    config.on_connection_create_end.append(_mark_connected)
-    config.on_connection_reuseconn.append(_mark_connected)
-    return config
-
-
-async def _mark_connected(
-    session: aiohttp.ClientSession, context: SimpleNamespace, parameters: object
-) -> None:
-    context.trace_request_ctx.connected = True
+def _failure(exchange: Exchange, reason: str) -> PlatformUnavailableError | OutcomeUnknownError:
+    if exchange.connected:
+        return OutcomeUnknownError(reason)
+    return PlatformUnavailableError(reason)
--- a/tests/platform/test_http_transport.py
+++ b/tests/platform/test_http_transport.py
@@ -29,18 +29,23 @@
 
 TIMEOUT_S = 5.0
 SHORT_TIMEOUT_S = 0.1
+STRAY_S = 0.02
 CALL = HttpCall(HTTPMethod.POST, "/v3/kv/txn", body=b"{}")
 WRITES = [Write("a", b"1")]
 
 
 @asynccontextmanager
-async def _answering(answer: bytes) -> AsyncIterator[str]:
-    """Serve raw bytes to every request, then close the connection."""
+async def _answering(answer: bytes, stray: bytes = b"") -> AsyncIterator[str]:
+    """Serve raw bytes to every request, then close the connection or send it a stray answer."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         writer.write(answer)
-        writer.close()
+        if not stray:
+            writer.close()
+            return
+        await asyncio.sleep(STRAY_S)
+        writer.write(stray)
 
     server = await asyncio.start_server(serve, ADDRESS, 0)
     yield f"http://{ADDRESS}:{server.sockets[0].getsockname()[1]}"
@@ -182,3 +187,13 @@
         state.faults = FaultSettings()
         found = [await table.get("b", TIMEOUT_S) for _ in range(3)]
         assert {row.key for row in found if row} == {"b"}
+
+
+async def test_an_answer_that_nobody_asked_for_reaches_no_call() -> None:
+    answer = _response(200, b'{"header":{"revision":"1"}}')
+    stray = _response(200, b'{"header":{"revision":"9"}}')
+    async with _answering(answer, stray) as url, connected(url) as transport:
+        table = HttpTable(transport)
+        for _ in range(3):
+            assert (await table.read("", TIMEOUT_S)).revision == 1
+            await asyncio.sleep(3 * STRAY_S)
