--- a/src/flamingoladder/standins/etcd.py
+++ b/src/flamingoladder/standins/etcd.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from flamingoladder.platform.etcd_messages import ALL_KEYS
 from flamingoladder.platform.etcd_messages import KeyValue
 from flamingoladder.platform.etcd_messages import RangeRequest
 from flamingoladder.platform.etcd_messages import RangeResponse
 from flamingoladder.platform.etcd_messages import ResponseHeader
 from flamingoladder.platform.etcd_messages import TxnRequest
 from flamingoladder.platform.etcd_messages import TxnResponse
+from flamingoladder.platform.etcd_messages import prefix_range
 from flamingoladder.platform.table import Condition
 from flamingoladder.platform.table import Write
 from flamingoladder.standins.exceptions import MalformedRequestError
@@ -25,10 +25,12 @@
 
 
 def apply_range(table: StoredTable, request: RangeRequest) -> RangeResponse:
-    """Return the rows that the request asks for."""
-    everything = table.read("")
-    found = (_key_value(row) for row in everything.rows if _in_range(row.key.encode(), request))
-    return RangeResponse(ResponseHeader(str(everything.revision)), tuple(found))
+    """Return the rows that the request asks for.
+
+    :raises MalformedRequestError: if it asks neither for one key nor for those with a prefix.
+    """
+    found = _find(table, request)
+    return RangeResponse(ResponseHeader(str(table.revision)), tuple(map(_key_value, found)))
 
 
 def apply_txn(table: StoredTable, request: TxnRequest) -> TxnResponse:
@@ -45,12 +47,14 @@
     return TxnResponse(ResponseHeader(str(commit.revision)), commit.committed)
 
 
-def _in_range(key: bytes, request: RangeRequest) -> bool:
+def _find(table: StoredTable, request: RangeRequest) -> tuple[Row, ...]:
     if not request.range_end:
-        return key == request.key
-    if request.range_end == ALL_KEYS:
-        return key >= request.key
-    return request.key <= key < request.range_end
+        row = table.get(request.key.decode())
+        return () if row is None else (row,)
+    for prefix in ("", request.key.decode()):
+        if request == prefix_range(prefix):
+            return table.read(prefix).rows
+    raise MalformedRequestError("only ranges of one key or of a prefix")
 
 
 def _key_value(row: Row) -> KeyValue:
--- a/src/flamingoladder/standins/memory.py
+++ b/src/flamingoladder/standins/memory.py
@@ -50,8 +50,13 @@
     def read(self, prefix: str) -> Rows:
         """Return the rows whose key starts with ``prefix``."""
         self.reads += 1
-        found = (row for key, row in sorted(self.rows_by_key.items()) if key.startswith(prefix))
-        return Rows(tuple(found), self.revision)
+        keys = sorted(key for key in self.rows_by_key if key.startswith(prefix))
+        return Rows(tuple(self.rows_by_key[key] for key in keys), self.revision)
+
+    def get(self, key: str) -> Row | None:
+        """Return the row of ``key``, or None."""
+        self.reads += 1
+        return self.rows_by_key.get(key)
 
     def transact(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> Commit:
         """Apply the writes if the conditions hold."""
@@ -92,8 +97,10 @@
 
     async def get(self, key: str, timeout_s: float) -> Row | None:
         """Return the row of ``key`` after the round trip's delay."""
-        rows = await self.read(key, timeout_s)
-        return rows.by_key.get(key)
+        await self._travel(timeout_s)
+        row = self._stored.get(key)
+        await self._travel(timeout_s)
+        return row
 
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write], timeout_s: float
--- a/src/flamingoladder/standins/platform_server.py
+++ b/src/flamingoladder/standins/platform_server.py
@@ -113,7 +113,10 @@
 
     async def _range(self, request: web.Request) -> web.Response:
         message = await _decoded(request, RangeRequest)
-        return _json(apply_range(self._state.table, message))
+        try:
+            return _json(apply_range(self._state.table, message))
+        except MalformedRequestError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
 
     async def _txn(self, request: web.Request) -> web.Response:
         message = await _decoded(request, TxnRequest)
