Add the demo: seven daemons under traffic, disturbed, promises checked

Cause: users want one command that shows the whole path. Ruled out: checking promises inside the daemons (the evidence has to come from callers and from the upstreams' own records of runs).

--- a/src/flamingoladder/console/application.py
+++ b/src/flamingoladder/console/application.py
@@ -16,6 +16,7 @@
     "apply",
     "check",
     "daemon",
+    "demo",
     "drain",
     "exceptions",
     "forget",
--- /dev/null
+++ b/src/flamingoladder/demo/traffic.py
@@ -0,0 +1,100 @@
+"""Callers of all workspaces, and a record of what became of each call."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.client.call import Call
+from flamingoladder.client.caller import Caller
+from flamingoladder.client.settings import CallerSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from flamingoladder.verdict import Outcome
+
+
+class Kind(msgspec.Struct, frozen=True):
+    """A kind of call and its weight among all calls."""
+
+    service: str
+    method: str
+    path: str
+    weight: float
+
+
+KINDS = (
+    Kind("catalogue", "GET", "/tents/2-person", 6),
+    Kind("bookings", "POST", "/bookings", 2),
+    Kind("bookings", "POST", "/deposit-holds", 1),
+    Kind("returns", "POST", "/sign-offs", 1),
+)
+LOAD = 0.12
+
+
+class Sent:
+    """A call that was sent; times are monotonic seconds."""
+
+    __slots__ = ("call", "ended", "key_id", "outcome", "started")
+
+    def __init__(self, call: Call, key_id: str, started: float) -> None:
+        self.call = call
+        self.key_id = key_id
+        self.started = started
+        self.ended = started
+        self.outcome: Outcome | None = None
+
+    @property
+    def duration_s(self) -> float:
+        """Return how long the call took, in seconds."""
+        return self.ended - self.started
+
+
+class Traffic:
+    """Sends calls with random pauses until it is stopped."""
+
+    __slots__ = ("_callers", "_entry_urls", "_random", "_sending", "_sources", "sent")
+
+    def __init__(self, entry_urls: Sequence[str], random: Random) -> None:
+        self._entry_urls = tuple(entry_urls)
+        self._random = random
+        self._callers: list[Caller] = []
+        self._sources: list[asyncio.Task[None]] = []
+        self._sending: set[asyncio.Task[None]] = set()
+        self.sent: list[Sent] = []
+
+    def add_source(self, key_id: str, key: str, rate_per_s: float) -> None:
+        """Send calls with ``key`` at a mean rate from now on."""
+        caller = Caller(CallerSettings(entry_urls=self._entry_urls, key=key), self._random)
+        self._callers.append(caller)
+        source = asyncio.create_task(self._send_for_good(caller, key_id, rate_per_s))
+        self._sources.append(source)
+
+    async def stop(self) -> None:
+        """Send no more calls, and wait for the outcomes of those under way."""
+        for source in self._sources:
+            source.cancel()
+        await asyncio.gather(*self._sending)
+        for caller in self._callers:
+            await caller.close()
+
+    async def _send_for_good(self, caller: Caller, key_id: str, rate_per_s: float) -> None:
+        weights = [kind.weight for kind in KINDS]
+        while True:
+            await asyncio.sleep(self._random.expovariate(rate_per_s))
+            [kind] = self._random.choices(KINDS, weights)
+            call = Call(kind.service, kind.path, kind.method)
+            task = asyncio.create_task(self._send(caller, key_id, call))
+            self._sending.add(task)
+            task.add_done_callback(self._sending.discard)
+
+    async def _send(self, caller: Caller, key_id: str, call: Call) -> None:
+        loop = asyncio.get_running_loop()
+        sent = Sent(call, key_id, loop.time())
+        self.sent.append(sent)
+        sent.outcome = await caller.call(call)
+        sent.ended = loop.time()
