--- a/tests/platform/test_http_transport.py
+++ b/tests/platform/test_http_transport.py
@@ -16,6 +16,7 @@
 from flamingoladder.platform.http_table import HttpTable
 from flamingoladder.platform.http_transport import HttpCall
 from flamingoladder.platform.table import Write
+from flamingoladder.standins.etcd import MAX_TXN_OPERATIONS
 from flamingoladder.standins.platform import FaultSettings
 from flamingoladder.standins.platform import PlatformState
 from flamingoladder.standins.relay import Relay
@@ -28,18 +29,23 @@
 
 TIMEOUT_S = 5.0
 SHORT_TIMEOUT_S = 0.1
+STRAY_S = 0.02
 CALL = HttpCall(HTTPMethod.POST, "/v3/kv/txn", body=b"{}")
 WRITES = [Write("a", b"1")]
 
 
 @asynccontextmanager
-async def _answering(answer: bytes) -> AsyncIterator[str]:
-    """Serve raw bytes to every request, then close the connection."""
+async def _answering(answer: bytes, stray: bytes = b"") -> AsyncIterator[str]:
+    """Serve raw bytes to every request, then close the connection or send it a stray answer."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         writer.write(answer)
-        writer.close()
+        if not stray:
+            writer.close()
+            return
+        await asyncio.sleep(STRAY_S)
+        writer.write(stray)
 
     server = await asyncio.start_server(serve, ADDRESS, 0)
     yield f"http://{ADDRESS}:{server.sockets[0].getsockname()[1]}"
@@ -120,6 +126,29 @@
     assert state.table.revision == 0
 
 
+async def test_no_redirect_is_followed() -> None:
+    async with served(PlatformState()) as server:
+        relay = Relay(server.address, server.port)
+        await relay.start()
+        head = f"HTTP/1.1 307 X\r\nContent-Length: 0\r\nLocation: {relay.url}/\r\n\r\n"
+        async with _answering(head.encode()) as url, connected(url) as transport:
+            with pytest.raises(PlatformRefusedError):
+                await HttpTable(transport).transact((), WRITES, TIMEOUT_S)
+            assert relay.open_connections == 0
+        await relay.stop()
+
+
+@pytest.mark.parametrize(
+    "writes", [WRITES * 2, [Write(f"k{number}", b"") for number in range(MAX_TXN_OPERATIONS + 1)]]
+)
+async def test_a_transaction_that_etcd_would_not_take_is_refused(writes: list[Write]) -> None:
+    state = PlatformState()
+    async with served(state) as server, connected(server.url) as transport:
+        with pytest.raises(PlatformRefusedError):
+            await HttpTable(transport).transact((), writes, TIMEOUT_S)
+    assert state.table.revision == 0
+
+
 async def test_one_timeout_finds_all_connections_that_have_gone_silent() -> None:
     async with served(PlatformState()) as server:
         relay = Relay(server.address, server.port)
@@ -158,3 +187,13 @@
         state.faults = FaultSettings()
         found = [await table.get("b", TIMEOUT_S) for _ in range(3)]
         assert {row.key for row in found if row} == {"b"}
+
+
+async def test_an_answer_that_nobody_asked_for_reaches_no_call() -> None:
+    answer = _response(200, b'{"header":{"revision":"1"}}')
+    stray = _response(200, b'{"header":{"revision":"9"}}')
+    async with _answering(answer, stray) as url, connected(url) as transport:
+        table = HttpTable(transport)
+        for _ in range(3):
+            assert (await table.read("", TIMEOUT_S)).revision == 1
+            await asyncio.sleep(3 * STRAY_S)
