--- a/src/flamingoladder/freshness/committer.py
+++ b/src/flamingoladder/freshness/committer.py
@@ -5,11 +5,13 @@
 import asyncio
 import math
 from typing import TYPE_CHECKING
+from typing import Any
 from uuid import uuid4
 
 from expression import Error
 from expression import Ok
 
+from flamingoladder.freshness import guards
 from flamingoladder.freshness.attempt import Committed
 from flamingoladder.freshness.attempt import PendingChange
 from flamingoladder.freshness.attempt import Retry
@@ -67,14 +69,23 @@
         self._settings = settings
         self._lock = asyncio.Lock()
         self._withdrawn: set[str] = set()
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Task[Any]] = set()
 
     def is_open(self, change_id: str) -> bool:
         """Return whether a change announced by this host was, or may yet be, committed."""
         return change_id not in self._withdrawn
 
     async def commit(self, change: Change) -> Result[CommitReport, CommitRefused]:
-        """Commit ``change`` and wait, within bounds, until it is in force everywhere."""
+        """Commit ``change`` and wait, within bounds, until it is in force everywhere.
+
+        The commit goes on if the caller is cancelled.
+        """
+        task = asyncio.create_task(self._commit(change))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return await asyncio.shield(task)
+
+    async def _commit(self, change: Change) -> Result[CommitReport, CommitRefused]:
         loop = asyncio.get_running_loop()
         started = loop.time()
         pending = PendingChange(uuid4().hex, change)
@@ -123,7 +134,7 @@
             why=refused.kind,
             detail=refused.detail,
         )
-        if refused.kind is not RefusalKind.OUTCOME_UNKNOWN:
+        if guards.may_withdraw_intent(pending.unknown_base):
             self._withdraw(pending)
         elif pending.change.suspended_key is not None:
             self._start(self._resolve(pending))
--- a/src/flamingoladder/freshness/guards.py
+++ b/src/flamingoladder/freshness/guards.py
@@ -57,10 +57,26 @@
     return incarnation == registered.incarnation
 
 
+def may_withdraw_intent(unknown_base: int | None) -> bool:
+    """Return whether an intent can be withdrawn: not while a write's outcome is unknown."""
+    return unknown_base is None
+
+
+def may_take_along(host: str, committer: str, members_by_host: Mapping[str, Member]) -> bool:
+    """Return whether a registration may add ``host``.
+
+    From one version to the next the majorities must meet in a host, so a host adds only itself,
+    except where none is registered and so none can hold a proof.
+    """
+    return host == committer or not members_by_host
+
+
 def may_shorten_wait(last_removal_at: float, wait_s: float, now: float) -> bool:
     """Return whether the registered hosts are all that can hold a proof.
 
-    A host that was removed within the last ``wait_s`` may hold one, and nobody asks it any more.
+    ``last_removal_at`` is when a majority was certain to know the last version that removed a
+    host, infinity before. Until ``wait_s`` after it, that host may hold a proof, and nobody asks
+    it any more.
     """
     return now >= last_removal_at + wait_s
 
--- a/src/flamingoladder/freshness/keeper.py
+++ b/src/flamingoladder/freshness/keeper.py
@@ -83,7 +83,7 @@
     ) -> StateKeeper:
         """Return a keeper for ``member``; to be called with a running event loop."""
         now = asyncio.get_running_loop().time()
-        knowledge = Knowledge(member, now)
+        knowledge = Knowledge(member)
         silence = Silence(now)
         storage = HeadStorage(table, objects, links, settings)
         renewer = ProofRenewer(knowledge, storage, links, silence, recorder, settings)
--- a/src/flamingoladder/freshness/knowledge.py
+++ b/src/flamingoladder/freshness/knowledge.py
@@ -50,14 +50,14 @@
         "state",
     )
 
-    def __init__(self, member: Member, now: float) -> None:
+    def __init__(self, member: Member) -> None:
         self.member = member
         self.head: Head | None = None
         self.state: AgreedState | None = None
         self.effective: AgreedState | None = None
         self.known = NO_STATE_VERSION
         self.intents_by_change: dict[str, OpenIntent] = {}
-        self.last_removal_at = now
+        self.last_removal_at = math.inf
         self._asked_at = -math.inf
         self._excepted_keys: frozenset[str] = frozenset()
         self._subject: ReplaySubject[AgreedState] = ReplaySubject(buffer_size=1)
@@ -107,8 +107,7 @@
         self.learn_of(state.version)
         if not guards.may_install(state.version, self.installed):
             return False
-        if self._may_have_removed_a_host(state):
-            self.last_removal_at = now
+        self._note_removal(state, now)
         self.head = head
         self.state = state
         self._excepted_keys = frozenset()
@@ -149,9 +148,13 @@
             self._refresh()
         return True
 
-    def _may_have_removed_a_host(self, state: AgreedState) -> bool:
+    def _note_removal(self, state: AgreedState, now: float) -> None:
+        """Date the last removal: a version is committed once a majority knows the one before."""
+        if math.isinf(self.last_removal_at):
+            self.last_removal_at = now
         skipped = state.version > self.installed + 1
-        return skipped or not set(self.members_by_host) <= set(state.members_by_host)
+        if skipped or not set(self.members_by_host) <= set(state.members_by_host):
+            self.last_removal_at = math.inf
 
     def _close_settled_intents(self) -> None:
         self.intents_by_change = {
--- a/src/flamingoladder/members/changes.py
+++ b/src/flamingoladder/members/changes.py
@@ -6,6 +6,7 @@
 
 from msgspec.structs import replace
 
+from flamingoladder.freshness import guards
 from flamingoladder.freshness.changes import Change
 
 if TYPE_CHECKING:
@@ -15,12 +16,7 @@
 
 
 class RegisterMember(Change):
-    """Registers the incarnations in ``started``, ``member``'s own among them.
-
-    Two majorities of hosts must meet from one version to the next. So of hosts that are not yet
-    registered only ``member`` is added, except to an empty list; hosts that have restarted keep
-    their place and are taken along together.
-    """
+    """Registers ``member``, and all of ``started`` where no host is registered yet."""
 
     __slots__ = ("member", "started")
 
@@ -37,15 +33,10 @@
         """Register the new incarnations."""
         by_host = state.members_by_host
         for member in (*self.started, self.member):
-            if self._may_take(member, state):
+            if guards.may_take_along(member.host, self.member.host, state.members_by_host):
                 by_host[member.host] = _registered(member, by_host.get(member.host))
         return _with_members(state, by_host)
 
-    def _may_take(self, member: Member, state: AgreedState) -> bool:
-        if not state.members or member.host == self.member.host:
-            return True
-        return member.host in state.members_by_host
-
 
 class MarkLeaving(Change):
     """Marks a host as leaving, so that look-ups no longer name it."""
