--- a/src/flamingoladder/client/entry_hosts.py
+++ b/src/flamingoladder/client/entry_hosts.py
@@ -16,6 +16,7 @@
 from flamingoladder.transport.pool import PoolPair
 from flamingoladder.transport.sending import FailureKind
 from flamingoladder.transport.sending import Outgoing
+from flamingoladder.verdict import Answer
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
@@ -24,7 +25,6 @@
     from flamingoladder.client.call import Call
     from flamingoladder.client.settings import CallerSettings
     from flamingoladder.transport.sending import SendFailure
-    from flamingoladder.verdict import Answer
     from flamingoladder.verdict import Outcome
 
 ANSWER_MARGIN_S = 0.1
@@ -74,11 +74,11 @@
         if pools is None:
             pools = self._pools_by_url[url] = PoolPair(self._settings.connections)
         result = await pools.send(outgoing, Exchange(give_up), idempotent=idempotent)
-        if result.is_ok():
-            return _outcome(result.ok)
-        if result.error.kind is FailureKind.TIMEOUT and result.error.reused:
+        if isinstance(result, Answer):
+            return _outcome(result)
+        if result.kind is FailureKind.TIMEOUT and result.reused:
             await pools.renew()
-        return Error(_refusal(url, result.error))
+        return Error(_refusal(url, result))
 
     def _headers(self, request_id: str) -> CIMultiDict[str]:
         headers: CIMultiDict[str] = CIMultiDict({fields.REQUEST_ID: request_id})
--- a/src/flamingoladder/gateway/forwarding.py
+++ b/src/flamingoladder/gateway/forwarding.py
@@ -7,6 +7,7 @@
 from urllib.parse import unquote_plus
 
 from flamingoladder import fields
+from flamingoladder.gateway.exceptions import RefusedError
 from flamingoladder.verdict import Header
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
@@ -48,22 +49,22 @@
     return "%" in text and (key in unquote(text) or key in unquote_plus(text))
 
 
-def refusal_of_misplaced_key(
-    key: str | None, body: bytes, texts: Iterable[str | None]
-) -> Refusal | None:
-    """Return a refusal if the key stands in the body or in a text that can't be dropped."""
+def check_key_is_nowhere_else(key: str | None, body: bytes, texts: Iterable[str | None]) -> None:
+    """Check that the key stands neither in the body nor in a text that can't be dropped.
+
+    :raises RefusedError: if it does.
+    """
     if not key:
-        return None
+        return
     if key.encode("utf-8", "surrogateescape") in body:
-        return _misplaced("body")
+        raise _misplaced("body")
     if any(text and holds_key(text, key) for text in texts):
-        return _misplaced("path, query, request id or idempotency key")
-    return None
+        raise _misplaced("path, query, request id or idempotency key")
 
 
-def _misplaced(place: str) -> Refusal:
+def _misplaced(place: str) -> RefusedError:
     detail = f"the {place} holds the caller's key, which no upstream may see"
-    return Refusal.not_run(Reason.BAD_REQUEST, detail)
+    return RefusedError(Refusal.not_run(Reason.BAD_REQUEST, detail))
 
 
 def _named_by_connection(headers: Mapping[str, str]) -> frozenset[str]:
--- a/src/flamingoladder/gateway/intake.py
+++ b/src/flamingoladder/gateway/intake.py
@@ -7,16 +7,13 @@
 from typing import TYPE_CHECKING
 from uuid import uuid4
 
-from expression import Error
-from expression import Ok
-
 from flamingoladder import fields
+from flamingoladder.gateway.exceptions import RefusedError
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
     from aiohttp import web
-    from expression import Result
 
     from flamingoladder.config.model import Defaults
     from flamingoladder.config.model import Route
@@ -26,73 +23,101 @@
 MS_PER_S = 1_000
 
 
-def refusal_of_headers(request: web.BaseRequest, defaults: Defaults) -> Refusal | None:
-    """Return a refusal if the header fields together are over the limit."""
+def check_headers(request: web.BaseRequest, defaults: Defaults) -> None:
+    """Check the size of the header fields.
+
+    :raises RefusedError: if they are together over the limit.
+    """
     size = sum(len(name) + len(value) for name, value in request.raw_headers)
     size += HEADER_SEPARATORS_BYTES * len(request.raw_headers)
     if size <= defaults.max_header_bytes:
-        return None
+        return
     detail = (
         f"the header fields take {size} bytes; the limit is {defaults.max_header_bytes} "
         "(setting defaults.max_header_bytes)"
     )
-    return Refusal.not_run(Reason.HEADERS_TOO_LARGE, detail)
+    raise RefusedError(Refusal.not_run(Reason.HEADERS_TOO_LARGE, detail))
+
 
+async def read_body(request: web.BaseRequest, max_bytes: int, deadline: float) -> bytes:
+    """Return the whole body.
 
-async def read_body(
-    request: web.BaseRequest, max_bytes: int, deadline: float
-) -> Result[bytes, Refusal]:
-    """Return the whole body, or a refusal if it is too large or not here by ``deadline``."""
+    :raises RefusedError: if it is too large, or not here by ``deadline`` (monotonic seconds).
+    """
     if not request.body_exists:
-        return Ok(b"")
+        return b""
     if (request.content_length or 0) > max_bytes:
-        return Error(_too_large(max_bytes))
+        raise _too_large(max_bytes)
     try:
         async with asyncio.timeout_at(deadline):
             return await _read_chunks(request, max_bytes)
     except TimeoutError:
         detail = "the deadline passed before the whole body was received"
-        return Error(Refusal.not_run(Reason.DEADLINE_PASSED, detail))
+        raise RefusedError(Refusal.not_run(Reason.DEADLINE_PASSED, detail)) from None
 
 
-async def _read_chunks(request: web.BaseRequest, max_bytes: int) -> Result[bytes, Refusal]:
+async def _read_chunks(request: web.BaseRequest, max_bytes: int) -> bytes:
     body = bytearray()
     async for chunk in request.content.iter_any():
         body += chunk
         if len(body) > max_bytes:
-            return Error(_too_large(max_bytes))
-    return Ok(bytes(body))
+            raise _too_large(max_bytes)
+    return bytes(body)
 
 
-def _too_large(max_bytes: int) -> Refusal:
+def _too_large(max_bytes: int) -> RefusedError:
     detail = f"the body is over the limit of {max_bytes} bytes (setting defaults.max_body_bytes)"
-    return Refusal.not_run(Reason.BODY_TOO_LARGE, detail)
+    return RefusedError(Refusal.not_run(Reason.BODY_TOO_LARGE, detail))
 
 
-def bearer_key(request: web.BaseRequest) -> Result[str | None, Refusal]:
-    """Return the caller's key, or None if there is none."""
+def bearer_key(request: web.BaseRequest) -> str | None:
+    """Return the caller's key, or None if there is none.
+
+    :raises RefusedError: if there is another kind of authorization, or more than one.
+    """
     values = request.headers.getall(fields.AUTHORIZATION, ())
     if not values:
-        return Ok(None)
+        return None
     scheme, _, key = values[0].partition(" ")
     if len(values) > 1 or scheme.lower() != "bearer":
-        detail = "send one 'Authorization: Bearer <key>' field"
-        return Error(Refusal.not_run(Reason.BAD_REQUEST, detail))
-    return Ok(key.strip() or None)
+        raise _bad_request("send one 'Authorization: Bearer <key>' field")
+    return key.strip() or None
+
 
+def deadline_s(request: web.BaseRequest, route: Route, defaults: Defaults, now: float) -> float:
+    """Return the deadline in monotonic seconds: the caller's, capped by the route's.
 
-def deadline_s(
-    request: web.BaseRequest, route: Route, defaults: Defaults, now: float
-) -> Result[float, Refusal]:
-    """Return the deadline in monotonic seconds: the caller's, capped by the route's."""
+    :raises RefusedError: if the caller's is not a number.
+    """
     cap_ms = defaults.deadline_ms if route.deadline_ms is None else route.deadline_ms
     text = request.headers.get(fields.DEADLINE_MS)
     if text is None:
-        return Ok(now + cap_ms / MS_PER_S)
+        return now + cap_ms / MS_PER_S
     if not (text.isascii() and text.isdigit()):
-        detail = f"{fields.DEADLINE_MS} must be a whole number of milliseconds"
-        return Error(Refusal.not_run(Reason.BAD_REQUEST, detail))
-    return Ok(now + min(int(text), cap_ms) / MS_PER_S)
+        raise _bad_request(f"{fields.DEADLINE_MS} must be a whole number of milliseconds")
+    return now + min(int(text), cap_ms) / MS_PER_S
+
+
+def idempotency_key(request: web.BaseRequest, route: Route) -> str | None:
+    """Return the idempotency key, which only an idempotent route may lack.
+
+    :raises RefusedError: if it is missing or unusable.
+    """
+    values = request.headers.getall(fields.IDEMPOTENCY_KEY, ())
+    if not values and route.idempotent:
+        return None
+    if not values:
+        detail = f"this route is not idempotent: send an {fields.IDEMPOTENCY_KEY} field"
+        raise RefusedError(Refusal.not_run(Reason.IDEMPOTENCY_KEY_MISSING, detail))
+    if len(values) > 1 or not is_usable_id(values[0]):
+        raise _bad_request(
+            f"{fields.IDEMPOTENCY_KEY} must be one field of 1 to 255 visible ASCII characters"
+        )
+    return values[0]
+
+
+def _bad_request(detail: str) -> RefusedError:
+    return RefusedError(Refusal.not_run(Reason.BAD_REQUEST, detail))
 
 
 def request_id_of(request: web.BaseRequest) -> str:
--- a/src/flamingoladder/gateway/routing.py
+++ b/src/flamingoladder/gateway/routing.py
@@ -5,40 +5,40 @@
 from typing import TYPE_CHECKING
 from urllib.parse import unquote
 
-from expression import Error
-from expression import Ok
-
+from flamingoladder.gateway.exceptions import RefusedError
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
-    from expression import Result
-
     from flamingoladder.config.model import Deployment
     from flamingoladder.config.model import Route
     from flamingoladder.config.model import Service
 
 
-def find_route(
-    deployment: Deployment, service: str, method: str, raw_path: str
-) -> Result[Route, Refusal]:
+def find_route(deployment: Deployment, service: str, method: str, raw_path: str) -> Route:
     """Return the route of a request whose path, still percent-encoded, is ``raw_path``.
 
     Paths that an upstream could take for another path are refused, as they could pass a keyed
     route off as an open one.
+
+    :raises RefusedError: if there is no such route, or the path is not plain.
     """
     declared = deployment.services.get(service)
     if declared is None:
-        return Error(Refusal.not_run(Reason.UNKNOWN_SERVICE, f"no service {service!r}"))
+        raise _refused(Reason.UNKNOWN_SERVICE, f"no service {service!r}")
     path = unquote(raw_path, errors="surrogateescape")
     if _is_ambiguous(path):
-        detail = "the path has empty or dot segments, backslashes or control characters"
-        return Error(Refusal.not_run(Reason.BAD_REQUEST, detail))
+        detail = "the path has empty or dot segments, backslashes, semicolons or control characters"
+        raise _refused(Reason.BAD_REQUEST, detail)
     route = _longest_match(declared, method, path)
     if route is None:
         detail = f"service {service!r} has no route for {method} on this path"
-        return Error(Refusal.not_run(Reason.UNKNOWN_ROUTE, detail))
-    return Ok(route)
+        raise _refused(Reason.UNKNOWN_ROUTE, detail)
+    return route
+
+
+def _refused(reason: Reason, detail: str) -> RefusedError:
+    return RefusedError(Refusal.not_run(reason, detail))
 
 
 def _longest_match(service: Service, method: str, path: str) -> Route | None:
--- a/src/flamingoladder/gateway/server.py
+++ b/src/flamingoladder/gateway/server.py
@@ -9,8 +9,10 @@
 import msgspec
 from aiohttp import web
 
+from flamingoladder.gateway.exceptions import RefusedError
 from flamingoladder.gateway.handler import RequestHandler
 from flamingoladder.gateway.in_progress import InProgress
+from flamingoladder.gateway.intake import bearer_key
 from flamingoladder.gateway.intake import request_id_of
 from flamingoladder.gateway.messages import Health
 from flamingoladder.gateway.messages import TicketReply
@@ -27,6 +29,7 @@
     from collections.abc import Callable
     from ssl import SSLContext
 
+    from flamingoladder.config.agreed import KeyGrant
     from flamingoladder.gateway.stages import GatewayStages
 
 MAX_FIELD_BYTES = 1_048_576
@@ -159,19 +162,25 @@
         return outcome_response(outcome, request_id)
 
     async def _ticket(self, request: web.Request, request_id: str) -> web.Response:
-        grant = self._handler.authorize(request, asyncio.get_running_loop().time())
-        if grant.is_error():
-            return refusal_response(grant.error, request_id)
-        return json_response(TicketReply(self._stages.ledger.issue_ticket(grant.ok.workspace)))
+        try:
+            grant = self._grant(request)
+        except RefusedError as error:
+            return refusal_response(error.refusal, request_id)
+        return json_response(TicketReply(self._stages.ledger.issue_ticket(grant.workspace)))
 
     async def _outcome(self, request: web.Request, request_id: str) -> web.Response:
-        grant = self._handler.authorize(request, asyncio.get_running_loop().time())
-        if grant.is_error():
-            return refusal_response(_fate_unknown(grant.error), request_id)
+        try:
+            grant = self._grant(request)
+        except RefusedError as error:
+            return refusal_response(_fate_unknown(error.refusal), request_id)
         key = request.match_info["key"]
-        outcome = await self._stages.ledger.outcome_of(grant.ok.workspace, key)
+        outcome = await self._stages.ledger.outcome_of(grant.workspace, key)
         return outcome_response(outcome, request_id)
 
+    def _grant(self, request: web.Request) -> KeyGrant:
+        now = asyncio.get_running_loop().time()
+        return self._handler.checks.grant_of(bearer_key(request), now)
+
     async def _lookup(self, request: web.Request) -> web.Response:
         now = asyncio.get_running_loop().time()
         answer = self._stages.lookups.lookup(request.query.get("service", ""), now)
--- a/src/flamingoladder/transport/pool.py
+++ b/src/flamingoladder/transport/pool.py
@@ -12,7 +12,8 @@
 if TYPE_CHECKING:
     from flamingoladder.transport.exchange import Exchange
     from flamingoladder.transport.sending import Outgoing
-    from flamingoladder.transport.sending import SendResult
+    from flamingoladder.transport.sending import SendFailure
+    from flamingoladder.verdict import Answer
 
 CONNECT_TIMEOUT_S = 0.5
 KEPT_IDLE_S = 15.0
@@ -40,8 +41,8 @@
         self._users = 0
         self._retired = False
 
-    async def send(self, outgoing: Outgoing, exchange: Exchange) -> SendResult:
-        """Send the request and return its whole answer."""
+    async def send(self, outgoing: Outgoing, exchange: Exchange) -> Answer | SendFailure:
+        """Send the request and return its whole answer, or why there is none."""
         self._users += 1
         try:
             return await send(self.session, outgoing, exchange)
@@ -73,7 +74,9 @@
         self._kept = Pool(self._limit, keep=True)
         self.fresh = Pool(self._limit, keep=False)
 
-    async def send(self, outgoing: Outgoing, exchange: Exchange, *, idempotent: bool) -> SendResult:
+    async def send(
+        self, outgoing: Outgoing, exchange: Exchange, *, idempotent: bool
+    ) -> Answer | SendFailure:
         """Send the request over a kept or, if it is not idempotent, a new connection."""
         pool = self._kept if idempotent else self.fresh
         return await pool.send(outgoing, exchange)
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -4,13 +4,9 @@
 
 from enum import StrEnum
 from typing import TYPE_CHECKING
-from typing import TypeAlias
 
 import aiohttp
 import msgspec
-from expression import Error
-from expression import Ok
-from expression import Result
 
 from flamingoladder import fields
 from flamingoladder.transport.connector import current_exchange
@@ -67,13 +63,10 @@
         self.request_id = request_id
 
 
-SendResult: TypeAlias = Result[Answer, SendFailure]
-
-
 async def send(
     session: aiohttp.ClientSession, outgoing: Outgoing, exchange: Exchange
-) -> SendResult:
-    """Send the request, once, and return the whole answer.
+) -> Answer | SendFailure:
+    """Send the request, once, and return the whole answer or why there is none.
 
     The connection is closed if this fails or is cancelled.
     """
@@ -82,12 +75,12 @@
     try:
         async with exchange.open():
             result = await _exchange(session, outgoing, exchange)
-            whole = result.is_ok()
+            whole = isinstance(result, Answer)
             return result
     except TimeoutError:
-        return Error(_timed_out(exchange))
+        return _timed_out(exchange)
     except (aiohttp.ClientError, OSError) as error:
-        return Error(_broken(exchange, error))
+        return _broken(exchange, error)
     finally:
         current_exchange.reset(token)
         exchange.end(whole=whole)
@@ -95,7 +88,7 @@
 
 async def _exchange(
     session: aiohttp.ClientSession, outgoing: Outgoing, exchange: Exchange
-) -> SendResult:
+) -> Answer | SendFailure:
     response = await session.request(
         outgoing.method,
         outgoing.url,
@@ -105,16 +98,16 @@
     )
     exchange.response = response
     if response.headers.get(fields.REQUEST_ID, outgoing.request_id) != outgoing.request_id:
-        return Error(_lost(exchange, "the answer is to another request"))
+        return _lost(exchange, "the answer is to another request")
     if not _ends_detectably(response, outgoing.method):
-        return Error(_lost(exchange, "the answer has no length and no chunks, so no certain end"))
+        return _lost(exchange, "the answer has no length and no chunks, so no certain end")
     body = await response.read()
     headers = tuple(
         Header(name, value)
         for name, value in response.headers.items()
         if _passes(name.lower(), outgoing.method)
     )
-    return Ok(Answer(response.status, headers, body))
+    return Answer(response.status, headers, body)
 
 
 def _ends_detectably(response: aiohttp.ClientResponse, method: str) -> bool:
--- a/src/flamingoladder/upstreams/attempt.py
+++ b/src/flamingoladder/upstreams/attempt.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TypeAlias
-
 import msgspec
-from expression import Result
 
 from flamingoladder.steering.chooser import AttemptEnd
 from flamingoladder.verdict import Answer
@@ -25,6 +22,3 @@
     detail: str
     suspect: bool = False
     answer: Answer | None = None
-
-
-AttemptResult: TypeAlias = Result[Answer, AttemptFailure]
--- a/src/flamingoladder/upstreams/connections.py
+++ b/src/flamingoladder/upstreams/connections.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
-from expression import Error
-from expression import Ok
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -23,7 +21,6 @@
     from flamingoladder.gateway.request import CallerRequest
     from flamingoladder.transport.exchange import Exchange
     from flamingoladder.transport.sending import SendFailure
-    from flamingoladder.upstreams.attempt import AttemptResult
 
 MS_PER_S = 1_000
 
@@ -44,15 +41,15 @@
         self._base_url = f"http://{address}"
         self._pools = PoolPair(limit)
 
-    async def send(self, request: CallerRequest, exchange: Exchange) -> AttemptResult:
-        """Send the request, once, and return the whole answer."""
+    async def send(self, request: CallerRequest, exchange: Exchange) -> Answer | AttemptFailure:
+        """Send the request, once, and return the whole answer, or why there is none."""
         url = URL(self._base_url + request.path, encoded=True)
         outgoing = Outgoing(
             request.method, url, _headers(request), request.body, request.request_id
         )
         idempotent = request.route.idempotent
         result = await self._pools.send(outgoing, exchange, idempotent=idempotent)
-        return Ok(result.ok) if result.is_ok() else Error(_attempt_failure(result.error))
+        return result if isinstance(result, Answer) else _attempt_failure(result)
 
     async def get_over_new_connection(self, path: str, timeout_s: float) -> Answer | None:
         """Return the answer to a GET of ``path``, or None if none came in time."""
--- a/src/flamingoladder/upstreams/dispatcher.py
+++ b/src/flamingoladder/upstreams/dispatcher.py
@@ -17,6 +17,7 @@
 from flamingoladder.upstreams.retry_budget import RetryBudget
 from flamingoladder.upstreams.silence import SilenceWatch
 from flamingoladder.upstreams.silence import check_time_s
+from flamingoladder.verdict import Answer
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
@@ -29,7 +30,6 @@
     from flamingoladder.steering.chooser import Reservation
     from flamingoladder.steering.chooser import TargetChooser
     from flamingoladder.timeline.recorder import Recorder
-    from flamingoladder.upstreams.attempt import AttemptResult
     from flamingoladder.upstreams.crash_guard import CrashGuard
     from flamingoladder.upstreams.targets import TargetPools
     from flamingoladder.verdict import Outcome
@@ -118,12 +118,12 @@
                 return dispatch.refused(held)
             started = asyncio.get_running_loop().time()
             result = await self._attempt(dispatch, held, defaults)
-            if result.is_ok():
+            if isinstance(result, Answer):
                 self._guard.saw_answer(request)
-                return Ok(result.ok)
-            self._take_in(dispatch, held.target, started, result.error)
-            if not self._may_retry(dispatch, result.error, defaults):
-                return dispatch.given_up(result.error)
+                return Ok(result)
+            self._take_in(dispatch, held.target, started, result)
+            if not self._may_retry(dispatch, result, defaults):
+                return dispatch.given_up(result)
 
     def _defaults(self) -> Defaults:
         state = self._state.current
@@ -148,21 +148,21 @@
 
     async def _attempt(
         self, dispatch: Dispatch, held: Reservation, defaults: Defaults
-    ) -> AttemptResult:
+    ) -> Answer | AttemptFailure:
         loop = asyncio.get_running_loop()
         end = AttemptEnd.CANCELLED
         dispatch.attempts += 1
         try:
             sent = await self._send(dispatch, held, defaults)
             result = _without_shed(sent, idempotent=dispatch.request.route.idempotent)
-            end = AttemptEnd.ANSWERED if result.is_ok() else result.error.end
+            end = AttemptEnd.ANSWERED if isinstance(result, Answer) else result.end
             return result
         finally:
             held.release(end, loop.time())
 
     async def _send(
         self, dispatch: Dispatch, held: Reservation, defaults: Defaults
-    ) -> AttemptResult:
+    ) -> Answer | AttemptFailure:
         request = dispatch.request
         connections = self._pools.of(held.address)
         exchange = Exchange(request.deadline)
@@ -207,17 +207,16 @@
         return self._budget.take()
 
 
-def _without_shed(result: AttemptResult, *, idempotent: bool) -> AttemptResult:
+def _without_shed(result: Answer | AttemptFailure, *, idempotent: bool) -> Answer | AttemptFailure:
     """Return a shed request as a failure.
 
     Only the marker says for certain that the target did not run it. An unmarked 503 is the target's
     answer, but makes another attempt worth while if running twice does no harm.
     """
-    if result.is_error() or result.ok.status != SERVICE_UNAVAILABLE:
+    if not isinstance(result, Answer) or result.status != SERVICE_UNAVAILABLE:
         return result
-    if any(header.name.lower() == SHED_MARKER for header in result.ok.headers):
-        return Error(AttemptFailure(AttemptEnd.SHED, False, "the target shed the request"))
+    if any(header.name.lower() == SHED_MARKER for header in result.headers):
+        return AttemptFailure(AttemptEnd.SHED, False, "the target shed the request")
     if not idempotent:
         return result
-    detail = "the target answered 503"
-    return Error(AttemptFailure(AttemptEnd.SHED, True, detail, answer=result.ok))
+    return AttemptFailure(AttemptEnd.SHED, True, "the target answered 503", answer=result)
