--- a/src/flamingoladder/gateway/intake.py
+++ b/src/flamingoladder/gateway/intake.py
@@ -4,8 +4,8 @@
 
 import asyncio
 from hashlib import sha256
+from secrets import token_hex
 from typing import TYPE_CHECKING
-from uuid import uuid4
 
 from flamingoladder import fields
 from flamingoladder.gateway.exceptions import RefusedError
@@ -21,6 +21,7 @@
 MAX_ID_LENGTH = 255
 HEADER_SEPARATORS_BYTES = 4
 MS_PER_S = 1_000
+REQUEST_ID_BYTES = 16
 
 
 def check_headers(request: web.BaseRequest, defaults: Defaults) -> None:
@@ -124,7 +125,7 @@
     """Return the caller's request id, or a new one if it sent none or an unusable one."""
     text = request.headers.get(fields.REQUEST_ID)
     if text is None or not is_usable_id(text):
-        return uuid4().hex
+        return token_hex(REQUEST_ID_BYTES)
     return text
 
 
--- a/src/flamingoladder/steering/least_in_flight.py
+++ b/src/flamingoladder/steering/least_in_flight.py
@@ -81,26 +81,24 @@
         self._subscription.dispose()
 
     def _candidates(self, service: str, tried: Collection[str], now: float) -> list[DeclaredTarget]:
-        targets = self._targets_by_service.get(service, [])
-        usable = [
-            target
-            for target in targets
-            if not target.drained
-            and target.name not in tried
-            and not self._board.of(target.name).draining
-            and not self._board.of(target.name).ejected(now)
-        ]
-        healthy = [target for target in usable if self._board.of(target.name).usable(now)]
+        usable = []
+        healthy = []
+        for target in self._targets_by_service.get(service, ()):
+            health = self._board.of(target.name)
+            if target.drained or health.draining or health.ejected(now) or target.name in tried:
+                continue
+            usable.append(target)
+            if health.usable(now):
+                healthy.append(target)
         # When all health endpoints say no, they are more likely wrong than right.
         return healthy or usable
 
     def _free(self, candidates: list[DeclaredTarget], now: float) -> list[DeclaredTarget]:
-        return [
-            target
-            for target in candidates
-            if self._in_flight(target)
-            < self._board.of(target.name).slots(target.slots, self._ramp_s, now)
-        ]
+        return [target for target in candidates if self._has_free_slot(target, now)]
+
+    def _has_free_slot(self, target: DeclaredTarget, now: float) -> bool:
+        health = self._board.of(target.name)
+        return self._in_flight(target) < health.slots(target.slots, self._ramp_s, now)
 
     def _preference(self, target: DeclaredTarget) -> tuple[bool, float, float]:
         part_in_use = self._in_flight(target) / target.slots
