--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -103,7 +103,7 @@
         return _lost(exchange, "the answer has no length and no chunks, so no certain end")
     body = await response.read()
     headers = tuple(
-        Header(name, value)
+        Header(str(name), value)
         for name, value in response.headers.items()
         if _passes(name.lower(), outgoing.method)
     )
