State the limits of a transaction in the table's interface

Cause: etcd takes 128 operations and one write for each key in a transaction; only the HTTP stand-in knew, so code tested on the table in memory could pass its tests and be refused by the real service. Now the interface states the limits, the stored table checks them, and the contract tests run against both.

--- a/src/flamingoladder/platform/table.py
+++ b/src/flamingoladder/platform/table.py
@@ -12,6 +12,9 @@
     from collections.abc import Sequence
 
 
+MAX_TRANSACTION_ROWS = 128
+
+
 class Row(msgspec.Struct, frozen=True):
     """A row: ``revision`` is the table revision of its last write, always above 0."""
 
@@ -76,6 +79,9 @@
     ) -> Commit:
         """Apply all ``writes`` if all ``conditions`` hold, else none.
 
+        At most ``MAX_TRANSACTION_ROWS`` conditions and as many writes, one for each key.
+
+        :raises PlatformRefusedError: if the service does not take such a transaction.
         :raises PlatformUnavailableError: if the transaction certainly was not sent.
         :raises OutcomeUnknownError: if it was sent and no answer came within ``timeout_s`` seconds.
         """
--- a/src/flamingoladder/standins/etcd.py
+++ b/src/flamingoladder/standins/etcd.py
@@ -21,8 +21,6 @@
     from flamingoladder.platform.table import Row
     from flamingoladder.standins.memory import StoredTable
 
-MAX_TXN_OPERATIONS = 128
-
 
 def apply_range(table: StoredTable, request: RangeRequest) -> RangeResponse:
     """Return the rows that the request asks for.
@@ -36,13 +34,9 @@
 def apply_txn(table: StoredTable, request: TxnRequest) -> TxnResponse:
     """Apply the transaction.
 
-    :raises MalformedRequestError: if it has too many operations, or two on one key.
+    :raises MalformedRequestError: if etcd would not take it.
     """
     writes = [_write(operation) for operation in request.success]
-    if max(len(writes), len(request.compare)) > MAX_TXN_OPERATIONS:
-        raise MalformedRequestError("too many operations in txn request")
-    if len({write.key for write in writes}) < len(writes):
-        raise MalformedRequestError("duplicate key given in txn request")
     commit = table.transact([_condition(compare) for compare in request.compare], writes)
     return TxnResponse(ResponseHeader(str(commit.revision)), commit.committed)
 
--- a/src/flamingoladder/standins/memory.py
+++ b/src/flamingoladder/standins/memory.py
@@ -6,13 +6,16 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.platform.exceptions import OutcomeUnknownError
+from flamingoladder.platform.exceptions import PlatformRefusedError
 from flamingoladder.platform.exceptions import PlatformUnavailableError
 from flamingoladder.platform.hostlist import HostList
 from flamingoladder.platform.objects import ObjectStore
+from flamingoladder.platform.table import MAX_TRANSACTION_ROWS
 from flamingoladder.platform.table import Commit
 from flamingoladder.platform.table import Row
 from flamingoladder.platform.table import Rows
 from flamingoladder.platform.table import TableService
+from flamingoladder.standins.exceptions import MalformedRequestError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -59,8 +62,12 @@
         return self.rows_by_key.get(key)
 
     def transact(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> Commit:
-        """Apply the writes if the conditions hold."""
+        """Apply the writes if the conditions hold.
+
+        :raises MalformedRequestError: if there are too many rows, or two writes on one key.
+        """
         self.writes += 1
+        _check_rows(conditions, writes)
         if not all(self._holds(condition) for condition in conditions):
             return Commit(False, self.revision)
         self.revision += 1
@@ -79,6 +86,13 @@
         self.rows_by_key[write.key] = Row(write.key, write.value, self.revision)
 
 
+def _check_rows(conditions: Sequence[Condition], writes: Sequence[Write]) -> None:
+    if max(len(conditions), len(writes)) > MAX_TRANSACTION_ROWS:
+        raise MalformedRequestError("too many rows in one transaction")
+    if len({write.key for write in writes}) < len(writes):
+        raise MalformedRequestError("two writes on one key in one transaction")
+
+
 class MemoryTable(TableService):
     """One host's access to a stored table, with faults of its own."""
 
@@ -107,7 +121,10 @@
     ) -> Commit:
         """Apply the transaction, then lose its answer if that fault is switched on."""
         await self._travel(timeout_s)
-        commit = self._stored.transact(conditions, writes)
+        try:
+            commit = self._stored.transact(conditions, writes)
+        except MalformedRequestError as error:
+            raise PlatformRefusedError(str(error)) from error
         if self.faults.lost_answers > 0:
             self.faults.lost_answers -= 1
             await asyncio.sleep(timeout_s)
--- a/tests/platform/test_http_transport.py
+++ b/tests/platform/test_http_transport.py
@@ -16,7 +16,6 @@
 from flamingoladder.platform.http_table import HttpTable
 from flamingoladder.platform.http_transport import HttpCall
 from flamingoladder.platform.table import Write
-from flamingoladder.standins.etcd import MAX_TXN_OPERATIONS
 from flamingoladder.standins.platform import FaultSettings
 from flamingoladder.standins.platform import PlatformState
 from flamingoladder.standins.relay import Relay
@@ -138,17 +137,6 @@
         await relay.stop()
 
 
-@pytest.mark.parametrize(
-    "writes", [WRITES * 2, [Write(f"k{number}", b"") for number in range(MAX_TXN_OPERATIONS + 1)]]
-)
-async def test_a_transaction_that_etcd_would_not_take_is_refused(writes: list[Write]) -> None:
-    state = PlatformState()
-    async with served(state) as server, connected(server.url) as transport:
-        with pytest.raises(PlatformRefusedError):
-            await HttpTable(transport).transact((), writes, TIMEOUT_S)
-    assert state.table.revision == 0
-
-
 async def test_one_timeout_finds_all_connections_that_have_gone_silent() -> None:
     async with served(PlatformState()) as server:
         relay = Relay(server.address, server.port)
--- a/tests/platform/test_table_contract.py
+++ b/tests/platform/test_table_contract.py
@@ -9,7 +9,9 @@
 
 from flamingoladder.platform.exceptions import OutcomeUnknownError
 from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.platform.exceptions import PlatformRefusedError
 from flamingoladder.platform.exceptions import PlatformUnavailableError
+from flamingoladder.platform.table import MAX_TRANSACTION_ROWS
 from flamingoladder.platform.table import Commit
 from flamingoladder.platform.table import Condition
 from flamingoladder.platform.table import Row
@@ -98,6 +100,29 @@
     assert await access.table.get("a", TIMEOUT_S) == Row("a", b"a", 3)
 
 
+@pytest.mark.parametrize(
+    ("conditions", "writes"),
+    [
+        ([], [Write("a", b"1"), Write("a", b"2")]),
+        ([], [Write(f"k{number}", b"") for number in range(MAX_TRANSACTION_ROWS + 1)]),
+        ([Condition("a", ABSENT)] * (MAX_TRANSACTION_ROWS + 1), [Write("a", b"1")]),
+    ],
+)
+async def test_a_transaction_that_is_too_large_or_ambiguous_is_refused(
+    access: TableAccess, conditions: list[Condition], writes: list[Write]
+) -> None:
+    with pytest.raises(PlatformRefusedError):
+        await access.table.transact(conditions, writes, TIMEOUT_S)
+    assert access.stored.revision == 0
+
+
+async def test_a_transaction_of_the_greatest_size_is_taken(access: TableAccess) -> None:
+    keys = [f"k{number}" for number in range(MAX_TRANSACTION_ROWS)]
+    conditions = [Condition(key, ABSENT) for key in keys]
+    writes = [Write(key, b"") for key in keys]
+    assert (await access.table.transact(conditions, writes, TIMEOUT_S)).committed
+
+
 async def test_a_write_whose_answer_is_lost_took_effect_and_is_reported_as_unknown(
     access: TableAccess,
 ) -> None:
