Bound answers in memory, and let the kernel find connections without acknowledgements

Cause: an answer without end would fill a host's memory, and a caller or target whose path has lost track of a connection holds its task for good. Ruled out: application-level probes alone, as they cannot tell a slow request from a lost path; the kernel can, by acknowledgements. Seen failing without its guard: the bound of answers, no second try after one, closing of connections while leaving, the wait for slow readers at a stop, and cancelling on hang-up.

--- a/src/flamingoladder/gateway/forwarding.py
+++ b/src/flamingoladder/gateway/forwarding.py
@@ -34,7 +34,7 @@
     """
     dropped = DROPPED_FIELDS | _named_by_connection(headers)
     return tuple(
-        Header(name, value)
+        Header(str(name), value)
         for name, value in headers.items()
         if _passes(name.lower(), dropped) and not holds_key(f"{name}={value}", key)
     )
--- a/src/flamingoladder/gateway/server.py
+++ b/src/flamingoladder/gateway/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
 from flamingoladder.gateway.reply import json_response
 from flamingoladder.gateway.reply import outcome_response
 from flamingoladder.gateway.reply import refusal_response
+from flamingoladder.transport.proof_of_life import require_acknowledgements
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
@@ -34,7 +36,10 @@
 
 MAX_FIELD_BYTES = 1_048_576
 MAX_FIELDS = 10_000
+BACKLOG = 1_024
+CALLER_SILENCE_S = 10.0
 CLOSE_TIMEOUT_S = 5.0
+IDLE_S = 75.0
 
 OUTCOMES = "/v1/outcomes/"
 
@@ -96,11 +101,13 @@
             max_field_size=MAX_FIELD_BYTES,
             max_headers=MAX_FIELDS,
             shutdown_timeout=CLOSE_TIMEOUT_S,
+            keepalive_timeout=IDLE_S,
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self._host, self._port, ssl_context=self._ssl)
-        await site.start()
-        self._port = self._runner.addresses[0][1]
+        listening = socket.create_server((self._host, self._port), backlog=BACKLOG)
+        require_acknowledgements(listening, CALLER_SILENCE_S)
+        await web.SockSite(self._runner, listening, ssl_context=self._ssl).start()
+        self._port = listening.getsockname()[1]
 
     def leave(self) -> None:
         """Keep serving, but be not ready and close each connection after its next response."""
--- a/src/flamingoladder/transport/connector.py
+++ b/src/flamingoladder/transport/connector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from contextvars import ContextVar
 from typing import TYPE_CHECKING
 from weakref import WeakSet
@@ -9,6 +10,7 @@
 import aiohttp
 
 from flamingoladder.transport.exceptions import SecondSendError
+from flamingoladder.transport.proof_of_life import require_acknowledgements
 
 if TYPE_CHECKING:
     from asyncio import Transport
@@ -20,6 +22,12 @@
 
     from flamingoladder.transport.exchange import Exchange
 
+SILENCE_S = 3.0
+
+AddressInfo = tuple[
+    int | socket.AddressFamily, int | socket.SocketKind, int, str, tuple[object, ...]
+]
+
 current_exchange: ContextVar[Exchange | None] = ContextVar("current_exchange", default=None)
 
 
@@ -33,9 +41,9 @@
 
     def __init__(self, limit: int, *, keep_s: float | None) -> None:
         if keep_s is None:
-            super().__init__(limit=limit, force_close=True)
+            super().__init__(limit=limit, force_close=True, socket_factory=_open_socket)
         else:
-            super().__init__(limit=limit, keepalive_timeout=keep_s)
+            super().__init__(limit=limit, keepalive_timeout=keep_s, socket_factory=_open_socket)
         self._used: WeakSet[Transport] = WeakSet()
 
     async def connect(
@@ -71,3 +79,10 @@
         used = transport in self._used
         self._used.add(transport)
         return used
+
+
+def _open_socket(address: AddressInfo) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    opened = socket.socket(family, kind, protocol)
+    require_acknowledgements(opened, SILENCE_S)
+    return opened
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -19,6 +19,7 @@
 
     from flamingoladder.transport.exchange import Exchange
 
+MAX_ANSWER_BYTES = 16 * 1_024 * 1_024
 NO_CONTENT = 204
 NOT_MODIFIED = 304
 
@@ -30,6 +31,7 @@
     LOST = "lost"
     SILENT = "silent"
     TIMEOUT = "timeout"
+    TOO_LARGE = "too_large"
 
 
 class SendFailure(msgspec.Struct, frozen=True):
@@ -101,7 +103,10 @@
         return _lost(exchange, "the answer is to another request")
     if not _ends_detectably(response, outgoing.method):
         return _lost(exchange, "the answer has no length and no chunks, so no certain end")
-    body = await response.read()
+    body = await _read_body(response)
+    if body is None:
+        detail = f"the answer is over {MAX_ANSWER_BYTES} bytes"
+        return SendFailure(FailureKind.TOO_LARGE, detail, exchange.reused)
     headers = tuple(
         Header(str(name), value)
         for name, value in response.headers.items()
@@ -110,6 +115,19 @@
     return Answer(response.status, headers, body)
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes | None:
+    """Return the whole body, or None if it is too large to be kept in memory."""
+    length = response.content_length
+    if length is not None:
+        return await response.read() if length <= MAX_ANSWER_BYTES else None
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            return None
+    return bytes(body)
+
+
 def _ends_detectably(response: aiohttp.ClientResponse, method: str) -> bool:
     if method == "HEAD" or response.status in {NO_CONTENT, NOT_MODIFIED}:
         return True
--- a/src/flamingoladder/upstreams/connections.py
+++ b/src/flamingoladder/upstreams/connections.py
@@ -29,6 +29,7 @@
     FailureKind.LOST: AttemptEnd.LOST,
     FailureKind.SILENT: AttemptEnd.SILENT,
     FailureKind.TIMEOUT: AttemptEnd.CANCELLED,
+    FailureKind.TOO_LARGE: AttemptEnd.ANSWERED,
 }
 
 
--- a/src/flamingoladder/upstreams/dispatcher.py
+++ b/src/flamingoladder/upstreams/dispatcher.py
@@ -40,6 +40,7 @@
 SHED_RETRY_S = 1.0
 
 REASON_BY_END = {
+    AttemptEnd.ANSWERED: Reason.ANSWER_TOO_LARGE,
     AttemptEnd.UNREACHABLE: Reason.UPSTREAM_UNREACHABLE,
     AttemptEnd.SHED: Reason.UPSTREAM_SHED,
     AttemptEnd.LOST: Reason.UPSTREAM_LOST,
@@ -195,7 +196,7 @@
             self._guard.saw_loss(request, target, started, now)
 
     def _may_retry(self, dispatch: Dispatch, failure: AttemptFailure, defaults: Defaults) -> bool:
-        if dispatch.attempts >= defaults.attempts:
+        if dispatch.attempts >= defaults.attempts or failure.end is AttemptEnd.ANSWERED:
             return False
         if asyncio.get_running_loop().time() >= dispatch.request.deadline:
             return False
--- a/src/flamingoladder/verdict.py
+++ b/src/flamingoladder/verdict.py
@@ -45,6 +45,7 @@
     UPSTREAM_LOST = "upstream_lost"
     UPSTREAM_SILENT = "upstream_silent"
     ANSWER_NOT_KEPT = "answer_not_kept"
+    ANSWER_TOO_LARGE = "answer_too_large"
     HOST_LEAVING = "host_leaving"
     HOST_LOST = "host_lost"
     HOST_UNREACHABLE = "host_unreachable"
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -177,10 +177,11 @@
 class RecordingDispatcher(Dispatcher):
     """Keeps the requests and answers each that passes the gate with its own path."""
 
-    __slots__ = ("gate", "requests")
+    __slots__ = ("answer_bytes", "gate", "requests")
 
     def __init__(self) -> None:
         self.requests: list[CallerRequest] = []
+        self.answer_bytes: int | None = None
         self.gate = Gate()
 
     async def dispatch(self, request: CallerRequest) -> Outcome:
@@ -190,6 +191,8 @@
         if request.path == "/fault":
             raise RuntimeError("fault in a stage")
         headers = (Header("X-Kind", "echo"), Header("Flamingoladder-Verdict", "not_run"))
+        if self.answer_bytes is not None:
+            return Ok(Answer(200, headers, bytes(self.answer_bytes)))
         return Ok(Answer(200, headers, request.path.encode()))
 
 
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -175,3 +175,29 @@
         gateway.state.proof = False
         refused.append(await gateway.send("/v1/outcomes/b1"))
         assert [reply.verdict for reply in refused] == [Verdict.MAY_HAVE_RUN] * 3
+
+
+async def test_a_leaving_host_serves_on_but_is_not_ready_and_closes_connections() -> None:
+    async with running_gateway() as gateway:
+        gateway.server.leave()
+        assert (await gateway.send("/health/ready")).status == 503
+        reply = await gateway.send("/services/desk/x")
+        assert (reply.verdict, reply.headers["Connection"]) == (Verdict.RAN, "close")
+
+
+async def test_a_stop_waits_for_a_caller_that_reads_slowly() -> None:
+    size = 8_000_000
+    async with running_gateway() as gateway:
+        gateway.dispatcher.answer_bytes = size
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", gateway.server.port, limit=1_000
+        )
+        lines = ("GET /services/desk/x HTTP/1.1", "Host: h", f"Authorization: Bearer {KEY}", "", "")
+        writer.write("\r\n".join(lines).encode())
+        head = await reader.readuntil(b"\r\n\r\n")
+        stopped = asyncio.create_task(gateway.server.stop(5.0))
+        await asyncio.sleep(0.05)
+        body = await reader.read()
+        assert f"content-length: {size}" in head.decode().lower()
+        assert len(body) == size
+        assert await stopped
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -11,6 +11,7 @@
 
 from flamingoladder.config.model import Target
 from flamingoladder.standins.upstream import UpstreamTarget
+from flamingoladder.standins.upstream_messages import RunState
 from flamingoladder.standins.upstream_messages import UpstreamSettings
 from flamingoladder.standins.upstream_runs import RunLog
 from flamingoladder.standins.upstream_server import UpstreamServer
@@ -87,9 +88,26 @@
         assert (head.status, head.body, head.headers["Content-Length"]) == (200, b"", "3")
 
 
+async def test_a_caller_that_hangs_up_cancels_a_look_up_but_not_a_booking() -> None:
+    slow = {"X-Standin-Delay-Ms": "300"}
+    for method, path, end in (
+        ("GET", "/services/desk/x", RunState.CANCELLED),
+        ("POST", "/services/desk/bookings", RunState.COMPLETED),
+    ):
+        async with whole_path() as (gateway, log):
+            sent = asyncio.create_task(gateway.send(path, method, headers=BOOKING | slow))
+            await _first_run(log)
+            sent.cancel()
+            await _until(log, end)
+
+
 async def _first_run(log: RunLog) -> None:
+    await _until(log, RunState.RUNNING)
+
+
+async def _until(log: RunLog, state: RunState) -> None:
     async with asyncio.timeout(2.0):
         while True:
-            if log.report({}).runs:
+            if [run.state for run in log.report({}).runs] == [state]:
                 return
             await asyncio.sleep(0.001)
--- a/tests/upstreams/scripted.py
+++ b/tests/upstreams/scripted.py
@@ -22,6 +22,7 @@
     ANSWER_AGAIN_LATE = "answers, then a moment later a second time with the id"
     CLOSE = "reads the whole request and closes"
     CROSSED = "answers with another request's id"
+    HUGE = "sends more than fits into memory, in chunks without end"
     HALF = "sends half of an answer and closes"
     NO_LENGTH = "sends an answer that ends where the connection ends"
     SHED = "sheds"
@@ -122,6 +123,8 @@
             case Act.HALF:
                 writer.write(_answer(self.name * 2)[: -len(self.name)])
                 return False
+            case Act.HUGE:
+                return await _send_without_end(writer)
             case Act.NO_LENGTH:
                 writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
                 return False
@@ -160,6 +163,14 @@
             await target.stop()
 
 
+async def _send_without_end(writer: asyncio.StreamWriter) -> bool:
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    while not writer.is_closing():
+        writer.write(b"100000\r\n" + bytes(0x100000) + b"\r\n")
+        await writer.drain()
+    return False
+
+
 def _content_length(head: bytes) -> int:
     for line in head.lower().split(b"\r\n"):
         if line.startswith(CONTENT_LENGTH):
--- a/tests/upstreams/test_dispatcher.py
+++ b/tests/upstreams/test_dispatcher.py
@@ -140,6 +140,16 @@
         assert only.connections == 3
 
 
+@pytest.mark.parametrize("route", [IDEMPOTENT, ONCE])
+async def test_an_answer_without_end_is_given_up_and_not_asked_for_again(route: Route) -> None:
+    targets = [ScriptedTarget(name, Act.HUGE) for name in ("first", "second")]
+    async with dispatching(*targets) as parts:
+        outcome = await parts.dispatcher.dispatch(request_for(route))
+        assert outcome.error.verdict is Verdict.MAY_HAVE_RUN
+        assert outcome.error.reason is Reason.ANSWER_TOO_LARGE
+        assert sum(len(target.received) for target in targets) == 1
+
+
 async def test_a_shed_booking_with_nowhere_to_go_has_not_run() -> None:
     only = ScriptedTarget("only", Act.SHED)
     async with dispatching(only) as parts:
