--- a/src/flamingoladder/console/commands/standin_upstreams.py
+++ b/src/flamingoladder/console/commands/standin_upstreams.py
@@ -22,6 +22,7 @@
     address: str = "127.0.0.1",
     slots: int = 3,
     queue: int = 3,
+    connections: int = 330,
     service_ms: float = 10.0,
     service_time: Literal["fixed", "exponential"] = "fixed",
     cold_factor: float = 1.0,
@@ -37,6 +38,7 @@
     :param address: IP address to listen on
     :param slots: requests that a target runs at once
     :param queue: requests that may wait for a slot; more get status 503
+    :param connections: connections that a target accepts requests on; more are closed
     :param service_ms: mean service time in milliseconds
     :param service_time: distribution of service times
     :param cold_factor: factor on service times just after a start
@@ -47,6 +49,7 @@
     settings = UpstreamSettings(
         slots=slots,
         queue=queue,
+        connections=connections,
         service_ms=service_ms,
         service_time=ServiceTime(service_time),
         cold_factor=cold_factor,
--- a/src/flamingoladder/standins/upstream_messages.py
+++ b/src/flamingoladder/standins/upstream_messages.py
@@ -25,13 +25,15 @@
 class UpstreamSettings(msgspec.Struct, frozen=True, kw_only=True):
     """The settings of a target.
 
-    ``slots`` requests run at once and ``queue`` more may wait. The mean service time is
+    ``slots`` requests run at once and ``queue`` more may wait. A request on a connection beyond
+    ``connections`` gets it closed. The mean service time is
     ``service_ms`` milliseconds; after a start it is ``cold_factor`` times that, falling to its
     normal value over ``ramp_s`` seconds. A crash lasts ``crash_down_s`` seconds.
     """
 
     slots: int = 3
     queue: int = 3
+    connections: int = 330
     service_ms: float = 10.0
     service_time: ServiceTime = ServiceTime.FIXED
     cold_factor: float = 1.0
@@ -91,10 +93,11 @@
     """The runs that a process has seen.
 
     ``header_names`` and ``authorization_seen`` are of all requests for work, ``turned_away`` counts
-    those that did not run.
+    those that did not run. ``peak_connections`` is the most that a target had at once.
     """
 
     runs: tuple[Run, ...]
     header_names: tuple[str, ...]
     authorization_seen: bool
     turned_away: int
+    peak_connections: int
--- a/src/flamingoladder/standins/upstream_runs.py
+++ b/src/flamingoladder/standins/upstream_runs.py
@@ -18,17 +18,22 @@
 class RunLog:
     """Runs, and the names of the headers that came with requests for work."""
 
-    __slots__ = ("_header_names", "_runs", "turned_away")
+    __slots__ = ("_header_names", "_runs", "peak_connections", "turned_away")
 
     def __init__(self) -> None:
         self._runs: list[Run] = []
         self._header_names: set[str] = set()
         self.turned_away = 0
+        self.peak_connections = 0
 
     def saw_headers(self, names: Iterable[str]) -> None:
         """Take in the header names of a request for work."""
         self._header_names.update(name.lower() for name in names)
 
+    def saw_connections(self, count: int) -> None:
+        """Take in how many connections a target has."""
+        self.peak_connections = max(self.peak_connections, count)
+
     def start(self, run: Run) -> None:
         """Record the start of a run."""
         self._runs.append(run)
@@ -57,4 +62,5 @@
             header_names=tuple(sorted(self._header_names)),
             authorization_seen=AUTHORIZATION in self._header_names,
             turned_away=self.turned_away,
+            peak_connections=self.peak_connections,
         )
