Move whole tokens in loans, give room back early and divide in whole units

Cause: a loan that splits tokens evenly between two hosts leaves both with a fraction that nobody can spend, and a lender that waits for its room can't refill.

Ruled out: backing off after answers without tokens, as the forecast from the last answer does it.

--- a/src/flamingoladder/shares/admission.py
+++ b/src/flamingoladder/shares/admission.py
@@ -198,6 +198,7 @@
         self._conversations.clear()
 
     def _ask_if_short(self, account: Account, now: float) -> None:
+        self._give_back(account, now)
         lending = account.lending
         if not lending.is_short(self._longest_trip_s, now):
             return
@@ -210,6 +211,13 @@
         for candidate in hosts_to_ask(lending, round_trips, underway, now):
             self._conversations[candidate.host].ask(allowance, candidate.expected)
 
+    def _give_back(self, account: Account, now: float) -> None:
+        lending = account.lending
+        for giver in tuple(lending.bucket.borrowed_by_host):
+            talk = self._conversations[giver]
+            if talk.may_ask(lending.allowance, now) and lending.owes(giver, now):
+                talk.ask(lending.allowance, 0)
+
 
 def _without_proof() -> Refusal:
     return Refusal.not_run(Reason.NO_PROOF, "this host has no proof of what is in force")
--- a/src/flamingoladder/shares/asking.py
+++ b/src/flamingoladder/shares/asking.py
@@ -56,7 +56,7 @@
         short_here = missing + tokens_wanted(mine.demand, trip_s)
         if short_here <= 0:
             continue
-        short = max(short, short_here)
+        short = max(short, missing if mine.waiting else short_here)
         expected = _expected(lending, host, now)
         if expected >= MIN_EXPECTED:
             found.append(Candidate(host, expected, trip_s))
--- a/src/flamingoladder/shares/conversation.py
+++ b/src/flamingoladder/shares/conversation.py
@@ -21,7 +21,7 @@
 
 
 class Backoff:
-    """How long not to ask for an allowance after answers that gave nothing."""
+    """How long not to ask for an allowance after questions without an answer."""
 
     __slots__ = ("delay_s", "until")
 
@@ -29,9 +29,9 @@
         self.delay_s = BACKOFF_S
         self.until = 0.0
 
-    def note(self, now: float, *, helped: bool) -> None:
+    def note(self, now: float, *, answered: bool) -> None:
         """Note an answer."""
-        if helped:
+        if answered:
             self.delay_s = BACKOFF_S
             return
         self.until = now + self.delay_s
@@ -92,19 +92,18 @@
         loop = asyncio.get_running_loop()
         renew_at = loop.time() + RENEW_S
         while True:
-            await self._woken(renew_at)
-            if loop.time() >= renew_at:
+            if not await self._woken(renew_at):
                 renew_at = loop.time() + RENEW_S
                 self._renew(loop.time())
             if self._due:
                 await self._exchange()
 
-    async def _woken(self, until: float) -> None:
+    async def _woken(self, until: float) -> bool:
         try:
             async with asyncio.timeout_at(until):
-                await self._wake.wait()
+                return await self._wake.wait()
         except TimeoutError:
-            return
+            return False
 
     def _renew(self, now: float) -> None:
         for allowance, account in self._accounts.items():
@@ -131,7 +130,7 @@
             if answer is not None and account is not None:
                 account.lending.credit(self.host, answer, now)
             if self.expected_by_allowance.pop(allowance, None) is not None:
-                helped = answer is not None and answer.tokens > 0
-                self._backoff_by_allowance.setdefault(allowance, Backoff()).note(now, helped=helped)
+                backoff = self._backoff_by_allowance.setdefault(allowance, Backoff())
+                backoff.note(now, answered=answer is not None)
             if account is not None:
                 account.serve(now)
--- a/src/flamingoladder/shares/division.py
+++ b/src/flamingoladder/shares/division.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from flamingoladder.shares.bucket import NANOS_PER_UNIT
 from flamingoladder.shares.bucket import Part
@@ -56,8 +57,21 @@
         total = self.total_by_allowance.get(allowance)
         if total is None or not self.is_member(host, incarnation):
             return Part(0, 0)
-        count = len(self.members)
-        return Part(total.units // count, total.rate // count)
+        return _part(total, len(self.members), self._place_of(allowance, host))
+
+    def _place_of(self, allowance: str, host: str) -> int:
+        """Return the host's place in an order that differs between allowances."""
+        hosts = sorted(self.members)
+        return (hosts.index(host) + crc32(allowance.encode())) % len(hosts)
+
+
+def _part(total: Part, count: int, place: int) -> Part:
+    """Return the part of the host at ``place``, in whole units; no part without a unit has rate."""
+    whole, left = divmod(total.units // NANOS_PER_UNIT, count)
+    units = (whole + (place < left)) * NANOS_PER_UNIT
+    if whole:
+        return Part(units, total.rate // count)
+    return Part(units, total.rate // left if units else 0)
 
 
 def follows(earlier: AgreedState, later: AgreedState) -> bool:
--- a/src/flamingoladder/shares/lending.py
+++ b/src/flamingoladder/shares/lending.py
@@ -28,6 +28,7 @@
     from flamingoladder.shares.division import Division
 
 LOAN_TERM_S = 3.0
+MIN_RETURNED = NANOS_PER_UNIT // 2
 
 
 class Asked:
@@ -129,6 +130,14 @@
             return mine.demand > mine.rate
         return self.fairness.loan(told.standing, mine).rate > 0
 
+    def owes(self, giver: str, now: float) -> bool:
+        """Return whether ``giver`` should have room back before the next renewal."""
+        borrowed = self.bucket.borrowed_by_host[giver]
+        told = self.told_by_host.get(giver)
+        if told is None or borrowed.units < MIN_RETURNED:
+            return False
+        return self.fairness.surplus(self.standing(now), told.standing).units >= MIN_RETURNED
+
     def tokens_within(self, hold_s: float, now: float) -> int:
         """Return the tokens that may come within ``hold_s`` seconds, here and from others."""
         coming = int(self.bucket.rate * hold_s) + NANOS_PER_UNIT
--- a/src/flamingoladder/shares/policy.py
+++ b/src/flamingoladder/shares/policy.py
@@ -13,6 +13,7 @@
 UNITS_FLOOR_SHARE = 0.5
 RATE_FLOOR_SHARE = 0.01
 RATE_SLACK = 0.05
+DEMAND_KNOWN_S = 1.0
 FORECAST_DEVIATIONS = 2.0
 
 
@@ -42,10 +43,10 @@
     def loan(self, giver: Standing, taker: Standing) -> LoanSize:
         """Return what ``giver`` should let ``taker`` have."""
         share = self._units_share(taker, giver)
-        tokens = int((giver.tokens + taker.tokens) * share) - taker.tokens
-        tokens = max(tokens, self._whole_token(giver, taker), self._urgent(giver, taker))
-        tokens = max(0, min(tokens, giver.tokens - giver.waiting))
+        tokens = _whole(int((giver.tokens + taker.tokens) * share)) - taker.tokens
+        tokens = max(0, tokens, _urgent(giver, taker))
         units = int((giver.units + taker.units) * share) - taker.units
+        units = min(units, giver.units - NANOS_PER_UNIT)
         units = max(tokens, min(units, giver.units - giver.tokens + tokens))
         return LoanSize(units, max(0, self._rate_gap(giver, taker)), tokens)
 
@@ -68,12 +69,19 @@
         gap = int((giver.rate + taker.rate) * share) - taker.rate
         return gap if gap > taker.rate * RATE_SLACK else 0
 
-    def _whole_token(self, giver: Standing, taker: Standing) -> int:
-        missing = -taker.tokens % NANOS_PER_UNIT
-        return missing if giver.tokens - missing >= NANOS_PER_UNIT else 0
 
-    def _urgent(self, giver: Standing, taker: Standing) -> int:
-        return min(taker.waiting - taker.tokens, giver.tokens - giver.waiting)
+def _whole(tokens: int) -> int:
+    return tokens - tokens % NANOS_PER_UNIT
+
+
+def _urgent(giver: Standing, taker: Standing) -> int:
+    """Return what held requests need, in whole tokens at the taker if it reaches for one."""
+    free = max(0, giver.tokens - giver.waiting)
+    needed = taker.waiting - taker.tokens
+    if needed <= free:
+        return needed
+    whole = _whole(taker.tokens + free) - taker.tokens
+    return whole if whole > 0 else free
 
 
 def tokens_wanted(demand: int, round_trip_s: float) -> int:
@@ -85,6 +93,7 @@
 
 def forecast(standing: Standing, age_s: float) -> Standing:
     """Return what a host probably holds ``age_s`` seconds after it said ``standing``."""
-    gained = int((standing.rate - standing.demand) * age_s)
+    used = standing.demand if age_s < DEMAND_KNOWN_S else 0
+    gained = int((standing.rate - used) * age_s)
     tokens = min(max(standing.tokens + gained, 0), standing.units)
     return type(standing)(tokens, standing.units, standing.rate, standing.demand, 0)
