Ask for less than a quarter of a token where a held request needs no more

Cause: a host whose capacity had shrunk below a unit held its requests and never asked for the missing part, as the expected loan was below the least one worth asking for.

--- a/src/flamingoladder/shares/asking.py
+++ b/src/flamingoladder/shares/asking.py
@@ -53,12 +53,12 @@
     found = []
     short = 0
     for host, trip_s in round_trips.items():
-        short_here = missing + tokens_wanted(mine.demand, trip_s)
+        short_here = missing if mine.waiting else missing + tokens_wanted(mine.demand, trip_s)
         if short_here <= 0:
             continue
-        short = max(short, missing if mine.waiting else short_here)
+        short = max(short, short_here)
         expected = _expected(lending, host, now)
-        if expected >= MIN_EXPECTED:
+        if expected >= min(MIN_EXPECTED, short_here):
             found.append(Candidate(host, expected, trip_s))
     return _enough(sorted(found, key=lambda candidate: -candidate.score), short)
 
--- a/src/flamingoladder/shares/lending.py
+++ b/src/flamingoladder/shares/lending.py
@@ -28,7 +28,7 @@
     from flamingoladder.shares.division import Division
 
 LOAN_TERM_S = 3.0
-MIN_RETURNED = NANOS_PER_UNIT // 2
+MIN_RETURNED = NANOS_PER_UNIT // 5
 
 
 class Asked:
--- a/src/flamingoladder/shares/policy.py
+++ b/src/flamingoladder/shares/policy.py
@@ -44,6 +44,7 @@
         """Return what ``giver`` should let ``taker`` have."""
         share = self._units_share(taker, giver)
         tokens = _whole(int((giver.tokens + taker.tokens) * share)) - taker.tokens
+        tokens = min(tokens, giver.units - NANOS_PER_UNIT)
         tokens = max(0, tokens, _urgent(giver, taker))
         units = int((giver.units + taker.units) * share) - taker.units
         units = min(units, giver.units - NANOS_PER_UNIT)
