Test load reports and random service times of upstreams on injected time

Cause: the test of late reports wrote to a private field, and nothing showed that service times repeat with their seed. Seen: the tests of platform and stand-ins pass.

--- a/tests/standins/test_upstream_server.py
+++ b/tests/standins/test_upstream_server.py
@@ -14,10 +14,11 @@
 import pytest_asyncio
 
 from flamingoladder.standins.control import UpstreamControl
+from flamingoladder.standins.loop import run_on_injected_time
 from flamingoladder.standins.upstream import UpstreamTarget
 from flamingoladder.standins.upstream_messages import Control
-from flamingoladder.standins.upstream_messages import LoadReport
 from flamingoladder.standins.upstream_messages import RunState
+from flamingoladder.standins.upstream_messages import ServiceTime
 from flamingoladder.standins.upstream_messages import UpstreamSettings
 from flamingoladder.standins.upstream_runs import RunLog
 from flamingoladder.standins.upstream_server import UpstreamServer
@@ -195,11 +196,32 @@
 
 
 def test_load_reports_can_lag_and_lie() -> None:
-    target = _target(UpstreamSettings())
-    target._reports.extend([(101.0, 1), (102.0, 2)])
-    target.control(Control(load_lag_s=1.0), 102.0)
-    assert target.load(102.5) == LoadReport(1, 3, False)
-    target.control(Control(reported_in_progress=0), 102.0)
-    assert target.load(103.5) == LoadReport(0, 3, False)
-    target.control(Control(reported_in_progress=None), 102.0)
-    assert target.load(103.5) == LoadReport(2, 3, False)
+    async def scenario() -> list[int]:
+        target = UpstreamTarget("catalogue-01", UpstreamSettings(), Random(1), 0.0)
+        await asyncio.sleep(1.0)
+        async with target.slot():
+            await asyncio.sleep(1.0)
+            controls = [
+                Control(),
+                Control(load_lag_s=0.9),
+                Control(load_lag_s=1.1),
+                Control(reported_in_progress=3),
+                Control(reported_in_progress=None),
+            ]
+            return [_reported(target, control) for control in controls]
+
+    assert run_on_injected_time(scenario()) == [1, 1, 0, 3, 0]
+
+
+def _reported(target: UpstreamTarget, control: Control) -> int:
+    now = asyncio.get_running_loop().time()
+    target.control(control, now)
+    return target.load(now).in_progress
+
+
+def test_random_service_times_repeat_with_their_seed() -> None:
+    settings = UpstreamSettings(service_ms=10, service_time=ServiceTime.EXPONENTIAL)
+    first, second = _target(settings), _target(settings)
+    times_s = [first.service_time_s(200.0) for _ in range(5_000)]
+    assert times_s == [second.service_time_s(200.0) for _ in range(5_000)]
+    assert sum(times_s) / len(times_s) == pytest.approx(0.01, rel=0.1)
