Count a request as in progress until its answer is written

Cause: a stop waited for handlers only, so the answer to a slow reader could be cut by the end of the process after a fixed 5 s, whatever the grace.

--- a/src/flamingoladder/gateway/server.py
+++ b/src/flamingoladder/gateway/server.py
@@ -138,7 +138,7 @@
     def _guarded(
         self, handle: Callable[[web.Request, str], Awaitable[web.Response]]
     ) -> Callable[[web.Request], Awaitable[web.Response]]:
-        """Return a handler that counts its requests and refuses them during the stop."""
+        """Return a handler that counts requests until they are written, or refuses them."""
 
         async def handler(request: web.Request) -> web.Response:
             request_id = request_id_of(request)
@@ -146,7 +146,10 @@
                 return self._closing(refusal_response(self._leaving(request), request_id))
             with self._in_progress:
                 response = await handle(request, request_id)
-            return self._closing(response) if self._phase is not Phase.SERVING else response
+                if self._phase is not Phase.SERVING:
+                    self._closing(response)
+                await _write(request, response)
+            return response
 
         return handler
 
@@ -210,6 +213,11 @@
         return None
 
 
+async def _write(request: web.Request, response: web.Response) -> None:
+    await response.prepare(request)
+    await response.write_eof()
+
+
 def _fate_unknown(refusal: Refusal) -> Refusal:
     """Return a refused question about an earlier request, which says nothing of that request."""
     return msgspec.structs.replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import msgspec
 import pytest
 
+from flamingoladder.gateway import server
 from flamingoladder.steering.lookup import LookupAnswer
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
@@ -185,19 +187,24 @@
         assert (reply.verdict, reply.headers["Connection"]) == (Verdict.RAN, "close")
 
 
-async def test_a_stop_waits_for_a_caller_that_reads_slowly() -> None:
-    size = 8_000_000
+async def test_a_stop_waits_for_a_caller_that_reads_slowly(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(server, "CLOSE_TIMEOUT_S", 0.01)
+    size = 16_000_000
     async with running_gateway() as gateway:
         gateway.dispatcher.answer_bytes = size
-        reader, writer = await asyncio.open_connection(
-            "127.0.0.1", gateway.server.port, limit=1_000
-        )
+        slow = socket.create_connection(("127.0.0.1", gateway.server.port))
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 262_144)
+        reader, writer = await asyncio.open_connection(sock=slow, limit=65_536)
         lines = ("GET /services/desk/x HTTP/1.1", "Host: h", f"Authorization: Bearer {KEY}", "", "")
         writer.write("\r\n".join(lines).encode())
         head = await reader.readuntil(b"\r\n\r\n")
-        stopped = asyncio.create_task(gateway.server.stop(5.0))
-        await asyncio.sleep(0.05)
+        stopped = asyncio.create_task(gateway.server.stop(30.0))
+        await asyncio.sleep(0.3)
+        assert not stopped.done()
         body = await reader.read()
         assert f"content-length: {size}" in head.decode().lower()
         assert len(body) == size
         assert await stopped
+        writer.close()
