--- a/tests/standins/test_upstream_server.py
+++ b/tests/standins/test_upstream_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from http import HTTPStatus
 from random import Random
 from typing import TYPE_CHECKING
@@ -13,10 +14,11 @@
 import pytest_asyncio
 
 from flamingoladder.standins.control import UpstreamControl
+from flamingoladder.standins.loop import run_on_injected_time
 from flamingoladder.standins.upstream import UpstreamTarget
 from flamingoladder.standins.upstream_messages import Control
-from flamingoladder.standins.upstream_messages import LoadReport
 from flamingoladder.standins.upstream_messages import RunState
+from flamingoladder.standins.upstream_messages import ServiceTime
 from flamingoladder.standins.upstream_messages import UpstreamSettings
 from flamingoladder.standins.upstream_runs import RunLog
 from flamingoladder.standins.upstream_server import UpstreamServer
@@ -46,6 +48,15 @@
         async with self._callers.get(self.url + path, headers=headers) as response:
             return response.status, await response.read()
 
+    async def until_up(self) -> None:
+        """Wait until the target accepts connections."""
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                with suppress(aiohttp.ClientConnectorError):
+                    await self.load()
+                    return
+                await asyncio.sleep(0.02)
+
     async def until(self, states: list[RunState]) -> None:
         """Wait until the runs are in these states."""
         async with asyncio.timeout(PATIENCE_S):
@@ -57,7 +68,7 @@
 
 @pytest_asyncio.fixture
 async def upstream() -> AsyncIterator[Upstream]:
-    settings = UpstreamSettings(slots=2, queue=1, service_ms=0, crash_down_s=0.1)
+    settings = UpstreamSettings(slots=2, queue=1, service_ms=0, crash_down_s=0.5, connections=5)
     now = asyncio.get_running_loop().time()
     target = UpstreamTarget("catalogue-01", settings, Random(1), now)
     server = UpstreamServer(target, RunLog(), ADDRESS, 0)
@@ -135,7 +146,7 @@
         await running
     with pytest.raises(aiohttp.ClientConnectorError):
         await upstream.get("/health")
-    await asyncio.sleep(0.15)
+    await upstream.until_up()
     assert (await upstream.get("/c"))[0] == HTTPStatus.OK
     await upstream.until([RunState.CRASHED, RunState.CRASHED, RunState.COMPLETED])
 
@@ -150,6 +161,28 @@
     assert (await upstream.get("/b"))[0] == HTTPStatus.OK
 
 
+async def test_a_request_on_a_silent_connection_does_not_run(upstream: Upstream) -> None:
+    assert (await upstream.get("/a"))[0] == HTTPStatus.OK
+    await upstream.control(Control(silence=True))
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(upstream.get("/b"), GIVE_UP_S)
+    assert [run.path for run in (await upstream.runs()).runs] == ["/a"]
+
+
+async def test_connections_beyond_the_limit_are_closed(upstream: Upstream) -> None:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+
+        async def ask() -> int:
+            async with session.post(upstream.url, headers={"X-Standin-Delay-Ms": "50"}) as response:
+                return response.status
+
+        results = await asyncio.gather(*(ask() for _ in range(7)), return_exceptions=True)
+    assert sum(isinstance(result, aiohttp.ClientError) for result in results) == 2
+    report = await upstream.runs()
+    assert (len(report.runs) + report.turned_away, report.peak_connections) == (5, 7)
+
+
 def _target(settings: UpstreamSettings) -> UpstreamTarget:
     return UpstreamTarget("catalogue-01", settings, Random(1), 100.0)
 
@@ -163,11 +196,32 @@
 
 
 def test_load_reports_can_lag_and_lie() -> None:
-    target = _target(UpstreamSettings())
-    target._reports.extend([(101.0, 1), (102.0, 2)])
-    target.control(Control(load_lag_s=1.0), 102.0)
-    assert target.load(102.5) == LoadReport(1, 3, False)
-    target.control(Control(reported_in_progress=0), 102.0)
-    assert target.load(103.5) == LoadReport(0, 3, False)
-    target.control(Control(reported_in_progress=None), 102.0)
-    assert target.load(103.5) == LoadReport(2, 3, False)
+    async def scenario() -> list[int]:
+        target = UpstreamTarget("catalogue-01", UpstreamSettings(), Random(1), 0.0)
+        await asyncio.sleep(1.0)
+        async with target.slot():
+            await asyncio.sleep(1.0)
+            controls = [
+                Control(),
+                Control(load_lag_s=0.9),
+                Control(load_lag_s=1.1),
+                Control(reported_in_progress=3),
+                Control(reported_in_progress=None),
+            ]
+            return [_reported(target, control) for control in controls]
+
+    assert run_on_injected_time(scenario()) == [1, 1, 0, 3, 0]
+
+
+def _reported(target: UpstreamTarget, control: Control) -> int:
+    now = asyncio.get_running_loop().time()
+    target.control(control, now)
+    return target.load(now).in_progress
+
+
+def test_random_service_times_repeat_with_their_seed() -> None:
+    settings = UpstreamSettings(service_ms=10, service_time=ServiceTime.EXPONENTIAL)
+    first, second = _target(settings), _target(settings)
+    times_s = [first.service_time_s(200.0) for _ in range(5_000)]
+    assert times_s == [second.service_time_s(200.0) for _ in range(5_000)]
+    assert sum(times_s) / len(times_s) == pytest.approx(0.01, rel=0.1)
