Prune within the limits of a transaction

Cause: a shard with 128 or more prunable tickets was refused whole, for good, since each ticket may bring a closing row along and a transaction takes 128 rows. Shown failing first: test_a_shard_with_more_rows_than_a_transaction_takes_is_pruned[tickets/]. Ruled out: two transactions (an outcome and its closing row must go together). Conclusion: half as many rows.

--- a/src/flamingoladder/ledger/pruner.py
+++ b/src/flamingoladder/ledger/pruner.py
@@ -18,6 +18,7 @@
 from flamingoladder.ledger.records import decode_claim
 from flamingoladder.ledger.records import encode
 from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.platform.table import MAX_TRANSACTION_ROWS
 from flamingoladder.platform.table import Condition
 from flamingoladder.platform.table import Write
 
@@ -35,7 +36,8 @@
 SHARD_PAUSE_S = 0.5
 HORIZON_PAUSE_S = 300.0
 SHARD_DIGITS = 3
-MAX_ROWS = 128
+# Each row may bring a closing row along.
+MAX_ROWS = MAX_TRANSACTION_ROWS // 2
 
 
 class Pruner:
