Cause each partition, restart, race and lost answer on injected time

Hosts that restarted together now register in one commit that requires their directory rows to be unchanged: with all peers cut from each other four of seven could not recover one at a time. Ruled out: intents of any change that block vouches; a configuration of unknown outcome would have stopped keyed traffic for as long as the store is out.

--- a/models/freshness.py
+++ b/models/freshness.py
@@ -108,6 +108,7 @@
     changes: tuple[Change, ...]
     members: tuple[int, ...] = (0, 0, 0)
     crashing: tuple[int, ...] = ()
+    restarted: tuple[int, ...] = ()
     reports: bool = False
 
 
@@ -258,7 +259,8 @@
         if commit.phase == SENT and _head(state) != commit.base:
             yield f"fail {kind}", _phase(state, number, IDLE)
         if commit.phase == SENT and self._may_land(state, commit):
-            yield f"land {kind}", self._landed(state, number, change)
+            for members in self._next_members(state, commit, change):
+                yield f"land {kind}", self._landed(state, number, change, members)
         if kind == WITHDRAW and self._may_withdraw_intent(state, commit, alive):
             yield from self._closings(state, commit)
 
@@ -313,25 +315,38 @@
     def _may_land(self, state: State, commit: Commit) -> bool:
         return _head(state) == commit.base or self.without("head_unchanged")
 
-    def _landed(self, state: State, number: int, change: Change) -> State:
+    def _landed(self, state: State, number: int, change: Change, members: tuple[int, ...]) -> State:
         commit = state.commits[number]
         state = _phase(state, number, DONE)._replace(overwritten=commit.base != _head(state))
-        members = state.members[-1]
-        if change.kind == JOIN:
-            members = self._joined(state, change.host, commit.incarnation)
         if state.removed_in == _head(state):
             state = _mark(state, REMOVAL)
         if change.kind == REMOVE:
-            members = _put(members, change.target, NONE)
             state = state._replace(removed_in=len(state.members))
         if change.kind == WITHDRAW:
             state = state._replace(withdrawn_in=len(state.members))
         return state._replace(members=(*state.members, members), known_on=frozenset())
 
-    def _joined(self, state: State, host: int, incarnation: int) -> tuple[int, ...]:
-        if self.without("may_take_along"):
-            return tuple(each.incarnation for each in state.hosts)
-        return _put(state.members[-1], host, incarnation)
+    def _next_members(
+        self, state: State, commit: Commit, change: Change
+    ) -> Iterator[tuple[int, ...]]:
+        """Return what the commit may make of the members; others may be taken along or not."""
+        members = state.members[-1]
+        if change.kind == REMOVE:
+            members = _put(members, change.target, NONE)
+        if change.kind == JOIN:
+            members = _put(members, change.host, commit.incarnation)
+        yield members
+        if change.kind != JOIN:
+            return
+        started = [
+            each.incarnation if self._may_take_along(members[host]) else members[host]
+            for host, each in enumerate(state.hosts)
+        ]
+        if tuple(started) != members:
+            yield tuple(started)
+
+    def _may_take_along(self, registered: int) -> bool:
+        return registered != NONE or self.without("may_take_along")
 
     # Reports that the head is in force.
 
@@ -395,12 +410,14 @@
         installed = state["hosts"][self.plan.holder].installed
         return not self._usable(state) or installed >= state["in_force"]
 
+    def _first(self, host: int) -> Host:
+        if host in self.plan.restarted:
+            return Host(1, NONE, NONE)
+        return Host() if self.plan.members[host] != NONE else Host(0, NONE, NONE)
+
     def protocol(self, name: str) -> Protocol:
         """Return the protocol to check."""
-        hosts = tuple(
-            Host() if registered != NONE else Host(0, NONE, NONE)
-            for registered in self.plan.members
-        )
+        hosts = tuple(self._first(host) for host in HOSTS)
         commits = tuple(Commit() for _ in self.plan.changes)
         return Protocol(
             name=name,
@@ -492,7 +509,7 @@
         ("suspended_keys", "may_install", "head_unchanged"),
     ),
     "restart": Checked(
-        Plan(1, (Change(WITHDRAW, 0), Change(JOIN, 2)), crashing=(2,)),
+        Plan(1, (Change(WITHDRAW, 0), Change(JOIN, 2)), crashing=(1,), restarted=(2,)),
         ("may_count_vouch", "head_unchanged"),
     ),
     "removal": Checked(
--- a/src/flamingoladder/freshness/announcer.py
+++ b/src/flamingoladder/freshness/announcer.py
@@ -12,17 +12,18 @@
 from flamingoladder.freshness.messages import HeadKnown
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
     from collections.abc import Mapping
 
     from flamingoladder.freshness.head import Head
     from flamingoladder.freshness.knowledge import Knowledge
     from flamingoladder.freshness.settings import FreshnessSettings
+    from flamingoladder.freshness.tasks import BackgroundTasks
     from flamingoladder.members.silence import Silence
     from flamingoladder.members.state import Member
     from flamingoladder.peers.link import PeerLinks
 
 REPEAT_S = 0.2
+MIN_PAUSE_S = 0.001
 
 
 class Announcement:
@@ -102,12 +103,13 @@
         links: PeerLinks,
         silence: Silence,
         settings: FreshnessSettings,
+        tasks: BackgroundTasks,
     ) -> None:
         self._knowledge = knowledge
         self._links = links
         self._silence = silence
         self._settings = settings
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = tasks
 
     def start(self, head: Head, locked_at: float) -> Announcement:
         """Announce ``head``, which this host has put in force."""
@@ -121,7 +123,7 @@
         message = HeadAnnounced(encode_head(head))
         deadline = now + self._settings.force_timeout_s
         for host in {*knowledge.members_by_host, *self._links.hosts} - {own}:
-            self._start(self._push(host, message, announcement, deadline))
+            self._tasks.start(self._push(host, message, announcement, deadline))
         return announcement
 
     async def wait_in_force(self, announcement: Announcement) -> bool:
@@ -135,7 +137,8 @@
                 return True
             if now >= deadline:
                 return False
-            await announcement.wait_for_answer(min(deadline, in_force_from) - now)
+            pause_s = max(MIN_PAUSE_S, min(deadline, in_force_from) - now)
+            await announcement.wait_for_answer(pause_s)
 
     def _wait_s(self, head: Head) -> float:
         drift = (
@@ -155,8 +158,3 @@
                 announcement.acknowledge(host, reply.known, reply.installed, loop.time())
             if host not in announcement.installed_on:
                 await asyncio.sleep(REPEAT_S)
-
-    def _start(self, push: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(push)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/src/flamingoladder/freshness/attempt.py
+++ b/src/flamingoladder/freshness/attempt.py
@@ -136,7 +136,7 @@
         self, pending: PendingChange, base: StoredHead, encoded: EncodedHead
     ) -> AttemptEnd:
         try:
-            commit = await self._storage.replace(base, encoded.head)
+            commit = await self._storage.replace(base, encoded.head, pending.change.conditions)
         except OutcomeUnknownError as error:
             pending.unknown_base = self._version(base)
             return Retry(str(error))
--- a/src/flamingoladder/freshness/changes.py
+++ b/src/flamingoladder/freshness/changes.py
@@ -16,6 +16,7 @@
     from flamingoladder.config.agreed import KeyGrant
     from flamingoladder.config.agreed import Shift
     from flamingoladder.config.model import Deployment
+    from flamingoladder.platform.table import Condition
 
 NO_STATE_VERSION = 0
 
@@ -46,6 +47,11 @@
         """Return the id of the key that is refused while the change is being committed."""
         return None
 
+    @property
+    def conditions(self) -> tuple[Condition, ...]:
+        """Return what the commit requires besides the unchanged head."""
+        return ()
+
     def create(self) -> AgreedState | Rejection:
         """Return the first state, where there is none yet."""
         return Rejection("no configuration has been applied yet")
--- a/src/flamingoladder/freshness/committer.py
+++ b/src/flamingoladder/freshness/committer.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 from typing import TYPE_CHECKING
-from typing import Any
 from uuid import uuid4
 
 from expression import Error
@@ -20,8 +19,6 @@
 from flamingoladder.freshness.commits import RefusalKind
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
-
     from expression import Result
 
     from flamingoladder.freshness.announcer import Announcement
@@ -31,6 +28,7 @@
     from flamingoladder.freshness.intents import IntentRound
     from flamingoladder.freshness.knowledge import Knowledge
     from flamingoladder.freshness.settings import FreshnessSettings
+    from flamingoladder.freshness.tasks import BackgroundTasks
     from flamingoladder.timeline.recorder import Recorder
 
 RETRY_S = 0.05
@@ -48,8 +46,8 @@
         "_lock",
         "_recorder",
         "_settings",
+        "_tasks",
         "_withdrawn",
-        "tasks",
     )
 
     def __init__(
@@ -60,6 +58,7 @@
         announcer: Announcer,
         recorder: Recorder,
         settings: FreshnessSettings,
+        tasks: BackgroundTasks,
     ) -> None:
         self._knowledge = knowledge
         self._attempts = attempts
@@ -69,7 +68,7 @@
         self._settings = settings
         self._lock = asyncio.Lock()
         self._withdrawn: set[str] = set()
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = tasks
 
     def is_open(self, change_id: str) -> bool:
         """Return whether a change announced by this host was, or may yet be, committed."""
@@ -80,10 +79,7 @@
 
         The commit goes on if the caller is cancelled.
         """
-        task = asyncio.create_task(self._commit(change))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return await asyncio.shield(task)
+        return await asyncio.shield(self._tasks.start(self._commit(change)))
 
     async def _commit(self, change: Change) -> Result[CommitReport, CommitRefused]:
         loop = asyncio.get_running_loop()
@@ -137,7 +133,7 @@
         if guards.may_withdraw_intent(pending.unknown_base):
             self._withdraw(pending)
         elif pending.change.suspended_key is not None:
-            self._start(self._resolve(pending))
+            self._tasks.start(self._resolve(pending))
 
     def _withdraw(self, pending: PendingChange) -> None:
         self._withdrawn.add(pending.change_id)
@@ -164,8 +160,3 @@
                 self._withdraw(pending)
                 return
             await asyncio.sleep(RESOLVE_S)
-
-    def _start(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
--- a/src/flamingoladder/freshness/guards.py
+++ b/src/flamingoladder/freshness/guards.py
@@ -63,12 +63,13 @@
 
 
 def may_take_along(host: str, committer: str, members_by_host: Mapping[str, Member]) -> bool:
-    """Return whether a registration may add ``host``.
+    """Return whether a registration by ``committer`` may register ``host``, too.
 
-    From one version to the next the majorities must meet in a host, so a host adds only itself,
-    except where none is registered and so none can hold a proof.
+    From one version to the next the majorities must meet in a host. So of new hosts a committer
+    adds only itself, except where none is registered and so none can hold a proof; those that
+    have restarted keep their place.
     """
-    return host == committer or not members_by_host
+    return host == committer or host in members_by_host or not members_by_host
 
 
 def may_shorten_wait(last_removal_at: float, wait_s: float, now: float) -> bool:
--- a/src/flamingoladder/freshness/intents.py
+++ b/src/flamingoladder/freshness/intents.py
@@ -22,6 +22,7 @@
 
     from flamingoladder.freshness.knowledge import Knowledge
     from flamingoladder.freshness.settings import FreshnessSettings
+    from flamingoladder.freshness.tasks import BackgroundTasks
     from flamingoladder.members.silence import Silence
     from flamingoladder.members.state import Member
     from flamingoladder.peers.link import PeerLinks
@@ -55,13 +56,14 @@
         links: PeerLinks,
         silence: Silence,
         settings: FreshnessSettings,
+        tasks: BackgroundTasks,
     ) -> None:
         self._knowledge = knowledge
         self._table = table
         self._links = links
         self._silence = silence
         self._settings = settings
-        self._tasks: set[asyncio.Task[_Answer]] = set()
+        self._tasks = tasks
 
     async def run(self, intent: Intent, members_by_host: Mapping[str, Member]) -> IntentEnd:
         """Announce ``intent`` to all registered hosts and wait for a majority of them."""
@@ -69,8 +71,9 @@
         if not self._open_own(intent):
             return IntentEnd.OUTDATED
         acknowledged = {own}
-        tasks = [self._start(host, intent) for host in members_by_host if host != own]
-        for answered in asyncio.as_completed(tasks):
+        others = (host for host in members_by_host if host != own)
+        asks = [self._tasks.start(self._ask(host, intent)) for host in others]
+        for answered in asyncio.as_completed(asks):
             answer = await answered
             if answer.reply is None:
                 continue
@@ -108,12 +111,6 @@
         )
         return self._knowledge.open_intent(opened)
 
-    def _start(self, host: str, intent: Intent) -> asyncio.Task[_Answer]:
-        task = asyncio.create_task(self._ask(host, intent))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     async def _ask(self, host: str, intent: Intent) -> _Answer:
         reply = await self._links.ask(host, intent, self._settings.peer_timeout_s)
         if not isinstance(reply, IntentReply):
--- a/src/flamingoladder/freshness/keeper.py
+++ b/src/flamingoladder/freshness/keeper.py
@@ -15,6 +15,7 @@
 from flamingoladder.freshness.responder import Responder
 from flamingoladder.freshness.status import gather_status
 from flamingoladder.freshness.storage import HeadStorage
+from flamingoladder.freshness.tasks import BackgroundTasks
 from flamingoladder.members.registrar import Registrar
 from flamingoladder.members.silence import Silence
 
@@ -61,6 +62,7 @@
         registrar: Registrar,
         links: PeerLinks,
         settings: FreshnessSettings,
+        tasks: BackgroundTasks,
     ) -> None:
         self._knowledge = knowledge
         self._renewer = renewer
@@ -68,7 +70,7 @@
         self._registrar = registrar
         self._links = links
         self._settings = settings
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = tasks
 
     @classmethod
     def from_config(
@@ -87,15 +89,16 @@
         silence = Silence(now)
         storage = HeadStorage(table, objects, links, settings)
         renewer = ProofRenewer(knowledge, storage, links, silence, recorder, settings)
-        intents = IntentRound(knowledge, table, links, silence, settings)
+        tasks = BackgroundTasks()
+        intents = IntentRound(knowledge, table, links, silence, settings, tasks)
         attempts = Attempts(knowledge, storage, renewer, intents)
-        announcer = Announcer(knowledge, links, silence, settings)
-        committer = Committer(knowledge, attempts, intents, announcer, recorder, settings)
+        announcer = Announcer(knowledge, links, silence, settings, tasks)
+        committer = Committer(knowledge, attempts, intents, announcer, recorder, settings, tasks)
         registrar = Registrar(
             knowledge, committer, table, host_list, links, silence, recorder, settings
         )
         Responder(knowledge, storage, renewer, committer, silence).register(links)
-        return cls(knowledge, renewer, committer, registrar, links, settings)
+        return cls(knowledge, renewer, committer, registrar, links, settings, tasks)
 
     @property
     def changes(self) -> Observable[AgreedState]:
@@ -122,10 +125,8 @@
 
     def start(self) -> None:
         """Start to renew the proof and to register this host."""
-        self._tasks = [
-            asyncio.create_task(self._renewer.run()),
-            asyncio.create_task(self._registrar.run()),
-        ]
+        self._tasks.start(self._renewer.run())
+        self._tasks.start(self._registrar.run())
 
     async def commit(self, change: Change) -> Result[CommitReport, CommitRefused]:
         """Commit ``change``; see ``CommitReport`` and ``CommitRefused``."""
@@ -146,7 +147,4 @@
 
     async def close(self) -> None:
         """Stop all tasks; the host's proof then ends by itself."""
-        tasks = (*self._tasks, *self._committer.tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.close()
--- a/src/flamingoladder/freshness/storage.py
+++ b/src/flamingoladder/freshness/storage.py
@@ -84,16 +84,20 @@
             if name not in self._content_by_name:
                 await self._objects.put(name, content, self._settings.store_timeout_s)
 
-    async def replace(self, base: StoredHead, head: Head) -> Commit:
-        """Write ``head`` if the row is still at ``base``.
+    async def replace(
+        self, base: StoredHead, head: Head, conditions: tuple[Condition, ...] = ()
+    ) -> Commit:
+        """Write ``head`` if the row is still at ``base`` and ``conditions`` hold.
 
         The registered incarnations are part of the row, so the condition covers them too.
 
         :raises PlatformError: if the table did not answer in time.
         """
-        condition = Condition(HEAD_KEY, base.revision)
+        head_unchanged = Condition(HEAD_KEY, base.revision)
         write = Write(HEAD_KEY, encode_head(head))
-        return await self._table.transact((condition,), (write,), self._settings.store_timeout_s)
+        return await self._table.transact(
+            (head_unchanged, *conditions), (write,), self._settings.store_timeout_s
+        )
 
     def adopt(self, encoded: EncodedHead) -> None:
         """Keep the objects of a head that this host has committed."""
--- a/src/flamingoladder/members/changes.py
+++ b/src/flamingoladder/members/changes.py
@@ -12,15 +12,21 @@
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import AgreedState
     from flamingoladder.freshness.changes import Rejection
+    from flamingoladder.members.directory import DirectoryEntry
     from flamingoladder.members.state import Member
+    from flamingoladder.platform.table import Condition
 
 
 class RegisterMember(Change):
-    """Registers ``member``, and all of ``started`` where no host is registered yet."""
+    """Registers ``member``, and of ``started`` the hosts that may be taken along.
+
+    That is only sound while the directory's rows are those that were read: an entry that was
+    overtaken names a dead incarnation in place of a live one.
+    """
 
     __slots__ = ("member", "started")
 
-    def __init__(self, member: Member, started: tuple[Member, ...] = ()) -> None:
+    def __init__(self, member: Member, started: tuple[DirectoryEntry, ...] = ()) -> None:
         self.member = member
         self.started = started
 
@@ -29,10 +35,15 @@
         """Return ``member:<host>``."""
         return f"member:{self.member.host}"
 
+    @property
+    def conditions(self) -> tuple[Condition, ...]:
+        """Require that the directory's rows are unchanged."""
+        return tuple(entry.condition for entry in self.started)
+
     def apply(self, state: AgreedState) -> AgreedState | Rejection:
         """Register the new incarnations."""
         by_host = state.members_by_host
-        for member in (*self.started, self.member):
+        for member in (*(entry.member for entry in self.started), self.member):
             if guards.may_take_along(member.host, self.member.host, state.members_by_host):
                 by_host[member.host] = _registered(member, by_host.get(member.host))
         return _with_members(state, by_host)
--- a/src/flamingoladder/members/directory.py
+++ b/src/flamingoladder/members/directory.py
@@ -15,17 +15,36 @@
 
 DIRECTORY_PREFIX = "hosts/"
 
+
+class DirectoryEntry(msgspec.Struct, frozen=True):
+    """A host's newest incarnation; ``condition`` requires that it still is the newest."""
+
+    member: Member
+    condition: Condition
+
+
 _decoder = msgspec.json.Decoder(Member)
 
 
 async def read_directory(table: TableService, timeout_s: float) -> dict[str, Member]:
     """Return the newest incarnation of each host that ever started, by host.
 
+    :raises PlatformUnavailableError: if no answer came within ``timeout_s`` seconds.
+    """
+    entries = await read_entries(table, timeout_s)
+    return {entry.member.host: entry.member for entry in entries}
+
+
+async def read_entries(table: TableService, timeout_s: float) -> tuple[DirectoryEntry, ...]:
+    """Return the newest incarnation of each host that ever started.
+
     :raises PlatformUnavailableError: if no answer came within ``timeout_s`` seconds.
     """
     rows = await table.read(DIRECTORY_PREFIX, timeout_s)
-    members = [_decoder.decode(row.value) for row in rows.rows]
-    return {member.host: member for member in members}
+    return tuple(
+        DirectoryEntry(_decoder.decode(row.value), Condition(row.key, row.revision))
+        for row in rows.rows
+    )
 
 
 async def enter_directory(table: TableService, member: Member, timeout_s: float) -> bool:
--- a/src/flamingoladder/members/registrar.py
+++ b/src/flamingoladder/members/registrar.py
@@ -13,7 +13,7 @@
 from flamingoladder.members.changes import RemoveMember
 from flamingoladder.members.directory import enter_directory
 from flamingoladder.members.directory import leave_directory
-from flamingoladder.members.directory import read_directory
+from flamingoladder.members.directory import read_entries
 from flamingoladder.platform.exceptions import PlatformError
 from flamingoladder.platform.hostlist import HostStatus
 
@@ -117,10 +117,14 @@
         if self._knowledge.installed == NO_STATE_VERSION:
             return
         try:
-            directory = await read_directory(self._table, self._settings.store_timeout_s)
+            entries = await read_entries(self._table, self._settings.store_timeout_s)
         except PlatformError:
             return
-        change = RegisterMember(self._knowledge.member, tuple(directory.values()))
+        by_host = self._knowledge.members_by_host
+        started = tuple(
+            entry for entry in entries if by_host.get(entry.member.host) != entry.member
+        )
+        change = RegisterMember(self._knowledge.member, started)
         result = await self._committer.commit(change)
         if result.is_ok():
             self._recorder.record("member.registered", version=result.ok.version)
--- a/tests/freshness/fleet.py
+++ b/tests/freshness/fleet.py
@@ -77,6 +77,7 @@
         self.faults_by_host = {host: Faults() for host in self.hosts}
         self.keepers_by_host: dict[str, StateKeeper] = {}
         self.starts = 0
+        self.formed_at = 0
 
     @property
     def first(self) -> StateKeeper:
@@ -119,6 +120,7 @@
         await self.committed(ApplyConfiguration(0, DEPLOYMENT))
         await self.until(lambda: all(keeper.is_registered for keeper in self.keepers))
         await self.committed(GrantKey(KEY))
+        self.formed_at = self.stored.rows_by_key["head"].revision
 
     @property
     def keepers(self) -> list[StateKeeper]:
--- /dev/null
+++ b/tests/freshness/test_commits.py
@@ -0,0 +1,194 @@
+"""Tests of racing, lost and abandoned commits, on injected time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from flamingoladder.config.agreed import KeyGrant
+from flamingoladder.freshness.changes import ApplyConfiguration
+from flamingoladder.freshness.changes import Change
+from flamingoladder.freshness.changes import GrantKey
+from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.freshness.commits import RefusalKind
+from flamingoladder.freshness.messages import Intent
+from flamingoladder.standins.loop import run_on_injected_time
+from tests.freshness.fleet import KEY
+from tests.freshness.fleet import PROOF_S
+from tests.freshness.fleet import SETTINGS
+from tests.freshness.fleet import WAIT_S
+from tests.freshness.fleet import Fleet
+from tests.freshness.fleet import renamed
+
+OTHER = KeyGrant("k2", "camp", "d2")
+
+
+async def _formed(size: int = 5) -> Fleet:
+    fleet = Fleet(size)
+    await fleet.form()
+    await fleet.committed(GrantKey(OTHER))
+    return fleet
+
+
+def test_of_two_operators_one_gets_a_conflict() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        version = fleet.state("h1").version
+        results = await asyncio.gather(
+            fleet.keepers_by_host["h1"].commit(ApplyConfiguration(version, renamed("a"))),
+            fleet.keepers_by_host["h5"].commit(ApplyConfiguration(version, renamed("b"))),
+        )
+        refused = [result.error for result in results if result.is_error()]
+        assert [refusal.kind for refusal in refused] == [RefusalKind.CONFLICT]
+        assert refused[0].present_version == version + 1
+        assert len({fleet.state(host).deployment.name for host in fleet.hosts}) == 1
+
+    run_on_injected_time(scenario())
+
+
+def test_unrelated_changes_of_all_hosts_are_all_kept() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        version = fleet.state("h1").version
+        grants = [KeyGrant(f"g{host}", "camp", f"digest-{host}") for host in fleet.hosts]
+        commits = map(fleet.committed, map(GrantKey, grants), fleet.hosts)
+        reports = await asyncio.gather(*commits)
+        assert sorted(report.version for report in reports) == [
+            version + number for number in range(1, 6)
+        ]
+        assert set(fleet.state("h2").grants) >= set(grants)
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize("lost", [1, 2])
+@pytest.mark.parametrize("change", [WithdrawKey(KEY.key_id), ApplyConfiguration(0, renamed("b"))])
+def test_lost_answer_is_resolved_by_reading(change: Change, lost: int) -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        version = fleet.state("h1").version
+        if isinstance(change, ApplyConfiguration):
+            change.expected_version = version
+        fleet.faults_by_host["h1"].lost_answers = lost
+        report = await fleet.committed(change)
+        assert report.in_force
+        assert report.version == version + 1
+        assert fleet.state("h3").version == version + 1
+
+    run_on_injected_time(scenario())
+
+
+def test_withdrawal_of_unknown_outcome_stops_only_its_key() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        fleet.faults_by_host["h1"].lost_answers = 1
+        committing = asyncio.create_task(fleet.refused(WithdrawKey(KEY.key_id)))
+        await fleet.until(lambda: fleet.faults_by_host["h1"].lost_answers == 0)
+        fleet.cut_store(fleet.hosts)
+        refused = await committing
+        assert refused.kind is RefusalKind.OUTCOME_UNKNOWN
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            assert not any(fleet.serves(host, KEY.key_id) for host in fleet.hosts)
+            assert all(fleet.serves(host, OTHER.key_id) for host in fleet.hosts)
+        fleet.cut_store(fleet.hosts, down=False)
+        await fleet.until(
+            lambda: all(fleet.state(host).grants[0].withdrawn for host in fleet.hosts)
+        )
+
+    run_on_injected_time(scenario())
+
+
+def test_configuration_of_unknown_outcome_interrupts_no_traffic() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        fleet.faults_by_host["h1"].lost_answers = 1
+        change = ApplyConfiguration(fleet.state("h1").version, renamed("b"))
+        committing = asyncio.create_task(fleet.refused(change))
+        await fleet.until(lambda: fleet.faults_by_host["h1"].lost_answers == 0)
+        fleet.cut_store(fleet.hosts)
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            assert all(fleet.serves(host) for host in fleet.hosts)
+        assert (await committing).kind is RefusalKind.OUTCOME_UNKNOWN
+        fleet.cut_store(fleet.hosts, down=False)
+        await fleet.until(lambda: fleet.state("h3").deployment.name == "b")
+
+    run_on_injected_time(scenario())
+
+
+def test_dead_committer_stops_only_its_key_until_the_next_commit() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        links = fleet.network.links_by_host["h1"]
+        intent = Intent("c1", fleet.state("h1").version, KEY.key_id)
+        for host in fleet.hosts[1:]:
+            assert await links.ask(host, intent, 1.0) is not None
+        await fleet.kill("h1")
+        fleet.cut_store(fleet.hosts)
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            assert not any(fleet.serves(host, KEY.key_id) for host in fleet.hosts[1:])
+            assert all(fleet.serves(host, OTHER.key_id) for host in fleet.hosts[1:])
+        fleet.cut_store(fleet.hosts, down=False)
+        await asyncio.sleep(1.0)
+        await fleet.committed(GrantKey(KeyGrant("k3", "camp", "d3")), "h2")
+        await fleet.until(lambda: all(fleet.serves(host) for host in fleet.hosts[1:]))
+
+    run_on_injected_time(scenario())
+
+
+def test_vouches_carry_an_open_withdrawal_to_a_host_that_missed_it() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        links = fleet.network.links_by_host["h1"]
+        intent = Intent("c1", fleet.state("h1").version, KEY.key_id)
+        for host in ("h2", "h3"):
+            assert await links.ask(host, intent, 1.0) is not None
+        await fleet.kill("h1")
+        fleet.cut_store(fleet.hosts)
+        fleet.cut(["h4"], ["h5"])
+        await asyncio.sleep(PROOF_S + SETTINGS.poll_s)
+        assert fleet.serves("h4", OTHER.key_id)
+        assert not fleet.serves("h4", KEY.key_id)
+
+    run_on_injected_time(scenario())
+
+
+def test_lost_withdrawal_of_an_intent_is_made_good() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        fleet.cut(["h1", "h2"], ["h3", "h4", "h5"])
+        refused = await fleet.refused(WithdrawKey(KEY.key_id))
+        assert refused.kind is RefusalKind.NO_MAJORITY
+        fleet.network.cuts.clear()
+        links = fleet.network.links_by_host["h1"]
+        late = Intent(refused.change_id, fleet.state("h1").version, KEY.key_id)
+        assert await links.ask("h4", late, 1.0) is not None
+        assert not fleet.serves("h4")
+        await fleet.until(lambda: fleet.serves("h4"), within_s=WAIT_S)
+
+    run_on_injected_time(scenario())
+
+
+def test_commit_goes_on_when_its_caller_is_cancelled() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        committing = asyncio.create_task(fleet.first.commit(WithdrawKey(KEY.key_id)))
+        await asyncio.sleep(0.01)
+        committing.cancel()
+        await fleet.until(lambda: fleet.state("h5").grants[0].withdrawn)
+
+    run_on_injected_time(scenario())
+
+
+def test_repeated_withdrawal_succeeds_without_a_new_version() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        first = await fleet.committed(WithdrawKey(KEY.key_id))
+        second = await fleet.committed(WithdrawKey(KEY.key_id), "h2")
+        assert second.in_force
+        assert second.version == first.version
+
+    run_on_injected_time(scenario())
--- /dev/null
+++ b/tests/freshness/test_partitions.py
@@ -0,0 +1,167 @@
+"""Tests of what each side of a partition does, on injected time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from flamingoladder.freshness.changes import ApplyConfiguration
+from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.freshness.commits import RefusalKind
+from flamingoladder.standins.loop import run_on_injected_time
+from tests.freshness.fleet import KEY
+from tests.freshness.fleet import PROOF_S
+from tests.freshness.fleet import WAIT_S
+from tests.freshness.fleet import Fleet
+from tests.freshness.fleet import renamed
+
+HOUR_S = 3_600.0
+MINUTE_S = 60.0
+WITHDRAWN_S = 4.0
+
+
+async def _formed(size: int = 7) -> Fleet:
+    fleet = Fleet(size)
+    await fleet.form()
+    return fleet
+
+
+@pytest.mark.parametrize(
+    ("store", "peers", "serves"),
+    [(True, True, True), (True, False, True), (False, True, True), (False, False, False)],
+)
+def test_host_cut_off(store: bool, peers: bool, serves: bool) -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        if not store:
+            fleet.cut_store(["h7"])
+        if not peers:
+            fleet.cut_peers("h7")
+        await asyncio.sleep(PROOF_S)
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            assert fleet.serves("h7") is serves
+            assert all(fleet.serves(host) for host in fleet.hosts[:6])
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize("store", [True, False])
+@pytest.mark.parametrize("peers", [True, False])
+def test_withdrawal_with_one_host_cut_off(store: bool, peers: bool) -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        if not store:
+            fleet.cut_store(["h7"])
+        if not peers:
+            fleet.cut_peers("h7")
+        report = await fleet.committed(WithdrawKey(KEY.key_id))
+        assert report.in_force
+        assert report.seconds < WITHDRAWN_S
+        assert not any(fleet.serves(host) for host in fleet.hosts)
+        assert ("h7" in report.in_force_on) is peers
+
+    run_on_injected_time(scenario())
+
+
+def test_configuration_reported_in_force_serves_nowhere_the_old_one() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        fleet.cut_peers("h7")
+        fleet.cut_store(["h7"])
+        report = await fleet.committed(ApplyConfiguration(fleet.state("h1").version, renamed("b")))
+        assert report.in_force
+        assert not fleet.serves("h7")
+        assert report.seconds >= PROOF_S - 0.5
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize(("size", "outage_s"), [(3, HOUR_S), (7, MINUTE_S)])
+def test_long_store_outage_stops_no_keyed_traffic(size: int, outage_s: float) -> None:
+    async def scenario() -> None:
+        fleet = await _formed(size)
+        fleet.cut_store(fleet.hosts)
+        until = fleet.now + outage_s
+        while fleet.now < until:
+            await asyncio.sleep(1.0)
+            assert all(fleet.serves(host) for host in fleet.hosts)
+        refused = await fleet.refused(WithdrawKey(KEY.key_id))
+        assert refused.kind is RefusalKind.STORE_UNAVAILABLE
+        assert all(fleet.serves(host) for host in fleet.hosts)
+        fleet.cut_store(fleet.hosts, down=False)
+        await fleet.committed(WithdrawKey(KEY.key_id))
+
+    run_on_injected_time(scenario())
+
+
+def test_store_out_and_three_of_seven_hosts_lost() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        fleet.cut_store(fleet.hosts)
+        for host in fleet.hosts[4:]:
+            await fleet.kill(host)
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            assert all(fleet.serves(host) for host in fleet.hosts[:4])
+
+    run_on_injected_time(scenario())
+
+
+def test_store_out_and_regions_cut_from_each_other() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        fleet.cut_store(fleet.hosts)
+        fleet.cut(fleet.hosts[:4], fleet.hosts[4:])
+        await asyncio.sleep(PROOF_S)
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            assert all(fleet.serves(host) for host in fleet.hosts[:4])
+            assert not any(fleet.serves(host) for host in fleet.hosts[4:])
+
+    run_on_injected_time(scenario())
+
+
+def test_minority_with_the_store_commits_nothing_and_says_so() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        fleet.cut(fleet.hosts[:3], fleet.hosts[3:])
+        fleet.cut_store(fleet.hosts[3:])
+        version = fleet.state("h1").version
+        refused = await fleet.refused(WithdrawKey(KEY.key_id))
+        assert refused.kind is RefusalKind.NO_MAJORITY
+        await asyncio.sleep(1.0)
+        assert {fleet.state(host).version for host in fleet.hosts} == {version}
+        assert all(fleet.serves(host) for host in fleet.hosts)
+
+    run_on_injected_time(scenario())
+
+
+def test_majority_without_the_store_keeps_the_old_version_until_it_learns() -> None:
+    """Only one host reaches the store, and it can't commit past the others."""
+
+    async def scenario() -> None:
+        fleet = await _formed()
+        fleet.cut_store(fleet.hosts[1:])
+        report = await fleet.committed(ApplyConfiguration(fleet.state("h1").version, renamed("b")))
+        assert report.in_force
+        names = {fleet.state(host).deployment.name for host in fleet.hosts}
+        assert names == {"b"}
+
+    run_on_injected_time(scenario())
+
+
+def test_host_that_was_cut_off_never_goes_back() -> None:
+    async def scenario() -> None:
+        fleet = await _formed()
+        fleet.cut_peers("h7")
+        await fleet.committed(ApplyConfiguration(fleet.state("h1").version, renamed("b")))
+        await fleet.until(lambda: fleet.state("h7").deployment.name == "b")
+        fleet.network.cuts.clear()
+        fleet.cut_store(fleet.hosts)
+        await asyncio.sleep(2 * WAIT_S)
+        assert fleet.state("h7").deployment.name == "b"
+        assert all(fleet.serves(host) for host in fleet.hosts)
+
+    run_on_injected_time(scenario())
--- /dev/null
+++ b/tests/freshness/test_restarts.py
@@ -0,0 +1,88 @@
+"""Tests of hosts that restart without memory, on injected time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.standins.loop import run_on_injected_time
+from tests.freshness.fleet import KEY
+from tests.freshness.fleet import PROOF_S
+from tests.freshness.fleet import Fleet
+
+RECOVERY_S = 10.0
+
+
+@pytest.mark.parametrize("restarted", [4, 5, 7])
+def test_hosts_that_restart_together_recover_through_the_store_alone(restarted: int) -> None:
+    async def scenario() -> None:
+        fleet = Fleet(7)
+        await fleet.form()
+        for host in fleet.hosts[:restarted]:
+            await fleet.kill(host)
+        if restarted < len(fleet.hosts):
+            for host in fleet.hosts:
+                fleet.cut_peers(host)
+        for host in fleet.hosts[:restarted]:
+            fleet.start(host)
+        waited = await fleet.until(lambda: all(fleet.serves(host) for host in fleet.hosts))
+        assert waited < RECOVERY_S
+        assert fleet.state("h1").version > 0
+
+    run_on_injected_time(scenario())
+
+
+def test_restarted_host_serves_nothing_keyed_before_it_is_registered() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(5)
+        await fleet.form()
+        fleet.cut_store(fleet.hosts)
+        await fleet.kill("h5")
+        keeper = fleet.start("h5")
+        await asyncio.sleep(3 * PROOF_S)
+        assert keeper.current is not None
+        assert not fleet.serves("h5")
+        assert fleet.serves("h1")
+        fleet.cut_store(fleet.hosts, down=False)
+        await fleet.until(lambda: fleet.serves("h5"))
+
+    run_on_injected_time(scenario())
+
+
+def test_vouch_of_a_host_without_memory_does_not_count() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(5)
+        await fleet.form()
+        fleet.cut_store(fleet.hosts)
+        for host in ("h3", "h4", "h5"):
+            await fleet.kill(host)
+        fleet.start("h3")
+        await asyncio.sleep(2 * PROOF_S)
+        assert fleet.state("h3").version == fleet.state("h1").version
+        assert not fleet.serves("h1")
+
+    run_on_injected_time(scenario())
+
+
+def test_acknowledgement_forgotten_by_a_restart_serves_no_withdrawn_key() -> None:
+    """A host acknowledges a withdrawal, forgets it and vouches to a host cut from the store."""
+
+    async def scenario() -> None:
+        fleet = Fleet(3)
+        await fleet.form()
+        fleet.cut_store(["h2", "h3"])
+        fleet.cut(["h1"], ["h2"])
+        withdrawing = asyncio.create_task(fleet.committed(WithdrawKey(KEY.key_id)))
+        await fleet.until(lambda: fleet.stored.rows_by_key["head"].revision > fleet.formed_at)
+        fleet.cut(["h1"], ["h3"])
+        await fleet.kill("h3")
+        fleet.start("h3")
+        report = await withdrawing
+        assert report.in_force
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            assert not fleet.serves("h2")
+
+    run_on_injected_time(scenario())
