Record golden files of whole sessions on injected time

Ruled out: recording real processes (the order of their messages is not the same twice). The daemon's assembly of slices moved into HostSlices, so that sessions and daemon build the same.

--- a/src/flamingoladder/daemon/application.py
+++ b/src/flamingoladder/daemon/application.py
@@ -7,28 +7,19 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.daemon.directory_watcher import DirectoryWatcher
+from flamingoladder.daemon.host_slices import HostSlices
 from flamingoladder.daemon.identity import member_of
 from flamingoladder.daemon.identity import new_incarnation
+from flamingoladder.daemon.platform_services import PlatformServices
 from flamingoladder.daemon.supervision import supervised
 from flamingoladder.daemon.tls import tls_context
 from flamingoladder.daemon.upstream_side import UpstreamSide
-from flamingoladder.freshness.keeper import StateKeeper
-from flamingoladder.freshness.settings import FreshnessSettings
-from flamingoladder.gateway.permission import KeyedPermission
 from flamingoladder.gateway.server import GatewayServer
-from flamingoladder.gateway.stages import GatewayStages
-from flamingoladder.keys.check import GrantedKeys
-from flamingoladder.ledger.ledger import ClaimLedger
 from flamingoladder.operators.access import OperatorAccess
 from flamingoladder.operators.server import OperatorServer
 from flamingoladder.peers.keys import LinkKeys
 from flamingoladder.peers.zmq_links import ZmqLinks
-from flamingoladder.platform.http_hosts import HttpHostList
-from flamingoladder.platform.http_objects import HttpObjects
-from flamingoladder.platform.http_table import HttpTable
 from flamingoladder.platform.http_transport import HttpTransport
-from flamingoladder.shares.admission import ShareAdmission
-from flamingoladder.steering.lookup import MemberLookup
 from flamingoladder.timeline.logs import log_handler
 from flamingoladder.timeline.merge import TimelineCollector
 from flamingoladder.timeline.metrics import EventMetrics
@@ -42,16 +33,14 @@
     """The slices of one entry host."""
 
     __slots__ = (
-        "_admission",
         "_directory",
+        "_directory_task",
         "_gateway",
-        "_keeper",
-        "_ledger",
         "_links",
         "_operators",
         "_recorder",
         "_settings",
-        "_tasks",
+        "_slices",
         "_transport",
         "_upstreams",
     )
@@ -63,31 +52,18 @@
         recorder = Recorder(settings.host, incarnation)
         links = ZmqLinks(keys, recorder)
         transport = HttpTransport.from_config(settings.platform_url, settings.platform_token)
-        table = HttpTable(transport)
-        objects = HttpObjects(transport)
-        keeper = StateKeeper.from_config(
-            FreshnessSettings(), own, table, objects, HttpHostList(transport), links, recorder
-        )
+        platform = PlatformServices.over_http(transport)
+        slices = HostSlices.from_config(own, platform, links, recorder)
         self._settings = settings
         self._recorder = recorder
         self._links = links
         self._transport = transport
-        self._keeper = keeper
-        self._directory = DirectoryWatcher(table, links, recorder)
-        self._ledger = ClaimLedger.from_config(table, objects, links, recorder, own, keeper)
-        self._admission = ShareAdmission.from_config(links, keeper, recorder, own.host, incarnation)
-        granted = GrantedKeys(keeper)
-        permission = KeyedPermission(keeper, granted, own.host)
-        self._upstreams = UpstreamSide.from_config(own, keeper, permission, links, recorder)
-        stages = GatewayStages(
-            state=keeper,
-            keys=granted,
-            admission=self._admission,
-            ledger=self._ledger,
-            dispatcher=self._upstreams.dispatcher,
-            lookups=MemberLookup(keeper, own.failure_domain, own.region),
-            recorder=recorder,
+        self._slices = slices
+        self._directory = DirectoryWatcher(platform.table, links, recorder)
+        self._upstreams = UpstreamSide.from_config(
+            own, slices.keeper, slices.permission, links, recorder
         )
+        stages = slices.stages(self._upstreams.dispatcher)
         self._gateway = GatewayServer(
             stages,
             settings.address,
@@ -95,12 +71,12 @@
             tls_context(settings.caller_tls_certificate, settings.caller_tls_key),
         )
         self._operators = OperatorServer(
-            keeper,
+            slices.keeper,
             TimelineCollector(links, recorder),
             OperatorAccess(settings.operator_tokens),
             recorder,
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self._directory_task: asyncio.Task[None] | None = None
 
     @classmethod
     def from_config(cls, settings: Settings) -> EntryDaemon:
@@ -125,36 +101,32 @@
             settings.operator_port,
             tls_context(settings.operator_tls_certificate, settings.operator_tls_key),
         )
-        self._directory.follow(self._keeper.changes)
-        self._keeper.start()
-        self._tasks = [
-            asyncio.create_task(supervised("directory", self._directory.run, self._recorder)),
-            asyncio.create_task(supervised("ledger", self._ledger.serve, self._recorder)),
-        ]
+        self._directory.follow(self._slices.keeper.changes)
+        self._slices.start()
+        directory = supervised("directory", self._directory.run, self._recorder)
+        self._directory_task = asyncio.create_task(directory)
         self._recorder.record("daemon.started", address=settings.address)
 
     async def stop(self) -> None:
         """Stop gracefully: leave the look-ups' answers, finish requests, give back everything."""
         self._recorder.record("daemon.stopping")
         self._gateway.leave()
-        await self._keeper.mark_leaving()
+        await self._slices.keeper.mark_leaving()
         await asyncio.sleep(self._lookup_lifetime_s)
         finished = await self._gateway.stop(self._settings.stop_grace_s)
-        await self._ledger.close(asyncio.get_running_loop().time())
-        await self._keeper.remove()
+        await self._slices.leave(asyncio.get_running_loop().time())
         await self._operators.stop()
-        self._admission.close()
         await self._upstreams.close()
-        for task in self._tasks:
-            task.cancel()
-        await self._keeper.close()
+        if self._directory_task is not None:
+            self._directory_task.cancel()
+        await self._slices.close()
         self._recorder.record("daemon.stopped", requests_finished=finished)
         self._links.close()
         await self._transport.close()
 
     @property
     def _lookup_lifetime_s(self) -> float:
-        state = self._keeper.current
+        state = self._slices.keeper.current
         if state is None:
             return 0.0
         return state.deployment.defaults.lookup_lifetime_s
--- a/src/flamingoladder/standins/network.py
+++ b/src/flamingoladder/standins/network.py
@@ -12,6 +12,7 @@
 from flamingoladder.peers.link import PeerLinks
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
     from random import Random
 
@@ -23,6 +24,7 @@
 
     ``delays_by_pair`` overrides ``delay_s`` for ordered pairs of hosts; ``cuts`` holds ordered
     pairs whose messages are lost; messages to a host that is frozen wait until it is thawed.
+    ``tap`` is called with sender, receiver and content of each message as it is sent.
     """
 
     __slots__ = (
@@ -33,6 +35,7 @@
         "loss",
         "messages",
         "random",
+        "tap",
         "thawed_by_host",
     )
 
@@ -45,6 +48,7 @@
         self.thawed_by_host: dict[str, asyncio.Event] = {}
         self.links_by_host: dict[str, NetworkLinks] = {}
         self.messages = 0
+        self.tap: Callable[[str, str, msgspec.Struct | None], None] = _ignore
 
     def join(self, host: str, incarnation: str) -> NetworkLinks:
         """Return links for a new incarnation of ``host``, in place of an earlier one."""
@@ -64,9 +68,10 @@
         """Deliver the messages that were held back, and later ones at once."""
         self.thawed_by_host.pop(host).set()
 
-    async def carry(self, sender: str, receiver: str) -> bool:
+    async def carry(self, sender: str, receiver: str, content: msgspec.Struct | None) -> bool:
         """Wait for one passage; return whether the message arrives."""
         self.messages += 1
+        self.tap(sender, receiver, content)
         await asyncio.sleep(self.delays_by_pair.get((sender, receiver), self.delay_s))
         thawed = self.thawed_by_host.get(receiver)
         if thawed is not None:
@@ -110,7 +115,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _deliver(self, host: str, message: msgspec.Struct) -> None:
-        if await self._network.carry(self.peer.host, host):
+        if await self._network.carry(self.peer.host, host, message):
             await self._handled_by(host, message)
 
     async def _exchange(self, host: str, message: msgspec.Struct) -> msgspec.Struct | None:
@@ -126,15 +131,19 @@
         message: msgspec.Struct,
         answered: asyncio.Future[msgspec.Struct | None],
     ) -> None:
-        if not await self._network.carry(self.peer.host, host):
+        if not await self._network.carry(self.peer.host, host, message):
             return
         if host not in self._network.links_by_host:
             return
         reply = await self._handled_by(host, message)
-        if await self._network.carry(host, self.peer.host) and not answered.done():
+        if await self._network.carry(host, self.peer.host, reply) and not answered.done():
             answered.set_result(reply)
 
     async def _handled_by(self, host: str, message: msgspec.Struct) -> msgspec.Struct | None:
         links = self._network.links_by_host.get(host)
         handler = links._handlers_by_type.get(type(message)) if links else None
         return await handler(self.peer, message) if handler else None
+
+
+def _ignore(_sender: str, _receiver: str, _content: msgspec.Struct | None) -> None:
+    return
