Let the demo run any deployment

Kinds of calls and the drained target now come from the configuration. Ruled out: a table for each example.

--- a/src/flamingoladder/demo/scenario.py
+++ b/src/flamingoladder/demo/scenario.py
@@ -6,6 +6,8 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from flamingoladder.config.agreed import DrainKind
 from flamingoladder.console.operator_console import Call
 from flamingoladder.demo.promises import Evidence
@@ -15,6 +17,7 @@
 from flamingoladder.demo.report import service_lines
 from flamingoladder.demo.traffic import LOAD
 from flamingoladder.demo.traffic import Traffic
+from flamingoladder.demo.traffic import kinds_of
 from flamingoladder.freshness.commits import CommitReport
 from flamingoladder.operators.messages import ReasonRequest
 from flamingoladder.standins.deployment import LocalDeployment
@@ -23,23 +26,38 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from flamingoladder.config.model import Deployment
+
 STEP_S = 3.0
 SEED = 7
-DRAINED_TARGET = "catalogue-01"
 SECOND_KEY_RATE_PER_S = 10.0
 STOP_TIMEOUT_S = 30.0
 DRAIN_GRACE_S = 4.0
 
 
+class DrainedTarget(msgspec.Struct, frozen=True):
+    """The target that the demo drains."""
+
+    service: str
+    name: str
+
+    @classmethod
+    def first_of(cls, deployment: Deployment) -> DrainedTarget:
+        """Return the first target of the first service."""
+        service, declared = next(iter(deployment.services.items()))
+        return cls(service, next(iter(declared.targets)))
+
+
 class Scenario:
     """A deployment under traffic, and what is done to it."""
 
-    __slots__ = ("_deployment", "_traffic")
+    __slots__ = ("_deployment", "_drained_target", "_traffic")
 
     def __init__(self, deployment: LocalDeployment) -> None:
         self._deployment = deployment
+        self._drained_target = DrainedTarget.first_of(deployment.deployment)
         urls = [host.caller_url for host in deployment.hosts]
-        self._traffic = Traffic(urls, Random(SEED))
+        self._traffic = Traffic(urls, kinds_of(deployment.deployment), Random(SEED))
 
     async def run(self) -> bool:
         """Run the demo, print its report, and return whether all promises were kept."""
@@ -80,18 +98,19 @@
         return Marks(
             withdrawn_key_id=second.key_id,
             withdrawn_at=withdrawn_at,
-            drained_target=DRAINED_TARGET,
+            drained_target=self._drained_target.name,
             drained_at=drained_at,
             stopped_url=stopped.caller_url,
             stopped_exit_status=exit_status,
         )
 
     async def _drain(self) -> float:
-        path = f"/v1/drains/{DrainKind.TARGET}/catalogue/{DRAINED_TARGET}"
+        service, target = self._drained_target.service, self._drained_target.name
+        path = f"/v1/drains/{DrainKind.TARGET}/{service}/{target}"
         body = ReasonRequest("shown in the demo")
         asked_at = asyncio.get_running_loop().time()
         report = await self._deployment.operate(Call("PUT", path, CommitReport, body))
-        print(f"drained {DRAINED_TARGET}: in force after {report.seconds:.2f} s")
+        print(f"drained {target}: in force after {report.seconds:.2f} s")
         return asked_at + DRAIN_GRACE_S
 
     async def _report(self, marks: Marks) -> bool:
--- a/src/flamingoladder/demo/traffic.py
+++ b/src/flamingoladder/demo/traffic.py
@@ -15,6 +15,7 @@
     from collections.abc import Sequence
     from random import Random
 
+    from flamingoladder.config.model import Deployment
     from flamingoladder.verdict import Outcome
 
 
@@ -27,15 +28,22 @@
     weight: float
 
 
-KINDS = (
-    Kind("catalogue", "GET", "/tents/2-person", 6),
-    Kind("bookings", "POST", "/bookings", 2),
-    Kind("bookings", "POST", "/deposit-holds", 1),
-    Kind("returns", "POST", "/sign-offs", 1),
-)
+LOOK_WEIGHT = 6.0
+WORK_WEIGHT = 1.5
 LOAD = 0.12
 
 
+def kinds_of(deployment: Deployment) -> list[Kind]:
+    """Return all non-idempotent work, and looks at the services that have nothing else."""
+    kinds = []
+    for service, declared in deployment.services.items():
+        work = [route for route in declared.routes if not route.idempotent]
+        kinds += [Kind(service, route.methods[0], route.path, WORK_WEIGHT) for route in work]
+        if not work:
+            kinds.append(Kind(service, "GET", "/items/1", LOOK_WEIGHT))
+    return kinds
+
+
 class Sent:
     """A call that was sent; times are monotonic seconds."""
 
@@ -57,10 +65,11 @@
 class Traffic:
     """Sends calls with random pauses until it is stopped."""
 
-    __slots__ = ("_callers", "_entry_urls", "_random", "_sending", "_sources", "sent")
+    __slots__ = ("_callers", "_entry_urls", "_kinds", "_random", "_sending", "_sources", "sent")
 
-    def __init__(self, entry_urls: Sequence[str], random: Random) -> None:
+    def __init__(self, entry_urls: Sequence[str], kinds: Sequence[Kind], random: Random) -> None:
         self._entry_urls = tuple(entry_urls)
+        self._kinds = kinds
         self._random = random
         self._callers: list[Caller] = []
         self._sources: list[asyncio.Task[None]] = []
@@ -83,10 +92,10 @@
             await caller.close()
 
     async def _send_for_good(self, caller: Caller, key_id: str, rate_per_s: float) -> None:
-        weights = [kind.weight for kind in KINDS]
+        weights = [kind.weight for kind in self._kinds]
         while True:
             await asyncio.sleep(self._random.expovariate(rate_per_s))
-            [kind] = self._random.choices(KINDS, weights)
+            [kind] = self._random.choices(self._kinds, weights)
             call = Call(kind.service, kind.path, kind.method)
             task = asyncio.create_task(self._send(caller, key_id, call))
             self._sending.add(task)
