--- a/src/flamingoladder/shares/admission.py
+++ b/src/flamingoladder/shares/admission.py
@@ -12,6 +12,7 @@
 from flamingoladder.shares.conversation import Conversation
 from flamingoladder.shares.division import Division
 from flamingoladder.shares.division import follows
+from flamingoladder.shares.division import grow_at
 from flamingoladder.shares.division import workspace_allowance
 from flamingoladder.shares.lending import Lending
 from flamingoladder.shares.messages import LoanReply
@@ -160,13 +161,13 @@
 
     def _divide(self, state: AgreedState, now: float, *, kept: bool) -> None:
         defaults = state.deployment.defaults
-        grow_at = now + defaults.proof_s * (1 + defaults.clock_drift)
+        may_grow_at = grow_at(defaults, now)
         for allowance in self._division.total_by_allowance:
             account = self._accounts.get(allowance)
             if account is None:
                 account = self._open(allowance, defaults.clock_drift, now)
             part = self._division.part_of(allowance, self._host, self._incarnation)
-            account.lending.adopt(self._division, part, grow_at, now, follows=kept)
+            account.lending.adopt(self._division, part, may_grow_at, now, follows=kept)
             account.serve(now)
         for allowance in set(self._accounts) - set(self._division.total_by_allowance):
             del self._accounts[allowance]
