--- a/src/flamingoladder/config/agreed.py
+++ b/src/flamingoladder/config/agreed.py
@@ -64,10 +64,13 @@
     ``division_version`` is the version of the last commit that changed the members or the
     deployment, and with them the division of allowances; ``previous_division_version`` is the
     value of ``division_version`` that this commit replaced, 0 if it isn't known.
+    ``configuration_version`` is the version of the last commit that changed the deployment;
+    operators name it when they change it.
     """
 
     version: int
     division_version: int
+    configuration_version: int
     deployment: Deployment
     grants: tuple[KeyGrant, ...] = ()
     members: tuple[Member, ...] = ()
--- a/src/flamingoladder/standins/memory.py
+++ b/src/flamingoladder/standins/memory.py
@@ -6,13 +6,16 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.platform.exceptions import OutcomeUnknownError
+from flamingoladder.platform.exceptions import PlatformRefusedError
 from flamingoladder.platform.exceptions import PlatformUnavailableError
 from flamingoladder.platform.hostlist import HostList
 from flamingoladder.platform.objects import ObjectStore
+from flamingoladder.platform.table import MAX_TRANSACTION_ROWS
 from flamingoladder.platform.table import Commit
 from flamingoladder.platform.table import Row
 from flamingoladder.platform.table import Rows
 from flamingoladder.platform.table import TableService
+from flamingoladder.standins.exceptions import MalformedRequestError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -50,12 +53,21 @@
     def read(self, prefix: str) -> Rows:
         """Return the rows whose key starts with ``prefix``."""
         self.reads += 1
-        found = (row for key, row in sorted(self.rows_by_key.items()) if key.startswith(prefix))
-        return Rows(tuple(found), self.revision)
+        keys = sorted(key for key in self.rows_by_key if key.startswith(prefix))
+        return Rows(tuple(self.rows_by_key[key] for key in keys), self.revision)
+
+    def get(self, key: str) -> Row | None:
+        """Return the row of ``key``, or None."""
+        self.reads += 1
+        return self.rows_by_key.get(key)
 
     def transact(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> Commit:
-        """Apply the writes if the conditions hold."""
+        """Apply the writes if the conditions hold.
+
+        :raises MalformedRequestError: if there are too many rows, or two writes on one key.
+        """
         self.writes += 1
+        _check_rows(conditions, writes)
         if not all(self._holds(condition) for condition in conditions):
             return Commit(False, self.revision)
         self.revision += 1
@@ -74,6 +86,13 @@
         self.rows_by_key[write.key] = Row(write.key, write.value, self.revision)
 
 
+def _check_rows(conditions: Sequence[Condition], writes: Sequence[Write]) -> None:
+    if max(len(conditions), len(writes)) > MAX_TRANSACTION_ROWS:
+        raise MalformedRequestError("too many rows in one transaction")
+    if len({write.key for write in writes}) < len(writes):
+        raise MalformedRequestError("two writes on one key in one transaction")
+
+
 class MemoryTable(TableService):
     """One host's access to a stored table, with faults of its own."""
 
@@ -92,15 +111,20 @@
 
     async def get(self, key: str, timeout_s: float) -> Row | None:
         """Return the row of ``key`` after the round trip's delay."""
-        rows = await self.read(key, timeout_s)
-        return rows.by_key.get(key)
+        await self._travel(timeout_s)
+        row = self._stored.get(key)
+        await self._travel(timeout_s)
+        return row
 
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write], timeout_s: float
     ) -> Commit:
         """Apply the transaction, then lose its answer if that fault is switched on."""
         await self._travel(timeout_s)
-        commit = self._stored.transact(conditions, writes)
+        try:
+            commit = self._stored.transact(conditions, writes)
+        except MalformedRequestError as error:
+            raise PlatformRefusedError(str(error)) from error
         if self.faults.lost_answers > 0:
             self.faults.lost_answers -= 1
             await asyncio.sleep(timeout_s)
