--- a/src/flamingoladder/shares/admission.py
+++ b/src/flamingoladder/shares/admission.py
@@ -214,9 +214,9 @@
 
     def _give_back(self, account: Account, now: float) -> None:
         lending = account.lending
-        for giver in tuple(lending.bucket.borrowed_by_host):
+        for giver in lending.owed_hosts(now):
             talk = self._conversations[giver]
-            if talk.may_ask(lending.allowance, now) and lending.owes(giver, now):
+            if talk.may_ask(lending.allowance, now):
                 talk.ask(lending.allowance, 0)
 
 
--- a/src/flamingoladder/shares/lending.py
+++ b/src/flamingoladder/shares/lending.py
@@ -28,6 +28,7 @@
     from flamingoladder.shares.division import Division
 
 LOAN_TERM_S = 3.0
+LOOK_AGAIN_S = 0.01
 MIN_RETURNED = NANOS_PER_UNIT // 5
 
 
@@ -58,6 +59,7 @@
         "_asked_by_host",
         "_drift",
         "_heard_by_host",
+        "_look_again_at",
         "_mean_units",
         "_others",
         "_sequence",
@@ -79,6 +81,7 @@
         self.told_by_host: dict[str, Told] = {}
         self._drift = drift
         self.fairness = Fairness(0)
+        self._look_again_at = 0.0
         self._mean_units = 0
         self._others = 0
         self._sequence = 0
@@ -130,8 +133,14 @@
             return mine.demand > mine.rate
         return self.fairness.loan(told.standing, mine).rate > 0
 
-    def owes(self, giver: str, now: float) -> bool:
-        """Return whether ``giver`` should have room back before the next renewal."""
+    def owed_hosts(self, now: float) -> list[str]:
+        """Return the hosts that should have room back before the next renewal."""
+        if now < self._look_again_at:
+            return []
+        self._look_again_at = now + LOOK_AGAIN_S
+        return [giver for giver in self.bucket.borrowed_by_host if self._owes(giver, now)]
+
+    def _owes(self, giver: str, now: float) -> bool:
         borrowed = self.bucket.borrowed_by_host[giver]
         told = self.told_by_host.get(giver)
         if told is None or borrowed.units < MIN_RETURNED:
--- a/src/flamingoladder/shares/policy.py
+++ b/src/flamingoladder/shares/policy.py
@@ -11,6 +11,7 @@
     from flamingoladder.shares.messages import Standing
 
 UNITS_FLOOR_SHARE = 0.5
+UNITS_FLOOR_RATE = NANOS_PER_UNIT
 RATE_FLOOR_SHARE = 0.01
 RATE_SLACK = 0.05
 DEMAND_KNOWN_S = 1.0
@@ -59,7 +60,7 @@
         return LoanSize(units, max(0, self._rate_gap(holder, giver)), 0)
 
     def _units_share(self, host: Standing, other: Standing) -> float:
-        floor = self._mean_rate * UNITS_FLOOR_SHARE
+        floor = self._mean_rate * UNITS_FLOOR_SHARE + UNITS_FLOOR_RATE
         mine = host.demand + floor
         return mine / (mine + other.demand + floor)
 
--- a/tests/shares/world.py
+++ b/tests/shares/world.py
@@ -55,7 +55,15 @@
         config = deployment(TJALDVIK, limits)
         self.defaults = config.defaults
         members = tuple(member(name, 0) for name in HOSTS)
-        self.states = [AgreedState(1, 1, config, members=members)]
+        self.states = [
+            AgreedState(
+                version=1,
+                division_version=1,
+                configuration_version=1,
+                deployment=config,
+                members=members,
+            )
+        ]
         self.committed_at = [0.0]
         self.hosts = {name: self._host(name, "1") for name in HOSTS}
         for host in self.hosts.values():
