Forget what a host said some seconds ago, and drop loans of nothing

Cause: a loan of nothing was renewed every second, which hid that a host judged by what another one had said before its part grew never asked it again.

--- a/src/flamingoladder/shares/asking.py
+++ b/src/flamingoladder/shares/asking.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.shares.bucket import NANOS_PER_UNIT
-from flamingoladder.shares.policy import forecast
 from flamingoladder.shares.policy import tokens_wanted
 
 if TYPE_CHECKING:
@@ -64,10 +63,9 @@
 
 
 def _expected(lending: Lending, host: str, now: float) -> int:
-    told = lending.told_by_host.get(host)
-    if told is None:
+    giver = lending.forecast_of(host, now)
+    if giver is None:
         return NANOS_PER_UNIT
-    giver = forecast(told.standing, now - told.at)
     return lending.fairness.loan(giver, lending.standing(now)).tokens
 
 
--- a/src/flamingoladder/shares/bucket.py
+++ b/src/flamingoladder/shares/bucket.py
@@ -25,6 +25,11 @@
         self.rate = rate
         self.expires_at = expires_at
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing is on loan."""
+        return not self.units and not self.rate
+
 
 class Part:
     """A host's own part of an allowance."""
@@ -184,6 +189,9 @@
 
     def _recount(self) -> None:
         borrowed = self.borrowed_by_host.values()
+        for loans_by_host in (self.borrowed_by_host, self.lent_by_host):
+            for host in [host for host, loan in loans_by_host.items() if loan.is_empty]:
+                del loans_by_host[host]
         self.units = self.lendable_units + sum(loan.units for loan in borrowed)
         self.rate = self.lendable_rate + sum(loan.rate for loan in borrowed)
         self.tokens = min(self.tokens, self.units)
--- a/src/flamingoladder/shares/lending.py
+++ b/src/flamingoladder/shares/lending.py
@@ -28,6 +28,7 @@
     from flamingoladder.shares.division import Division
 
 LOAN_TERM_S = 3.0
+TOLD_LATELY_S = 3.0
 LOOK_AGAIN_S = 0.01
 MIN_RETURNED = NANOS_PER_UNIT // 5
 
@@ -127,11 +128,18 @@
         """
         if giver in self.bucket.borrowed_by_host:
             return True
-        told = self.told_by_host.get(giver)
+        theirs = self.forecast_of(giver, now)
         mine = self.standing(now)
-        if told is None:
+        if theirs is None:
             return mine.demand > mine.rate
-        return self.fairness.loan(told.standing, mine).rate > 0
+        return self.fairness.loan(theirs, mine).rate > 0
+
+    def forecast_of(self, host: str, now: float) -> Standing | None:
+        """Return what ``host`` probably holds now, or None if nothing was heard lately."""
+        told = self.told_by_host.get(host)
+        if told is None or now - told.at > TOLD_LATELY_S:
+            return None
+        return forecast(told.standing, now - told.at)
 
     def owed_hosts(self, now: float) -> list[str]:
         """Return the hosts that should have room back before the next renewal."""
@@ -150,11 +158,10 @@
     def tokens_within(self, hold_s: float, now: float) -> int:
         """Return the tokens that may come within ``hold_s`` seconds, here and from others."""
         coming = int(self.bucket.rate * hold_s) + NANOS_PER_UNIT
-        unknown = self._others - len(self.told_by_host)
-        coming += unknown * self._mean_units
-        for told in self.told_by_host.values():
-            coming += forecast(told.standing, now - told.at).tokens
-        return coming
+        known = [self.forecast_of(host, now) for host in self.told_by_host]
+        known_tokens = [standing.tokens for standing in known if standing is not None]
+        unknown = self._others - len(known_tokens)
+        return coming + sum(known_tokens) + unknown * self._mean_units
 
     def question(self, giver: str, now: float) -> LoanQuestion:
         """Return a question to ``giver``, after letting go of what it should have back."""
