Share a target's connections between hosts, and look-ups between calls

Cause: each host could open all the connections that a target takes from all hosts together; calls that found an answer expired each asked for a new one.

--- a/src/flamingoladder/client/caller.py
+++ b/src/flamingoladder/client/caller.py
@@ -13,9 +13,7 @@
 
 from flamingoladder.client.entry_hosts import MS_PER_S
 from flamingoladder.client.entry_hosts import EntryHosts
-from flamingoladder.client.hosts import CachedLookup
-from flamingoladder.client.hosts import ordered_urls
-from flamingoladder.steering.lookup import LookupAnswer
+from flamingoladder.client.lookups import Lookups
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
@@ -25,8 +23,6 @@
     from flamingoladder.client.settings import CallerSettings
     from flamingoladder.verdict import Outcome
 
-LOOKUP_TIMEOUT_S = 0.5
-
 WORTH_ANOTHER_HOST = frozenset(
     {
         Reason.CLAIM_OWNER_UNREACHABLE,
@@ -52,13 +48,12 @@
     ``outcome_of`` what became of it.
     """
 
-    __slots__ = ("_hosts", "_lookups_by_service", "_random", "_settings")
+    __slots__ = ("_hosts", "_lookups", "_settings")
 
     def __init__(self, settings: CallerSettings, random: Random | None = None) -> None:
         self._settings = settings
-        self._random = random or Random()
         self._hosts = EntryHosts(settings)
-        self._lookups_by_service: dict[str, CachedLookup] = {}
+        self._lookups = Lookups(self._hosts, settings.entry_urls, random or Random())
 
     async def __aenter__(self) -> Caller:
         """Return the caller itself."""
@@ -75,7 +70,7 @@
     async def call(self, call: Call) -> Outcome:
         """Send the call, to other entry hosts too if that helps, and return its outcome."""
         deadline = self._now() + self._settings.deadline_ms / MS_PER_S
-        urls = await self._urls_for(call.service, deadline)
+        urls = await self._lookups.urls_for(call.service, deadline)
         last = Refusal.not_run(Reason.HOST_UNREACHABLE, "no entry host is known")
         may_have_run = False
         for position, url in enumerate(urls):
@@ -100,7 +95,9 @@
         deadline = self._now() + self._settings.deadline_ms / MS_PER_S
         path = f"/v1/outcomes/{quote(call.key_in_use, safe='')}"
         urls = [call.host] if call.host else []
-        urls += [url for url in await self._urls_for(call.service, deadline) if url not in urls]
+        urls += [
+            url for url in await self._lookups.urls_for(call.service, deadline) if url not in urls
+        ]
         outcome: Outcome = Error(Refusal.may_have_run(Reason.HOST_UNREACHABLE, "no host answered"))
         for url in urls:
             answered = await self._hosts.get(url, path, uuid4().hex, self._half(deadline))
@@ -128,28 +125,6 @@
         finally:
             call.fresh_key = was_fresh and _has_not_run(outcome)
 
-    async def _urls_for(self, service: str, deadline: float) -> list[str]:
-        """Return the hosts to use: of a live answer, else of an old one, else the settings'."""
-        kept = self._lookups_by_service.get(service)
-        if kept is None or self._now() >= kept.ends:
-            kept = await self._look_up(service, deadline) or kept
-        if kept is None:
-            return list(self._settings.entry_urls)
-        return ordered_urls(kept.answer, self._random)
-
-    async def _look_up(self, service: str, deadline: float) -> CachedLookup | None:
-        path = f"/v1/lookup?service={quote(service, safe='')}"
-        for url in self._settings.entry_urls:
-            asked = self._now()
-            give_up = min(asked + LOOKUP_TIMEOUT_S, self._half(deadline))
-            outcome = await self._hosts.get(url, path, uuid4().hex, give_up)
-            if outcome.is_error():
-                continue
-            answer = msgspec.json.decode(outcome.ok.body, type=LookupAnswer)
-            self._lookups_by_service[service] = CachedLookup(answer, asked)
-            return self._lookups_by_service[service]
-        return None
-
     def _half(self, deadline: float) -> float:
         return (self._now() + deadline) / 2
 
--- a/src/flamingoladder/upstreams/targets.py
+++ b/src/flamingoladder/upstreams/targets.py
@@ -13,10 +13,16 @@
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import AgreedState
     from flamingoladder.config.agreed import StateInForce
+    from flamingoladder.config.model import Target
+
+MIN_CONNECTIONS = 2
 
 
 class DeclaredTarget(msgspec.Struct, frozen=True):
-    """A target as declared; ``name`` is ``service/target``."""
+    """A target as declared; ``name`` is ``service/target``.
+
+    ``connections`` is this host's part of those that the target takes from all hosts together.
+    """
 
     name: str
     service: str
@@ -46,13 +52,18 @@
                     deployment.region_of(target.failure_domain),
                     target.failure_domain,
                     deployment.slots_of(target),
-                    target.connections or deployment.defaults.target_connections,
+                    _connections(state, target),
                     drained,
                 )
             )
     return tuple(found)
 
 
+def _connections(state: AgreedState, target: Target) -> int:
+    declared = target.connections or state.deployment.defaults.target_connections
+    return max(MIN_CONNECTIONS, declared // max(1, len(state.members)))
+
+
 class TargetPools:
     """The connections to each address, opened at first use."""
 
--- a/tests/client/test_caller.py
+++ b/tests/client/test_caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import AsyncExitStack
 from contextlib import asynccontextmanager
 from random import Random
@@ -106,6 +107,14 @@
         assert (len(first.dispatcher.requests), len(second.dispatcher.requests)) == (1, 0)
 
 
+async def test_calls_at_the_same_time_share_a_look_up() -> None:
+    async with two_gateways() as (_, second, caller):
+        counted = second.stages.lookups = CountedLookup(second.state, "north-a", "north")
+        calls = (caller.call(Call("desk", "/x")) for _ in range(10))
+        assert all(outcome.is_ok() for outcome in await asyncio.gather(*calls))
+        assert counted.asked == 1
+
+
 @pytest.mark.parametrize(("lifetime_s", "look_ups"), [(60.0, 1), (0.0, 3)])
 async def test_look_up_answers_are_kept_for_their_lifetime(
     lifetime_s: float, look_ups: int
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -100,6 +100,7 @@
     headers = {
         "Cookie": f"a=1; key={KEY}",
         "X-Fine": "1",
+        "Flamingoladder-Workspace": "ferry-camp",
         "X-Copy": KEY.replace("-", "%2D"),
         "Connection": "X-Hop",
         "X-Hop": "1",
@@ -109,7 +110,8 @@
         [request] = gateway.dispatcher.requests
         names = {header.name for header in request.headers}
         assert "X-Fine" in names
-        assert not names & {"Authorization", "Cookie", "X-Copy", "Connection", "X-Hop", "Host"}
+        dropped = {"Authorization", "Cookie", "X-Copy", "Connection", "X-Hop", "Host"}
+        assert not names & (dropped | {"Flamingoladder-Workspace"})
 
 
 async def test_a_fault_stays_with_its_own_request() -> None:
