Stream the requests that ended, count and time them, and test the check of keys

Cause: idempotent requests leave no event, so statsd had no latency and no count of them. Ruled out: an event for each request, which would push all others out of the kept events. The system's own paths now have a module of their own. Seen failing without its guard: the weight of a withdrawal against a grant of the same key.

--- a/src/flamingoladder/gateway/checks.py
+++ b/src/flamingoladder/gateway/checks.py
@@ -41,7 +41,7 @@
         state = self._known_state()
         defaults = state.deployment.defaults
         intake.check_headers(request, defaults)
-        service, raw_path = _service_and_path(request)
+        service, raw_path = service_and_path(request)
         route = find_route(state.deployment, service, request.method, raw_path)
         key = intake.bearer_key(request)
         grant = None if route.open else self.grant_of(key, now)
@@ -85,7 +85,8 @@
         return state
 
 
-def _service_and_path(request: web.BaseRequest) -> tuple[str, str]:
+def service_and_path(request: web.BaseRequest) -> tuple[str, str]:
+    """Return the service of a request under ``/services/`` and the path at its upstream."""
     service, _, path = request.rel_url.raw_path.removeprefix(SERVICES).partition("/")
     return service, f"/{path}"
 
--- a/src/flamingoladder/gateway/messages.py
+++ b/src/flamingoladder/gateway/messages.py
@@ -1,9 +1,12 @@
-"""JSON bodies of the gateway's own paths."""
+"""JSON bodies of the gateway's own paths, and its notices."""
 
 from __future__ import annotations
 
 import msgspec
 
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Verdict
+
 
 class TicketReply(msgspec.Struct, frozen=True):
     """A ticket that only this incarnation of the host may run."""
@@ -16,3 +19,15 @@
 
     ok: bool
     detail: str
+
+
+class RequestEnded(msgspec.Struct, frozen=True):
+    """A request under ``/services/`` has its outcome; ``reason`` is None if it was answered.
+
+    ``service`` is None if there is no such service.
+    """
+
+    service: str | None
+    verdict: Verdict
+    reason: Reason | None
+    duration_s: float
--- a/src/flamingoladder/gateway/server.py
+++ b/src/flamingoladder/gateway/server.py
@@ -7,18 +7,18 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-import msgspec
 from aiohttp import web
+from reactivex import Subject
 
-from flamingoladder.gateway.exceptions import RefusedError
+from flamingoladder.gateway.checks import service_and_path
 from flamingoladder.gateway.handler import RequestHandler
 from flamingoladder.gateway.in_progress import InProgress
-from flamingoladder.gateway.intake import bearer_key
 from flamingoladder.gateway.intake import request_id_of
-from flamingoladder.gateway.messages import Health
-from flamingoladder.gateway.messages import TicketReply
+from flamingoladder.gateway.messages import RequestEnded
+from flamingoladder.gateway.own_paths import OUTCOMES
+from flamingoladder.gateway.own_paths import OwnPaths
+from flamingoladder.gateway.own_paths import fate_unknown
 from flamingoladder.gateway.permission import other_hosts
-from flamingoladder.gateway.reply import json_response
 from flamingoladder.gateway.reply import outcome_response
 from flamingoladder.gateway.reply import refusal_response
 from flamingoladder.transport.proof_of_life import require_acknowledgements
@@ -31,8 +31,10 @@
     from collections.abc import Callable
     from ssl import SSLContext
 
-    from flamingoladder.config.agreed import KeyGrant
+    from reactivex import Observable
+
     from flamingoladder.gateway.stages import GatewayStages
+    from flamingoladder.verdict import Outcome
 
 MAX_FIELD_BYTES = 1_048_576
 MAX_FIELDS = 10_000
@@ -41,8 +43,6 @@
 CLOSE_TIMEOUT_S = 5.0
 IDLE_S = 75.0
 
-OUTCOMES = "/v1/outcomes/"
-
 
 class Phase(Enum):
     """How far the server has gone towards its stop."""
@@ -60,9 +60,11 @@
     """
 
     __slots__ = (
+        "_ended",
         "_handler",
         "_host",
         "_in_progress",
+        "_own",
         "_phase",
         "_port",
         "_runner",
@@ -79,9 +81,16 @@
         self._ssl = ssl_context
         self._in_progress = InProgress()
         self._handler = RequestHandler(stages, self._in_progress)
+        self._own = OwnPaths(stages, self._handler.checks)
         self._phase = Phase.SERVING
+        self._ended: Subject[RequestEnded] = Subject()
         self._runner: web.AppRunner | None = None
 
+    @property
+    def ended(self) -> Observable[RequestEnded]:
+        """Return the stream of requests under ``/services/`` that have their outcome."""
+        return self._ended
+
     @property
     def port(self) -> int:
         """Return the port in use; it differs from the one asked for if that was 0."""
@@ -112,6 +121,7 @@
     def leave(self) -> None:
         """Keep serving, but be not ready and close each connection after its next response."""
         self._phase = Phase.LEAVING
+        self._own.serving = False
 
     async def stop(self, grace_s: float) -> bool:
         """Refuse new requests as not run, finish those in progress, and close the port.
@@ -119,6 +129,7 @@
         Return whether all were finished within ``grace_s`` seconds.
         """
         self._phase = Phase.STOPPING
+        self._own.serving = False
         finished = await self._in_progress.wait_until_idle(grace_s)
         self._stages.recorder.record("gateway.stopped", cut=self._in_progress.count)
         if self._runner is not None:
@@ -127,11 +138,11 @@
 
     def _application(self) -> web.Application:
         application = web.Application()
-        application.router.add_get("/v1/lookup", self._lookup)
-        application.router.add_post("/v1/tickets", self._guarded(self._ticket))
-        application.router.add_get(OUTCOMES + "{key}", self._guarded(self._outcome))
-        application.router.add_get("/health/live", self._live)
-        application.router.add_get("/health/ready", self._ready)
+        application.router.add_get("/v1/lookup", self._own.lookup)
+        application.router.add_post("/v1/tickets", self._guarded(self._own.ticket))
+        application.router.add_get(OUTCOMES + "{key}", self._guarded(self._own.outcome))
+        application.router.add_get("/health/live", self._own.live)
+        application.router.add_get("/health/ready", self._own.ready)
         application.router.add_route("*", "/services/{rest:.*}", self._guarded(self._service))
         return application
 
@@ -164,60 +175,25 @@
             "this host is stopping; use another one",
             hosts=other_hosts(self._stages.state, self._stages.recorder.host),
         )
-        return _fate_unknown(refusal) if request.path.startswith(OUTCOMES) else refusal
+        return fate_unknown(refusal) if request.path.startswith(OUTCOMES) else refusal
 
     async def _service(self, request: web.Request, request_id: str) -> web.Response:
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        now = loop.time()
         outcome = await self._handler.handle(request, request_id, now)
+        self._ended.on_next(_ended(request, outcome, loop.time() - now))
         return outcome_response(outcome, request_id)
 
-    async def _ticket(self, request: web.Request, request_id: str) -> web.Response:
-        try:
-            grant = self._grant(request)
-        except RefusedError as error:
-            return refusal_response(error.refusal, request_id)
-        return json_response(TicketReply(self._stages.ledger.issue_ticket(grant.workspace)))
-
-    async def _outcome(self, request: web.Request, request_id: str) -> web.Response:
-        try:
-            grant = self._grant(request)
-        except RefusedError as error:
-            return refusal_response(_fate_unknown(error.refusal), request_id)
-        key = request.match_info["key"]
-        outcome = await self._stages.ledger.outcome_of(grant.workspace, key)
-        return outcome_response(outcome, request_id)
-
-    def _grant(self, request: web.Request) -> KeyGrant:
-        now = asyncio.get_running_loop().time()
-        return self._handler.checks.grant_of(bearer_key(request), now)
-
-    async def _lookup(self, request: web.Request) -> web.Response:
-        now = asyncio.get_running_loop().time()
-        answer = self._stages.lookups.lookup(request.query.get("service", ""), now)
-        if answer.is_error():
-            return refusal_response(answer.error, request_id_of(request))
-        return json_response(answer.ok)
-
-    async def _live(self, _request: web.Request) -> web.Response:
-        return json_response(Health(True, "live"))
-
-    async def _ready(self, _request: web.Request) -> web.Response:
-        detail = self._why_not_ready(asyncio.get_running_loop().time())
-        return json_response(Health(detail is None, detail or "ready"), 503 if detail else 200)
-
-    def _why_not_ready(self, now: float) -> str | None:
-        if self._phase is not Phase.SERVING:
-            return "stopping"
-        if not self._stages.state.has_proof(now):
-            return "no proof that the agreed state is the newest"
-        return None
-
 
 async def _write(request: web.Request, response: web.Response) -> None:
     await response.prepare(request)
     await response.write_eof()
 
 
-def _fate_unknown(refusal: Refusal) -> Refusal:
-    """Return a refused question about an earlier request, which says nothing of that request."""
-    return msgspec.structs.replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
+def _ended(request: web.Request, outcome: Outcome, duration_s: float) -> RequestEnded:
+    service, _ = service_and_path(request)
+    if outcome.is_ok():
+        return RequestEnded(service, Verdict.RAN, None, duration_s)
+    refusal = outcome.error
+    known = None if refusal.reason is Reason.UNKNOWN_SERVICE else service
+    return RequestEnded(known, refusal.verdict, refusal.reason, duration_s)
--- a/src/flamingoladder/transport/connector.py
+++ b/src/flamingoladder/transport/connector.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from flamingoladder.transport.exceptions import SecondSendError
+from flamingoladder.transport.exceptions import UnusableConnectionError
 from flamingoladder.transport.proof_of_life import require_acknowledgements
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
         """Return a connection for the current exchange.
 
         :raises SecondSendError: if the exchange had a connection before.
+        :raises UnusableConnectionError: if the other end closes new connections, or talks first.
         """
         exchange = current_exchange.get()
         if exchange is not None and exchange.connected:
@@ -60,7 +62,9 @@
         if exchange is not None:
             exchange.connected = True
             exchange.transport = connection.transport
-            exchange.reused = self._mark_used(connection)
+            exchange.reused = self._is_used(connection)
+        if connection.transport is not None:
+            self._used.add(connection.transport)
         return connection
 
     async def _clean_connection(
@@ -70,15 +74,13 @@
             connection = await super().connect(req, traces, timeout)
             if connection.protocol is None or not connection.protocol.should_close:
                 return connection
+            was_used = self._is_used(connection)
             connection.close()
+            if not was_used:
+                raise UnusableConnectionError
 
-    def _mark_used(self, connection: Connection) -> bool:
-        transport = connection.transport
-        if transport is None:
-            return True
-        used = transport in self._used
-        self._used.add(transport)
-        return used
+    def _is_used(self, connection: Connection) -> bool:
+        return connection.transport is None or connection.transport in self._used
 
 
 def _open_socket(address: AddressInfo) -> socket.socket:
--- a/src/flamingoladder/transport/exceptions.py
+++ b/src/flamingoladder/transport/exceptions.py
@@ -7,3 +7,7 @@
 
 class SecondSendError(aiohttp.ClientError):
     """The HTTP library was about to send a request a second time of its own accord."""
+
+
+class UnusableConnectionError(aiohttp.ClientError):
+    """A new connection was closed, or held bytes, before the request was written."""
--- a/tests/client/test_caller.py
+++ b/tests/client/test_caller.py
@@ -19,11 +19,11 @@
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
-from tests.gateway.fakes import KEY
-from tests.gateway.fakes import FixedState
 from tests.gateway.fakes import MemoryLedger
-from tests.gateway.fakes import agreed
 from tests.gateway.fakes import running_gateway
+from tests.gateway.states import KEY
+from tests.gateway.states import FixedState
+from tests.gateway.states import agreed
 from tests.upstreams.scripted import Act
 from tests.upstreams.scripted import ScriptedTarget
 from tests.upstreams.scripted import running
--- a/tests/gateway/test_routing.py
+++ b/tests/gateway/test_routing.py
@@ -7,7 +7,7 @@
 from flamingoladder.gateway.exceptions import RefusedError
 from flamingoladder.gateway.routing import find_route
 from flamingoladder.verdict import Reason
-from tests.gateway.fakes import agreed
+from tests.gateway.states import agreed
 
 DEPLOYMENT = agreed().deployment
 
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -12,11 +12,11 @@
 from flamingoladder.steering.lookup import LookupAnswer
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
-from tests.gateway.fakes import KEY
-from tests.gateway.fakes import OTHER_KEY
-from tests.gateway.fakes import FixedState
-from tests.gateway.fakes import agreed
 from tests.gateway.fakes import running_gateway
+from tests.gateway.states import KEY
+from tests.gateway.states import OTHER_KEY
+from tests.gateway.states import FixedState
+from tests.gateway.states import agreed
 
 BOOKING = {"Idempotency-Key": "b1"}
 
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -17,10 +17,10 @@
 from flamingoladder.standins.upstream_server import UpstreamServer
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
-from tests.gateway.fakes import KEY
-from tests.gateway.fakes import FixedState
-from tests.gateway.fakes import agreed
 from tests.gateway.fakes import running_gateway
+from tests.gateway.states import KEY
+from tests.gateway.states import FixedState
+from tests.gateway.states import agreed
 from tests.upstreams.parts import parts_for
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/tests/keys/test_check.py
@@ -0,0 +1,56 @@
+"""Tests of the check of callers' keys."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from flamingoladder.config.agreed import KeyGrant
+from flamingoladder.keys.check import GrantedKeys
+from flamingoladder.keys.check import digest_of
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Verdict
+from tests.gateway.states import KEY
+from tests.gateway.states import FixedState
+from tests.gateway.states import agreed
+
+
+@pytest.mark.parametrize(
+    ("key", "reason"),
+    [
+        (None, Reason.KEY_MISSING),
+        ("", Reason.KEY_MISSING),
+        ("guess", Reason.KEY_UNKNOWN),
+        (KEY[:-1], Reason.KEY_UNKNOWN),
+        (digest_of(KEY), Reason.KEY_UNKNOWN),
+        ("\udcff\udcfe", Reason.KEY_UNKNOWN),
+    ],
+)
+def test_what_is_not_a_granted_key_is_refused(key: str | None, reason: Reason) -> None:
+    checked = GrantedKeys(FixedState(agreed())).check(key)
+    assert (checked.error.reason, checked.error.verdict) == (reason, Verdict.NOT_RUN)
+
+
+def test_a_key_stands_for_its_workspace_until_it_is_withdrawn() -> None:
+    state = FixedState(agreed())
+    keys = GrantedKeys(state)
+    grant = keys.check(KEY).ok
+    assert (grant.workspace, keys.recheck(grant.key_id)) == ("midnight-sun", None)
+    state.set(grants=(msgspec.structs.replace(grant, withdrawn=True),))
+    assert keys.check(KEY).error.reason is Reason.KEY_WITHDRAWN
+    recheck = keys.recheck(grant.key_id)
+    assert recheck is not None
+    assert recheck.reason is Reason.KEY_WITHDRAWN
+    state.set(grants=())
+    assert keys.recheck(grant.key_id) is not None
+
+
+@pytest.mark.parametrize("withdrawn_first", [True, False])
+def test_a_withdrawal_outweighs_a_grant_of_the_same_key(withdrawn_first: bool) -> None:
+    grants = [
+        KeyGrant("k1", "midnight-sun", digest_of(KEY), withdrawn=withdrawn_first),
+        KeyGrant("k2", "ferry-camp", digest_of(KEY), withdrawn=not withdrawn_first),
+    ]
+    state = FixedState(agreed())
+    state.set(grants=tuple(grants))
+    assert GrantedKeys(state).check(KEY).error.reason is Reason.KEY_WITHDRAWN
--- a/tests/ledger/test_pruner.py
+++ b/tests/ledger/test_pruner.py
@@ -24,8 +24,8 @@
 from flamingoladder.standins.memory import StoredTable
 from flamingoladder.standins.network import Network
 from flamingoladder.timeline.recorder import Recorder
-from tests.gateway.fakes import FixedState
-from tests.gateway.fakes import agreed
+from tests.gateway.states import FixedState
+from tests.gateway.states import agreed
 
 ROWS = 2 * MAX_TRANSACTION_ROWS + 1
 
--- a/tests/steering/test_least_in_flight.py
+++ b/tests/steering/test_least_in_flight.py
@@ -18,8 +18,8 @@
 from flamingoladder.upstreams.probe_messages import ProbeReply
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
-from tests.gateway.fakes import FixedState
-from tests.gateway.fakes import agreed
+from tests.gateway.states import FixedState
+from tests.gateway.states import agreed
 from tests.upstreams.parts import request_for
 
 TARGETS = {
--- a/tests/upstreams/parts.py
+++ b/tests/upstreams/parts.py
@@ -19,8 +19,8 @@
 from flamingoladder.upstreams.dispatcher import UpstreamDispatcher
 from flamingoladder.upstreams.health import HealthBoard
 from flamingoladder.upstreams.targets import TargetPools
-from tests.gateway.fakes import FixedState
-from tests.gateway.fakes import agreed
+from tests.gateway.states import FixedState
+from tests.gateway.states import agreed
 from tests.upstreams.scripted import running
 
 if TYPE_CHECKING:
--- a/tests/upstreams/test_dispatcher.py
+++ b/tests/upstreams/test_dispatcher.py
@@ -91,7 +91,7 @@
         first.accepts_and_closes = True
         outcome = await parts.dispatcher.dispatch(request_for(ONCE))
         assert outcome.error.verdict is Verdict.MAY_HAVE_RUN
-        assert second.received == []
+        assert (first.connections, second.received) == (1, [])
 
 
 async def test_a_kept_connection_that_the_target_closes_harms_neither_kind_of_work() -> None:
--- a/tests/upstreams/test_targets.py
+++ b/tests/upstreams/test_targets.py
@@ -9,9 +9,9 @@
 from flamingoladder.config.model import Target
 from flamingoladder.upstreams.targets import MIN_CONNECTIONS
 from flamingoladder.upstreams.targets import declared_targets
-from tests.gateway.fakes import FixedState
-from tests.gateway.fakes import agreed
-from tests.gateway.fakes import member
+from tests.gateway.states import FixedState
+from tests.gateway.states import agreed
+from tests.gateway.states import member
 
 
 @pytest.mark.parametrize(("hosts", "connections"), [(1, 330), (7, 47), (1_500, MIN_CONNECTIONS)])
