Check key, proof and deadline with the connection at hand

Cause: after the check a request still waited for a free connection or for one to be opened, up to its deadline; a key withdrawn meanwhile, or a host frozen there, was not noticed. Ruled out: a second check before the wait only; the one after it makes the other needless. Seen failing without its guard: a key withdrawn while the request waits for a connection.

--- a/src/flamingoladder/transport/connector.py
+++ b/src/flamingoladder/transport/connector.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from flamingoladder.transport.exceptions import NotPermittedError
 from flamingoladder.transport.exceptions import SecondSendError
 from flamingoladder.transport.exceptions import UnusableConnectionError
 from flamingoladder.transport.proof_of_life import require_acknowledgements
@@ -52,6 +53,7 @@
     ) -> Connection:
         """Return a connection for the current exchange.
 
+        :raises NotPermittedError: if the last check refuses the request.
         :raises SecondSendError: if the exchange had a connection before.
         :raises UnusableConnectionError: if the other end closes new connections, or talks first.
         """
@@ -59,6 +61,9 @@
         if exchange is not None and exchange.connected:
             raise SecondSendError
         connection = await self._clean_connection(req, traces, timeout)
+        if exchange is not None and not exchange.may_leave():
+            connection.release()
+            raise NotPermittedError
         if exchange is not None:
             exchange.connected = True
             exchange.transport = connection.transport
--- a/src/flamingoladder/transport/exceptions.py
+++ b/src/flamingoladder/transport/exceptions.py
@@ -5,6 +5,10 @@
 import aiohttp
 
 
+class NotPermittedError(aiohttp.ClientError):
+    """The last check before the write refused the request."""
+
+
 class SecondSendError(aiohttp.ClientError):
     """The HTTP library was about to send a request a second time of its own accord."""
 
--- a/src/flamingoladder/transport/exchange.py
+++ b/src/flamingoladder/transport/exchange.py
@@ -7,22 +7,40 @@
 
 if TYPE_CHECKING:
     from asyncio import Transport
+    from collections.abc import Callable
 
     from aiohttp import ClientResponse
 
+    from flamingoladder.verdict import Refusal
+
+    LastCheck = Callable[[float], Refusal | None]
+
 
 class Exchange:
     """The progress of one request.
 
     ``connected`` is set before the request is written, so no byte can have left while it is False.
     ``reused`` tells a kept connection from a new one. ``silent`` is set while no new byte of the
-    answer has come for the check time.
+    answer has come for the check time. ``last_check`` is asked once there is a connection, with no
+    wait between its answer and the write; its refusal, if any, is kept as ``refusal``.
     """
 
-    __slots__ = ("_timeout", "connected", "deadline", "response", "reused", "silent", "transport")
+    __slots__ = (
+        "_last_check",
+        "_timeout",
+        "connected",
+        "deadline",
+        "refusal",
+        "response",
+        "reused",
+        "silent",
+        "transport",
+    )
 
-    def __init__(self, deadline: float) -> None:
+    def __init__(self, deadline: float, last_check: LastCheck | None = None) -> None:
         self.deadline = deadline
+        self._last_check = last_check
+        self.refusal: Refusal | None = None
         self.connected = False
         self.silent = False
         self.reused = False
@@ -35,6 +53,12 @@
         """Return a number that grows with each part of the answer; it is 0 before the head."""
         return 0 if self.response is None else 1 + self.response.content.total_bytes
 
+    def may_leave(self) -> bool:
+        """Return whether the request may still be written."""
+        if self._last_check is not None:
+            self.refusal = self._last_check(asyncio.get_running_loop().time())
+        return self.refusal is None
+
     def open(self) -> asyncio.Timeout:
         """Return the context that bounds the request by the deadline, in monotonic seconds."""
         self._timeout = asyncio.timeout_at(self.deadline)
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -29,15 +29,17 @@
 
     NO_CONNECTION = "no_connection"
     LOST = "lost"
+    REFUSED = "refused"
     SILENT = "silent"
     TIMEOUT = "timeout"
     TOO_LARGE = "too_large"
 
 
 class SendFailure(msgspec.Struct, frozen=True):
-    """A request without a whole answer; no byte of it left only if it got no connection.
+    """A request without a whole answer.
 
-    ``reused`` is True if it went over a kept connection, whose fault this may be.
+    No byte of it left only if it got no connection, or was refused by the last check. ``reused`` is
+    True if it went over a kept connection, whose fault this may be.
     """
 
     kind: FailureKind
@@ -47,7 +49,7 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether a byte of the request may have left."""
-        return self.kind is not FailureKind.NO_CONNECTION
+        return self.kind not in {FailureKind.NO_CONNECTION, FailureKind.REFUSED}
 
 
 class Outgoing:
@@ -158,6 +160,8 @@
 
 def _broken(exchange: Exchange, error: Exception) -> SendFailure:
     name = type(error).__name__
+    if exchange.refusal is not None:
+        return SendFailure(FailureKind.REFUSED, exchange.refusal.detail, reused=False)
     if not exchange.connected:
         return SendFailure(FailureKind.NO_CONNECTION, f"no connection: {name}", reused=False)
     return _lost(exchange, f"the connection was lost: {name}")
--- a/src/flamingoladder/upstreams/connections.py
+++ b/src/flamingoladder/upstreams/connections.py
@@ -27,6 +27,7 @@
 END_BY_KIND = {
     FailureKind.NO_CONNECTION: AttemptEnd.UNREACHABLE,
     FailureKind.LOST: AttemptEnd.LOST,
+    FailureKind.REFUSED: AttemptEnd.CANCELLED,
     FailureKind.SILENT: AttemptEnd.SILENT,
     FailureKind.TIMEOUT: AttemptEnd.CANCELLED,
     FailureKind.TOO_LARGE: AttemptEnd.ANSWERED,
@@ -50,7 +51,7 @@
         )
         idempotent = request.route.idempotent
         result = await self._pools.send(outgoing, exchange, idempotent=idempotent)
-        return result if isinstance(result, Answer) else _attempt_failure(result)
+        return result if isinstance(result, Answer) else _attempt_failure(result, exchange)
 
     async def get(self, path: str, timeout_s: float) -> Answer | None:
         """Return the answer to a GET of ``path``, or None if none came in time.
@@ -99,7 +100,9 @@
     return headers
 
 
-def _attempt_failure(failure: SendFailure) -> AttemptFailure:
+def _attempt_failure(failure: SendFailure, exchange: Exchange) -> AttemptFailure:
     suspect = failure.reused and failure.kind is FailureKind.LOST
     end = END_BY_KIND[failure.kind]
-    return AttemptFailure(end, failure.may_have_run, failure.detail, suspect=suspect)
+    return AttemptFailure(
+        end, failure.may_have_run, failure.detail, suspect=suspect, refusal=exchange.refusal
+    )
--- a/src/flamingoladder/upstreams/dispatcher.py
+++ b/src/flamingoladder/upstreams/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -76,6 +77,8 @@
         """Return the outcome of ending after ``failure``."""
         if failure.answer is not None:
             return Ok(failure.answer)
+        if failure.refusal is not None:
+            return self.refused(failure.refusal)
         reason = REASON_BY_END[failure.end]
         retry_after_s = SHED_RETRY_S if failure.end is AttemptEnd.SHED else None
         detail = f"{failure.detail} (attempt {self.attempts})"
@@ -138,14 +141,7 @@
         crashing = self._guard.refusal_of(request, defaults.crash_limit, loop.time())
         if crashing is not None:
             return crashing
-        held = await self._chooser.reserve(request, dispatch.tried, loop.time())
-        if isinstance(held, Refusal):
-            return held
-        refusal = self._permission.refusal_of(request, loop.time())
-        if refusal is not None:
-            held.release(AttemptEnd.CANCELLED, loop.time())
-            return refusal
-        return held
+        return await self._chooser.reserve(request, dispatch.tried, loop.time())
 
     async def _attempt(
         self, dispatch: Dispatch, held: Reservation, defaults: Defaults
@@ -166,7 +162,7 @@
     ) -> Answer | AttemptFailure:
         request = dispatch.request
         connections = self._pools.of(held.address)
-        exchange = Exchange(request.deadline)
+        exchange = Exchange(request.deadline, partial(self._permission.refusal_of, request))
         now = asyncio.get_running_loop().time()
         check_s = check_time_s(defaults.silence_ms / MS_PER_S, request.deadline, now)
 
@@ -196,7 +192,9 @@
             self._guard.saw_loss(request, target, started, now)
 
     def _may_retry(self, dispatch: Dispatch, failure: AttemptFailure, defaults: Defaults) -> bool:
-        if dispatch.attempts >= defaults.attempts or failure.end is AttemptEnd.ANSWERED:
+        if failure.refusal is not None or failure.end is AttemptEnd.ANSWERED:
+            return False
+        if dispatch.attempts >= defaults.attempts:
             return False
         if asyncio.get_running_loop().time() >= dispatch.request.deadline:
             return False
--- a/tests/upstreams/test_dispatcher.py
+++ b/tests/upstreams/test_dispatcher.py
@@ -150,6 +150,22 @@
         assert sum(len(target.received) for target in targets) == 1
 
 
+@pytest.mark.parametrize("route", [IDEMPOTENT, ONCE])
+async def test_nothing_leaves_once_its_key_is_withdrawn_while_it_waits_for_a_connection(
+    route: Route,
+) -> None:
+    only = ScriptedTarget("only", Act.SLOW)
+    async with dispatching(only, target_connections=2) as parts:
+        first = asyncio.create_task(parts.dispatcher.dispatch(request_for(route)))
+        await only.reached.wait()
+        second = asyncio.create_task(parts.dispatcher.dispatch(request_for(route)))
+        await asyncio.sleep(0.02)
+        parts.state.set(grants=())
+        assert (await second).error.reason is Reason.KEY_UNKNOWN
+        assert (await first).is_ok()
+        assert len(only.received) == 1
+
+
 async def test_a_shed_booking_with_nowhere_to_go_has_not_run() -> None:
     only = ScriptedTarget("only", Act.SHED)
     async with dispatching(only) as parts:
