Test knowledge, head, members and random faults of freshness

Cause: what a host knows, the head row and the registrations had no tests of their own; a registrar task had died silently in a random run. Ruled out: testing them through the fleet only.

--- a/src/flamingoladder/freshness/attempt.py
+++ b/src/flamingoladder/freshness/attempt.py
@@ -12,6 +12,7 @@
 from flamingoladder.freshness.changes import Rejection
 from flamingoladder.freshness.commits import CommitRefused
 from flamingoladder.freshness.commits import RefusalKind
+from flamingoladder.freshness.exceptions import StateUnreadableError
 from flamingoladder.freshness.head import Head
 from flamingoladder.freshness.head import encode_state
 from flamingoladder.freshness.intents import IntentEnd
@@ -84,7 +85,7 @@
         """Read the head and commit the change on top of it."""
         try:
             base = await self._storage.read()
-        except PlatformError as error:
+        except (PlatformError, StateUnreadableError) as error:
             return self._refused(pending, RefusalKind.STORE_UNAVAILABLE, str(error))
         if base.head is not None and not await self._renewer.install(base.head):
             detail = f"a part of version {base.head.version} can't be read"
--- a/src/flamingoladder/freshness/exceptions.py
+++ b/src/flamingoladder/freshness/exceptions.py
@@ -3,5 +3,5 @@
 from __future__ import annotations
 
 
-class StateMissingError(Exception):
-    """A part of the agreed state can be had neither from the object store nor from a peer."""
+class StateUnreadableError(Exception):
+    """The agreed state, or a part of it, can't be had or can't be decoded."""
--- a/src/flamingoladder/freshness/head.py
+++ b/src/flamingoladder/freshness/head.py
@@ -11,6 +11,7 @@
 from flamingoladder.config.agreed import KeyGrant
 from flamingoladder.config.agreed import Shift
 from flamingoladder.config.model import Deployment
+from flamingoladder.freshness.exceptions import StateUnreadableError
 from flamingoladder.members.state import Member
 
 HEAD_KEY = "head"
@@ -85,9 +86,12 @@
 def decode_head(value: bytes) -> Head:
     """Return the head in the row's value.
 
-    :raises msgspec.DecodeError: if it is none.
+    :raises StateUnreadableError: if it is none.
     """
-    return _head_decoder.decode(value)
+    try:
+        return _head_decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise StateUnreadableError(f"head of {len(value)} bytes: {error}") from error
 
 
 def encode_state(
@@ -114,7 +118,17 @@
 
 
 def decode_state(head: Head, content_by_name: dict[str, bytes]) -> AgreedState:
-    """Return the state of ``head``, whose objects are all in ``content_by_name``."""
+    """Return the state of ``head``, whose objects are all in ``content_by_name``.
+
+    :raises StateUnreadableError: if a part can't be decoded.
+    """
+    try:
+        return _decode_parts(head, content_by_name)
+    except msgspec.DecodeError as error:
+        raise StateUnreadableError(f"version {head.version}: {error}") from error
+
+
+def _decode_parts(head: Head, content_by_name: dict[str, bytes]) -> AgreedState:
     parts = head.parts
     return AgreedState(
         head.version,
--- a/src/flamingoladder/freshness/keeper.py
+++ b/src/flamingoladder/freshness/keeper.py
@@ -89,7 +89,7 @@
         silence = Silence(now)
         storage = HeadStorage(table, objects, links, settings)
         renewer = ProofRenewer(knowledge, storage, links, silence, recorder, settings)
-        tasks = BackgroundTasks()
+        tasks = BackgroundTasks(recorder)
         intents = IntentRound(knowledge, table, links, silence, settings, tasks)
         attempts = Attempts(knowledge, storage, renewer, intents)
         announcer = Announcer(knowledge, links, silence, settings, tasks)
@@ -114,6 +114,11 @@
         """Return the newest state known, or None before the first."""
         return self._knowledge.effective
 
+    @property
+    def incarnation(self) -> str:
+        """Return the incarnation of this host."""
+        return self._knowledge.member.incarnation
+
     @property
     def is_registered(self) -> bool:
         """Return whether this incarnation is registered."""
--- a/src/flamingoladder/freshness/renewal.py
+++ b/src/flamingoladder/freshness/renewal.py
@@ -7,7 +7,7 @@
 
 from flamingoladder.freshness import guards
 from flamingoladder.freshness.changes import NO_STATE_VERSION
-from flamingoladder.freshness.exceptions import StateMissingError
+from flamingoladder.freshness.exceptions import StateUnreadableError
 from flamingoladder.freshness.head import decode_head
 from flamingoladder.freshness.messages import HeadReply
 from flamingoladder.freshness.messages import HeadRequest
@@ -87,12 +87,21 @@
             return True
         try:
             state = await self._storage.load(head, source)
-        except StateMissingError as error:
-            self._recorder.record("state.missing", version=head.version, error=error)
+        except StateUnreadableError as error:
+            self._recorder.record("state.unreadable", version=head.version, error=error)
             return False
         self.take(head, state)
         return True
 
+    async def install_encoded(self, encoded: bytes, source: str) -> None:
+        """Put the head that the host ``source`` sent in force, if it is newer and readable."""
+        try:
+            head = decode_head(encoded)
+        except StateUnreadableError as error:
+            self._recorder.record("state.unreadable", source=source, error=error)
+            return
+        await self.install(head, source)
+
     def take(self, head: Head, state: AgreedState) -> None:
         """Put ``state`` in force if it is newer."""
         if self._knowledge.install(head, state, asyncio.get_running_loop().time()):
@@ -103,7 +112,7 @@
         installed = self._knowledge.installed
         try:
             stored = await self._storage.read()
-        except PlatformError as error:
+        except (PlatformError, StateUnreadableError) as error:
             self._note_store(True, str(error))
             return
         self._note_store(False, "")
@@ -173,7 +182,7 @@
         replies = zip(hosts, await asyncio.gather(*asks), strict=True)
         for host, reply in replies:
             if isinstance(reply, HeadReply) and reply.head is not None:
-                await self.install(decode_head(reply.head), host)
+                await self.install_encoded(reply.head, host)
 
     async def _ask_about_intents(self, now: float) -> None:
         intents = tuple(self._knowledge.intents_by_change.values())
--- a/src/flamingoladder/freshness/responder.py
+++ b/src/flamingoladder/freshness/responder.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from flamingoladder.freshness.head import decode_head
 from flamingoladder.freshness.head import encode_head
 from flamingoladder.freshness.knowledge import OpenIntent
 from flamingoladder.freshness.messages import HeadAnnounced
@@ -103,7 +102,7 @@
 
     async def _take_head(self, peer: Peer, message: HeadAnnounced) -> HeadKnown:
         self._hear(peer)
-        await self._renewer.install(decode_head(message.head), peer.host)
+        await self._renewer.install_encoded(message.head, peer.host)
         knowledge = self._knowledge
         return HeadKnown(knowledge.known, knowledge.installed, knowledge.member.incarnation)
 
--- a/src/flamingoladder/freshness/storage.py
+++ b/src/flamingoladder/freshness/storage.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from flamingoladder.freshness.exceptions import StateMissingError
+from flamingoladder.freshness.exceptions import StateUnreadableError
 from flamingoladder.freshness.head import HEAD_KEY
 from flamingoladder.freshness.head import Head
 from flamingoladder.freshness.head import decode_head
@@ -59,6 +59,7 @@
         """Return the head in the table.
 
         :raises PlatformUnavailableError: if the table did not answer in time.
+        :raises StateUnreadableError: if the row can't be decoded.
         """
         row = await self._table.get(HEAD_KEY, self._settings.store_timeout_s)
         if row is None:
@@ -68,7 +69,7 @@
     async def load(self, head: Head, source: str | None = None) -> AgreedState:
         """Return the state of ``head``; the host ``source`` is asked for what the store lacks.
 
-        :raises StateMissingError: if an object can't be had.
+        :raises StateUnreadableError: if an object can't be had or decoded.
         """
         names = object_names(head)
         content_by_name = {name: await self._content(name, source) for name in names}
@@ -114,7 +115,7 @@
         if content is None and source is not None:
             content = await self._content_from(source, name)
         if content is None:
-            raise StateMissingError(f"object {name} can't be read")
+            raise StateUnreadableError(f"object {name} can't be read")
         return content
 
     async def _stored_content(self, name: str) -> bytes | None:
--- a/src/flamingoladder/freshness/tasks.py
+++ b/src/flamingoladder/freshness/tasks.py
@@ -10,24 +10,32 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from flamingoladder.timeline.recorder import Recorder
+
 T = TypeVar("T")
 
 
 class BackgroundTasks:
     """Holds tasks until they are done, and cancels the rest at the end."""
 
-    __slots__ = ("_tasks",)
+    __slots__ = ("_recorder", "_tasks")
 
-    def __init__(self) -> None:
+    def __init__(self, recorder: Recorder) -> None:
+        self._recorder = recorder
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def start(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         """Run ``work`` as a task."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end)
         return task
 
+    def _end(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._recorder.record("task.failed", error=repr(task.exception()))
+
     async def close(self) -> None:
         """Cancel all tasks and wait for their end."""
         tasks = tuple(self._tasks)
--- a/src/flamingoladder/members/registrar.py
+++ b/src/flamingoladder/members/registrar.py
@@ -134,8 +134,9 @@
         await asyncio.gather(*(self._probe(host) for host in unlisted))
         now = asyncio.get_running_loop().time()
         for host in unlisted:
-            if self._silence.silent_s(host, now) >= self._patience_s(host, now):
-                await self._remove(self._knowledge.members_by_host[host])
+            member = self._knowledge.members_by_host.get(host)
+            if member and self._silence.silent_s(host, now) >= self._patience_s(host):
+                await self._remove(member)
 
     async def _unlisted(self) -> list[str]:
         """Return the registered hosts that the platform no longer lists as live."""
@@ -153,7 +154,7 @@
         if isinstance(reply, VouchReply):
             self._silence.heard(host, asyncio.get_running_loop().time())
 
-    def _patience_s(self, dead: str, now: float) -> float:
+    def _patience_s(self, dead: str) -> float:
         """Return the silence to wait for; hosts take their turn in order of their names."""
         own = self._knowledge.member.host
         hosts = sorted(host for host in self._knowledge.members_by_host if host != dead)
--- /dev/null
+++ b/tests/freshness/test_head.py
@@ -0,0 +1,111 @@
+"""Tests of the head, its objects and their ways to a host."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from flamingoladder.config.agreed import KeyGrant
+from flamingoladder.freshness.changes import ApplyConfiguration
+from flamingoladder.freshness.changes import GrantKey
+from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.freshness.commits import RefusalKind
+from flamingoladder.freshness.exceptions import StateUnreadableError
+from flamingoladder.freshness.head import decode_head
+from flamingoladder.freshness.messages import ObjectReply
+from flamingoladder.freshness.messages import ObjectRequest
+from flamingoladder.platform.table import Write
+from flamingoladder.standins.loop import run_on_injected_time
+from tests.freshness.fleet import KEY
+from tests.freshness.fleet import Fleet
+from tests.freshness.fleet import renamed
+
+if TYPE_CHECKING:
+    import msgspec
+
+    from flamingoladder.peers.link import Peer
+
+LARGE = renamed("x" * 10_000)
+
+
+def test_large_part_is_an_object_that_a_withdrawal_does_not_rewrite() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(3)
+        await fleet.form()
+        await fleet.committed(ApplyConfiguration(fleet.state("h1").version, LARGE))
+        names = set(fleet.content_by_name)
+        await fleet.committed(WithdrawKey(KEY.key_id))
+        assert len(names) == 1
+        assert set(fleet.content_by_name) == names
+        assert len(fleet.stored.rows_by_key["head"].value) < 10_000
+        assert fleet.state("h3").deployment == LARGE
+
+    run_on_injected_time(scenario())
+
+
+def test_object_comes_from_the_peer_where_the_store_is_cut_off() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(3)
+        await fleet.form()
+        fleet.cut_store(["h2", "h3"])
+        report = await fleet.committed(ApplyConfiguration(fleet.state("h1").version, LARGE))
+        assert report.in_force_on == ("h1", "h2", "h3")
+        assert fleet.state("h3").deployment == LARGE
+
+    run_on_injected_time(scenario())
+
+
+async def _forge(peer: Peer, message: ObjectRequest) -> msgspec.Struct:
+    return ObjectReply(b"forged")
+
+
+def test_object_with_another_digest_is_not_taken() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(3)
+        await fleet.form()
+        fleet.cut_store(["h2", "h3"])
+        fleet.network.links_by_host["h1"].register(ObjectRequest, _forge)
+        version = fleet.state("h1").version
+        report = await fleet.committed(ApplyConfiguration(version, LARGE))
+        assert report.in_force
+        assert report.in_force_on == ("h1",)
+        assert fleet.state("h2").version == version
+        assert not fleet.serves_any("h2")
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize("damage", [b"", b"\xc1", b"\x93\x01"])
+def test_damaged_head_is_reported_and_changes_nothing(damage: bytes) -> None:
+    with pytest.raises(StateUnreadableError):
+        decode_head(damage)
+
+    async def scenario() -> None:
+        fleet = Fleet(3)
+        await fleet.form()
+        row = fleet.stored.rows_by_key["head"]
+        fleet.stored.transact((), (Write("head", damage),))
+        await asyncio.sleep(5.0)
+        assert all(fleet.serves(host) for host in fleet.hosts)
+        refused = await fleet.refused(WithdrawKey(KEY.key_id))
+        assert refused.kind is RefusalKind.STORE_UNAVAILABLE
+        assert fleet.stored.rows_by_key["head"].value == damage
+        fleet.stored.transact((), (Write("head", row.value),))
+        await fleet.committed(WithdrawKey(KEY.key_id))
+
+    run_on_injected_time(scenario())
+
+
+def test_many_grants_reach_every_host() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(3)
+        await fleet.form()
+        for number in range(40):
+            grant = KeyGrant(f"id-{number}", "camp", "0" * 60 + f"{number:04}")
+            await fleet.committed(GrantKey(grant), fleet.hosts[number % 3])
+        assert len(fleet.state("h2").grants) == 41
+        assert len(fleet.content_by_name) > 0
+
+    run_on_injected_time(scenario())
--- /dev/null
+++ b/tests/freshness/test_knowledge.py
@@ -0,0 +1,101 @@
+"""Tests of what a host knows and of the guards."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec.structs import replace
+
+from flamingoladder.config.agreed import AgreedState
+from flamingoladder.freshness import guards
+from flamingoladder.freshness.head import encode_state
+from flamingoladder.freshness.knowledge import Knowledge
+from flamingoladder.freshness.knowledge import OpenIntent
+from flamingoladder.members.state import Member
+from tests.freshness.fleet import DEPLOYMENT
+from tests.freshness.fleet import KEY
+from tests.freshness.fleet import PROOF_S
+
+MEMBERS = tuple(Member(host, "north", "n1", "i1", "", "", "") for host in ("h1", "h2", "h3"))
+STATE = AgreedState(5, 5, DEPLOYMENT, (KEY,), MEMBERS)
+
+
+def _install(knowledge: Knowledge, state: AgreedState, now: float = 0.0) -> bool:
+    return knowledge.install(encode_state(state, "c", ()).head, state, now)
+
+
+@pytest.fixture
+def knowledge() -> Knowledge:
+    """Return what a host knows that has version 5."""
+    knowledge = Knowledge(MEMBERS[0])
+    _install(knowledge, STATE)
+    return knowledge
+
+
+def _intent(base: int) -> OpenIntent:
+    return OpenIntent("c1", base, KEY.key_id, "h2", "i1", 0.0)
+
+
+def test_answer_that_comes_after_a_freeze_gives_no_proof(knowledge: Knowledge) -> None:
+    woken_at = 100.0
+    assert knowledge.renew(5, 1.0, frozenset())
+    assert not knowledge.has_proof(woken_at)
+    assert not knowledge.renew(5, 0.5, frozenset())
+
+
+def test_proof_ends_by_itself(knowledge: Knowledge) -> None:
+    knowledge.renew(5, 1.0, frozenset())
+    assert knowledge.has_proof(0.99 + PROOF_S)
+    assert not knowledge.has_proof(1.0 + PROOF_S)
+
+
+def test_unregistered_incarnation_has_no_proof(knowledge: Knowledge) -> None:
+    restarted = Knowledge(replace(MEMBERS[0], incarnation="i2"))
+    _install(restarted, STATE)
+    assert restarted.renew(5, 1.0, frozenset())
+    assert not restarted.has_proof(1.0)
+
+
+def test_lower_version_is_not_installed(knowledge: Knowledge) -> None:
+    assert not _install(knowledge, replace(STATE, version=4))
+    assert knowledge.installed == 5
+
+
+def test_intent_stays_open_until_a_later_version_is_installed(knowledge: Knowledge) -> None:
+    assert knowledge.open_intent(_intent(6))
+    _install(knowledge, replace(STATE, version=6))
+    assert knowledge.suspended_keys == {KEY.key_id}
+    _install(knowledge, replace(STATE, version=7))
+    assert not knowledge.suspended_keys
+
+
+def test_intent_of_an_older_version_is_refused(knowledge: Knowledge) -> None:
+    assert not knowledge.open_intent(_intent(4))
+    assert not knowledge.suspended_keys
+
+
+def test_excepted_key_is_withdrawn_until_newer_proof(knowledge: Knowledge) -> None:
+    knowledge.renew(5, 1.0, frozenset({KEY.key_id}))
+    assert knowledge.effective is not None
+    assert knowledge.effective.grants[0].withdrawn
+    knowledge.renew(5, 2.0, frozenset())
+    assert knowledge.effective == STATE
+
+
+@pytest.mark.parametrize(
+    ("asked", "installed", "known", "vouches"),
+    [(5, 5, 5, True), (5, 5, 6, False), (5, 6, 6, False), (6, 5, 6, False)],
+)
+def test_may_vouch(asked: int, installed: int, known: int, vouches: bool) -> None:
+    assert guards.may_vouch(asked, installed, known) is vouches
+
+
+@pytest.mark.parametrize(
+    ("hosts", "majority"),
+    [(set(), False), ({"h1"}, False), ({"h1", "h2"}, True), ({"x", "h1"}, False)],
+)
+def test_has_majority(hosts: set[str], majority: bool) -> None:
+    assert guards.has_majority(hosts, STATE.members_by_host) is majority
+
+
+def test_empty_membership_needs_no_acknowledgement() -> None:
+    assert guards.has_majority(set(), {})
--- a/tests/freshness/test_partitions.py
+++ b/tests/freshness/test_partitions.py
@@ -9,6 +9,7 @@
 from flamingoladder.freshness.changes import ApplyConfiguration
 from flamingoladder.freshness.changes import WithdrawKey
 from flamingoladder.freshness.commits import RefusalKind
+from flamingoladder.members.changes import RemoveMember
 from flamingoladder.standins.loop import run_on_injected_time
 from tests.freshness.fleet import KEY
 from tests.freshness.fleet import PROOF_S
@@ -18,6 +19,8 @@
 
 HOUR_S = 3_600.0
 MINUTE_S = 60.0
+ONE_WAY_S = 0.1
+ROUNDING_S = 1e-6
 WITHDRAWN_S = 4.0
 
 
@@ -152,6 +155,54 @@
     run_on_injected_time(scenario())
 
 
+def test_removed_host_with_a_proof_delays_the_next_report() -> None:
+    async def scenario() -> None:
+        fleet = await _formed(3)
+        fleet.cut_peers("h3")
+        removing = asyncio.create_task(fleet.committed(RemoveMember("h3")))
+        await fleet.until(lambda: "h3" not in fleet.state("h1").members_by_host)
+        fleet.cut_store(["h3"])
+        report = await fleet.committed(ApplyConfiguration(fleet.state("h1").version, renamed("b")))
+        assert report.in_force
+        assert not fleet.serves("h3")
+        assert (await removing).in_force
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize("store", [True, False])
+def test_proof_is_timed_from_before_the_question(store: bool) -> None:
+    async def scenario() -> None:
+        fleet = await _formed(3)
+        if not store:
+            fleet.cut_store(fleet.hosts)
+        fleet.faults_by_host["h3"].delay_s = ONE_WAY_S
+        fleet.network.delay_s = ONE_WAY_S
+        await asyncio.sleep(PROOF_S)
+        for _ in range(100):
+            await asyncio.sleep(0.01)
+            age_s = (await fleet.keepers_by_host["h3"].status()).by_host["h3"].proof_age_s
+            assert age_s is not None
+            assert age_s > 2 * ONE_WAY_S - ROUNDING_S
+
+    run_on_injected_time(scenario())
+
+
+def test_store_that_went_back_gives_no_proof_and_is_not_installed() -> None:
+    async def scenario() -> None:
+        fleet = await _formed(3)
+        early = fleet.stored.rows_by_key["head"]
+        version = (await fleet.committed(WithdrawKey(KEY.key_id))).version
+        fleet.stored.rows_by_key["head"] = early
+        fleet.cut_peers("h3")
+        await asyncio.sleep(PROOF_S)
+        assert fleet.state("h3").version == version
+        assert not fleet.serves_any("h3")
+        assert "store.reverted" in fleet.kinds()
+
+    run_on_injected_time(scenario())
+
+
 def test_host_that_was_cut_off_never_goes_back() -> None:
     async def scenario() -> None:
         fleet = await _formed()
--- /dev/null
+++ b/tests/freshness/test_random.py
@@ -0,0 +1,186 @@
+"""A seeded run of random faults and changes, with the promises checked all the time."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from flamingoladder.config.agreed import KeyGrant
+from flamingoladder.freshness.changes import ApplyConfiguration
+from flamingoladder.freshness.changes import GrantKey
+from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.freshness.commits import RefusalKind
+from flamingoladder.platform.hostlist import HostStatus
+from flamingoladder.platform.hostlist import ListedHost
+from flamingoladder.standins.loop import run_on_injected_time
+from tests.freshness.fleet import Fleet
+from tests.freshness.fleet import renamed
+
+if TYPE_CHECKING:
+    from flamingoladder.config.agreed import AgreedState
+    from flamingoladder.freshness.changes import Change
+
+SIZE = 5
+RUN_S = 40.0
+HEAL_S = 15.0
+STEP_S = 0.02
+
+
+class RandomRun:
+    """One run: ``in_force`` and ``withdrawn`` hold what was reported to operators."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(seed)
+        self.fleet = Fleet(SIZE, seed)
+        self.in_force = 0
+        self.withdrawn: set[str] = set()
+        self.granted: set[str] = set()
+        self.refused: set[str] = set()
+        self.doubtful: set[str] = set()
+        self.keys = 0
+        self.versions_by_incarnation: dict[str, int] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Cause faults and changes, heal everything, and compare what remains."""
+        await self.fleet.form()
+        ends = self.fleet.now + RUN_S
+        while self.fleet.now < ends:
+            if self.random.random() < STEP_S:
+                await self._fault()
+            if self.random.random() < STEP_S:
+                self.tasks.append(asyncio.create_task(self._change()))
+            await self._step()
+        await self._heal()
+
+    async def _step(self) -> None:
+        await asyncio.sleep(STEP_S)
+        for host, keeper in self.fleet.keepers_by_host.items():
+            if keeper.current is None:
+                continue
+            self._check_order(keeper.incarnation, keeper.current.version)
+            if not keeper.has_proof(self.fleet.now):
+                continue
+            assert keeper.current.version >= self.in_force, f"{host} serves an old version"
+            served = {grant.key_id for grant in keeper.current.grants if not grant.withdrawn}
+            assert not served & self.withdrawn, f"{host} serves a withdrawn key"
+
+    def _check_order(self, incarnation: str, version: int) -> None:
+        assert version >= self.versions_by_incarnation.get(incarnation, 0)
+        self.versions_by_incarnation[incarnation] = version
+
+    async def _fault(self) -> None:
+        fleet = self.fleet
+        host = self.random.choice(fleet.hosts)
+        fault = self.random.randrange(8)
+        if fault == 0:
+            fleet.cut_store(self.random.sample(fleet.hosts, self.random.randint(1, SIZE)))
+        elif fault == 1:
+            fleet.cut_store(fleet.hosts, down=False)
+        elif fault == 2:
+            fleet.faults_by_host[host].lost_answers = self.random.randint(1, 2)
+        elif fault == 3:
+            split = self.random.randint(1, SIZE - 1)
+            hosts = self.random.sample(fleet.hosts, SIZE)
+            fleet.cut(hosts[:split], hosts[split:])
+        elif fault == 4:
+            fleet.network.cuts.clear()
+        elif fault == 5:
+            fleet.network.loss = self.random.choice([0.0, 0.0, 0.2, 0.5])
+        elif fault == 6:
+            await self._stop_or_start(host)
+        else:
+            await self._list_anew()
+
+    async def _stop_or_start(self, host: str) -> None:
+        if host in self.fleet.keepers_by_host:
+            await self.fleet.kill(host)
+        if self.random.random() < 0.6:
+            self.fleet.start(host)
+
+    async def _list_anew(self) -> None:
+        listed = [host for host in self.fleet.hosts if self.random.random() < 0.7]
+        self.fleet.host_list.hosts = tuple(ListedHost(host, HostStatus.LIVE) for host in listed)
+
+    async def _change(self) -> None:
+        running = list(self.fleet.keepers_by_host)
+        if not running:
+            return
+        host = self.random.choice(running)
+        if self.random.random() < 0.2:
+            await self._configure(host)
+        elif self.granted - self.withdrawn and self.random.random() < 0.5:
+            await self._withdraw(host)
+        else:
+            await self._grant(host)
+
+    async def _grant(self, host: str) -> None:
+        self.keys += 1
+        key_id = f"key-{self.keys}"
+        kind = await self._commit(host, GrantKey(KeyGrant(key_id, "camp", key_id)))
+        if kind is None:
+            self.granted.add(key_id)
+        elif kind is RefusalKind.OUTCOME_UNKNOWN:
+            self.doubtful.add(key_id)
+        else:
+            self.refused.add(key_id)
+
+    async def _withdraw(self, host: str) -> None:
+        key_id = self.random.choice(sorted(self.granted - self.withdrawn))
+        await self._commit(host, WithdrawKey(key_id), key_id)
+
+    async def _configure(self, host: str) -> None:
+        current = self.fleet.keepers_by_host[host].current
+        if current is not None:
+            name = f"config-{self.random.random()}"
+            await self._commit(host, ApplyConfiguration(current.version, renamed(name)))
+
+    async def _commit(self, host: str, change: Change, withdrawn: str = "") -> RefusalKind | None:
+        keeper = self.fleet.keepers_by_host[host]
+        try:
+            result = await keeper.commit(change)
+        except asyncio.CancelledError:
+            return RefusalKind.OUTCOME_UNKNOWN
+        if result.is_error():
+            return result.error.kind
+        if result.ok.in_force:
+            self.in_force = max(self.in_force, result.ok.version)
+            self.withdrawn |= {withdrawn} - {""}
+        return None
+
+    async def _heal(self) -> None:
+        fleet = self.fleet
+        fleet.network.cuts.clear()
+        fleet.network.loss = 0.0
+        fleet.cut_store(fleet.hosts, down=False)
+        for faults in fleet.faults_by_host.values():
+            faults.lost_answers = 0
+        fleet.host_list.hosts = tuple(ListedHost(host, HostStatus.LIVE) for host in fleet.hosts)
+        for host in fleet.hosts:
+            if host not in fleet.keepers_by_host:
+                fleet.start(host)
+        healed_at = fleet.now
+        while fleet.now < healed_at + HEAL_S:
+            await self._step()
+        await asyncio.gather(*self.tasks)
+        states = [fleet.state(host) for host in fleet.hosts]
+        assert all(keeper.has_proof(fleet.now) for keeper in fleet.keepers)
+        assert all(state == states[0] for state in states)
+        assert "task.failed" not in fleet.kinds()
+        self._compare(states[0])
+
+    def _compare(self, state: AgreedState) -> None:
+        key_ids = [grant.key_id for grant in state.grants if grant.key_id.startswith("key-")]
+        assert len(key_ids) == len(set(key_ids)), "a grant was doubled"
+        assert set(key_ids) >= self.granted, "a grant was lost"
+        assert not set(key_ids) & self.refused, "a refused grant took effect"
+        gone = {grant.key_id for grant in state.grants if grant.withdrawn}
+        assert gone >= self.withdrawn, "a withdrawal was lost"
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_promises_hold_under_random_faults(seed: int) -> None:
+    run_on_injected_time(RandomRun(seed).run())
--- /dev/null
+++ b/tests/members/test_changes.py
@@ -0,0 +1,63 @@
+"""Tests of changes of the registered hosts."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec.structs import replace
+
+from flamingoladder.config.agreed import AgreedState
+from flamingoladder.members.changes import MarkLeaving
+from flamingoladder.members.changes import RegisterMember
+from flamingoladder.members.changes import RemoveMember
+from flamingoladder.members.directory import DirectoryEntry
+from flamingoladder.members.state import Member
+from flamingoladder.platform.table import Condition
+from tests.freshness.fleet import DEPLOYMENT
+
+
+def _member(host: str, incarnation: str = "i1") -> Member:
+    return Member(host, "north", "n1", incarnation, "", "", "")
+
+
+def _entry(host: str, incarnation: str = "i1") -> DirectoryEntry:
+    return DirectoryEntry(_member(host, incarnation), Condition(f"hosts/{host}", 1))
+
+
+EMPTY = AgreedState(1, 1, DEPLOYMENT)
+TWO = replace(EMPTY, members=(_member("h1"), _member("h2")))
+
+
+@pytest.mark.parametrize(
+    ("state", "started", "expected"),
+    [
+        (EMPTY, (), {"h3": "i1"}),
+        (EMPTY, (_entry("h1"), _entry("h2")), {"h1": "i1", "h2": "i1", "h3": "i1"}),
+        (TWO, (_entry("h2", "i2"),), {"h1": "i1", "h2": "i2", "h3": "i1"}),
+        (TWO, (_entry("h4"),), {"h1": "i1", "h2": "i1", "h3": "i1"}),
+    ],
+)
+def test_registration_adds_one_new_host(
+    state: AgreedState, started: tuple[DirectoryEntry, ...], expected: dict[str, str]
+) -> None:
+    changed = RegisterMember(_member("h3"), started).apply(state)
+    assert isinstance(changed, AgreedState)
+    assert {member.host: member.incarnation for member in changed.members} == expected
+
+
+def test_registration_requires_the_rows_that_it_takes_along() -> None:
+    change = RegisterMember(_member("h3"), (_entry("h2", "i2"),))
+    assert change.conditions == (Condition("hosts/h2", 1),)
+
+
+def test_registering_again_keeps_the_mark_of_leaving() -> None:
+    leaving = MarkLeaving("h2").apply(TWO)
+    assert isinstance(leaving, AgreedState)
+    assert leaving.members_by_host["h2"].leaving
+    assert RegisterMember(_member("h2")).apply(leaving) is leaving
+
+
+@pytest.mark.parametrize(("incarnation", "removed"), [(None, True), ("i1", True), ("i0", False)])
+def test_removal_of_an_incarnation(incarnation: str | None, removed: bool) -> None:
+    changed = RemoveMember("h2", incarnation).apply(TWO)
+    assert isinstance(changed, AgreedState)
+    assert ("h2" not in changed.members_by_host) is removed
--- /dev/null
+++ b/tests/members/test_registrar.py
@@ -0,0 +1,106 @@
+"""Tests of registration, leaving and the removal of dead hosts, on injected time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from flamingoladder.members.changes import RegisterMember
+from flamingoladder.members.directory import DirectoryEntry
+from flamingoladder.members.directory import read_directory
+from flamingoladder.members.state import Member
+from flamingoladder.platform.hostlist import HostStatus
+from flamingoladder.platform.hostlist import ListedHost
+from flamingoladder.platform.table import Condition
+from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.standins.memory import MemoryTable
+from tests.freshness.fleet import SETTINGS
+from tests.freshness.fleet import WAIT_S
+from tests.freshness.fleet import Fleet
+
+REMOVED_WITHIN_S = 10.0
+
+
+def _list(fleet: Fleet, hosts: list[str]) -> None:
+    fleet.host_list.hosts = tuple(ListedHost(host, HostStatus.LIVE) for host in hosts)
+
+
+def test_leaving_host_is_marked_then_removed() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(3)
+        await fleet.form()
+        keeper = fleet.keepers_by_host["h3"]
+        assert await keeper.mark_leaving()
+        assert fleet.state("h1").members_by_host["h3"].leaving
+        assert fleet.serves("h3")
+        assert await keeper.remove()
+        assert "h3" not in fleet.state("h1").members_by_host
+        assert "h3" not in await read_directory(MemoryTable(fleet.stored), 1.0)
+        await asyncio.sleep(5.0)
+        assert "h3" not in fleet.state("h1").members_by_host
+        assert not fleet.serves("h3")
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize("dead", [1, 3])
+def test_dead_hosts_are_removed_after_their_silence(dead: int) -> None:
+    async def scenario() -> None:
+        fleet = Fleet(7)
+        await fleet.form()
+        gone = fleet.hosts[:dead]
+        for host in gone:
+            await fleet.kill(host)
+        _list(fleet, fleet.hosts[dead:])
+        await asyncio.sleep(SETTINGS.dead_after_s - 2.0)
+        assert len(fleet.state("h7").members) == 7
+        rest = set(fleet.hosts) - set(gone)
+        await fleet.until(lambda: set(fleet.state("h7").members_by_host) == rest, REMOVED_WITHIN_S)
+
+    run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize(("alive", "listed"), [(True, False), (False, True)])
+def test_host_that_answers_or_is_listed_is_not_removed(alive: bool, listed: bool) -> None:
+    async def scenario() -> None:
+        fleet = Fleet(3)
+        await fleet.form()
+        if not alive:
+            await fleet.kill("h3")
+        if not listed:
+            _list(fleet, ["h1", "h2"])
+        await asyncio.sleep(4 * SETTINGS.dead_after_s)
+        assert "h3" in fleet.state("h1").members_by_host
+
+    run_on_injected_time(scenario())
+
+
+def test_removed_host_that_lives_registers_again() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(3)
+        await fleet.form()
+        fleet.cut_peers("h3")
+        _list(fleet, ["h1", "h2"])
+        await fleet.until(lambda: "h3" not in fleet.state("h1").members_by_host, 30.0)
+        await asyncio.sleep(WAIT_S)
+        assert not fleet.serves("h3")
+        fleet.network.cuts.clear()
+        await fleet.until(lambda: fleet.serves("h3"))
+
+    run_on_injected_time(scenario())
+
+
+def test_registration_on_an_outdated_directory_changes_nothing() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(3)
+        await fleet.form()
+        outdated = Member("h2", "north", "n1", "i0", "", "", "")
+        entry = DirectoryEntry(outdated, Condition("hosts/h2", 1_000))
+        own = fleet.state("h1").members_by_host["h1"]
+        version = fleet.state("h1").version
+        await fleet.refused(RegisterMember(own, (entry,)))
+        assert fleet.state("h1").version == version
+        assert fleet.state("h1").members_by_host["h2"].incarnation != "i0"
+
+    run_on_injected_time(scenario())
