--- /dev/null
+++ b/src/flamingoladder/gateway/handler.py
@@ -0,0 +1,115 @@
+"""The path of a caller's request through the stages."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from expression import Error
+
+from flamingoladder.gateway.checks import RequestChecks
+from flamingoladder.gateway.exceptions import RefusedError
+from flamingoladder.gateway.permission import KeyedPermission
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Refusal
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from flamingoladder.gateway.in_progress import InProgress
+    from flamingoladder.gateway.request import CallerRequest
+    from flamingoladder.gateway.stages import GatewayStages
+    from flamingoladder.verdict import Outcome
+
+FAULT_DETAIL = "a fault in this host; its time line has the error"
+
+
+class RequestHandler:
+    """Takes requests through the checks, the admission and the dispatch."""
+
+    __slots__ = ("_in_progress", "_permission", "_stages", "_tasks", "checks")
+
+    def __init__(self, stages: GatewayStages, in_progress: InProgress) -> None:
+        host = stages.recorder.host
+        self.checks = RequestChecks(stages.state, stages.keys, host)
+        self._stages = stages
+        self._in_progress = in_progress
+        self._permission = KeyedPermission(stages.state, stages.keys, host)
+        self._tasks: set[asyncio.Task[Outcome]] = set()
+
+    async def handle(self, request: web.BaseRequest, request_id: str, now: float) -> Outcome:
+        """Return the outcome of a request under ``/services/``.
+
+        A fault in a stage becomes a refusal of this request alone.
+        """
+        try:
+            checked = await self.checks.check(request, request_id, now)
+            refusal = await self._stages.admission.admit(checked)
+        except RefusedError as error:
+            self._record_refusal(request_id, None, error.refusal)
+            return Error(error.refusal)
+        except Exception as error:
+            self._record_fault(request_id, error)
+            return Error(Refusal.not_run(Reason.INTERNAL_ERROR, FAULT_DETAIL))
+        outcome = await self._run(checked) if refusal is None else Error(refusal)
+        self._record_outcome(checked, outcome)
+        return outcome
+
+    async def _run(self, request: CallerRequest) -> Outcome:
+        try:
+            if request.route.idempotent:
+                return await self._dispatch(request)
+            return await self._run_detached(request)
+        except Exception as error:
+            self._record_fault(request.request_id, error)
+            return Error(Refusal.may_have_run(Reason.INTERNAL_ERROR, FAULT_DETAIL))
+
+    async def _run_detached(self, request: CallerRequest) -> Outcome:
+        # A caller that hangs up must not cancel a claim half way.
+        task = asyncio.create_task(self._run_once(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return await asyncio.shield(task)
+
+    async def _run_once(self, request: CallerRequest) -> Outcome:
+        with self._in_progress:
+            return await self._stages.ledger.run_once(request, self._dispatch)
+
+    async def _dispatch(self, request: CallerRequest) -> Outcome:
+        refusal = self._permission.refusal_of(request, asyncio.get_running_loop().time())
+        if refusal is not None:
+            return Error(refusal)
+        return await self._stages.dispatcher.dispatch(request)
+
+    def _record_outcome(self, request: CallerRequest, outcome: Outcome) -> None:
+        """Record what an operator may ask for: refusals, and all that runs at most once."""
+        if outcome.is_error():
+            self._record_refusal(request.request_id, request, outcome.error)
+            return
+        if request.route.idempotent:
+            return
+        self._stages.recorder.record(
+            "request.ran",
+            request=request.request_id,
+            workspace=request.workspace,
+            key_id=request.key_id,
+            service=request.service,
+            status=outcome.ok.status,
+        )
+
+    def _record_refusal(
+        self, request_id: str, request: CallerRequest | None, refusal: Refusal
+    ) -> None:
+        self._stages.recorder.record(
+            "request.refused",
+            request=request_id,
+            workspace=request.workspace if request else None,
+            key_id=request.key_id if request else None,
+            reason=refusal.reason.value,
+            verdict=refusal.verdict.value,
+        )
+
+    def _record_fault(self, request_id: str, error: Exception) -> None:
+        self._stages.recorder.record(
+            "request.failed", request=request_id, error=type(error).__name__
+        )
--- /dev/null
+++ b/src/flamingoladder/gateway/intake.py
@@ -0,0 +1,148 @@
+"""Reads a caller's request within its limits."""
+
+from __future__ import annotations
+
+import asyncio
+from hashlib import sha256
+from secrets import token_hex
+from typing import TYPE_CHECKING
+
+from flamingoladder import fields
+from flamingoladder.gateway.exceptions import RefusedError
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Refusal
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from flamingoladder.config.model import Defaults
+    from flamingoladder.config.model import Route
+
+MAX_ID_LENGTH = 255
+HEADER_SEPARATORS_BYTES = 4
+MS_PER_S = 1_000
+YES = "1"
+REQUEST_ID_BYTES = 16
+
+
+def check_headers(request: web.BaseRequest, defaults: Defaults) -> None:
+    """Check the size of the header fields.
+
+    :raises RefusedError: if they are together over the limit.
+    """
+    size = sum(len(name) + len(value) for name, value in request.raw_headers)
+    size += HEADER_SEPARATORS_BYTES * len(request.raw_headers)
+    if size <= defaults.max_header_bytes:
+        return
+    detail = (
+        f"the header fields take {size} bytes; the limit is {defaults.max_header_bytes} "
+        "(setting defaults.max_header_bytes)"
+    )
+    raise RefusedError(Refusal.not_run(Reason.HEADERS_TOO_LARGE, detail))
+
+
+async def read_body(request: web.BaseRequest, max_bytes: int, deadline: float) -> bytes:
+    """Return the whole body.
+
+    :raises RefusedError: if it is too large, or not here by ``deadline`` (monotonic seconds).
+    """
+    if not request.body_exists:
+        return b""
+    if (request.content_length or 0) > max_bytes:
+        raise _too_large(max_bytes)
+    try:
+        async with asyncio.timeout_at(deadline):
+            return await _read_chunks(request, max_bytes)
+    except TimeoutError:
+        detail = "the deadline passed before the whole body was received"
+        raise RefusedError(Refusal.not_run(Reason.DEADLINE_PASSED, detail)) from None
+
+
+async def _read_chunks(request: web.BaseRequest, max_bytes: int) -> bytes:
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        body += chunk
+        if len(body) > max_bytes:
+            raise _too_large(max_bytes)
+    return bytes(body)
+
+
+def _too_large(max_bytes: int) -> RefusedError:
+    detail = f"the body is over the limit of {max_bytes} bytes (setting defaults.max_body_bytes)"
+    return RefusedError(Refusal.not_run(Reason.BODY_TOO_LARGE, detail))
+
+
+def bearer_key(request: web.BaseRequest) -> str | None:
+    """Return the caller's key, or None if there is none.
+
+    :raises RefusedError: if there is another kind of authorization, or more than one.
+    """
+    values = request.headers.getall(fields.AUTHORIZATION, ())
+    if not values:
+        return None
+    scheme, _, key = values[0].partition(" ")
+    if len(values) > 1 or scheme.lower() != "bearer":
+        raise _bad_request("send one 'Authorization: Bearer <key>' field")
+    return key.strip() or None
+
+
+def deadline_s(request: web.BaseRequest, route: Route, defaults: Defaults, now: float) -> float:
+    """Return the deadline in monotonic seconds: the caller's, capped by the route's.
+
+    :raises RefusedError: if the caller's is not a number.
+    """
+    cap_ms = defaults.deadline_ms if route.deadline_ms is None else route.deadline_ms
+    text = request.headers.get(fields.DEADLINE_MS)
+    if text is None:
+        return now + cap_ms / MS_PER_S
+    if not (text.isascii() and text.isdigit()):
+        raise _bad_request(f"{fields.DEADLINE_MS} must be a whole number of milliseconds")
+    return now + min(int(text), cap_ms) / MS_PER_S
+
+
+def is_fresh_key(request: web.BaseRequest) -> bool:
+    """Return whether the caller states that no earlier request with its key is in doubt."""
+    return request.headers.get(fields.FRESH_KEY) == YES
+
+
+def idempotency_key(request: web.BaseRequest, route: Route) -> str | None:
+    """Return the idempotency key, which only an idempotent route may lack.
+
+    :raises RefusedError: if it is missing or unusable.
+    """
+    values = request.headers.getall(fields.IDEMPOTENCY_KEY, ())
+    if not values and route.idempotent:
+        return None
+    if not values:
+        detail = f"this route is not idempotent: send an {fields.IDEMPOTENCY_KEY} field"
+        raise RefusedError(Refusal.not_run(Reason.IDEMPOTENCY_KEY_MISSING, detail))
+    if len(values) > 1 or not is_usable_id(values[0]):
+        raise _bad_request(
+            f"{fields.IDEMPOTENCY_KEY} must be one field of 1 to 255 visible ASCII characters"
+        )
+    return values[0]
+
+
+def _bad_request(detail: str) -> RefusedError:
+    return RefusedError(Refusal.not_run(Reason.BAD_REQUEST, detail))
+
+
+def request_id_of(request: web.BaseRequest) -> str:
+    """Return the caller's request id, or a new one if it sent none or an unusable one."""
+    text = request.headers.get(fields.REQUEST_ID)
+    if text is None or not is_usable_id(text):
+        return token_hex(REQUEST_ID_BYTES)
+    return text
+
+
+def is_usable_id(text: str) -> bool:
+    """Return whether ``text`` is visible ASCII of a sensible length."""
+    visible = text.isascii() and text.isprintable() and " " not in text
+    return visible and 0 < len(text) <= MAX_ID_LENGTH
+
+
+def digest_of_request(method: str, path: str, body: bytes) -> str:
+    """Return the hex SHA-256 digest of method, path (with query) and body."""
+    digest = sha256(f"{method} {path}\n".encode("utf-8", "surrogateescape"))
+    digest.update(body)
+    return digest.hexdigest()
