--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -85,16 +85,15 @@
     return AgreedState(1, 1, 1, deployment(site, workspaces), members=members())
 
 
-def survivors(state: AgreedState, dead: str) -> AgreedState:
-    """Return the next state, in which ``dead`` is no longer registered."""
-    members_left = tuple(each for each in state.members if each.host != dead)
+def successor(state: AgreedState, members: tuple[Member, ...]) -> AgreedState:
+    """Return the next state, a new division among ``members``."""
     version = state.version + 1
     return AgreedState(
         version=version,
         division_version=version,
         configuration_version=state.configuration_version,
         deployment=state.deployment,
-        members=members_left,
+        members=members,
         previous_division_version=state.division_version,
     )
 
--- a/bench/share_loads.py
+++ b/bench/share_loads.py
@@ -28,6 +28,7 @@
     NONE = "none"
     HOST_KILLED = "host killed"
     STORE_OUT = "store out"
+    CONFIGURED = "configured"
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -53,6 +54,7 @@
     Load("bursty 60%", 0.6, in_bursts=0.5),
     Load("one at 5 times", 0.8, times=5.0),
     Load("host killed", 0.8, fault=Fault.HOST_KILLED),
+    Load("skewed, changes", 0.8, 0.8, fault=Fault.CONFIGURED),
     Load("skewed, store out", 0.8, 0.8, fault=Fault.STORE_OUT),
 )
 
--- a/bench/share_ways.py
+++ b/bench/share_ways.py
@@ -12,7 +12,7 @@
 
 from bench.fleet import network
 from bench.fleet import request
-from bench.fleet import survivors
+from bench.fleet import successor
 from flamingoladder.platform.exceptions import PlatformError
 from flamingoladder.platform.table import Condition
 from flamingoladder.platform.table import Write
@@ -35,6 +35,7 @@
 DEADLINE_S = 2.0
 STORE_TIMEOUT_S = 0.5
 REBALANCE_S = 3.0
+LEARN_S = 0.02
 FLOOR_SHARE = 0.02
 
 
@@ -67,7 +68,12 @@
 
     def take_out(self, host: str) -> None:
         """Take a dead host out of the members."""
-        self.state = survivors(self.state, host)
+        left = tuple(member for member in self.state.members if member.host != host)
+        self.state = successor(self.state, left)
+
+    def configure(self) -> None:
+        """Put a changed configuration in force that leaves the limits as they are."""
+        self.state = successor(self.state, self.state.members)
 
     def stop_store(self) -> None:
         """Make the table unavailable to all hosts."""
@@ -249,8 +255,16 @@
 
     def take_out(self, host: str) -> None:
         super().take_out(host)
-        for state in self.states.values():
-            state.put(self.state)
+        self._put()
+
+    def configure(self) -> None:
+        super().configure()
+        self._put()
+
+    def _put(self) -> None:
+        loop = asyncio.get_running_loop()
+        for delay, state in enumerate(self.states.values()):
+            loop.call_later(delay * LEARN_S, state.put, self.state)
 
     def close(self) -> None:
         for admission in self.admissions.values():
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -32,6 +32,7 @@
 SEED = 4
 WARM_UP_S = 3.0
 SETTLE_S = 2.5
+CONFIGURED_AFTER_S = 1.0
 KILLED_AFTER_S = 4.0
 TAKEN_OUT_AFTER_S = 3.0
 KILLED = "h6"
@@ -141,6 +142,8 @@
     at = START_S + WARM_UP_S
     if load.fault is Fault.STORE_OUT:
         loop.call_at(at, way.stop_store)
+    if load.fault is Fault.CONFIGURED:
+        loop.call_at(at + CONFIGURED_AFTER_S, way.configure)
     if load.fault is Fault.HOST_KILLED:
         loop.call_at(at + KILLED_AFTER_S, way.kill, KILLED)
         loop.call_at(at + KILLED_AFTER_S + TAKEN_OUT_AFTER_S, way.take_out, KILLED)
--- a/src/flamingoladder/shares/asking.py
+++ b/src/flamingoladder/shares/asking.py
@@ -16,7 +16,7 @@
 
 MAX_ASKED = 3
 MIN_EXPECTED = NANOS_PER_UNIT // 4
-NEARNESS_S = 0.02
+NEARNESS_S = 0.005
 MS_PER_S = 1_000
 
 
@@ -51,8 +51,9 @@
     missing = mine.waiting - mine.tokens - underway
     found = []
     short = 0
+    longest = max(round_trips.values(), default=0.0)
     for host, trip_s in round_trips.items():
-        short_here = missing if mine.waiting else missing + tokens_wanted(mine.demand, trip_s)
+        short_here = missing if mine.waiting else missing + tokens_wanted(mine.demand, longest)
         if short_here <= 0:
             continue
         short = max(short, short_here)
--- a/src/flamingoladder/shares/policy.py
+++ b/src/flamingoladder/shares/policy.py
@@ -10,10 +10,10 @@
 if TYPE_CHECKING:
     from flamingoladder.shares.messages import Standing
 
-UNITS_FLOOR_SHARE = 0.5
+UNITS_FLOOR_SHARE = 1.0
 UNITS_FLOOR_RATE = NANOS_PER_UNIT
 RATE_FLOOR_SHARE = 0.01
-RATE_SLACK = 0.05
+RATE_SLACK = 0.2
 DEMAND_KNOWN_S = 1.0
 FORECAST_DEVIATIONS = 2.0
 
--- a/tests/shares/test_division.py
+++ b/tests/shares/test_division.py
@@ -5,7 +5,7 @@
 import pytest
 from bench.fleet import TJALDVIK
 from bench.fleet import agreed
-from bench.fleet import survivors
+from bench.fleet import successor
 
 from flamingoladder.config.model import Workspace
 from flamingoladder.shares.bucket import NANOS_PER_UNIT
@@ -37,8 +37,8 @@
 
 def test_a_division_follows_only_the_one_that_it_replaced() -> None:
     first = agreed(TJALDVIK, {"w": Workspace()})
-    second = survivors(first, "h0")
-    third = survivors(second, "h1")
+    second = successor(first, first.members[1:])
+    third = successor(second, second.members[1:])
     assert follows(first, second)
     assert follows(second, third)
     assert not follows(first, third)
