Let parts grow as soon as every owner of the division before has adopted the new one

Cause: after a change of configuration a host with most of a workspace's arrivals waited 2 s for its part and its loans.

--- a/models/shares.py
+++ b/models/shares.py
@@ -1,6 +1,7 @@
 """Changes of an allowance's division: takeover after lapse of proof, return, restart and freeze.
 
-Two hosts own the parts in ``PARTS`` one version after the other. A host learns the newest version
+Two hosts own the parts in ``PARTS`` one version after the other, where a
+host with no part isn't a member. A host learns the newest version
 at any time, or not at all while it is frozen; its proof lapses ``PROOF`` ticks after the commit
 that it doesn't know of. A restarted host is a member from the next commit on. The guards are those
 of ``flamingoladder.shares``: ``division``, ``bucket``, ``lending`` and ``account``.
@@ -33,6 +34,9 @@
     "follows",
     "is_member",
     "loans_end_at_division",
+    "all_adopted",
+    "is_settled",
+    "may_lend_to",
     "is_same_division",
 )
 
@@ -40,7 +44,8 @@
 class Host(NamedTuple):
     """One run of a host; ``version`` 0 is that of a run that has learned nothing yet.
 
-    ``grow_in`` counts the ticks until the run may use the whole of its part.
+    ``grow_in`` counts the ticks until the run may use the whole of its part, ``settled`` says that
+    it may do so earlier if all owners of the division before have adopted this one.
     """
 
     version: int = 1
@@ -48,6 +53,7 @@
     lent: int = 0
     borrowed: int = 0
     grow_in: int = 0
+    settled: bool = False
     member_from: int = 1
 
     @property
@@ -59,13 +65,15 @@
 class State(NamedTuple):
     """``ages`` has the ticks since each version's commit, at most ``PROOF``; -1 before it.
 
-    ``sent`` holds loans under way as pairs of receiver and version.
+    ``sent`` holds loans under way as pairs of receiver and version, ``said`` the versions that each
+    run of a host has said to have adopted; a run is named by its host and ``member_from``.
     """
 
     version: int = 1
     ages: tuple[int, ...] = (PROOF, PROOF) + (-1,) * (NEWEST - 1)
     hosts: tuple[Host, ...] = (Host(), Host())
     sent: frozenset[tuple[int, int]] = frozenset()
+    said: frozenset[tuple[int, int, int]] = frozenset()
     loans: int = 0
     restarts: int = 0
 
@@ -93,6 +101,7 @@
         for index in range(len(now.hosts)):
             found += [*self._adopt(now, index), *self._lend(now, index)]
             found += [*self._credit(now, index), *self._restart(now, index)]
+            found += self._grow_early(now, index)
         return found
 
     def conserved(self, state: dict[str, Any]) -> bool:
@@ -113,6 +122,26 @@
         own = self._part(host, host.version, index) if host.grow_in == 1 else host.own
         return host._replace(own=own, grow_in=host.grow_in - 1)
 
+    def _grow_early(self, now: State, index: int) -> Iterator[Step]:
+        host = now.hosts[index]
+        settled = host.settled or "is_settled" not in self.guards
+        if host.grow_in == 0 or host.version < 2 or not settled:
+            return
+        if "all_adopted" in self.guards and not self._all_adopted(now, index):
+            return
+        own = self._part(host, host.version, index)
+        yield f"host {index} grows early", _with_host(now, index, host._replace(own=own, grow_in=0))
+
+    def _all_adopted(self, now: State, index: int) -> bool:
+        """Return whether the other owner of the division before has let go of it."""
+        host, other = now.hosts[index], now.hosts[1 - index]
+        before = host.version - 1
+        run = other.member_from if other.member_from <= before else 1
+        if PARTS[before][1 - index] == 0:
+            return True
+        versions = [said for at, who, said in now.said if (at, who) == (1 - index, run)]
+        return any(version >= host.version for version in versions)
+
     def _part(self, host: Host, version: int, index: int) -> int:
         if "is_member" in self.guards and version < host.member_from:
             return 0
@@ -130,27 +159,38 @@
             return
         part = self._part(host, now.version, index)
         kept = min(host.units, part) if "keeps_smaller_part" in self.guards else part
-        if "follows" in self.guards and not 0 < host.version == now.version - 1:
+        follows = 0 < host.version == now.version - 1
+        if "follows" in self.guards and not follows:
             kept = 0
         ended = "loans_end_at_division" in self.guards
-        waits = "grow_at" in self.guards and kept < part
+        waits = "grow_at" in self.guards
         after = host._replace(
             version=now.version,
             own=kept if waits else part,
             lent=0 if ended else host.lent,
             borrowed=0 if ended else host.borrowed,
             grow_in=PROOF if waits else 0,
+            settled=follows and host.grow_in == 0,
+        )
+        said = now.said | {(index, host.member_from, now.version)}
+        yield f"host {index} adopts {now.version}", _with_host(now, index, after)._replace(
+            said=said
         )
-        yield f"host {index} adopts {now.version}", _with_host(now, index, after)
 
     def _lend(self, now: State, index: int) -> Iterator[Step]:
         host = now.hosts[index]
         if now.loans == MAX_LOANS or not proven(now, host) or host.own - host.lent < 1:
             return
+        if "may_lend_to" in self.guards and not self._may_lend_to(now, 1 - index, host.version):
+            return
         sent = now.sent | {(1 - index, host.version)}
         after = _with_host(now, index, host._replace(lent=host.lent + 1))
         yield f"host {index} lends", after._replace(sent=sent, loans=now.loans + 1)
 
+    def _may_lend_to(self, now: State, index: int, version: int) -> bool:
+        """Return whether the present run of a host is a member of a division."""
+        return self._part(now.hosts[index], version, index) > 0
+
     def _credit(self, now: State, index: int) -> Iterator[Step]:
         host = now.hosts[index]
         for receiver, version in now.sent:
--- a/src/flamingoladder/shares/admission.py
+++ b/src/flamingoladder/shares/admission.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from math import inf
 from typing import TYPE_CHECKING
 
 from flamingoladder.gateway.stages import Admission
 from flamingoladder.shares.account import Account
+from flamingoladder.shares.adoptions import Adoptions
 from flamingoladder.shares.asking import hosts_to_ask
 from flamingoladder.shares.asking import round_trip_s
 from flamingoladder.shares.conversation import Conversation
@@ -15,6 +17,7 @@
 from flamingoladder.shares.division import grow_at
 from flamingoladder.shares.division import workspace_allowance
 from flamingoladder.shares.lending import Lending
+from flamingoladder.shares.messages import DivisionAdopted
 from flamingoladder.shares.messages import LoanReply
 from flamingoladder.shares.messages import LoanRequest
 from flamingoladder.verdict import Reason
@@ -39,6 +42,7 @@
     __slots__ = (
         "_accounts",
         "_adopted",
+        "_adoptions",
         "_conversations",
         "_division",
         "_host",
@@ -46,6 +50,7 @@
         "_links",
         "_longest_trip_s",
         "_recorder",
+        "_settled_at",
         "_state",
         "_subscription",
         "held",
@@ -68,9 +73,12 @@
         self._accounts: dict[str, Account] = {}
         self._conversations: dict[str, Conversation] = {}
         self._longest_trip_s = 0.0
+        self._settled_at = inf
         self._adopted: AgreedState | None = None
         self._division = Division(0, {}, {})
+        self._adoptions = Adoptions()
         links.register(LoanRequest, self._answer)
+        links.register(DivisionAdopted, self._note_adoption)
         self._subscription = state.changes.subscribe(self._adopt)
 
     @classmethod
@@ -155,10 +163,44 @@
         now = asyncio.get_running_loop().time()
         self._division = Division.from_state(state)
         kept = earlier is not None and follows(earlier, state)
+        self._expect_adoptions(earlier if kept else None, state, now)
         self._divide(state, now, kept=kept)
         self._converse(state)
+        self._announce(earlier, state)
+        self._grow_early(now)
         self._recorder.record("shares.divided", version=state.division_version, kept=kept)
 
+    def _expect_adoptions(
+        self, earlier: AgreedState | None, state: AgreedState, now: float
+    ) -> None:
+        if earlier is None or not self._is_settled(now):
+            self._adoptions.expect_nothing()
+        else:
+            self._adoptions.expect(earlier, state, self._host)
+        self._settled_at = grow_at(state.deployment.defaults, now)
+
+    def _is_settled(self, now: float) -> bool:
+        """Return whether nobody can hold a part of a division before the last one."""
+        return now >= self._settled_at
+
+    def _announce(self, earlier: AgreedState | None, state: AgreedState) -> None:
+        before = earlier.members_by_host if earlier is not None else {}
+        for host in (before | state.members_by_host).keys() - {self._host}:
+            self._links.tell(host, DivisionAdopted(state.division_version))
+
+    async def _note_adoption(self, peer: Peer, message: DivisionAdopted) -> None:
+        self._adoptions.note(peer, (message.division_version,))
+        self._grow_early(asyncio.get_running_loop().time())
+
+    def _grow_early(self, now: float) -> None:
+        if not self._adoptions.all_adopted():
+            return
+        self._adoptions.expect_nothing()
+        self._settled_at = now
+        for account in self._accounts.values():
+            account.lending.bucket.grow(now)
+            account.serve(now)
+
     def _divide(self, state: AgreedState, now: float, *, kept: bool) -> None:
         defaults = state.deployment.defaults
         may_grow_at = grow_at(defaults, now)
--- a/src/flamingoladder/shares/bucket.py
+++ b/src/flamingoladder/shares/bucket.py
@@ -107,8 +107,12 @@
         self._grow_at = grow_at
         self._recount()
 
-    def grow(self) -> None:
-        """Take the whole own part at the last update; the units that come with it are room."""
+    def grow(self, now: float) -> None:
+        """Take the whole own part now; the units that come with it are room."""
+        self.advance(now)
+        self._grow()
+
+    def _grow(self) -> None:
         if self._grown is not None:
             self.own = self._grown
         self._grown = None
@@ -184,7 +188,7 @@
             for host in [host for host, loan in loans_by_host.items() if loan.expires_at <= now]:
                 del loans_by_host[host]
         if self._grow_at <= now:
-            self.grow()
+            self._grow()
         self._recount()
 
     def _recount(self) -> None:
--- a/src/flamingoladder/shares/messages.py
+++ b/src/flamingoladder/shares/messages.py
@@ -73,4 +73,10 @@
     answers: tuple[LoanAnswer, ...]
 
 
-SharesMessage = LoanRequest | LoanReply
+class DivisionAdopted(msgspec.Struct, frozen=True, tag="division_adopted"):
+    """Says that the sender has let go of all that it doesn't own by ``division_version``."""
+
+    division_version: int
+
+
+SharesMessage = LoanRequest | LoanReply | DivisionAdopted
