Try a second target beside a silent one, and take the first answer

Cause: a request was abandoned when silent, so an answer that was only slow was thrown away. Ruled out: abandoning at once; ruled out too: trying the same target while there is another. Seen failing without its guard: the cancelling of the loser, the wait for a second attempt when the first is lost, the end of the silent one, the only target tried again, and no second try of other work.

--- a/src/flamingoladder/upstreams/dispatcher.py
+++ b/src/flamingoladder/upstreams/dispatcher.py
@@ -6,8 +6,6 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-import msgspec
-from expression import Error
 from expression import Ok
 
 from flamingoladder import fields
@@ -15,13 +13,12 @@
 from flamingoladder.steering.chooser import AttemptEnd
 from flamingoladder.transport.exchange import Exchange
 from flamingoladder.upstreams.attempt import AttemptFailure
+from flamingoladder.upstreams.dispatch import Dispatch
 from flamingoladder.upstreams.retry_budget import RetryBudget
 from flamingoladder.upstreams.silence import SilenceWatch
 from flamingoladder.upstreams.silence import check_time_s
 from flamingoladder.verdict import Answer
-from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
-from flamingoladder.verdict import Verdict
 
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import StateInForce
@@ -38,51 +35,6 @@
 MS_PER_S = 1_000
 SERVICE_UNAVAILABLE = 503
 SHED_MARKER = fields.SHED.lower()
-SHED_RETRY_S = 1.0
-
-REASON_BY_END = {
-    AttemptEnd.ANSWERED: Reason.ANSWER_TOO_LARGE,
-    AttemptEnd.UNREACHABLE: Reason.UPSTREAM_UNREACHABLE,
-    AttemptEnd.SHED: Reason.UPSTREAM_SHED,
-    AttemptEnd.LOST: Reason.UPSTREAM_LOST,
-    AttemptEnd.SILENT: Reason.UPSTREAM_SILENT,
-    AttemptEnd.CANCELLED: Reason.DEADLINE_PASSED,
-}
-
-
-class Dispatch:
-    """One request on its way: the targets tried, and whether any of them may have run it."""
-
-    __slots__ = ("attempts", "may_have_run", "request", "tried")
-
-    def __init__(self, request: CallerRequest) -> None:
-        self.request = request
-        self.tried: list[str] = []
-        self.attempts = 0
-        self.may_have_run = False
-
-    def failed(self, target: str, failure: AttemptFailure) -> None:
-        """Take in a failed attempt."""
-        if not failure.suspect:
-            self.tried.append(target)
-        self.may_have_run |= failure.may_have_run
-
-    def refused(self, refusal: Refusal) -> Outcome:
-        """Return the outcome of ending now with ``refusal``, true to all attempts so far."""
-        if not self.may_have_run:
-            return Error(refusal)
-        return Error(msgspec.structs.replace(refusal, verdict=Verdict.MAY_HAVE_RUN))
-
-    def given_up(self, failure: AttemptFailure) -> Outcome:
-        """Return the outcome of ending after ``failure``."""
-        if failure.answer is not None:
-            return Ok(failure.answer)
-        if failure.refusal is not None:
-            return self.refused(failure.refusal)
-        reason = REASON_BY_END[failure.end]
-        retry_after_s = SHED_RETRY_S if failure.end is AttemptEnd.SHED else None
-        detail = f"{failure.detail} (attempt {self.attempts})"
-        return self.refused(Refusal.not_run(reason, detail, retry_after_s))
 
 
 class UpstreamDispatcher(Dispatcher):
@@ -120,12 +72,10 @@
             held = await self._reserve(dispatch, defaults)
             if isinstance(held, Refusal):
                 return dispatch.refused(held)
-            started = asyncio.get_running_loop().time()
             result = await self._attempt(dispatch, held, defaults)
             if isinstance(result, Answer):
                 self._guard.saw_answer(request)
                 return Ok(result)
-            self._take_in(dispatch, held.target, started, result)
             if not self._may_retry(dispatch, result, defaults):
                 return dispatch.given_up(result)
 
@@ -146,33 +96,51 @@
     async def _attempt(
         self, dispatch: Dispatch, held: Reservation, defaults: Defaults
     ) -> Answer | AttemptFailure:
+        """Return the answer of ``held``, or of a second target tried while it was silent."""
         loop = asyncio.get_running_loop()
+        started = loop.time()
         end = AttemptEnd.CANCELLED
         dispatch.attempts += 1
+        connections = self._pools.of(held.address)
+        exchange = Exchange(
+            dispatch.request.deadline, partial(self._permission.refusal_of, dispatch.request)
+        )
+        check_s = check_time_s(defaults.silence_ms / MS_PER_S, dispatch.request.deadline, started)
+        second = partial(self._second_attempt, dispatch, held, defaults)
         try:
-            sent = await self._send(dispatch, held, defaults)
-            result = _without_shed(sent, idempotent=dispatch.request.route.idempotent)
-            end = AttemptEnd.ANSWERED if isinstance(result, Answer) else result.end
-            return result
+            with SilenceWatch(exchange, connections, check_s, second) as watch:
+                sent = await connections.send(dispatch.request, exchange)
+                result = _without_shed(sent, idempotent=dispatch.request.route.idempotent)
+                end = AttemptEnd.ANSWERED if isinstance(result, Answer) else result.end
+                if isinstance(result, Answer):
+                    return result
+                self._take_in(dispatch, held.target, started, result)
+                return await watch.second_answer() or result
         finally:
             held.release(end, loop.time())
 
-    async def _send(
-        self, dispatch: Dispatch, held: Reservation, defaults: Defaults
-    ) -> Answer | AttemptFailure:
-        request = dispatch.request
-        connections = self._pools.of(held.address)
-        exchange = Exchange(request.deadline, partial(self._permission.refusal_of, request))
-        now = asyncio.get_running_loop().time()
-        check_s = check_time_s(defaults.silence_ms / MS_PER_S, request.deadline, now)
-
-        def may_abandon() -> bool:
-            if not request.route.idempotent or dispatch.attempts >= defaults.attempts:
-                return False
-            return self._budget.take()
-
-        with SilenceWatch(exchange, connections, check_s, may_abandon):
-            return await connections.send(request, exchange)
+    async def _second_attempt(
+        self, dispatch: Dispatch, held: Reservation, defaults: Defaults, alive: bool
+    ) -> Answer | None:
+        """Return the answer of another attempt while ``held`` is silent, or None.
+
+        If there is no other target, the same is tried again if new connections to it work.
+        """
+        if not dispatch.request.route.idempotent:
+            return None
+        dispatch.tried.append(held.target)
+        while dispatch.attempts < defaults.attempts and self._budget.take():
+            another = await self._reserve(dispatch, defaults)
+            if isinstance(another, Refusal) and alive:
+                alive = False
+                dispatch.tried.remove(held.target)
+                another = await self._reserve(dispatch, defaults)
+            if isinstance(another, Refusal):
+                return None
+            result = await self._attempt(dispatch, another, defaults)
+            if isinstance(result, Answer):
+                return result
+        return None
 
     def _take_in(
         self, dispatch: Dispatch, target: str, started: float, failure: AttemptFailure
@@ -200,10 +168,8 @@
             return False
         if failure.may_have_run and not dispatch.request.route.idempotent:
             return False
-        # No retry from this host adds load if no byte left; a silent attempt has paid already.
-        if failure.end in {AttemptEnd.UNREACHABLE, AttemptEnd.SILENT}:
-            return True
-        return self._budget.take()
+        # Without a connection the retry adds no load.
+        return failure.end is AttemptEnd.UNREACHABLE or self._budget.take()
 
 
 def _without_shed(result: Answer | AttemptFailure, *, idempotent: bool) -> Answer | AttemptFailure:
--- a/tests/upstreams/scripted.py
+++ b/tests/upstreams/scripted.py
@@ -28,6 +28,8 @@
     SHED = "sheds"
     SILENT = "reads the request and is silent"
     SLOW = "answers after 150 ms"
+    SLOWER = "answers after 300 ms"
+    SLOW_CLOSE = "closes after 150 ms"
     STALL = "sends half of an answer and is silent"
     UNMARKED_503 = "answers 503 of its own accord"
 
@@ -125,8 +127,11 @@
             case Act.STALL:
                 writer.write(_answer(self.name * 2)[: -len(self.name)])
                 return await self._hang(reader)
-            case Act.SLOW:
+            case Act.SLOW_CLOSE:
                 await asyncio.sleep(0.15)
+                return False
+            case Act.SLOW | Act.SLOWER:
+                await asyncio.sleep(0.15 if act is Act.SLOW else 0.3)
                 writer.write(_answer(self.name))
             case Act.HALF:
                 writer.write(_answer(self.name * 2)[: -len(self.name)])
--- a/tests/upstreams/test_silence.py
+++ b/tests/upstreams/test_silence.py
@@ -27,13 +27,38 @@
         assert only.connections == used + probe + fresh
 
 
-async def test_without_a_retry_to_spend_a_slow_request_is_left_alone() -> None:
+async def test_without_a_retry_to_spend_a_slow_request_is_waited_for() -> None:
     first, second = ScriptedTarget("first", Act.SLOW), ScriptedTarget("second")
     async with dispatching(first, second, silence_ms=20, attempts=1) as parts:
         outcome = await parts.dispatcher.dispatch(request_for())
         assert outcome.ok.body == b"first"
 
 
+async def test_a_slow_answer_still_counts_while_a_second_target_is_tried() -> None:
+    first, second = ScriptedTarget("first", Act.SLOW), ScriptedTarget("second", Act.SILENT)
+    async with dispatching(first, second, silence_ms=20, attempts=2) as parts:
+        outcome = await parts.dispatcher.dispatch(request_for())
+        assert outcome.ok.body == b"first"
+        assert len(second.received) == 1
+        await asyncio.wait_for(second.hung_up.wait(), 2.0)
+
+
+async def test_a_second_attempt_under_way_is_waited_for_when_the_first_is_lost() -> None:
+    first = ScriptedTarget("first", Act.SLOW_CLOSE)
+    second = ScriptedTarget("second", Act.SLOWER)
+    async with dispatching(first, second, silence_ms=20, attempts=2) as parts:
+        outcome = await parts.dispatcher.dispatch(request_for())
+        assert outcome.ok.body == b"second"
+        assert (len(first.received), len(second.received)) == (1, 1)
+
+
+async def test_the_only_target_is_tried_again_over_a_new_connection() -> None:
+    only = ScriptedTarget("only", Act.SILENT)
+    async with dispatching(only, silence_ms=50) as parts:
+        outcome = await parts.dispatcher.dispatch(request_for())
+        assert outcome.ok.body == b"only"
+
+
 async def test_an_answer_that_stops_half_way_is_found() -> None:
     first, second = ScriptedTarget("first", Act.STALL), ScriptedTarget("second")
     async with dispatching(first, second, silence_ms=50) as parts:
