--- a/tests/upstreams/test_silence.py
+++ b/tests/upstreams/test_silence.py
@@ -40,7 +40,7 @@
         outcome = await parts.dispatcher.dispatch(request_for())
         assert outcome.ok.body == b"first"
         assert len(second.received) == 1
-        await asyncio.wait_for(second.hung_up.wait(), 2.0)
+        await asyncio.wait_for(second.hung_up.wait(), 0.5)
 
 
 async def test_a_second_attempt_under_way_is_waited_for_when_the_first_is_lost() -> None:
@@ -62,7 +62,8 @@
 async def test_an_answer_that_stops_half_way_is_found() -> None:
     first, second = ScriptedTarget("first", Act.STALL), ScriptedTarget("second")
     async with dispatching(first, second, silence_ms=50) as parts:
-        outcome = await parts.dispatcher.dispatch(request_for())
+        sent = parts.dispatcher.dispatch(request_for(deadline_s=60.0))
+        outcome = await asyncio.wait_for(sent, 5.0)
         assert outcome.ok.body == b"second"
 
 
