--- a/tests/freshness/test_head.py
+++ b/tests/freshness/test_head.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 
 from flamingoladder.config.agreed import KeyGrant
@@ -23,8 +24,6 @@
 from tests.freshness.fleet import renamed
 
 if TYPE_CHECKING:
-    import msgspec
-
     from flamingoladder.peers.link import Peer
 
 LARGE = renamed("x" * 10_000)
@@ -58,7 +57,7 @@
 
 
 async def _forge(peer: Peer, message: ObjectRequest) -> msgspec.Struct:
-    return ObjectReply(b"forged")
+    return ObjectReply(msgspec.msgpack.encode(renamed("forged")))
 
 
 def test_object_with_another_digest_is_not_taken() -> None:
