--- a/src/flamingoladder/freshness/head.py
+++ b/src/flamingoladder/freshness/head.py
@@ -49,6 +49,8 @@
 
     version: int
     division_version: int
+    previous_division_version: int
+    configuration_version: int
     parts: Parts
     recent: tuple[RecentChange, ...]
 
@@ -108,7 +110,15 @@
     )
     change = RecentChange(change_id, state.version, state.deployment.defaults.proof_s)
     kept = (*recent, change)[-RECENT_CHANGES:]
-    return EncodedHead(Head(state.version, state.division_version, parts, kept), content_by_name)
+    head = Head(
+        state.version,
+        state.division_version,
+        state.previous_division_version,
+        state.configuration_version,
+        parts,
+        kept,
+    )
+    return EncodedHead(head, content_by_name)
 
 
 def object_names(head: Head) -> tuple[str, ...]:
@@ -133,11 +143,13 @@
     return AgreedState(
         head.version,
         head.division_version,
+        head.configuration_version,
         _deployment_decoder.decode(_content(parts.deployment, content_by_name)),
         _grants_decoder.decode(_content(parts.grants, content_by_name)),
         _members_decoder.decode(_content(parts.members, content_by_name)),
         _drains_decoder.decode(_content(parts.drains, content_by_name)),
         _shifts_decoder.decode(_content(parts.shifts, content_by_name)),
+        head.previous_division_version,
     )
 
 
--- a/src/flamingoladder/peers/zmq_links.py
+++ b/src/flamingoladder/peers/zmq_links.py
@@ -22,6 +22,7 @@
 from flamingoladder.peers.link import M
 from flamingoladder.peers.link import Peer
 from flamingoladder.peers.link import PeerLinks
+from flamingoladder.peers.messages import Heartbeat
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -35,6 +36,8 @@
     from flamingoladder.timeline.recorder import Recorder
 
 HANDLERS_AT_ONCE = 1_000
+HEARTBEAT_INTERVAL_S = 1.0
+HEARTBEAT_TIMEOUT_S = 0.3
 
 
 class ZmqLinks(PeerLinks):
@@ -46,6 +49,7 @@
         "_directory",
         "_handlers_by_type",
         "_handling",
+        "_heartbeats_by_host",
         "_keys",
         "_recorder",
         "_socket",
@@ -60,16 +64,32 @@
         self._directory = PeerDirectory(recorder.host)
         self.authenticator = LinkAuthenticator(self._context, self._directory)
         self._connections_by_host: dict[str, PeerConnection] = {}
+        self._heartbeats_by_host: dict[str, asyncio.Task[None]] = {}
         self._handlers_by_type: dict[type, Handler[Any]] = {}
         self._handling: set[asyncio.Task[None]] = set()
         self._socket: zmq.asyncio.Socket = self._context.socket(zmq.ROUTER)
         self._task: asyncio.Task[None] | None = None
+        self.register(Heartbeat, self._answer_heartbeat)
 
     @property
     def hosts(self) -> Collection[str]:
         """Return the names of the other hosts in the directory."""
         return tuple(self._directory.by_host)
 
+    def covers(self, members: Iterable[Member]) -> bool:
+        """Return whether there is a link to the incarnation of each other member."""
+        by_host = self._directory.by_host
+        return all(
+            member.host == self._recorder.host
+            or (member.host in by_host and by_host[member.host].incarnation == member.incarnation)
+            for member in members
+        )
+
+    def is_answered(self, host: str) -> bool:
+        """Return whether the present connection to ``host`` has been answered."""
+        connection = self._connections_by_host.get(host)
+        return connection is not None and connection.was_answered
+
     def start(self, endpoint: str) -> None:
         """Accept links on ``endpoint``, such as ``tcp://127.0.0.1:7001``.
 
@@ -84,7 +104,7 @@
 
     def close(self) -> None:
         """Drop all links."""
-        for task in [self._task, *self._handling]:
+        for task in [self._task, *self._handling, *self._heartbeats_by_host.values()]:
             if task is not None:
                 task.cancel()
         for connection in self._connections_by_host.values():
@@ -99,9 +119,11 @@
             if self._directory.by_host.get(host) != connection.member:
                 connection.close()
                 del self._connections_by_host[host]
+                self._heartbeats_by_host.pop(host).cancel()
         for host, member in self._directory.by_host.items():
             if host not in self._connections_by_host:
                 self._open(member)
+                self._heartbeats_by_host[host] = asyncio.create_task(self._keep_alive(host))
 
     def register(self, message_type: type[M], handler: Handler[M]) -> None:
         """Call ``handler`` for each message of ``message_type``."""
@@ -125,6 +147,12 @@
         if connection is not None:
             connection.tell(message)
 
+    async def _keep_alive(self, host: str) -> None:
+        while True:
+            reply = await self.ask(host, Heartbeat(), HEARTBEAT_TIMEOUT_S)
+            if reply is not None:
+                await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+
     def _open(self, member: Member) -> None:
         self._connections_by_host[member.host] = PeerConnection.open(
             self._context, member, self._keys, self._recorder
@@ -166,6 +194,9 @@
         self._recorder.clock.observe(envelope.clock)
         return envelope
 
+    async def _answer_heartbeat(self, _peer: Peer, heartbeat: Heartbeat) -> msgspec.Struct:
+        return heartbeat
+
     async def _handle(self, route: bytes, envelope: Envelope) -> None:
         handler = self._handlers_by_type.get(type(envelope.body))
         if handler is None:
--- a/src/flamingoladder/standins/platform_server.py
+++ b/src/flamingoladder/standins/platform_server.py
@@ -20,9 +20,9 @@
 from flamingoladder.platform.etcd_messages import TXN_PATH
 from flamingoladder.platform.etcd_messages import RangeRequest
 from flamingoladder.platform.etcd_messages import TxnRequest
-from flamingoladder.standins.etcd import MalformedRequestError
 from flamingoladder.standins.etcd import apply_range
 from flamingoladder.standins.etcd import apply_txn
+from flamingoladder.standins.exceptions import MalformedRequestError
 from flamingoladder.standins.platform import FaultSettings
 from flamingoladder.standins.platform import HostSettings
 from flamingoladder.standins.platform import PlatformState
@@ -113,7 +113,10 @@
 
     async def _range(self, request: web.Request) -> web.Response:
         message = await _decoded(request, RangeRequest)
-        return _json(apply_range(self._state.table, message))
+        try:
+            return _json(apply_range(self._state.table, message))
+        except MalformedRequestError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
 
     async def _txn(self, request: web.Request) -> web.Response:
         message = await _decoded(request, TxnRequest)
--- a/src/flamingoladder/verdict.py
+++ b/src/flamingoladder/verdict.py
@@ -45,7 +45,11 @@
     UPSTREAM_LOST = "upstream_lost"
     UPSTREAM_SILENT = "upstream_silent"
     ANSWER_NOT_KEPT = "answer_not_kept"
+    ANSWER_TOO_LARGE = "answer_too_large"
     HOST_LEAVING = "host_leaving"
+    HOST_LOST = "host_lost"
+    HOST_UNREACHABLE = "host_unreachable"
+    INTERNAL_ERROR = "internal_error"
 
 
 class Header(msgspec.Struct, frozen=True):
@@ -66,7 +70,8 @@
 class Refusal(msgspec.Struct, frozen=True, omit_defaults=True):
     """A refusal of the system itself.
 
-    ``verdict`` is ``NOT_RUN`` only where no byte of the request can have left for an upstream.
+    ``verdict`` is ``NOT_RUN`` only where no byte of the request can have left for an upstream, or
+    where the upstream said by its shed marker that it did not run it.
     ``retry_after_s`` is in seconds. ``hosts`` names other entry hosts (base URLs) to try.
     ``ticket`` is a ticket that the caller may use as the idempotency key of a repeat.
     """
