Divide targets' slots among all hosts and lend them for a term

Cause: each host counted only its own requests, so seven hosts together could put 7 x 3 requests on a target of 3 slots. Now each slot has one owner, a pure function of the agreed state; a slot that changes owner waits for the proof and the longest deadline of the earlier owner, unless that one says that it has stopped; free slots are lent one by one for a term. Ruled out: counting by load reports (they lag), a table row for each slot (a write for each loan). Not yet caught by a test: the taker's end of a lease, skipped divisions, hand-over guards.

--- /dev/null
+++ b/bench/steering_fleet.py
@@ -0,0 +1,293 @@
+"""Seven hosts' choosers before model targets, on injected time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from pathlib import Path
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+import yaml
+
+from flamingoladder.config.agreed import AgreedState
+from flamingoladder.config.reader import validate
+from flamingoladder.gateway.request import CallerRequest
+from flamingoladder.members.state import Member
+from flamingoladder.standins.network import Network
+from flamingoladder.standins.state import SettableState
+from flamingoladder.steering.chooser import AttemptEnd
+from flamingoladder.steering.least_in_flight import LeastInFlight
+from flamingoladder.steering.slot_chooser import SlotChooser
+from flamingoladder.timeline.recorder import Recorder
+from flamingoladder.upstreams.health import HealthBoard
+from flamingoladder.upstreams.retry_budget import RetryBudget
+from flamingoladder.upstreams.targets import declared_targets
+from flamingoladder.verdict import Refusal
+
+if TYPE_CHECKING:
+    from flamingoladder.config.model import Deployment
+    from flamingoladder.steering.chooser import Reservation
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+HOSTS_PER_REGION = (3, 2, 2)
+ATTEMPTS = 3
+MS_PER_S = 1_000
+SLOTS = 3
+
+
+def example(name: str) -> Deployment:
+    """Return one of the example configurations."""
+    return validate(yaml.safe_load((EXAMPLES / f"{name}.yaml").read_text())).ok
+
+
+def members_of(deployment: Deployment) -> tuple[Member, ...]:
+    """Return seven hosts, spread over the failure domains of all regions."""
+    found: list[Member] = []
+    for (name, region), count in zip(
+        deployment.places.regions.items(), HOSTS_PER_REGION, strict=True
+    ):
+        domains = list(region.failure_domains)
+        for place in range(count):
+            host = f"h{len(found)}"
+            domain = domains[place % len(domains)]
+            found.append(Member(host, name, domain, f"{host}-1", f"http://{host}", "", ""))
+    return tuple(found)
+
+
+def first_state(deployment: Deployment) -> AgreedState:
+    """Return the first agreed state."""
+    return AgreedState(1, 1, 1, deployment, members=members_of(deployment))
+
+
+def next_state(state: AgreedState, *, divides: bool, **changes: object) -> AgreedState:
+    """Return the state after a commit; ``divides`` tells that it changes the division."""
+    version = state.version + 1
+    changed = msgspec.structs.replace(state, version=version, **changes)
+    if not divides:
+        return changed
+    return msgspec.structs.replace(
+        changed, division_version=version, previous_division_version=state.division_version
+    )
+
+
+class ModelTarget:
+    """A target that sheds what exceeds its slots, and is slow while it is cold."""
+
+    __slots__ = ("down", "excess", "factor", "in_progress", "shed", "slots")
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.in_progress = 0
+        self.excess = 0
+        self.shed = 0
+        self.down = False
+        self.factor = 1.0
+
+    async def run(self, service_s: float, deadline: float) -> AttemptEnd:
+        """Run a request, or turn it away."""
+        if self.down:
+            return AttemptEnd.UNREACHABLE
+        self.excess = max(self.excess, self.in_progress + 1 - self.slots)
+        if self.in_progress >= self.slots:
+            self.shed += 1
+            return AttemptEnd.SHED
+        self.in_progress += 1
+        left_s = deadline - asyncio.get_running_loop().time()
+        took_s = service_s * self.factor
+        try:
+            await asyncio.sleep(min(took_s, max(left_s, 0.0)))
+        finally:
+            self.in_progress -= 1
+        if self.down:
+            return AttemptEnd.LOST
+        return AttemptEnd.ANSWERED if took_s <= left_s else AttemptEnd.CANCELLED
+
+
+class Sent(msgspec.Struct):
+    """One request and what became of it; times are in seconds."""
+
+    host: str
+    workspace: str
+    service: str
+    at: float
+    took_s: float = 0.0
+    end: str = ""
+    region: str = ""
+
+    @property
+    def answered(self) -> bool:
+        """Return whether the request was answered."""
+        return self.end == "answered"
+
+
+class FleetHost:
+    """One entry host: its view of the state, its chooser and its observations."""
+
+    __slots__ = ("board", "budget", "chooser", "member", "state")
+
+    def __init__(
+        self, member: Member, state: AgreedState, net: Network, random: Random, coordinated: bool
+    ) -> None:
+        self.member = member
+        self.state = SettableState(state)
+        self.board = HealthBoard()
+        self.budget = RetryBudget()
+        links = net.join(member.host, member.incarnation)
+        self.chooser: SlotChooser | LeastInFlight
+        if coordinated:
+            recorder = Recorder(member.host, member.incarnation)
+            self.chooser = SlotChooser(member, self.state, links, recorder, self.board, random)
+        else:
+            self.chooser = LeastInFlight(self.state, self.board, member.region, random)
+
+
+class SteeringFleet:
+    """Hosts, network and targets of one deployment."""
+
+    __slots__ = (
+        "agreed",
+        "coordinated",
+        "deployment",
+        "hosts",
+        "network",
+        "random",
+        "sent",
+        "service_s",
+        "targets",
+    )
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: int,
+        *,
+        coordinated: bool = True,
+        service_s: float = 0.05,
+        loss: float = 0.0,
+    ) -> None:
+        self.deployment = deployment
+        self.random = Random(seed)
+        self.coordinated = coordinated
+        self.service_s = service_s
+        self.agreed = first_state(deployment)
+        self.network = Network(self.random, loss=loss)
+        self._place(self.agreed.members)
+        self.targets = {
+            target.name: ModelTarget(target.slots) for target in declared_targets(self.agreed)
+        }
+        self.sent: list[Sent] = []
+        self.hosts: dict[str, FleetHost] = {}
+        for member in self.agreed.members:
+            self.join(member)
+
+    def join(self, member: Member) -> None:
+        """Start a host."""
+        random = Random(self.random.random())
+        self.hosts[member.host] = FleetHost(
+            member, self.agreed, self.network, random, self.coordinated
+        )
+
+    def kill(self, host: str) -> None:
+        """Take a host off, without a word."""
+        self.network.leave(host)
+        self.hosts.pop(host).chooser.close()
+
+    def commit(self, *, divides: bool, **changes: object) -> None:
+        """Put a changed state in force at all hosts."""
+        self.agreed = next_state(self.agreed, divides=divides, **changes)
+        for host in self.hosts.values():
+            host.state.put(self.agreed)
+
+    def close(self) -> None:
+        """Stop all hosts."""
+        for host in self.hosts.values():
+            host.chooser.close()
+
+    @property
+    def excess(self) -> int:
+        """Return the largest number of requests at any target over its slots."""
+        return max(target.excess for target in self.targets.values())
+
+    async def send(self, host: str, service: str, workspace: str, at: float) -> Sent:
+        """Send a request to ``host`` at a time, and return what became of it."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(at - loop.time())
+        sent = Sent(host, workspace, service, at)
+        self.sent.append(sent)
+        entry = self.hosts.get(host)
+        if entry is None:
+            sent.end = "host_lost"
+            return sent
+        route = self.deployment.services[service].routes[0]
+        deadline_ms = route.deadline_ms or self.deployment.defaults.deadline_ms
+        request = request_of(service, workspace, route, at + deadline_ms / MS_PER_S)
+        entry.budget.deposit(self.deployment.defaults.retry_budget_ratio)
+        sent.end = await self._attempts(entry, request, sent)
+        sent.took_s = loop.time() - at
+        return sent
+
+    async def _attempts(self, entry: FleetHost, request: CallerRequest, sent: Sent) -> str:
+        loop = asyncio.get_running_loop()
+        service_s = self.random.gammavariate(4.0, self.service_s / 4.0)
+        tried: list[str] = []
+        end = AttemptEnd.CANCELLED
+        for _ in range(ATTEMPTS):
+            held = await entry.chooser.reserve(request, tried, loop.time())
+            if isinstance(held, Refusal):
+                return str(held.reason)
+            sent.region = held.region
+            end = await self._attempt(entry, held, service_s, request.deadline)
+            if end in {AttemptEnd.ANSWERED, AttemptEnd.CANCELLED}:
+                break
+            tried.append(held.target)
+            if end is not AttemptEnd.UNREACHABLE and not entry.budget.take():
+                break
+        return str(end)
+
+    async def _attempt(
+        self, entry: FleetHost, held: Reservation, service_s: float, deadline: float
+    ) -> AttemptEnd:
+        delays = self.deployment.places.delays
+        near = held.region == entry.member.region
+        one_way_ms = delays.between_domains_ms if near else delays.between_regions_ms
+        end = AttemptEnd.CANCELLED
+        try:
+            await asyncio.sleep(one_way_ms / MS_PER_S)
+            end = await self.targets[held.target].run(service_s, deadline)
+            await asyncio.sleep(one_way_ms / MS_PER_S)
+        finally:
+            held.release(end, asyncio.get_running_loop().time())
+        return end
+
+    def _place(self, members: tuple[Member, ...]) -> None:
+        delays = self.deployment.places.delays
+        for here in members:
+            for there in members:
+                near = here.region == there.region
+                one_way_ms = delays.between_domains_ms if near else delays.between_regions_ms
+                self.network.delays_by_pair[(here.host, there.host)] = one_way_ms / MS_PER_S
+
+
+def request_of(service: str, workspace: str, route: object, deadline: float) -> CallerRequest:
+    """Return a request of a workspace."""
+    return CallerRequest(
+        request_id="",
+        service=service,
+        route=route,  # type: ignore[arg-type]
+        method="GET",
+        path="/",
+        headers=(),
+        body=b"",
+        digest="",
+        deadline=deadline,
+        workspace=workspace,
+        key_id=None,
+        idempotency_key=None,
+    )
+
+
+def ends(sent: list[Sent]) -> Counter[str]:
+    """Return how many requests ended how."""
+    return Counter(one.end for one in sent)
--- a/src/flamingoladder/daemon/upstream_side.py
+++ b/src/flamingoladder/daemon/upstream_side.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from flamingoladder.steering.least_in_flight import LeastInFlight
+from flamingoladder.steering.slot_chooser import SlotChooser
 from flamingoladder.upstreams.crash_guard import CrashGuard
 from flamingoladder.upstreams.dispatcher import UpstreamDispatcher
 from flamingoladder.upstreams.health import HealthBoard
@@ -28,7 +28,7 @@
     def __init__(
         self,
         dispatcher: UpstreamDispatcher,
-        chooser: LeastInFlight,
+        chooser: SlotChooser,
         pools: TargetPools,
         probes: TargetProbes,
     ) -> None:
@@ -50,7 +50,7 @@
         board = HealthBoard()
         pools = TargetPools(state)
         random = Random()
-        chooser = LeastInFlight(state, board, own.region, random)
+        chooser = SlotChooser(own, state, links, recorder, board, random)
         dispatcher = UpstreamDispatcher(
             state=state,
             chooser=chooser,
--- /dev/null
+++ b/src/flamingoladder/steering/book.py
@@ -0,0 +1,169 @@
+"""The slots that one host may use: its own, less those it lends, and those it borrows.
+
+A slot is used by one host at a time. The giver deducts a slot before it sends the lease and counts
+the term from then, with the drift of clocks on top; the taker counts the term from before it asked,
+and starts a request on the slot only if the request ends before the lease does.
+"""
+
+from __future__ import annotations
+
+from math import inf
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from flamingoladder.peers.link import Peer
+    from flamingoladder.steering.division import SlotDivision
+    from flamingoladder.steering.messages import Slot
+
+SETTLE_S = 0.25
+LEASE_MARGIN_S = 3.0
+
+
+class Lease:
+    """A slot lent to ``taker`` until ``expires_at``, as the giver counts it."""
+
+    __slots__ = ("expires_at", "taker")
+
+    def __init__(self, taker: Peer, expires_at: float) -> None:
+        self.taker = taker
+        self.expires_at = expires_at
+
+
+class HeldSlot:
+    """A slot that this host owns (``giver`` is None) or has borrowed.
+
+    Requests may start from ``usable_at`` on if they end by ``usable_until``; both are monotonic
+    seconds. ``idle_since`` is when the last request ended.
+    """
+
+    __slots__ = (
+        "busy",
+        "giver",
+        "idle_since",
+        "lease",
+        "service",
+        "slot",
+        "usable_at",
+        "usable_until",
+    )
+
+    def __init__(
+        self, slot: Slot, giver: Peer | None, usable_at: float, usable_until: float, now: float
+    ) -> None:
+        self.slot = slot
+        self.service = slot.service
+        self.giver = giver
+        self.usable_at = usable_at
+        self.usable_until = usable_until
+        self.busy = False
+        self.lease: Lease | None = None
+        self.idle_since = now
+
+    def is_free(self, deadline: float, now: float) -> bool:
+        """Return whether a request that ends by ``deadline`` may start on the slot."""
+        if self.busy or self.is_lent(now) or now < self.usable_at:
+            return False
+        return deadline + SETTLE_S <= self.usable_until
+
+    def is_lent(self, now: float) -> bool:
+        """Return whether another host may be using the slot."""
+        if self.lease is not None and self.lease.expires_at <= now:
+            self.lease = None
+        return self.lease is not None
+
+
+class SlotBook:
+    """All slots that one host holds."""
+
+    __slots__ = ("_borrowed_by_slot", "_own_by_slot")
+
+    def __init__(self) -> None:
+        self._own_by_slot: dict[Slot, HeldSlot] = {}
+        self._borrowed_by_slot: dict[Slot, HeldSlot] = {}
+
+    def divide(
+        self, owned: Iterable[Slot], division: SlotDivision, grow_at: float, now: float
+    ) -> list[HeldSlot]:
+        """Own ``owned`` from now on, and return the slots that are no longer owned.
+
+        A slot that was not owned before may be used from ``grow_at`` on. A borrowed slot is kept
+        if its owner is the same as before.
+        """
+        earlier = self._own_by_slot
+        self._own_by_slot = {}
+        for slot in owned:
+            held = earlier.pop(slot, None)
+            self._own_by_slot[slot] = held or HeldSlot(slot, None, grow_at, inf, now)
+        for borrowed in tuple(self._borrowed_by_slot.values()):
+            if division.owner_of(borrowed.slot) != borrowed.giver:
+                self.give_up(borrowed)
+        return list(earlier.values())
+
+    def suspend(self, until: float) -> None:
+        """Start nothing on any slot, as other hosts may have owned them; on own ones ``until``.
+
+        Leases that were granted go on: their takers may still know of no other owner.
+        """
+        for own in self._own_by_slot.values():
+            own.usable_at = max(own.usable_at, until)
+        for borrowed in tuple(self._borrowed_by_slot.values()):
+            self.give_up(borrowed)
+
+    def released_by_earlier_owner(self, slots: Iterable[Slot], now: float) -> None:
+        """Use at once the slots whose earlier owner has stopped using them."""
+        for slot in slots:
+            held = self._own_by_slot.get(slot)
+            if held is not None:
+                held.usable_at = min(held.usable_at, now)
+
+    def slots(self, service: str) -> list[HeldSlot]:
+        """Return the slots of a service that are owned or borrowed."""
+        held = [*self._own_by_slot.values(), *self._borrowed_by_slot.values()]
+        return [slot for slot in held if slot.service == service]
+
+    def usable_count(self, service: str, now: float) -> int:
+        """Return how many slots of a service this host uses or could use."""
+        return sum(
+            held.usable_at <= now < held.usable_until and not held.is_lent(now)
+            for held in self.slots(service)
+        )
+
+    def lendable(self, service: str, now: float) -> list[HeldSlot]:
+        """Return the own slots of a service that are free."""
+        own = self._own_by_slot.values()
+        return [h for h in own if h.service == service and h.is_free(now, now)]
+
+    def lent_to(self, taker: Peer, now: float) -> list[HeldSlot]:
+        """Return the own slots that ``taker`` may be using."""
+        return [
+            held
+            for held in self._own_by_slot.values()
+            if held.is_lent(now) and held.lease is not None and held.lease.taker == taker
+        ]
+
+    def borrowed_from(self, giver: Peer, now: float) -> list[HeldSlot]:
+        """Return the slots borrowed from ``giver``, with those whose lease is over but are busy."""
+        for held in tuple(self._borrowed_by_slot.values()):
+            if held.usable_until <= now:
+                self.give_up(held)
+        return [held for held in self._borrowed_by_slot.values() if held.giver == giver]
+
+    def borrow(self, slot: Slot, giver: Peer, usable_until: float, now: float) -> None:
+        """Use a slot of ``giver`` for requests that end by ``usable_until``."""
+        if slot not in self._borrowed_by_slot:
+            self._borrowed_by_slot[slot] = HeldSlot(slot, giver, now, usable_until, now)
+
+    def give_up(self, held: HeldSlot) -> None:
+        """Start nothing new on a borrowed slot, and let go of it once it isn't busy."""
+        held.usable_until = -inf
+        if not held.busy:
+            self._borrowed_by_slot.pop(held.slot, None)
+
+    def finish(self, held: HeldSlot, now: float) -> None:
+        """Take in that the request on the slot has ended."""
+        held.busy = False
+        held.idle_since = now
+        if held.giver is not None and held.usable_until <= now:
+            self.give_up(held)
--- /dev/null
+++ b/src/flamingoladder/steering/candidates.py
@@ -0,0 +1,53 @@
+"""Which targets may take new work, and which of them is best."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterable
+
+    from flamingoladder.upstreams.health import HealthBoard
+    from flamingoladder.upstreams.targets import DeclaredTarget
+
+LATENCY_SMOOTHING = 0.2
+SHED_PAUSE_S = 0.25
+
+
+def candidates(
+    targets: Iterable[DeclaredTarget], board: HealthBoard, tried: Collection[str], now: float
+) -> list[DeclaredTarget]:
+    """Return the targets that may take new work at ``now`` (monotonic seconds)."""
+    usable = []
+    healthy = []
+    for target in targets:
+        health = board.of(target.name)
+        if target.drained or health.draining or health.ejected(now) or target.name in tried:
+            continue
+        usable.append(target)
+        if health.usable(now):
+            healthy.append(target)
+    # When all health endpoints say no, they are more likely wrong than right.
+    return healthy or usable
+
+
+class Observed:
+    """What this host has seen of one target: how long requests take, and when it shed one."""
+
+    __slots__ = ("in_flight", "latency_s", "shed_at")
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.latency_s: float | None = None
+        self.shed_at = float("-inf")
+
+    def took(self, seconds: float) -> None:
+        """Take in the duration of an answered request."""
+        if self.latency_s is None:
+            self.latency_s = seconds
+        self.latency_s += LATENCY_SMOOTHING * (seconds - self.latency_s)
+
+    def pauses(self, now: float) -> bool:
+        """Return whether the target shed a request a moment ago."""
+        return now - self.shed_at < SHED_PAUSE_S
--- /dev/null
+++ b/src/flamingoladder/steering/division.py
@@ -0,0 +1,128 @@
+"""Which host owns which slot: a pure function of the agreed state."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from xxhash import xxh64_intdigest
+
+from flamingoladder.peers.link import Peer
+from flamingoladder.steering.messages import Slot
+from flamingoladder.upstreams.targets import declared_targets
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from flamingoladder.config.agreed import AgreedState
+    from flamingoladder.members.state import Member
+    from flamingoladder.upstreams.targets import DeclaredTarget
+
+MS_PER_S = 1_000
+
+
+class SlotDivision:
+    """The owner of each slot at one division version.
+
+    Slots belong to hosts of the target's region if it has any, in equal numbers for each service.
+    """
+
+    __slots__ = ("incarnations_by_host", "owners_by_slot", "version")
+
+    def __init__(
+        self,
+        version: int,
+        incarnations_by_host: Mapping[str, str],
+        owners_by_slot: Mapping[Slot, str],
+    ) -> None:
+        self.version = version
+        self.incarnations_by_host = incarnations_by_host
+        self.owners_by_slot = owners_by_slot
+
+    @classmethod
+    def from_state(cls, state: AgreedState) -> SlotDivision:
+        """Return the division that ``state`` puts in force."""
+        targets = declared_targets(state)
+        domains_by_target = {target.name: target.failure_domain for target in targets}
+        owners: dict[Slot, str] = {}
+        for (region, _service), slots in _slots_by_part(state, targets).items():
+            near = [member for member in state.members if member.region == region]
+            hosts = near or list(state.members)
+            if hosts:
+                owners.update(_divide(slots, hosts, domains_by_target))
+        incarnations = {member.host: member.incarnation for member in state.members}
+        return cls(state.division_version, incarnations, owners)
+
+    def is_member(self, peer: Peer) -> bool:
+        """Return whether this very run of the host is registered."""
+        return self.incarnations_by_host.get(peer.host) == peer.incarnation
+
+    def owner_of(self, slot: Slot) -> Peer | None:
+        """Return the owner, or None if there is no such slot."""
+        host = self.owners_by_slot.get(slot)
+        return None if host is None else Peer(host, self.incarnations_by_host[host])
+
+    def owned_by(self, peer: Peer) -> frozenset[Slot]:
+        """Return the slots that this run of the host owns."""
+        if not self.is_member(peer):
+            return frozenset()
+        return frozenset(slot for slot, host in self.owners_by_slot.items() if host == peer.host)
+
+
+def longest_deadline_s(state: AgreedState) -> float:
+    """Return the longest time that a request may take on any route, in seconds."""
+    deployment = state.deployment
+    longest_ms = deployment.defaults.deadline_ms
+    for service in deployment.services.values():
+        for route in service.routes:
+            longest_ms = max(longest_ms, route.deadline_ms or 0)
+    return longest_ms / MS_PER_S
+
+
+def _slots_by_part(
+    state: AgreedState, targets: Iterable[DeclaredTarget]
+) -> dict[tuple[str, str], list[Slot]]:
+    """Return the slots of each region and service, within the regions' capacities."""
+    slots_by_region: dict[str, list[Slot]] = defaultdict(list)
+    for target in targets:
+        slots = [Slot(target.name, index) for index in range(target.slots)]
+        slots_by_region[target.region].extend(slots)
+    parts: dict[tuple[str, str], list[Slot]] = defaultdict(list)
+    for region, slots in slots_by_region.items():
+        capacity = state.deployment.places.regions[region].capacity_slots
+        # The first slots of all targets come before the second ones, so that none is left out.
+        ordered = sorted(slots, key=lambda slot: (slot.index, _hash(slot, "")))
+        for slot in ordered[:capacity]:
+            parts[(region, slot.service)].append(slot)
+    return parts
+
+
+def _divide(
+    slots: list[Slot], members: list[Member], domains_by_target: Mapping[str, str]
+) -> dict[Slot, str]:
+    """Give each host as many slots as any other, by rendezvous hashing within that bound."""
+    pairs = [(slot, member) for slot in slots for member in members]
+    pairs.sort(
+        key=lambda pair: (
+            pair[1].failure_domain != domains_by_target[pair[0].target],
+            _hash(pair[0], pair[1].host),
+            pair[0],
+            pair[1].host,
+        )
+    )
+    least = len(slots) // len(members)
+    owners: dict[Slot, str] = {}
+    counts: Counter[str] = Counter()
+    for bound in (least, least + 1):
+        for slot, member in pairs:
+            if slot in owners or counts[member.host] >= bound:
+                continue
+            owners[slot] = member.host
+            counts[member.host] += 1
+    return owners
+
+
+def _hash(slot: Slot, host: str) -> int:
+    return xxh64_intdigest(f"{slot.target}\0{slot.index}\0{host}".encode())
--- a/src/flamingoladder/steering/least_in_flight.py
+++ b/src/flamingoladder/steering/least_in_flight.py
@@ -6,6 +6,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from flamingoladder.steering.candidates import candidates
 from flamingoladder.steering.chooser import Reservation
 from flamingoladder.steering.chooser import TargetChooser
 from flamingoladder.upstreams.targets import declared_targets
@@ -59,10 +60,11 @@
         """Return a slot of a target not in ``tried``, or a refusal ``NOT_RUN``."""
         loop = asyncio.get_running_loop()
         while True:
-            candidates = self._candidates(request.service, tried, now)
-            if not candidates:
+            targets = self._targets_by_service.get(request.service, ())
+            usable = candidates(targets, self._board, tried, now)
+            if not usable:
                 return _refusal("no target takes work")
-            free = self._free(candidates, now)
+            free = self._free(usable, now)
             if free:
                 return self._take(min(free, key=self._preference))
             if now >= request.deadline:
@@ -80,21 +82,8 @@
         """Stop following the agreed state."""
         self._subscription.dispose()
 
-    def _candidates(self, service: str, tried: Collection[str], now: float) -> list[DeclaredTarget]:
-        usable = []
-        healthy = []
-        for target in self._targets_by_service.get(service, ()):
-            health = self._board.of(target.name)
-            if target.drained or health.draining or health.ejected(now) or target.name in tried:
-                continue
-            usable.append(target)
-            if health.usable(now):
-                healthy.append(target)
-        # When all health endpoints say no, they are more likely wrong than right.
-        return healthy or usable
-
-    def _free(self, candidates: list[DeclaredTarget], now: float) -> list[DeclaredTarget]:
-        return [target for target in candidates if self._has_free_slot(target, now)]
+    def _free(self, usable: list[DeclaredTarget], now: float) -> list[DeclaredTarget]:
+        return [target for target in usable if self._has_free_slot(target, now)]
 
     def _has_free_slot(self, target: DeclaredTarget, now: float) -> bool:
         health = self._board.of(target.name)
--- /dev/null
+++ b/src/flamingoladder/steering/preference.py
@@ -0,0 +1,85 @@
+"""Which of the free slots suits a request best."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from flamingoladder.steering.candidates import Observed
+from flamingoladder.steering.candidates import candidates
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+    from flamingoladder.steering.book import HeldSlot
+    from flamingoladder.steering.fair_queue import Waiter
+    from flamingoladder.upstreams.health import HealthBoard
+    from flamingoladder.upstreams.targets import DeclaredTarget
+
+REPORTED_FULL_FACTOR = 3.0
+
+
+class Preference:
+    """Prefers the own region, then targets that answer soon by this host's own observation.
+
+    A target's own report of its load counts against it if it says that it is full, and never for
+    it.
+    """
+
+    __slots__ = ("_board", "_observed_by_target", "_random", "ramp_s", "region", "round_trip_s")
+
+    def __init__(self, board: HealthBoard, region: str, random: Random) -> None:
+        self._board = board
+        self._random = random
+        self._observed_by_target: dict[str, Observed] = {}
+        self.region = region
+        self.ramp_s = 0.0
+        self.round_trip_s = 0.0
+
+    def observed(self, target: str) -> Observed:
+        """Return what this host has seen of the target."""
+        return self._observed_by_target.setdefault(target, Observed())
+
+    def best(
+        self,
+        free: Iterable[HeldSlot],
+        targets: Iterable[DeclaredTarget],
+        waiter: Waiter,
+        local_wait_s: float,
+        now: float,
+    ) -> tuple[HeldSlot, DeclaredTarget] | None:
+        """Return the slot for ``waiter``, or None if it should rather wait.
+
+        ``local_wait_s`` is how long a slot of the own region will probably take. Another region is
+        used only if the way there is shorter than that.
+        """
+        allowed = {t.name: t for t in candidates(targets, self._board, waiter.tried, now)}
+        deadline = waiter.request.deadline
+        suited = [
+            (held, allowed[held.slot.target])
+            for held in free
+            if held.slot.target in allowed
+            and held.is_free(deadline, now)
+            and self._is_warm(held, allowed[held.slot.target], now)
+        ]
+        local = [pair for pair in suited if pair[1].region == self.region]
+        if not local and self._should_stay(waiter, local_wait_s, now):
+            return None
+        return min(local or suited, key=lambda pair: self._cost(pair[1]), default=None)
+
+    def _is_warm(self, held: HeldSlot, target: DeclaredTarget, now: float) -> bool:
+        if self.observed(target.name).pauses(now):
+            return False
+        # The same slots at all hosts, so that together they use no more of a cold target.
+        return held.slot.index < self._board.of(target.name).slots(target.slots, self.ramp_s, now)
+
+    def _should_stay(self, waiter: Waiter, local_wait_s: float, now: float) -> bool:
+        return max(local_wait_s, now - waiter.joined_at) < self.round_trip_s
+
+    def _cost(self, target: DeclaredTarget) -> tuple[float, float]:
+        observed = self.observed(target.name)
+        cost = (observed.latency_s or 0.0) * (1 + observed.in_flight / target.slots)
+        load = self._board.of(target.name).reported_load
+        if load is not None and load >= 1:
+            cost *= REPORTED_FULL_FACTOR
+        return cost, self._random.random()
--- /dev/null
+++ b/src/flamingoladder/steering/slot_sharing.py
@@ -0,0 +1,280 @@
+"""Keeps one host's slots: follows the division, and lends to and borrows from other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from flamingoladder.peers.link import Peer
+from flamingoladder.shares.asking import round_trip_s
+from flamingoladder.shares.division import follows
+from flamingoladder.steering.book import SETTLE_S
+from flamingoladder.steering.book import SlotBook
+from flamingoladder.steering.conversation import HOLD_S
+from flamingoladder.steering.conversation import SlotConversation
+from flamingoladder.steering.division import SlotDivision
+from flamingoladder.steering.division import longest_deadline_s
+from flamingoladder.steering.leasing import Leasing
+from flamingoladder.steering.messages import SlotQuestion
+from flamingoladder.steering.messages import SlotsReleased
+from flamingoladder.steering.need import Need
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from flamingoladder.config.agreed import AgreedState
+    from flamingoladder.config.agreed import StateInForce
+    from flamingoladder.peers.link import PeerLinks
+    from flamingoladder.steering.book import HeldSlot
+    from flamingoladder.steering.messages import Slot
+    from flamingoladder.steering.messages import SlotAnswer
+    from flamingoladder.timeline.recorder import Recorder
+
+MAX_BATCH = 4
+
+
+class HeldQuestion:
+    """A question that waits until a slot of one of its services is free."""
+
+    __slots__ = ("services", "woken")
+
+    def __init__(self, services: frozenset[str]) -> None:
+        self.services = services
+        self.woken = asyncio.Event()
+
+
+class SlotSharing:
+    """The slots of one host, shared with all other hosts.
+
+    ``on_gain`` is called with the present time when slots have become usable.
+    """
+
+    __slots__ = (
+        "_adopted",
+        "_dropped",
+        "_early",
+        "_held",
+        "_leasing",
+        "_links",
+        "_on_gain",
+        "_own",
+        "_recorder",
+        "_state",
+        "_talks_by_host",
+        "_timer",
+        "book",
+        "division",
+        "needs_by_service",
+        "waiting_by_service",
+    )
+
+    def __init__(
+        self,
+        own: Peer,
+        state: StateInForce,
+        links: PeerLinks,
+        recorder: Recorder,
+        on_gain: Callable[[float], None],
+    ) -> None:
+        self.book = SlotBook()
+        self.division = SlotDivision(0, {}, {})
+        self.needs_by_service: dict[str, Need] = {}
+        self.waiting_by_service: dict[str, int] = {}
+        self._own = own
+        self._state = state
+        self._links = links
+        self._recorder = recorder
+        self._on_gain = on_gain
+        self._adopted: AgreedState | None = None
+        self._leasing = Leasing(self.book, self.needs_by_service, self.waiting_by_service)
+        self._talks_by_host: dict[str, SlotConversation] = {}
+        self._dropped: set[HeldSlot] = set()
+        self._held: list[HeldQuestion] = []
+        self._early: SlotsReleased | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        links.register(SlotQuestion, self._answer)
+        links.register(SlotsReleased, self._take_over)
+
+    def close(self) -> None:
+        """Stop asking other hosts."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for talk in self._talks_by_host.values():
+            talk.close()
+        self._talks_by_host = {}
+
+    def adopt(self, state: AgreedState) -> None:
+        """Go over to the division of ``state``, if it is a new one."""
+        earlier = self._adopted
+        self._adopted = state
+        if earlier is not None and earlier.division_version >= state.division_version:
+            return
+        now = asyncio.get_running_loop().time()
+        self.division = SlotDivision.from_state(state)
+        for service in state.deployment.services:
+            self.needs_by_service.setdefault(service, Need(now))
+        wait_s = _growth_wait_s(earlier or state, state)
+        known = earlier is not None and follows(earlier, state)
+        self._divide(now + wait_s, now, known=known)
+        defaults = state.deployment.defaults
+        self._leasing.adopt(state.division_version, longest_deadline_s(state), defaults.clock_drift)
+        self._converse(state)
+        self._grow_later(now + wait_s)
+        self._recorder.record("slots.divided", version=state.division_version, kept=known)
+
+    def finish(self, held: HeldSlot, now: float) -> None:
+        """Take in that the request on the slot has ended."""
+        self.book.finish(held, now)
+        if held in self._dropped:
+            self._dropped.discard(held)
+            self._hand_over([held.slot])
+
+    def borrow_if_short(self, service: str, now: float, patience_s: float) -> None:
+        """Ask the nearest hosts for slots if more may be needed than there are.
+
+        Hosts whose round trip is longer than ``patience_s`` are not asked.
+        """
+        talks = self._talks_by_host.values()
+        short = self._short(service, now)
+        short -= sum(talk.expected(service, now) for talk in talks)
+        urgent = self.waiting_by_service.get(service, 0) > 0
+        for talk in talks:
+            if short <= 0 or talk.round_trip_s > patience_s:
+                return
+            if talk.may_ask(service, now, urgent=urgent):
+                wanted = min(short, MAX_BATCH)
+                talk.ask(service, wanted)
+                short -= talk.expected(service, now)
+
+    def lend_to_waiting(self, service: str, now: float) -> None:
+        """Answer the questions of other hosts that wait for a slot of the service."""
+        free = len(self.book.lendable(service, now)) if self._held else 0
+        for held in self._held:
+            if free <= 0:
+                return
+            if service in held.services and not held.woken.is_set():
+                held.woken.set()
+                free -= 1
+
+    def _short(self, service: str, now: float) -> int:
+        waiting = self.waiting_by_service.get(service, 0)
+        need = self.needs_by_service[service].slots(now)
+        busy = sum(held.busy for held in self.book.slots(service))
+        short = max(need, busy + waiting) - self.book.usable_count(service, now)
+        return max(short, waiting)
+
+    def _divide(self, grow_at: float, now: float, *, known: bool) -> None:
+        if not known:
+            self.book.suspend(grow_at)
+        owned = self.division.owned_by(self._own)
+        dropped = self.book.divide(owned, self.division, grow_at, now)
+        # A slot that was not usable yet, or is lent, is not this host's to pass on.
+        passed = [h for h in dropped if known and h.usable_at <= now and not h.is_lent(now)]
+        self._dropped = {held for held in passed if held.busy}
+        self._hand_over([held.slot for held in passed if not held.busy])
+        early = self._early
+        if early is not None and early.division_version == self.division.version:
+            self.book.released_by_earlier_owner(early.slots, now)
+
+    def _hand_over(self, slots: Iterable[Slot]) -> None:
+        slots_by_host: dict[str, list[Slot]] = {}
+        for slot in slots:
+            owner = self.division.owner_of(slot)
+            if owner is not None:
+                slots_by_host.setdefault(owner.host, []).append(slot)
+        for host, passed in slots_by_host.items():
+            self._links.tell(host, SlotsReleased(self.division.version, tuple(passed)))
+
+    async def _take_over(self, _peer: Peer, message: SlotsReleased) -> None:
+        version = self.division.version
+        if message.division_version == version:
+            now = asyncio.get_running_loop().time()
+            self.book.released_by_earlier_owner(message.slots, now)
+            self._on_gain(now)
+        elif message.division_version > version:
+            self._early = _joined(self._early, message)
+
+    async def _answer(self, peer: Peer, question: SlotQuestion) -> SlotAnswer | None:
+        loop = asyncio.get_running_loop()
+        if not self._may_lend(peer, loop.time()):
+            return None
+        if not self._leasing.hear(peer, question, loop.time()):
+            return None
+        self._on_gain(loop.time())
+        if question.waiting_by_service:
+            self._give_back(peer, question, loop.time())
+            await self._hold(question, loop.time() + HOLD_S)
+        if not self._may_lend(peer, loop.time()):
+            return None
+        return self._leasing.answer(peer, question, loop.time())
+
+    def _may_lend(self, peer: Peer, now: float) -> bool:
+        return self._state.has_proof(now) and self.division.is_member(peer)
+
+    def _give_back(self, owner: Peer, question: SlotQuestion, now: float) -> None:
+        talk = self._talks_by_host.get(owner.host)
+        if talk is not None and self._leasing.give_back_free(owner, question, now):
+            talk.wake()
+
+    async def _hold(self, question: SlotQuestion, until: float) -> None:
+        """Wait until something can be granted to requests that wait at the asking host."""
+        loop = asyncio.get_running_loop()
+        if not question.wanted_by_service:
+            return
+        held = HeldQuestion(frozenset(question.wanted_by_service))
+        self._held.append(held)
+        try:
+            async with asyncio.timeout_at(until):
+                while not self._leasing.could_grant(question, loop.time()):
+                    held.woken.clear()
+                    await held.woken.wait()
+        except TimeoutError:
+            return
+        finally:
+            self._held.remove(held)
+
+    def _converse(self, state: AgreedState) -> None:
+        unsure = {talk.peer for talk in self._talks_by_host.values() if talk.unsure}
+        self.close()
+        here = state.members_by_host.get(self._own.host)
+        if here is None or here.incarnation != self._own.incarnation:
+            return
+        places = state.deployment.places
+        others = [member for member in state.members if member.host != self._own.host]
+        others.sort(key=lambda member: round_trip_s(places, here, member))
+        for there in others:
+            talk = SlotConversation(
+                Peer(there.host, there.incarnation),
+                round_trip_s(places, here, there),
+                self._links,
+                self._leasing,
+                self.book,
+                self._on_gain,
+            )
+            talk.unsure = talk.peer in unsure
+            self._talks_by_host[there.host] = talk
+
+    def _grow_later(self, at: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_at(at, self._on_gain, at)
+
+
+def _growth_wait_s(earlier: AgreedState, later: AgreedState) -> float:
+    """Return how long an earlier owner may still use a slot, in seconds.
+
+    It may start requests until its proof ends, and these run until their deadlines.
+    """
+    longest_s = max(longest_deadline_s(earlier), longest_deadline_s(later))
+    proof_s = max(state.deployment.defaults.proof_s for state in (earlier, later))
+    drift = later.deployment.defaults.clock_drift
+    return (proof_s + longest_s) * (1 + drift) + SETTLE_S
+
+
+def _joined(early: SlotsReleased | None, message: SlotsReleased) -> SlotsReleased:
+    if early is None or early.division_version < message.division_version:
+        return message
+    if early.division_version > message.division_version:
+        return early
+    return SlotsReleased(message.division_version, early.slots + message.slots)
--- /dev/null
+++ b/tests/steering/chaos.py
@@ -0,0 +1,136 @@
+"""Hosts that lend slots over a bad network while the fleet changes; every reservation is seen."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from random import Random
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from bench.steering_fleet import next_state
+
+from flamingoladder.config.model import Target
+from flamingoladder.members.state import Member
+from flamingoladder.standins.network import Network
+from flamingoladder.standins.state import SettableState
+from flamingoladder.steering.chooser import AttemptEnd
+from flamingoladder.steering.chooser import Reservation
+from flamingoladder.steering.slot_chooser import SlotChooser
+from flamingoladder.timeline.recorder import Recorder
+from flamingoladder.upstreams.health import HealthBoard
+from tests.gateway.fakes import agreed
+from tests.upstreams.parts import request_for
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from flamingoladder.config.agreed import AgreedState
+
+PROOF_S = 1.0
+DEADLINE_S = 1.0
+TARGETS = {
+    "n1": Target(address="127.0.0.1:1", failure_domain="north-a", slots=2),
+    "n2": Target(address="127.0.0.1:2", failure_domain="north-a", slots=2),
+    "s1": Target(address="127.0.0.1:3", failure_domain="south-a", slots=2),
+}
+PLACES = (("north", "north-a"), ("north", "north-a"), ("south", "south-a"))
+
+
+def state_of(hosts: int = 3) -> AgreedState:
+    """Return the first state of a fleet with short deadlines."""
+    state = agreed(TARGETS, deadline_ms=int(DEADLINE_S * 1_000), proof_s=PROOF_S)
+    members = tuple(member(place) for place in range(hosts))
+    return msgspec.structs.replace(state, members=members)
+
+
+def member(place: int, run: int = 1) -> Member:
+    """Return a run of the host at ``place``."""
+    region, domain = PLACES[place % len(PLACES)]
+    return Member(f"h{place}", region, domain, f"h{place}-{run}", "", "", "")
+
+
+class ChaosHost:
+    """One run of a host."""
+
+    __slots__ = ("chooser", "known", "member", "state")
+
+    def __init__(self, own: Member, state: AgreedState, network: Network, seed: float) -> None:
+        self.member = own
+        self.state = SettableState(state)
+        self.known = state.version
+        links = network.join(own.host, own.incarnation)
+        recorder = Recorder(own.host, own.incarnation)
+        self.chooser = SlotChooser(own, self.state, links, recorder, HealthBoard(), Random(seed))
+
+
+class Chaos:
+    """A fleet, its agreed state, and how many requests use each target's slots."""
+
+    __slots__ = ("agreed", "hosts", "in_use", "network", "over", "random", "served", "tasks")
+
+    def __init__(self, seed: int, loss: float = 0.0, hosts: int = 3) -> None:
+        self.random = Random(seed)
+        self.network = Network(self.random, 0.002, loss)
+        self.agreed = state_of(hosts)
+        self.in_use: Counter[str] = Counter()
+        self.over: list[str] = []
+        self.served: Counter[str] = Counter()
+        self.tasks: set[asyncio.Task[object]] = set()
+        self.hosts: dict[str, ChaosHost] = {}
+        for own in self.agreed.members:
+            self.start(own)
+
+    def start(self, own: Member) -> None:
+        """Start a run of a host."""
+        self.hosts[own.host] = ChaosHost(own, self.agreed, self.network, self.random.random())
+
+    def commit(self, late_s: float = 0.0, **changes: object) -> None:
+        """Commit a change of the division; hosts learn of it up to ``late_s`` later.
+
+        A host that learns of it later than its proof lasts has no proof in between.
+        """
+        self.agreed = next_state(self.agreed, divides=True, **changes)
+        for host in self.hosts.values():
+            self.spawn(self._tell(host, self.agreed, self.random.uniform(0, late_s)))
+
+    def spawn(self, main: Coroutine[Any, Any, object]) -> None:
+        """Run a coroutine beside the others."""
+        task: asyncio.Task[object] = asyncio.create_task(main)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def use(self, host: str, seconds: float) -> Reservation | None:
+        """Send a request to ``host`` that takes ``seconds``, cancelled at its deadline."""
+        loop = asyncio.get_running_loop()
+        request = request_for(deadline_s=DEADLINE_S)
+        entry = self.hosts[host]
+        held = await entry.chooser.reserve(request, (), loop.time())
+        if not isinstance(held, Reservation):
+            return None
+        self.served[host] += 1
+        self.in_use[held.target] += 1
+        if self.in_use[held.target] > 2:
+            self.over.append(held.target)
+        await asyncio.sleep(min(seconds, request.deadline - loop.time()))
+        self.in_use[held.target] -= 1
+        held.release(AttemptEnd.ANSWERED, loop.time())
+        return held
+
+    def close(self) -> None:
+        """Stop all."""
+        for host in self.hosts.values():
+            host.chooser.close()
+        for task in self.tasks:
+            task.cancel()
+
+    async def _tell(self, host: ChaosHost, state: AgreedState, after_s: float) -> None:
+        await asyncio.sleep(min(after_s, PROOF_S))
+        if host.known < state.version:
+            host.state.proven = after_s <= PROOF_S
+        await asyncio.sleep(max(after_s - PROOF_S, 0.0))
+        if host.known < state.version:
+            host.known = state.version
+            host.state.put(state)
+        host.state.proven = host.known == self.agreed.version
--- /dev/null
+++ b/tests/steering/test_division.py
@@ -0,0 +1,77 @@
+"""Tests of the division of slots among hosts."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import msgspec
+import pytest
+from bench.steering_fleet import example
+from bench.steering_fleet import first_state
+
+from flamingoladder.config.model import Region
+from flamingoladder.peers.link import Peer
+from flamingoladder.steering.division import SlotDivision
+from flamingoladder.upstreams.targets import declared_targets
+
+
+@pytest.mark.parametrize("name", ["tjaldvik", "kalahari"])
+def test_each_slot_has_one_owner_in_its_region_and_owners_have_equal_numbers(name: str) -> None:
+    state = first_state(example(name))
+    division = SlotDivision.from_state(state)
+    regions = {member.host: member.region for member in state.members}
+    slots = [s for m in state.members for s in division.owned_by(Peer(m.host, m.incarnation))]
+    declared = declared_targets(state)
+    assert len(slots) == len(set(slots)) == sum(target.slots for target in declared)
+    by_name = {target.name: target for target in declared}
+    counts = Counter(
+        (owner, regions[owner], slot.service) for slot, owner in division.owners_by_slot.items()
+    )
+    for slot, owner in division.owners_by_slot.items():
+        assert regions[owner] == by_name[slot.target].region
+    for region in state.deployment.places.regions:
+        for service in state.deployment.services:
+            numbers = [n for (_, r, s), n in counts.items() if (r, s) == (region, service)]
+            assert max(numbers) - min(numbers) <= 1
+
+
+def test_the_order_of_the_members_does_not_matter() -> None:
+    state = first_state(example("tjaldvik"))
+    shuffled = list(state.members)
+    Random(1).shuffle(shuffled)
+    other = msgspec.structs.replace(state, members=tuple(shuffled))
+    assert SlotDivision.from_state(state).owners_by_slot == (
+        SlotDivision.from_state(other).owners_by_slot
+    )
+
+
+def test_an_earlier_run_of_a_host_owns_nothing() -> None:
+    division = SlotDivision.from_state(first_state(example("tjaldvik")))
+    assert division.owned_by(Peer("h0", "h0-0")) == frozenset()
+
+
+def test_a_region_without_hosts_is_divided_among_all() -> None:
+    state = first_state(example("tjaldvik"))
+    members = tuple(m for m in state.members if m.region != "akureyri")
+    division = SlotDivision.from_state(msgspec.structs.replace(state, members=members))
+    assert len(division.owners_by_slot) == sum(t.slots for t in declared_targets(state))
+    assert set(division.owners_by_slot.values()) == {member.host for member in members}
+
+
+def test_a_regions_capacity_bounds_its_slots_and_leaves_no_target_out() -> None:
+    state = first_state(example("tjaldvik"))
+    places = state.deployment.places
+    region = places.regions["akureyri"]
+    bounded = Region(failure_domains=region.failure_domains, capacity_slots=20)
+    regions = {**places.regions, "akureyri": bounded}
+    deployment = msgspec.structs.replace(
+        state.deployment, places=msgspec.structs.replace(places, regions=regions)
+    )
+    owners = SlotDivision.from_state(
+        msgspec.structs.replace(state, deployment=deployment)
+    ).owners_by_slot
+    names = {t.name for t in declared_targets(state) if t.region == "akureyri"}
+    slots = [slot for slot in owners if slot.target in names]
+    assert len(slots) == 20
+    assert {slot.target for slot in slots} == names
--- /dev/null
+++ b/tests/steering/test_slots_over_all_hosts.py
@@ -0,0 +1,173 @@
+"""Tests that no slot is used twice over all hosts, and that lent and lost slots come back."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.steering.chooser import AttemptEnd
+from flamingoladder.steering.chooser import Reservation
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Refusal
+from tests.steering.chaos import DEADLINE_S
+from tests.steering.chaos import PROOF_S
+from tests.steering.chaos import Chaos
+from tests.steering.chaos import member
+from tests.upstreams.parts import request_for
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+READY_S = PROOF_S + DEADLINE_S + 0.5
+EVENTS = 40
+TERM_S = DEADLINE_S + 4.0
+
+
+async def _load(fleet: Chaos, host: str, until: float) -> None:
+    loop = asyncio.get_running_loop()
+    while loop.time() < until and host in fleet.hosts:
+        fleet.spawn(fleet.use(host, fleet.random.uniform(0.0, DEADLINE_S)))
+        await asyncio.sleep(fleet.random.expovariate(8.0))
+
+
+async def _restart(fleet: Chaos, place: int, run: int) -> None:
+    fleet.hosts.pop(f"h{place}").chooser.close()
+    fleet.network.leave(f"h{place}")
+    await asyncio.sleep(fleet.random.uniform(0.0, 1.0))
+    fresh = member(place, run)
+    others = tuple(m for m in fleet.agreed.members if m.host != fresh.host)
+    fleet.commit(late_s=1.5, members=(*others, fresh))
+    fleet.start(fresh)
+
+
+async def _change(fleet: Chaos, run: int) -> None:
+    kind = fleet.random.random()
+    if kind < 0.25:
+        await _restart(fleet, fleet.random.randrange(len(fleet.hosts)), run)
+    elif kind < 0.5:
+        fleet.commit(late_s=1.5)
+    elif kind < 0.75:
+        members = list(fleet.agreed.members)
+        fleet.commit(late_s=1.5, members=tuple(members[1:] + members[:1]))
+    for pair in ((a, b) for a in fleet.hosts for b in fleet.hosts):
+        fleet.network.delays_by_pair[pair] = fleet.random.choice((0.001, 0.02, 0.2))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_target_runs_more_than_its_slots_whatever_is_lost_late_or_restarted(seed: int) -> None:
+    async def scenario() -> Chaos:
+        loop = asyncio.get_running_loop()
+        fleet = Chaos(seed, loss=0.1)
+        for run in range(2, EVENTS):
+            for host in tuple(fleet.hosts):
+                fleet.spawn(_load(fleet, host, loop.time() + 1.0))
+            await _change(fleet, run)
+            await asyncio.sleep(fleet.random.choice((0.1, 1.0, 3.0)))
+        fleet.close()
+        return fleet
+
+    fleet = run_on_injected_time(scenario())
+    assert fleet.over == []
+    assert fleet.served.total() > EVENTS
+
+
+def _held(results: list[Reservation | Refusal]) -> int:
+    return sum(isinstance(result, Reservation) for result in results)
+
+
+async def _reserve(fleet: Chaos, host: str, count: int) -> list[Reservation | Refusal]:
+    loop = asyncio.get_running_loop()
+    chooser = fleet.hosts[host].chooser
+    asked: list[Awaitable[Reservation | Refusal]] = [
+        chooser.reserve(request_for(deadline_s=DEADLINE_S), (), loop.time()) for _ in range(count)
+    ]
+    return list(await asyncio.gather(*asked))
+
+
+def test_one_host_gets_every_slot_of_its_region_and_of_others() -> None:
+    async def scenario() -> int:
+        fleet = Chaos(1)
+        await asyncio.sleep(READY_S)
+        held = _held(await _reserve(fleet, "h0", 6))
+        fleet.close()
+        return held
+
+    assert run_on_injected_time(scenario()) == 6
+
+
+def test_without_proof_nothing_is_started() -> None:
+    async def scenario() -> Refusal | Reservation:
+        fleet = Chaos(1)
+        await asyncio.sleep(READY_S)
+        fleet.hosts["h0"].state.proven = False
+        result = (await _reserve(fleet, "h0", 1))[0]
+        fleet.close()
+        return result
+
+    result = run_on_injected_time(scenario())
+    assert isinstance(result, Refusal)
+    assert result.reason is Reason.NO_PROOF
+
+
+@pytest.mark.parametrize(("after_s", "expected"), [(PROOF_S, 0), (READY_S, 6)])
+def test_a_new_owner_waits_for_proof_and_the_longest_deadline(
+    after_s: float, expected: int
+) -> None:
+    async def scenario() -> int:
+        fleet = Chaos(1)
+        await asyncio.sleep(READY_S)
+        for host in ("h1", "h2"):
+            fleet.hosts.pop(host).chooser.close()
+            fleet.network.leave(host)
+        own = len(_slots_in_use(fleet))
+        fleet.commit(members=(member(0),))
+        await asyncio.sleep(after_s - DEADLINE_S * (expected == 0) / 2)
+        held = _held(await _reserve(fleet, "h0", 6))
+        fleet.close()
+        return held if expected else max(0, held - own)
+
+    assert run_on_injected_time(scenario()) == expected
+
+
+def _slots_in_use(fleet: Chaos) -> list[object]:
+    book = fleet.hosts["h0"].chooser._sharing.book
+    return list(book.lendable("desk", asyncio.get_running_loop().time()))
+
+
+def test_slots_of_a_host_that_gives_them_up_are_used_at_once() -> None:
+    async def scenario() -> int:
+        fleet = Chaos(1)
+        await asyncio.sleep(READY_S)
+        fleet.commit(members=(member(0),))
+        await asyncio.sleep(0.1)
+        held = _held(await _reserve(fleet, "h0", 6))
+        fleet.close()
+        return held
+
+    assert run_on_injected_time(scenario()) == 6
+
+
+def test_a_borrower_that_is_cut_off_loses_the_slots_and_the_giver_gets_them_back() -> None:
+    async def scenario() -> tuple[int, int, int]:
+        fleet = Chaos(1)
+        await asyncio.sleep(READY_S)
+        first = await _reserve(fleet, "h0", 6)
+        for host in ("h1", "h2"):
+            fleet.network.cuts |= {("h0", host), (host, "h0")}
+        early = _held(await _reserve(fleet, "h1", 6))
+        await asyncio.sleep(TERM_S + 1.0)
+        for result in first:
+            assert isinstance(result, Reservation)
+            result.release(AttemptEnd.CANCELLED, asyncio.get_running_loop().time())
+        at_taker = _held(await _reserve(fleet, "h0", 6))
+        at_givers = _held(await _reserve(fleet, "h1", 6))
+        fleet.close()
+        return early, at_taker, at_givers
+
+    early, at_taker, at_givers = run_on_injected_time(scenario())
+    assert early == 0
+    assert at_taker + at_givers <= 6
+    assert at_givers > 0
