--- a/src/flamingoladder/steering/conversation.py
+++ b/src/flamingoladder/steering/conversation.py
@@ -29,6 +29,7 @@
 class SlotConversation:
     """Asks one host, one question at a time; each renews and returns leases, too.
 
+    ``waiting_by_service`` is what the host last said of its own requests that wait.
     While it is ``unsure``, the host may have granted leases in an answer that was lost.
     """
 
@@ -45,6 +46,7 @@
         "peer",
         "round_trip_s",
         "unsure",
+        "waiting_by_service",
         "wanted_by_service",
     )
 
@@ -60,6 +62,7 @@
         self.peer = peer
         self.round_trip_s = round_trip_s
         self.wanted_by_service: dict[str, int] = {}
+        self.waiting_by_service: dict[str, int] = {}
         self.unsure = False
         self._links = links
         self._leasing = leasing
--- a/src/flamingoladder/steering/leasing.py
+++ b/src/flamingoladder/steering/leasing.py
@@ -88,9 +88,12 @@
             for service in services
         )
 
-    def answer(self, taker: Peer, question: SlotQuestion, now: float) -> SlotAnswer | None:
+    def answer(
+        self, taker: Peer, question: SlotQuestion, now: float, wins: str | None = None
+    ) -> SlotAnswer | None:
         """Return the answer to a question, after deducting what it grants.
 
+        For the service ``wins``, the asker's waiting requests go before this host's.
         There is none if a later question or division has voided it since it was heard.
         """
         if question.division_version != self.division_version:
@@ -100,10 +103,15 @@
         renewed = self._renew(taker, now)
         granted: list[Slot] = []
         for service, wanted in question.wanted_by_service.items():
+            if service == wins:
+                granted += self._lend(taker, self._book.lendable(service, now)[:1], now)
+                continue
             urgent = question.waiting_by_service.get(service, 0) > 0
-            granted += self._grant(taker, service, wanted, now, urgent=urgent)
-        spare = {service: len(self._spare(service, now)) for service in self._needs_by_service}
-        return SlotAnswer(tuple(granted), tuple(renewed), spare)
+            far = taker.host in self.far_hosts
+            spare = self._spare(service, now, urgent=urgent, far=far)
+            granted += self._lend(taker, spare[:wanted], now)
+        left = {service: len(self._spare(service, now)) for service in self._needs_by_service}
+        return SlotAnswer(tuple(granted), tuple(renewed), left)
 
     def credit(self, giver: Peer, answer: SlotAnswer, asked_at: float, now: float) -> None:
         """Use what an answer grants; its question must be the last one to ``giver``."""
@@ -159,15 +167,10 @@
             renewed.append(lent.slot)
         return renewed
 
-    def _grant(
-        self, taker: Peer, service: str, wanted: int, now: float, *, urgent: bool
-    ) -> list[Slot]:
-        granted = []
-        far = taker.host in self.far_hosts
-        for held in self._spare(service, now, urgent=urgent, far=far)[:wanted]:
+    def _lend(self, taker: Peer, slots: list[HeldSlot], now: float) -> list[Slot]:
+        for held in slots:
             held.lease = self._lease(taker, now)
-            granted.append(held.slot)
-        return granted
+        return [held.slot for held in slots]
 
     def _lease(self, taker: Peer, now: float) -> Lease:
         return Lease(taker, now + self.term_s * (1 + self.drift))
--- a/src/flamingoladder/steering/slot_chooser.py
+++ b/src/flamingoladder/steering/slot_chooser.py
@@ -34,7 +34,7 @@
     from flamingoladder.upstreams.targets import DeclaredTarget
 
 LOOK_AGAIN_S = 0.02
-NEAR_S = 0.01
+WORTH_TRIPS = 4.0
 MAX_WAITING = 1_000
 MAX_PASSED = 16
 RETRY_AFTER_S = 1.0
@@ -158,16 +158,16 @@
 
     def _serve(self, service: ServiceQueue, now: float) -> None:
         """Give free slots to waiting requests, and ask other hosts if they don't suffice."""
+        self._sharing.lend_to_waiting(service.service, now)
         if len(service.queue) and self._state.has_proof(now):
             self._give_slots(service, now)
         self._sharing.waiting_by_service[service.service] = len(service.queue)
-        patience_s = max(NEAR_S, service.queue.first_waits_s(now))
+        patience_s = 0.0
         if len(service.queue):
-            patience_s = max(patience_s, self._local_wait_s(service, len(service.queue), now))
+            local_wait_s = self._local_wait_s(service, len(service.queue), now)
+            patience_s = max(local_wait_s, service.queue.first_waits_s(now)) / WORTH_TRIPS
         self._sharing.borrow_if_short(service.service, now, patience_s)
-        if not len(service.queue):
-            self._sharing.lend_to_waiting(service.service, now)
-        elif service.timer is None:
+        if len(service.queue) and service.timer is None:
             loop = asyncio.get_running_loop()
             service.timer = loop.call_later(LOOK_AGAIN_S, self._look_again, service)
 
--- a/src/flamingoladder/steering/slot_sharing.py
+++ b/src/flamingoladder/steering/slot_sharing.py
@@ -32,16 +32,42 @@
     from flamingoladder.timeline.recorder import Recorder
 
 MAX_BATCH = 4
+LONGER_FACTOR = 1.5
+LONGER_MARGIN = 2
 
 
 class HeldQuestion:
     """A question that waits until a slot of one of its services is free."""
 
-    __slots__ = ("services", "woken")
+    __slots__ = ("_answer", "peer", "question")
 
-    def __init__(self, services: frozenset[str]) -> None:
-        self.services = services
-        self.woken = asyncio.Event()
+    def __init__(self, peer: Peer, question: SlotQuestion) -> None:
+        self.peer = peer
+        self.question = question
+        self._answer: asyncio.Future[SlotAnswer | None] = asyncio.Future()
+
+    @property
+    def is_answered(self) -> bool:
+        """Return whether the answer was given."""
+        return self._answer.done()
+
+    def waiting(self, service: str) -> int:
+        """Return how many requests wait for slots that the question asks for."""
+        if service not in self.question.wanted_by_service:
+            return 0
+        return self.question.waiting_by_service.get(service, 0)
+
+    def give(self, answer: SlotAnswer | None) -> None:
+        """Answer the question."""
+        self._answer.set_result(answer)
+
+    async def answer(self) -> SlotAnswer | None:
+        """Return the answer, or None if there is none within ``HOLD_S``."""
+        try:
+            async with asyncio.timeout(HOLD_S):
+                return await self._answer
+        except TimeoutError:
+            return None
 
 
 class SlotSharing:
@@ -126,6 +152,7 @@
     def finish(self, held: HeldSlot, now: float) -> None:
         """Take in that the request on the slot has ended."""
         self.book.finish(held, now)
+        self._return_if_owner_waits(held)
         if held in self._dropped:
             self._dropped.discard(held)
             self._hand_over([held.slot])
@@ -148,14 +175,18 @@
                 short -= talk.expected(service, now)
 
     def lend_to_waiting(self, service: str, now: float) -> None:
-        """Answer the questions of other hosts that wait for a slot of the service."""
-        free = len(self.book.lendable(service, now)) if self._held else 0
-        for held in self._held:
-            if free <= 0:
+        """Answer questions of hosts where more requests wait for the service than here."""
+        waiting_here = self.waiting_by_service.get(service, 0)
+        for held in tuple(self._held):
+            if not self.book.lendable(service, now):
                 return
-            if service in held.services and not held.woken.is_set():
-                held.woken.set()
-                free -= 1
+            if held.is_answered or not self._may_lend(held.peer, now):
+                continue
+            if not _is_longer(held.waiting(service), waiting_here):
+                continue
+            if waiting_here and held.peer.host in self._leasing.far_hosts:
+                continue
+            held.give(self._leasing.answer(held.peer, held.question, now, wins=service))
 
     def _short(self, service: str, now: float) -> int:
         waiting = self.waiting_by_service.get(service, 0)
@@ -204,35 +235,44 @@
         if not self._leasing.hear(peer, question, loop.time()):
             return None
         self._on_gain(loop.time())
-        if question.waiting_by_service:
-            self._give_back(peer, question, loop.time())
-            await self._hold(peer, question, loop.time() + HOLD_S)
+        self._give_back(peer, question, loop.time())
+        if question.wanted_by_service and question.waiting_by_service:
+            answer = await self._hold(peer, question)
+            if answer is not None:
+                return answer
         if not self._may_lend(peer, loop.time()):
             return None
         return self._leasing.answer(peer, question, loop.time())
 
+    def _return_if_owner_waits(self, held: HeldSlot) -> None:
+        talk = self._talks_by_host.get(held.giver.host) if held.giver else None
+        if talk is None:
+            return
+        waiting_here = self.waiting_by_service.get(held.service, 0)
+        if _is_longer(talk.waiting_by_service.get(held.service, 0), waiting_here):
+            self.book.give_up(held)
+            talk.wake()
+
     def _may_lend(self, peer: Peer, now: float) -> bool:
         return self._state.has_proof(now) and self.division.is_member(peer)
 
     def _give_back(self, owner: Peer, question: SlotQuestion, now: float) -> None:
         talk = self._talks_by_host.get(owner.host)
-        if talk is not None and self._leasing.give_back_free(owner, question, now):
+        if talk is None:
+            return
+        talk.waiting_by_service = question.waiting_by_service
+        if self._leasing.give_back_free(owner, question, now):
             talk.wake()
 
-    async def _hold(self, peer: Peer, question: SlotQuestion, until: float) -> None:
+    async def _hold(self, peer: Peer, question: SlotQuestion) -> SlotAnswer | None:
         """Wait until something can be granted to requests that wait at the asking host."""
-        loop = asyncio.get_running_loop()
-        if not question.wanted_by_service:
-            return
-        held = HeldQuestion(frozenset(question.wanted_by_service))
+        now = asyncio.get_running_loop().time()
+        if self._leasing.could_grant(peer, question, now):
+            return None
+        held = HeldQuestion(peer, question)
         self._held.append(held)
         try:
-            async with asyncio.timeout_at(until):
-                while not self._leasing.could_grant(peer, question, loop.time()):
-                    held.woken.clear()
-                    await held.woken.wait()
-        except TimeoutError:
-            return
+            return await held.answer()
         finally:
             self._held.remove(held)
 
@@ -277,6 +317,13 @@
     return (proof_s + longest_s) * (1 + drift) + SETTLE_S
 
 
+def _is_longer(waiting_there: int, waiting_here: int) -> bool:
+    """Return whether so many more requests wait there that moving a slot is worth while."""
+    if not waiting_here:
+        return waiting_there > 0
+    return waiting_there > LONGER_FACTOR * waiting_here + LONGER_MARGIN
+
+
 def _joined(early: SlotsReleased | None, message: SlotsReleased) -> SlotsReleased:
     if early is None or early.division_version < message.division_version:
         return message
