--- a/src/flamingoladder/demo/scenario.py
+++ b/src/flamingoladder/demo/scenario.py
@@ -27,6 +27,7 @@
     from pathlib import Path
 
     from flamingoladder.config.model import Deployment
+    from flamingoladder.operators.messages import KeyReply
 
 STEP_S = 3.0
 SEED = 7
@@ -64,8 +65,13 @@
         deployment = self._deployment
         await deployment.start()
         print(f"{len(deployment.hosts)} entry daemons are ready")
+        granted_by_workspace: dict[str, KeyReply] = {}
         for workspace in deployment.deployment.workspaces:
             granted = await deployment.grant(workspace)
+            granted_by_workspace[workspace] = granted
+        await deployment.wait_until_serving(granted.key)
+        print("shares of rates and slots are in use")
+        for workspace, granted in granted_by_workspace.items():
             rate = deployment.deployment.rate_of(workspace) * LOAD
             self._traffic.add_source(granted.key_id, granted.key, rate)
         marks = await self._disturb()
--- a/src/flamingoladder/standins/deployment.py
+++ b/src/flamingoladder/standins/deployment.py
@@ -40,6 +40,7 @@
 PORTS_PER_HOST = 3
 POLL_S = 0.05
 READY_TIMEOUT_S = 20.0
+SERVING_TIMEOUT_S = 30.0
 PLATFORM = "platform"
 
 
@@ -176,6 +177,27 @@
                     return
                 await asyncio.sleep(POLL_S)
 
+    async def wait_until_serving(self, key: str) -> None:
+        """Return once every host runs requests of ``key``.
+
+        A host that has just started may use its shares of rates and slots only when no earlier
+        owner can: after the term of a proof and the longest deadline.
+
+        :raises TimeoutError: if that takes too long.
+        """
+        service = next(iter(self.deployment.services))
+        headers = {"Authorization": f"Bearer {key}"}
+        async with (
+            asyncio.timeout(SERVING_TIMEOUT_S),
+            aiohttp.ClientSession(headers=headers) as own,
+        ):
+            for host in self.hosts:
+                url = f"{host.caller_url}/services/{service}/items/1"
+                while True:
+                    if await _is_ok(own, url):
+                        break
+                    await asyncio.sleep(POLL_S)
+
     async def grant(self, workspace: str) -> KeyReply:
         """Return a new key of the workspace."""
         return await self.operate(Call("POST", "/v1/keys", KeyReply, KeyRequest(workspace)))
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -23,4 +23,5 @@
     async with Processes(tmp_path_factory.mktemp("logs")) as processes:
         started = LocalDeployment.from_file(processes, EXAMPLE, Random(SEED))
         await started.start()
+        await started.wait_until_serving((await started.grant("midnight-sun")).key)
         yield started
