--- a/tests/steering/chaos.py
+++ b/tests/steering/chaos.py
@@ -20,7 +20,7 @@
 from flamingoladder.steering.slot_chooser import SlotChooser
 from flamingoladder.timeline.recorder import Recorder
 from flamingoladder.upstreams.health import HealthBoard
-from tests.gateway.fakes import agreed
+from tests.gateway.states import agreed
 from tests.upstreams.parts import request_for
 
 if TYPE_CHECKING:
