--- a/src/flamingoladder/ledger/writer.py
+++ b/src/flamingoladder/ledger/writer.py
@@ -16,6 +16,7 @@
 from flamingoladder.ledger.records import encode
 from flamingoladder.platform.exceptions import OutcomeUnknownError
 from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.platform.exceptions import PlatformRefusedError
 from flamingoladder.platform.exceptions import PlatformUnavailableError
 from flamingoladder.platform.table import Condition
 from flamingoladder.platform.table import Write
@@ -114,12 +115,12 @@
         self._wake.set()
 
     async def _flushed(self, batch: list[PendingWrite]) -> bool:
-        """Write the batch; what is left, or all of it when cancelled, stays pending."""
+        """Write the batch; what is left, or all of it when cancelled, is pending again."""
         left = batch
         try:
             left = await self._written(batch)
         finally:
-            self._pending.extendleft(reversed(left))
+            self._pending.extend(left)
         return not left
 
     async def _written(self, batch: Sequence[PendingWrite]) -> list[PendingWrite]:
@@ -129,8 +130,8 @@
         try:
             if await self._written_together(ready):
                 return left
-        except OutcomeUnknownError:
-            self._recorder.record("ledger.write_unknown", rows=len(ready))
+        except (OutcomeUnknownError, PlatformRefusedError) as error:
+            self._recorder.record("ledger.write_unknown", rows=len(ready), error=error)
         except PlatformUnavailableError as error:
             self._recorder.record("ledger.write_failed", rows=len(ready), error=error)
             return left + ready
@@ -150,8 +151,10 @@
     async def _written_together(self, batch: Sequence[PendingWrite]) -> bool:
         """Write the whole batch in one transaction.
 
-        :raises PlatformError: if the table did not answer.
+        :raises PlatformError: if the table did not answer, or took no such transaction.
         """
+        if len({each.entry.name for each in batch}) < len(batch):
+            return False
         if any(not each.is_ticket and each.revision is None for each in batch):
             return False
         conditions = [
--- a/tests/ledger/fleet.py
+++ b/tests/ledger/fleet.py
@@ -39,6 +39,7 @@
 
     from flamingoladder.platform.table import Commit
     from flamingoladder.platform.table import Condition
+    from flamingoladder.platform.table import Row
     from flamingoladder.platform.table import Rows
     from flamingoladder.platform.table import Write
     from flamingoladder.verdict import Outcome
@@ -123,6 +124,12 @@
         await self.thawed.wait()
         return rows
 
+    async def get(self, key: str, timeout_s: float) -> Row | None:
+        """Return the row once the host is awake."""
+        row = await super().get(key, timeout_s)
+        await self.thawed.wait()
+        return row
+
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write], timeout_s: float
     ) -> Commit:
--- a/tests/ledger/test_failures.py
+++ b/tests/ledger/test_failures.py
@@ -298,3 +298,17 @@
         assert (await fleet["b"].send(key)).ok.body.decode() == f"{key} run 1"
 
     run_on_injected_time(scenario())
+
+
+def test_release_and_outcome_of_one_key_are_written_one_after_the_other() -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a", "b")
+        fleet.upstream.refusals_left = 1
+        fleet.upstream.run_s["k"] = 0.001
+        assert said(await fleet["a"].send("k"))[0] is Verdict.NOT_RUN
+        assert said(await fleet["a"].send("k")) == RAN
+        assert await fleet["a"].ledger.close(asyncio.get_running_loop().time())
+        fleet["a"].kill()
+        assert said(await fleet["b"].send("k")) == RAN
+
+    run_on_injected_time(scenario())
