--- a/src/flamingoladder/ledger/ticket_runs.py
+++ b/src/flamingoladder/ledger/ticket_runs.py
@@ -50,7 +50,10 @@
         self._state = state
 
     async def run_once(self, request: CallerRequest, text: str, run: Run) -> Outcome:
-        """Run the request if this incarnation issued the ticket and it is unused."""
+        """Run the request if this incarnation issued the ticket and it is unused.
+
+        Guards ``only_issuer_runs`` and ``one_entry_per_ticket``.
+        """
         ticket = parse(text)
         if ticket is None:
             return refusals.not_run(Reason.TICKET_INVALID, "the ticket can't be read")
@@ -129,7 +132,8 @@
                 reason, "this host has dispatched the ticket, or forgotten"
             )
         fresh = self._fresh_ticket(workspace_name(request.workspace))
-        return refusals.unclaimed(request, reason, "the ticket's issuer can't be asked", fresh)
+        detail = "the ticket's issuer can't be asked"
+        return refusals.unclaimed(reason, detail, request.fresh_key, fresh)
 
     def _fresh_ticket(self, workspace: str) -> str:
         return self._issued.issuer.issue(workspace, asyncio.get_running_loop().time())
--- a/src/flamingoladder/transport/connector.py
+++ b/src/flamingoladder/transport/connector.py
@@ -9,7 +9,9 @@
 
 import aiohttp
 
+from flamingoladder.transport.exceptions import NotPermittedError
 from flamingoladder.transport.exceptions import SecondSendError
+from flamingoladder.transport.exceptions import UnusableConnectionError
 from flamingoladder.transport.proof_of_life import require_acknowledgements
 
 if TYPE_CHECKING:
@@ -51,16 +53,23 @@
     ) -> Connection:
         """Return a connection for the current exchange.
 
+        :raises NotPermittedError: if the last check refuses the request.
         :raises SecondSendError: if the exchange had a connection before.
+        :raises UnusableConnectionError: if the other end closes new connections, or talks first.
         """
         exchange = current_exchange.get()
         if exchange is not None and exchange.connected:
             raise SecondSendError
         connection = await self._clean_connection(req, traces, timeout)
+        if exchange is not None and not exchange.may_leave():
+            connection.release()
+            raise NotPermittedError
         if exchange is not None:
             exchange.connected = True
             exchange.transport = connection.transport
-            exchange.reused = self._mark_used(connection)
+            exchange.reused = self._is_used(connection)
+        if connection.transport is not None:
+            self._used.add(connection.transport)
         return connection
 
     async def _clean_connection(
@@ -70,15 +79,13 @@
             connection = await super().connect(req, traces, timeout)
             if connection.protocol is None or not connection.protocol.should_close:
                 return connection
+            was_used = self._is_used(connection)
             connection.close()
+            if not was_used:
+                raise UnusableConnectionError
 
-    def _mark_used(self, connection: Connection) -> bool:
-        transport = connection.transport
-        if transport is None:
-            return True
-        used = transport in self._used
-        self._used.add(transport)
-        return used
+    def _is_used(self, connection: Connection) -> bool:
+        return connection.transport is None or connection.transport in self._used
 
 
 def _open_socket(address: AddressInfo) -> socket.socket:
