Say when a division of allowances has settled

Only the withdrawal of a key blocks vouches, so the time since a host learned of a new division does not bound how long others act on the old one: cut from the store and from the committer, they may vouch for it through the whole outage. A host now counts the wait from when a majority of the registered hosts is known to know the division, by asking them or by a later commit, and repeats the state then. Shares must grow by division_settles_at(), not by the time alone. Ruled out: intents of members and configuration that block vouches (a committer that dies as the store goes away would stop keyed traffic for the outage).

--- a/src/flamingoladder/config/agreed.py
+++ b/src/flamingoladder/config/agreed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -108,3 +109,12 @@
 
         ``now`` is monotonic time in seconds.
         """
+
+    def division_settles_at(self) -> float:
+        """Return from when no host can act on an earlier division than ``current``'s.
+
+        That is monotonic time in seconds; it is infinity until enough other hosts are known to
+        know of the division, and ``changes`` repeats the state when that changes. A share may
+        shrink at once but grow only from then on.
+        """
+        return math.inf
--- a/src/flamingoladder/freshness/announcer.py
+++ b/src/flamingoladder/freshness/announcer.py
@@ -116,7 +116,7 @@
         knowledge = self._knowledge
         now = asyncio.get_running_loop().time()
         announcement = Announcement(
-            head.version, knowledge.members_by_host, self._wait_s(head), locked_at
+            head.version, knowledge.members_by_host, knowledge.wait_s, locked_at
         )
         own = knowledge.member.host
         announcement.acknowledge(own, knowledge.known, knowledge.installed, now)
@@ -140,12 +140,6 @@
             pause_s = max(MIN_PAUSE_S, min(deadline, in_force_from) - now)
             await announcement.wait_for_answer(pause_s)
 
-    def _wait_s(self, head: Head) -> float:
-        drift = (
-            self._knowledge.state.deployment.defaults.clock_drift if self._knowledge.state else 0
-        )
-        return head.longest_proof_s * (1 + drift)
-
     async def _push(
         self, host: str, message: HeadAnnounced, announcement: Announcement, deadline: float
     ) -> None:
--- a/src/flamingoladder/freshness/keeper.py
+++ b/src/flamingoladder/freshness/keeper.py
@@ -128,6 +128,10 @@
         """Return whether nothing newer than the state can be in force at ``now``."""
         return self._knowledge.has_proof(now)
 
+    def division_settles_at(self) -> float:
+        """Return from when no host can act on an earlier division than the present one."""
+        return self._knowledge.division_settles_at
+
     def start(self) -> None:
         """Start to renew the proof and to register this host."""
         self._tasks.start(self._renewer.run())
--- a/src/flamingoladder/freshness/knowledge.py
+++ b/src/flamingoladder/freshness/knowledge.py
@@ -13,6 +13,8 @@
 from flamingoladder.freshness.changes import with_keys_withdrawn
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from reactivex import Observable
 
     from flamingoladder.config.agreed import AgreedState
@@ -39,6 +41,7 @@
 
     __slots__ = (
         "_asked_at",
+        "_division_known_at",
         "_excepted_keys",
         "_subject",
         "effective",
@@ -59,6 +62,7 @@
         self.intents_by_change: dict[str, OpenIntent] = {}
         self.last_removal_at = math.inf
         self._asked_at = -math.inf
+        self._division_known_at = math.inf
         self._excepted_keys: frozenset[str] = frozenset()
         self._subject: ReplaySubject[AgreedState] = ReplaySubject(buffer_size=1)
 
@@ -88,6 +92,23 @@
         keys = (intent.suspended_key for intent in self.intents_by_change.values())
         return frozenset(key for key in keys if key is not None)
 
+    @property
+    def wait_s(self) -> float:
+        """Return the time in seconds after which no proof is left that was asked for before."""
+        if self.state is None or self.head is None:
+            return math.inf
+        return self.head.longest_proof_s * (1 + self.state.deployment.defaults.clock_drift)
+
+    @property
+    def division_is_known(self) -> bool:
+        """Return whether a majority knows of the present division."""
+        return not math.isinf(self._division_known_at)
+
+    @property
+    def division_settles_at(self) -> float:
+        """Return from when no host can act on an earlier division, infinity while unknown."""
+        return self._division_known_at + self.wait_s
+
     def has_proof(self, now: float) -> bool:
         """Return whether nothing newer than the state can be in force at ``now``."""
         if self.state is None or not self.is_registered:
@@ -108,6 +129,7 @@
         if not guards.may_install(state.version, self.installed):
             return False
         self._note_removal(state, now)
+        self._note_division(state, now)
         self.head = head
         self.state = state
         self._excepted_keys = frozenset()
@@ -156,6 +178,20 @@
         if skipped or not set(self.members_by_host) <= set(state.members_by_host):
             self.last_removal_at = math.inf
 
+    def _note_division(self, state: AgreedState, now: float) -> None:
+        if self.state is None or self.state.division_version != state.division_version:
+            self._division_known_at = math.inf
+        if state.version > state.division_version and not self.division_is_known:
+            self._division_known_at = now
+
+    def confirm_division(self, version: int, hosts: Collection[str], now: float) -> None:
+        """Take in that ``hosts`` know ``version``, if that is still the one in force."""
+        if version != self.installed or self.division_is_known:
+            return
+        if guards.has_majority(hosts, self.members_by_host):
+            self._division_known_at = now
+            self._refresh(always=True)
+
     def _close_settled_intents(self) -> None:
         self.intents_by_change = {
             change_id: intent
--- a/src/flamingoladder/freshness/renewal.py
+++ b/src/flamingoladder/freshness/renewal.py
@@ -65,6 +65,7 @@
         while True:
             started = loop.time()
             await self.renew()
+            await self._confirm_division()
             await self._ask_about_intents(loop.time())
             await asyncio.sleep(max(0.0, started + self._settings.poll_s - loop.time()))
 
@@ -167,6 +168,19 @@
             return
         knowledge.renew(version, asked_at, frozenset().union(*vouching.values()))
 
+    async def _confirm_division(self) -> None:
+        """Ask the other hosts whether they know of the present division; that tells them of it."""
+        knowledge = self._knowledge
+        if knowledge.state is None or knowledge.division_is_known:
+            return
+        version = knowledge.installed
+        others = [host for host in knowledge.members_by_host if host != knowledge.member.host]
+        replies = await asyncio.gather(*(self._ask_for_vouch(host, version) for host in others))
+        answers = zip(others, replies, strict=True)
+        known_on = {host for host, reply in answers if reply and reply.version >= version}
+        known_on.add(knowledge.member.host)
+        knowledge.confirm_division(version, known_on, asyncio.get_running_loop().time())
+
     async def _ask_for_vouch(self, host: str, version: int) -> VouchReply | None:
         reply = await self._links.ask(host, VouchRequest(version), self._settings.peer_timeout_s)
         if not isinstance(reply, VouchReply):
--- a/tests/freshness/test_knowledge.py
+++ b/tests/freshness/test_knowledge.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 from msgspec.structs import replace
 
@@ -14,6 +16,7 @@
 from tests.freshness.fleet import DEPLOYMENT
 from tests.freshness.fleet import KEY
 from tests.freshness.fleet import PROOF_S
+from tests.freshness.fleet import WAIT_S
 
 MEMBERS = tuple(Member(host, "north", "n1", "i1", "", "", "") for host in ("h1", "h2", "h3"))
 STATE = AgreedState(5, 5, 5, DEPLOYMENT, (KEY,), MEMBERS)
@@ -81,6 +84,22 @@
     assert knowledge.effective == STATE
 
 
+def test_division_settles_a_while_after_a_majority_knows_it(knowledge: Knowledge) -> None:
+    seen: list[float] = []
+    knowledge.changes.subscribe(lambda _: seen.append(knowledge.division_settles_at))
+    knowledge.confirm_division(5, {"h1"}, 1.0)
+    knowledge.confirm_division(5, {"h1", "h2"}, 2.0)
+    knowledge.confirm_division(5, {"h1", "h2", "h3"}, 3.0)
+    assert seen == [math.inf, 2.0 + WAIT_S]
+
+
+def test_later_version_proves_that_a_majority_knows_the_division(knowledge: Knowledge) -> None:
+    _install(knowledge, replace(STATE, version=6), now=4.0)
+    assert knowledge.division_settles_at == 4.0 + WAIT_S
+    _install(knowledge, replace(STATE, version=7, division_version=7), now=5.0)
+    assert math.isinf(knowledge.division_settles_at)
+
+
 @pytest.mark.parametrize(
     ("asked", "installed", "known", "vouches"),
     [(5, 5, 5, True), (5, 5, 6, False), (5, 6, 6, False), (6, 5, 6, False)],
--- a/tests/freshness/test_partitions.py
+++ b/tests/freshness/test_partitions.py
@@ -159,6 +159,29 @@
     run_on_injected_time(scenario())
 
 
+def test_division_that_the_majority_does_not_know_never_settles() -> None:
+    """The committer is cut off the moment its commit takes effect; the others have no store."""
+
+    async def scenario() -> None:
+        fleet = await _formed(5)
+        fleet.cut_store(fleet.hosts[1:])
+        change = ApplyConfiguration(fleet.state("h1").configuration_version, renamed("b"))
+        committing = asyncio.create_task(fleet.committed(change))
+        await fleet.until(lambda: fleet.state("h1").deployment.name == "b")
+        fleet.cut_peers("h1")
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            assert all(fleet.serves(host) for host in fleet.hosts)
+            assert fleet.state("h2").deployment.name == "test"
+            assert fleet.first.division_settles_at() > fleet.now
+        assert not (await committing).in_force
+        fleet.network.cuts.clear()
+        await fleet.until(lambda: fleet.first.division_settles_at() <= fleet.now)
+        assert all(fleet.state(host).deployment.name == "b" for host in fleet.hosts)
+
+    run_on_injected_time(scenario())
+
+
 def test_removed_host_with_a_proof_delays_the_next_report() -> None:
     async def scenario() -> None:
         fleet = await _formed(3)
--- a/tests/freshness/test_random.py
+++ b/tests/freshness/test_random.py
@@ -58,6 +58,7 @@
 
     async def _step(self) -> None:
         await asyncio.sleep(STEP_S)
+        settled = self._settled_division()
         for host, keeper in self.fleet.keepers_by_host.items():
             if keeper.current is None:
                 continue
@@ -65,9 +66,16 @@
             if not keeper.has_proof(self.fleet.now):
                 continue
             assert keeper.current.version >= self.in_force, f"{host} serves an old version"
+            assert keeper.current.version >= settled, f"{host} acts on an earlier division"
             served = {grant.key_id for grant in keeper.current.grants if not grant.withdrawn}
             assert not served & self.withdrawn, f"{host} serves a withdrawn key"
 
+    def _settled_division(self) -> int:
+        now = self.fleet.now
+        keepers = [each for each in self.fleet.keepers if each.division_settles_at() <= now]
+        states = [keeper.current for keeper in keepers]
+        return max((state.division_version for state in states if state), default=0)
+
     def _check_order(self, incarnation: str, version: int) -> None:
         assert version >= self.versions_by_incarnation.get(incarnation, 0)
         self.versions_by_incarnation[incarnation] = version
