--- a/src/flamingoladder/ledger/pruner.py
+++ b/src/flamingoladder/ledger/pruner.py
@@ -66,6 +66,9 @@
         loop = asyncio.get_running_loop()
         while True:
             horizon = await self._horizon(loop.time())
+            if horizon.answers == 0:
+                await asyncio.sleep(HORIZON_PAUSE_S)
+                continue
             until = loop.time() + HORIZON_PAUSE_S
             while loop.time() < until:
                 await asyncio.sleep(SHARD_PAUSE_S * (1 + len(self._links.hosts)))
@@ -76,7 +79,7 @@
 
         A caller's own key outlives its answer: its row is deleted only with ``horizon.keys``. With
         the outcome of a ticket goes its issuer's closing row, which states that all outcomes are
-        there. Return the number of rows pruned.
+        there: guard ``closing_pruned_with_outcomes``. Return the number of rows pruned.
 
         :raises PlatformError: if the table did not answer.
         """
@@ -98,8 +101,6 @@
             return Horizon(0, 0)
 
     async def _pruned(self, prefix: str, horizon: Horizon) -> None:
-        if horizon.answers == 0:
-            return
         try:
             rows = await self.prune(prefix, horizon)
         except PlatformError:
