Let shares of rates grow only once the division has settled

Cause: a part that grows waited for the term of a proof from having learned of the division. Since only key withdrawals block vouches, hosts cut off from the store and the committer can vouch for the division before through a whole outage, and go on spending by it: a time since learning bounds nothing. Now it grows from division_settles_at(): the term of a proof after a majority is known to know the division. Shown failing first: test_a_part_grows_only_once_the_division_has_settled with the earlier rule. Ruled out: blocking vouches on every open intent (a dead committer would stop all traffic during an outage). The guard of the model bears the new name.

--- a/bench/share_ways.py
+++ b/bench/share_ways.py
@@ -21,11 +21,11 @@
 from flamingoladder.shares.bucket import Part
 from flamingoladder.shares.demand import Demand
 from flamingoladder.shares.division import Division
-from flamingoladder.shares.division import grow_at
 from flamingoladder.shares.division import workspace_allowance
 from flamingoladder.standins.memory import MemoryTable
 from flamingoladder.standins.memory import StoredTable
 from flamingoladder.standins.state import SettableState
+from flamingoladder.standins.state import last_proof_ends_at
 from flamingoladder.timeline.recorder import Recorder
 
 if TYPE_CHECKING:
@@ -104,7 +104,9 @@
     def _bucket(self, allowance: str, host: str, incarnation: str, now: float) -> Bucket:
         bucket = Bucket(now)
         part = self.division.part_of(allowance, host, incarnation)
-        bucket.divide(part, grow_at(self.state.deployment.defaults, now), now, follows=False)
+        bucket.divide(
+            part, last_proof_ends_at(self.state.deployment.defaults, now), now, follows=False
+        )
         return bucket
 
     async def admit(self, arrival: Arrival) -> bool:
@@ -118,7 +120,9 @@
         self.division = Division.from_state(self.state)
         for (name, allowance), bucket in self.buckets.items():
             part = self.division.part_of(allowance, name, "1")
-            bucket.divide(part, grow_at(self.state.deployment.defaults, now), now, follows=True)
+            bucket.divide(
+                part, last_proof_ends_at(self.state.deployment.defaults, now), now, follows=True
+            )
 
 
 class Rebalanced(FixedSplit):
@@ -164,7 +168,7 @@
         if len(demands_by_host) < len(self.state.members) or host not in demands_by_host:
             return
         now = asyncio.get_running_loop().time()
-        may_grow_at = grow_at(self.state.deployment.defaults, now)
+        may_grow_at = last_proof_ends_at(self.state.deployment.defaults, now)
         for name, total in self.division.total_by_allowance.items():
             told = [demands[name] for demands in demands_by_host.values()]
             floor = FLOOR_SHARE * sum(told) + 1e-9
--- a/models/shares.py
+++ b/models/shares.py
@@ -29,7 +29,7 @@
 MAX_RESTARTS = 1
 GUARDS = (
     "has_proof",
-    "grow_at",
+    "division_settles_at",
     "keeps_smaller_part",
     "follows",
     "is_member",
@@ -163,7 +163,7 @@
         if "follows" in self.guards and not follows:
             kept = 0
         ended = "loans_end_at_division" in self.guards
-        waits = "grow_at" in self.guards
+        waits = "division_settles_at" in self.guards
         after = host._replace(
             version=now.version,
             own=kept if waits else part,
--- a/src/flamingoladder/shares/admission.py
+++ b/src/flamingoladder/shares/admission.py
@@ -14,7 +14,6 @@
 from flamingoladder.shares.conversation import Conversation
 from flamingoladder.shares.division import Division
 from flamingoladder.shares.division import follows
-from flamingoladder.shares.division import grow_at
 from flamingoladder.shares.division import workspace_allowance
 from flamingoladder.shares.lending import Lending
 from flamingoladder.shares.messages import DivisionAdopted
@@ -158,9 +157,10 @@
     def _adopt(self, state: AgreedState) -> None:
         earlier = self._adopted
         self._adopted = state
+        now = asyncio.get_running_loop().time()
         if earlier is not None and earlier.division_version >= state.division_version:
+            self._settle(now)
             return
-        now = asyncio.get_running_loop().time()
         self._division = Division.from_state(state)
         kept = earlier is not None and follows(earlier, state)
         self._expect_adoptions(earlier if kept else None, state, now)
@@ -177,7 +177,15 @@
             self._adoptions.expect_nothing()
         else:
             self._adoptions.expect(earlier, state, self._host)
-        self._settled_at = grow_at(state.deployment.defaults, now)
+        self._settled_at = self._state.division_settles_at()
+
+    def _settle(self, now: float) -> None:
+        """Take in from when nobody can act on an earlier division."""
+        settles_at = self._state.division_settles_at()
+        self._settled_at = min(self._settled_at, settles_at)
+        for account in self._accounts.values():
+            account.lending.bucket.grow_from(settles_at)
+            account.serve(now)
 
     def _is_settled(self, now: float) -> bool:
         """Return whether nobody can hold a part of a division before the last one."""
@@ -203,7 +211,7 @@
 
     def _divide(self, state: AgreedState, now: float, *, kept: bool) -> None:
         defaults = state.deployment.defaults
-        may_grow_at = grow_at(defaults, now)
+        may_grow_at = self._state.division_settles_at()
         for allowance in self._division.total_by_allowance:
             account = self._accounts.get(allowance)
             if account is None:
--- a/src/flamingoladder/shares/bucket.py
+++ b/src/flamingoladder/shares/bucket.py
@@ -107,6 +107,12 @@
         self._grow_at = grow_at
         self._recount()
 
+    def grow_from(self, grow_at: float) -> None:
+        """Set when the whole own part may be taken, if it isn't yet."""
+        if self._grown is not None:
+            self._grow_at = grow_at
+            self._recount()
+
     def grow(self, now: float) -> None:
         """Take the whole own part now; the units that come with it are room."""
         self.advance(now)
--- a/src/flamingoladder/shares/division.py
+++ b/src/flamingoladder/shares/division.py
@@ -10,7 +10,6 @@
 
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import AgreedState
-    from flamingoladder.config.model import Defaults
 
 
 def workspace_allowance(workspace: str) -> str:
@@ -75,14 +74,6 @@
     return Part(units, total.rate // left if units else 0)
 
 
-def grow_at(defaults: Defaults, now: float) -> float:
-    """Return when a part may grow that was learned of at ``now``.
-
-    By then every other host knows of the division too, or has lost its proof.
-    """
-    return now + defaults.proof_s * (1 + defaults.clock_drift)
-
-
 def follows(earlier: AgreedState, later: AgreedState) -> bool:
     """Return whether no other division was in force between these two states.
 
--- a/tests/shares/fleet.py
+++ b/tests/shares/fleet.py
@@ -32,11 +32,14 @@
 class Fleet:
     """Seven hosts; ``admitted_at`` has the times at which requests were paid for."""
 
-    def __init__(self, seed: int = 1, loss: float = 0.0) -> None:
+    def __init__(self, seed: int = 1, loss: float = 0.0, settles_at: float | None = None) -> None:
         self.random = Random(seed)
         self.state = agreed(TJALDVIK, LIMITS)
         self.network = network(self.state, self.random, loss)
         self.states = {m.host: SettableState(self.state) for m in self.state.members}
+        if settles_at is not None:
+            for state in self.states.values():
+                state.settles_at = settles_at
         self.admissions = {
             m.host: ShareAdmission.from_config(
                 self.network.join(m.host, m.incarnation),
--- a/tests/shares/test_admission.py
+++ b/tests/shares/test_admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 import pytest
@@ -259,3 +260,24 @@
         return len(fleet.admitted_at)
 
     assert run_on_injected_time(scenario()) >= BURST * 0.9
+
+
+@pytest.mark.parametrize("settles_s", [None, 5.0, 60.0])
+def test_a_part_grows_only_once_the_division_has_settled(settles_s: float | None) -> None:
+    """However long ago the division was learned of, others may hold the one before."""
+
+    async def scenario() -> list[Reason | None]:
+        fleet = Fleet(settles_at=math.inf)
+        await asyncio.sleep(FULL_S)
+        before = await fleet.send("h0")
+        if settles_s is not None:
+            for state in fleet.states.values():
+                state.settle(FULL_S + settles_s)
+            await asyncio.sleep(settles_s + FULL_S)
+        after = await fleet.send("h0")
+        fleet.close()
+        return [before, after]
+
+    refused = Reason.RATE_EXCEEDED
+    expected = [refused, refused if settles_s is None else None]
+    assert run_on_injected_time(scenario()) == expected
--- a/tests/shares/test_division.py
+++ b/tests/shares/test_division.py
@@ -11,8 +11,8 @@
 from flamingoladder.shares.bucket import NANOS_PER_UNIT
 from flamingoladder.shares.division import Division
 from flamingoladder.shares.division import follows
-from flamingoladder.shares.division import grow_at
 from flamingoladder.shares.division import workspace_allowance
+from flamingoladder.standins.state import last_proof_ends_at
 
 ALLOWANCE = workspace_allowance("w")
 
@@ -46,4 +46,6 @@
 
 def test_growth_waits_for_proof_to_lapse_everywhere() -> None:
     defaults = agreed(TJALDVIK, {}).deployment.defaults
-    assert grow_at(defaults, 10.0) >= 10.0 + defaults.proof_s * (1 + defaults.clock_drift)
+    assert last_proof_ends_at(defaults, 10.0) >= 10.0 + defaults.proof_s * (
+        1 + defaults.clock_drift
+    )
--- a/tests/shares/world.py
+++ b/tests/shares/world.py
@@ -16,9 +16,9 @@
 from flamingoladder.config.model import Workspace
 from flamingoladder.shares.division import Division
 from flamingoladder.shares.division import follows
-from flamingoladder.shares.division import grow_at
 from flamingoladder.shares.division import workspace_allowance
 from flamingoladder.shares.lending import Lending
+from flamingoladder.standins.state import last_proof_ends_at
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -109,7 +109,7 @@
         part = division.part_of(ALLOWANCE, host.name, host.incarnation)
         now = self.local(host)
         kept = earlier is not None and follows(earlier, state)
-        may_grow_at = grow_at(self.defaults, now)
+        may_grow_at = last_proof_ends_at(self.defaults, now)
         host.lending.adopt(division, part, may_grow_at, now, follows=kept)
 
     def commit(self, **changes: object) -> None:
