--- a/src/flamingoladder/ledger/reader.py
+++ b/src/flamingoladder/ledger/reader.py
@@ -19,7 +19,7 @@
     from flamingoladder.platform.table import TableService
     from flamingoladder.verdict import Outcome
 
-TABLE_TIMEOUT_S = 0.5
+TABLE_TIMEOUT_S = 0.8
 READ_PAUSE_S = 0.05
 
 
