Let a damaged row stop neither the writer nor the pruner

Cause: a row that can't be decoded raised in the background task, which began again with the same batch, so no outcome behind it reached the table. The test failed without the change.

--- a/src/flamingoladder/ledger/pruner.py
+++ b/src/flamingoladder/ledger/pruner.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from flamingoladder.ledger.entries import ANSWER_NOT_KEPT
+from flamingoladder.ledger.exceptions import LedgerRowError
 from flamingoladder.ledger.marks import Horizon
 from flamingoladder.ledger.reader import TABLE_TIMEOUT_S
 from flamingoladder.ledger.records import CLAIMS_PREFIX
@@ -103,7 +104,8 @@
     async def _pruned(self, prefix: str, horizon: Horizon) -> None:
         try:
             rows = await self.prune(prefix, horizon)
-        except PlatformError:
+        except (LedgerRowError, PlatformError) as error:
+            self._recorder.record("ledger.prune_failed", error=error)
             return
         if rows:
             self._recorder.record("ledger.pruned", rows=rows, revision=horizon.answers)
--- a/src/flamingoladder/ledger/writer.py
+++ b/src/flamingoladder/ledger/writer.py
@@ -8,6 +8,7 @@
 from enum import auto
 from typing import TYPE_CHECKING
 
+from flamingoladder.ledger.exceptions import LedgerRowError
 from flamingoladder.ledger.reader import TABLE_TIMEOUT_S
 from flamingoladder.ledger.records import CLAIMS_PREFIX
 from flamingoladder.ledger.records import ClaimRow
@@ -194,7 +195,11 @@
         return commit.committed
 
     def _is_claim_of(self, entry: Entry, value: bytes) -> bool:
-        claim = decode_claim(value)
+        try:
+            claim = decode_claim(value)
+        except LedgerRowError as error:
+            self._recorder.record("ledger.bad_row", error=error)
+            return False
         holder = (claim.host, claim.incarnation, claim.attempt)
         own = (self._recorder.host, self._recorder.incarnation, entry.attempt)
         return holder == own and claim.state is ClaimState.CLAIMED
--- a/tests/ledger/test_failures.py
+++ b/tests/ledger/test_failures.py
@@ -8,6 +8,8 @@
 import pytest
 
 from flamingoladder.ledger.reader import TABLE_TIMEOUT_S
+from flamingoladder.ledger.records import claim_name
+from flamingoladder.platform.table import Write
 from flamingoladder.standins.loop import run_on_injected_time
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
@@ -316,3 +318,19 @@
         assert said(await fleet["b"].send("k")) == RAN
 
     run_on_injected_time(scenario())
+
+
+def test_damaged_row_is_no_word_on_its_key_and_stops_no_other_write() -> None:
+    async def scenario() -> None:
+        fleet = Fleet("a", "b")
+        booking = asyncio.create_task(fleet["a"].send("k"))
+        await asyncio.sleep(0.03)
+        fleet.stored.transact([], [Write(claim_name("w", "k"), b"\xc1")])
+        assert said(await booking) == RAN
+        assert said(await fleet["b"].send("k"))[0] is Verdict.MAY_HAVE_RUN
+        await fleet["a"].send("k2")
+        await asyncio.sleep(1.0)
+        fleet["a"].kill()
+        assert said(await fleet["b"].send("k2")) == RAN
+
+    run_on_injected_time(scenario())
