Mark shed requests in the upstream stand-in; send request metrics; freeze the collector

Cause: a 503 without the shed marker may be the answer of a run, so a booking that the stand-in shed counted as ran. The stand-in marks them now, as docs/upstreams.md asks of upstreams. The deployment's control calls stood twice; they use the control clients. Ruled out: reading every 503 as not run. Shown failing first without the marker: test_a_booking_that_a_draining_upstream_turns_away_runs_elsewhere.

--- a/src/flamingoladder/daemon/application.py
+++ b/src/flamingoladder/daemon/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import signal
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from flamingoladder.daemon.supervision import supervised
 from flamingoladder.daemon.tls import tls_context
 from flamingoladder.daemon.upstream_side import UpstreamSide
+from flamingoladder.gateway.metrics import RequestMetrics
 from flamingoladder.gateway.server import GatewayServer
 from flamingoladder.operators.access import OperatorAccess
 from flamingoladder.operators.server import OperatorServer
@@ -89,11 +91,7 @@
         :raises OSError: if a port or file cannot be had.
         """
         settings = self._settings
-        if settings.statsd_host is not None:
-            metrics = EventMetrics.from_config(
-                settings.statsd_host, settings.statsd_port, settings.host
-            )
-            metrics.follow(self._recorder.events)
+        self._send_metrics()
         self._links.start(settings.peer_endpoint)
         await self._gateway.start()
         await self._operators.start(
@@ -107,6 +105,15 @@
         self._directory_task = asyncio.create_task(directory)
         self._recorder.record("daemon.started", address=settings.address)
 
+    def _send_metrics(self) -> None:
+        host, port = self._settings.statsd_host, self._settings.statsd_port
+        if host is None:
+            return
+        events = EventMetrics.from_config(host, port, self._settings.host)
+        events.follow(self._recorder.events)
+        requests = RequestMetrics.from_config(host, port, self._settings.host)
+        requests.follow(self._gateway.ended)
+
     async def stop(self) -> None:
         """Stop gracefully: leave the look-ups' answers, finish requests, give back everything."""
         self._recorder.record("daemon.stopping")
@@ -145,5 +152,8 @@
     with log_handler(settings.log_level, settings.log_file).applicationbound():
         daemon = EntryDaemon.from_config(settings)
         await daemon.start()
+        # What was imported and built lives for good: the collector need not look at it again.
+        gc.collect()
+        gc.freeze()
         await asked_to_stop.wait()
         await daemon.stop()
--- a/src/flamingoladder/standins/deployment.py
+++ b/src/flamingoladder/standins/deployment.py
@@ -20,13 +20,13 @@
 from flamingoladder.operators.messages import KeyRequest
 from flamingoladder.platform.hostlist import HostStatus
 from flamingoladder.platform.hostlist import ListedHost
+from flamingoladder.standins.control import PlatformControl
+from flamingoladder.standins.control import UpstreamControl
 from flamingoladder.standins.exceptions import CallFailedError
-from flamingoladder.standins.platform import FaultSettings
 from flamingoladder.standins.platform import HostSettings
 from flamingoladder.standins.processes import LOOPBACK
 from flamingoladder.standins.processes import Processes
 from flamingoladder.standins.processes import free_ports
-from flamingoladder.standins.upstream_messages import RunsReport
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -34,7 +34,9 @@
 
     from flamingoladder.config.model import Deployment
     from flamingoladder.console.operator_console import R
+    from flamingoladder.standins.platform import FaultSettings
     from flamingoladder.standins.processes import ManagedProcess
+    from flamingoladder.standins.upstream_messages import RunsReport
 
 HOSTS = 7
 PORTS_PER_HOST = 3
@@ -71,6 +73,7 @@
 
     __slots__ = (
         "_document",
+        "_platform",
         "_token",
         "_upstream_arguments",
         "deployment",
@@ -97,6 +100,7 @@
         self.deployment: Deployment = validate(document).ok
         first = free_ports(1 + HOSTS * PORTS_PER_HOST, random)
         self.platform_url = f"http://{LOOPBACK}:{first}"
+        self._platform = PlatformControl(self.platform_url, self._token)
         self.hosts = self._place_hosts(first + 1)
 
     @classmethod
@@ -217,29 +221,22 @@
         defaults = {**self._document["defaults"], "deadline_ms": deadline_ms}
         return yaml.safe_dump({**self._document, "defaults": defaults}).encode()
 
+    def upstream_control(self, service: str, index: int) -> UpstreamControl:
+        """Return the control of a service's target, counted from 0."""
+        return UpstreamControl(f"http://{LOOPBACK}:{self.first_ports_by_service[service] + index}")
+
     async def runs(self, service: str) -> RunsReport:
         """Return the runs that a service's targets have seen."""
-        url = f"http://{LOOPBACK}:{self.first_ports_by_service[service]}/runs"
-        async with aiohttp.ClientSession() as session, session.get(url) as response:
-            return msgspec.json.decode(await response.read(), type=RunsReport)
+        return await self.upstream_control(service, 0).runs()
 
     async def set_faults(self, faults: FaultSettings) -> None:
         """Switch faults of the platform on or off."""
-        await self._control("/faults", msgspec.json.encode(faults))
+        await self._platform.set_faults(faults)
 
     async def list_hosts(self, hosts: tuple[str, ...]) -> None:
         """Let the platform's list hold just these hosts, as live."""
         listed = tuple(ListedHost(host, HostStatus.LIVE) for host in hosts)
-        await self._control("/hosts", msgspec.json.encode(HostSettings(hosts=listed)))
-
-    async def _control(self, path: str, body: bytes) -> None:
-        headers = {"Authorization": f"Bearer {self._token}"}
-        async with (
-            aiohttp.ClientSession() as session,
-            session.put(self.platform_url + path, data=body, headers=headers) as response,
-        ):
-            if not response.ok:
-                raise CallFailedError(f"{path}: status {response.status}")
+        await self._platform.set_hosts(HostSettings(hosts=listed))
 
     def _move_targets(self, random: Random) -> dict[str, int]:
         first_ports = {}
--- a/src/flamingoladder/standins/upstream_server.py
+++ b/src/flamingoladder/standins/upstream_server.py
@@ -14,6 +14,7 @@
 import msgspec
 from aiohttp import web
 
+from flamingoladder import fields
 from flamingoladder.standins.exceptions import ShedError
 from flamingoladder.standins.server import ApplicationServer
 from flamingoladder.standins.upstream import MILLISECONDS_PER_SECOND
@@ -215,7 +216,8 @@
 
 
 def _unavailable(reason: str) -> web.Response:
-    headers = {"Retry-After": str(RETRY_AFTER_S)}
+    """Turn a request away that has not run, as the shed marker states."""
+    headers = {"Retry-After": str(RETRY_AFTER_S), fields.SHED: "1"}
     return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, text=reason, headers=headers)
 
 
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -13,6 +13,7 @@
 from flamingoladder.operators.messages import ErrorCode
 from flamingoladder.operators.messages import StateReply
 from flamingoladder.standins.platform import FaultSettings
+from flamingoladder.standins.upstream_messages import Control
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
 from tests.processes.requests import book
@@ -197,3 +198,18 @@
     await deployment.wait_until_serving(kept.key)
     for host in deployment.hosts:
         assert (await look(host, withdrawn.key)).reason is Reason.KEY_WITHDRAWN
+
+
+async def test_a_booking_that_a_draining_upstream_turns_away_runs_elsewhere(
+    deployment: LocalDeployment, key_name: str
+) -> None:
+    key = (await deployment.grant(WORKSPACE)).key
+    draining = deployment.upstream_control("bookings", 0)
+    await draining.control(Control(draining=True))
+    told = [await book(host, key, f"{key_name}-{host.name}") for host in deployment.hosts]
+    await draining.control(Control(draining=False))
+    assert [each.verdict for each in told] == [Verdict.RAN] * len(told)
+    for host in deployment.hosts:
+        runs = await runs_of(deployment, f"{key_name}-{host.name}")
+        assert len(runs) == 1
+        assert runs[0].target != "bookings-01"
