--- a/src/flamingoladder/shares/admission.py
+++ b/src/flamingoladder/shares/admission.py
@@ -193,7 +193,7 @@
 
     def _announce(self, earlier: AgreedState | None, state: AgreedState) -> None:
         before = earlier.members_by_host if earlier is not None else {}
-        for host in (before | state.members_by_host).keys() - {self._host}:
+        for host in sorted((before | state.members_by_host).keys() - {self._host}):
             self._links.tell(host, DivisionAdopted(state.division_version))
 
     async def _note_adoption(self, peer: Peer, message: DivisionAdopted) -> None:
--- a/src/flamingoladder/shares/conversation.py
+++ b/src/flamingoladder/shares/conversation.py
@@ -67,7 +67,7 @@
         self._links = links
         self._accounts = accounts
         self._backoff_by_allowance: dict[str, Backoff] = {}
-        self._due: set[str] = set()
+        self._due: dict[str, None] = {}
         self._wake = asyncio.Event()
         self._task = asyncio.create_task(self._run())
 
@@ -85,7 +85,7 @@
     def ask(self, allowance: str, expected: int) -> None:
         """Put a question with the next request."""
         self.expected_by_allowance[allowance] = expected
-        self._due.add(allowance)
+        self._due[allowance] = None
         self._wake.set()
 
     async def _run(self) -> None:
@@ -108,7 +108,7 @@
     def _renew(self, now: float) -> None:
         for allowance, account in self._accounts.items():
             if account.lending.should_renew(self.host, now):
-                self._due.add(allowance)
+                self._due[allowance] = None
 
     async def _exchange(self) -> None:
         loop = asyncio.get_running_loop()
