Serve waiting requests by their workspaces' rates, and compare waiting per slot between hosts

Cause: first come, first served lets one workspace at five times its rate fill the queue. Slots moved by the number of waiting requests alone went to hosts that had most already (small workspaces were refused); now by requests waiting per slot. Seen failing with first come, first served: tests/steering/test_fair_queue.py (proportion, burst, giving up) and test_fairness.py.

--- a/bench/steering_fleet.py
+++ b/bench/steering_fleet.py
@@ -29,12 +29,14 @@
 if TYPE_CHECKING:
     from flamingoladder.config.model import Deployment
     from flamingoladder.steering.chooser import Reservation
+    from flamingoladder.upstreams.targets import DeclaredTarget
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 HOSTS_PER_REGION = (3, 2, 2)
 ATTEMPTS = 3
 MS_PER_S = 1_000
-SLOTS = 3
+SHED_S = 0.002
+LOSS_SEEN_S = 3.0
 
 
 def example(name: str) -> Deployment:
@@ -73,13 +75,18 @@
 
 
 class ModelTarget:
-    """A target that sheds what exceeds its slots, and is slow while it is cold."""
+    """A target that sheds what exceeds its slots.
 
-    __slots__ = ("down", "excess", "factor", "in_progress", "shed", "slots")
+    ``excess`` is the largest number of requests that it had at once over its slots; a shed request
+    counts for as long as a target takes to turn it away.
+    """
+
+    __slots__ = ("down", "excess", "factor", "in_progress", "present", "shed", "slots")
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.in_progress = 0
+        self.present = 0
         self.excess = 0
         self.shed = 0
         self.down = False
@@ -89,9 +96,17 @@
         """Run a request, or turn it away."""
         if self.down:
             return AttemptEnd.UNREACHABLE
-        self.excess = max(self.excess, self.in_progress + 1 - self.slots)
+        self.present += 1
+        self.excess = max(self.excess, self.present - self.slots)
+        try:
+            return await self._run(service_s, deadline)
+        finally:
+            self.present -= 1
+
+    async def _run(self, service_s: float, deadline: float) -> AttemptEnd:
         if self.in_progress >= self.slots:
             self.shed += 1
+            await asyncio.sleep(SHED_S)
             return AttemptEnd.SHED
         self.in_progress += 1
         left_s = deadline - asyncio.get_running_loop().time()
@@ -194,6 +209,19 @@
         self.network.leave(host)
         self.hosts.pop(host).chooser.close()
 
+    @property
+    def declared(self) -> tuple[DeclaredTarget, ...]:
+        """Return the targets as declared."""
+        return declared_targets(self.agreed)
+
+    def lose(self, hosts: set[str]) -> None:
+        """Kill hosts; the others learn of it when the first silence is over."""
+        for host in hosts:
+            self.kill(host)
+        members = tuple(m for m in self.agreed.members if m.host not in hosts)
+        loop = asyncio.get_running_loop()
+        loop.call_later(LOSS_SEEN_S, lambda: self.commit(divides=True, members=members))
+
     def commit(self, *, divides: bool, **changes: object) -> None:
         """Put a changed state in force at all hosts."""
         self.agreed = next_state(self.agreed, divides=divides, **changes)
@@ -216,10 +244,9 @@
         await asyncio.sleep(at - loop.time())
         sent = Sent(host, workspace, service, at)
         self.sent.append(sent)
-        entry = self.hosts.get(host)
-        if entry is None:
-            sent.end = "host_lost"
-            return sent
+        # Callers fail over to another host.
+        entry = self.hosts.get(host) or self.random.choice(list(self.hosts.values()))
+        sent.host = entry.member.host
         route = self.deployment.services[service].routes[0]
         deadline_ms = route.deadline_ms or self.deployment.defaults.deadline_ms
         request = request_of(service, workspace, route, at + deadline_ms / MS_PER_S)
--- a/src/flamingoladder/steering/conversation.py
+++ b/src/flamingoladder/steering/conversation.py
@@ -16,6 +16,7 @@
     from flamingoladder.peers.link import PeerLinks
     from flamingoladder.steering.book import SlotBook
     from flamingoladder.steering.leasing import Leasing
+    from flamingoladder.steering.messages import Waiting
 
 RENEW_S = 1.0
 LOOK_S = 0.25
@@ -62,7 +63,7 @@
         self.peer = peer
         self.round_trip_s = round_trip_s
         self.wanted_by_service: dict[str, int] = {}
-        self.waiting_by_service: dict[str, int] = {}
+        self.waiting_by_service: dict[str, Waiting] = {}
         self.unsure = False
         self._links = links
         self._leasing = leasing
--- a/src/flamingoladder/steering/fair_queue.py
+++ b/src/flamingoladder/steering/fair_queue.py
@@ -1,9 +1,9 @@
 """The requests that wait for a slot of one service, in the order of start-time fair queueing.
 
-Each request starts, in virtual time, where the last one of its workspace ended, or now if that is
-past; it lasts one over its workspace's weight. The earliest start goes first. So each workspace
-with requests waiting is served in proportion to its weight, and one that sends less than its part
-hardly waits for the others.
+Each request starts, in virtual time, where the last one of its workspace ended, and lasts one over
+its workspace's rate. The earliest start goes first. So each workspace with requests waiting is
+served in proportion to its rate. One that sent less than its part may lag behind the present by its
+burst, so that a few requests at once of a small workspace hardly wait for those of the others.
 """
 
 from __future__ import annotations
@@ -20,6 +20,16 @@
     from flamingoladder.steering.chooser import Reservation
 
 
+class Weight:
+    """A workspace's rate per second and burst, by which it is served."""
+
+    __slots__ = ("burst", "rate")
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = burst
+
+
 class Waiter:
     """A request that waits; ``turn`` brings its reservation."""
 
@@ -54,26 +64,21 @@
 class FairQueue:
     """The waiting requests of one service at one host."""
 
-    __slots__ = ("_ends_by_workspace", "_joined", "_now", "_waiters", "_waiting_by_workspace")
+    __slots__ = ("_ends_by_workspace", "_joined", "_now", "_waiters", "_waiting")
 
     def __init__(self) -> None:
         self._now = 0.0
         self._joined = 0
         self._waiters: list[Waiter] = []
         self._ends_by_workspace: dict[str, float] = {}
-        self._waiting_by_workspace: dict[str, int] = {}
+        self._waiting = 0
 
     def __len__(self) -> int:
-        return sum(self._waiting_by_workspace.values())
-
-    def waiting(self, workspace: str) -> int:
-        """Return how many requests of the workspace wait."""
-        return self._waiting_by_workspace.get(workspace, 0)
+        return self._waiting
 
-    @property
-    def workspaces(self) -> Collection[str]:
-        """Return the workspaces that have requests waiting."""
-        return self._waiting_by_workspace.keys()
+    def before(self, waiter: Waiter) -> int:
+        """Return how many requests are to be served before ``waiter``."""
+        return sum(other < waiter and not other.turn.done() for other in self._waiters)
 
     def first_waits_s(self, now: float) -> float:
         """Return how long the request to be served next has waited, in seconds."""
@@ -82,16 +87,17 @@
         return now - self._waiters[0].joined_at if self._waiters else 0.0
 
     def join(
-        self, request: CallerRequest, tried: Collection[str], weight: float, now: float
+        self, request: CallerRequest, tried: Collection[str], weight: Weight, now: float
     ) -> Waiter:
         """Let a request wait; ``weight`` is its workspace's."""
         workspace = request.workspace or ""
-        start = max(self._now, self._ends_by_workspace.get(workspace, 0.0))
-        self._ends_by_workspace[workspace] = start + 1 / weight
+        earliest = self._now - weight.burst / weight.rate
+        start = max(earliest, self._ends_by_workspace.get(workspace, earliest))
+        self._ends_by_workspace[workspace] = start + 1 / weight.rate
         self._joined += 1
         waiter = Waiter(request, tried, start, self._joined, now)
         heapq.heappush(self._waiters, waiter)
-        self._waiting_by_workspace[workspace] = self.waiting(workspace) + 1
+        self._waiting += 1
         return waiter
 
     def in_order(self) -> Iterator[Waiter]:
@@ -112,20 +118,13 @@
     def serve(self, waiter: Waiter, reservation: Reservation) -> None:
         """Let a request go on with ``reservation``."""
         self._now = max(self._now, waiter.start)
-        self._leave(waiter)
+        self._waiting -= 1
         waiter.turn.set_result(reservation)
 
-    def give_up(self, waiter: Waiter, weight: float) -> None:
+    def give_up(self, waiter: Waiter, weight: Weight) -> None:
         """Take a request off that won't wait any longer; its workspace isn't charged for it."""
         if waiter.turn.done() and not waiter.turn.cancelled():
             return
         waiter.turn.cancel()
-        self._leave(waiter)
-        self._ends_by_workspace[waiter.workspace] -= 1 / weight
-
-    def _leave(self, waiter: Waiter) -> None:
-        left = self._waiting_by_workspace[waiter.workspace] - 1
-        if left:
-            self._waiting_by_workspace[waiter.workspace] = left
-        else:
-            del self._waiting_by_workspace[waiter.workspace]
+        self._waiting -= 1
+        self._ends_by_workspace[waiter.workspace] -= 1 / weight.rate
--- a/src/flamingoladder/steering/leasing.py
+++ b/src/flamingoladder/steering/leasing.py
@@ -9,6 +9,7 @@
 from flamingoladder.steering.messages import Slot
 from flamingoladder.steering.messages import SlotAnswer
 from flamingoladder.steering.messages import SlotQuestion
+from flamingoladder.steering.messages import Waiting
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -67,7 +68,7 @@
                 self._book.give_up(held)
         slots = tuple(held.slot for held in self._book.borrowed_from(giver, now))
         return SlotQuestion(
-            self.division_version, self._sequence, slots, dict(wanted), dict(self._waiting())
+            self.division_version, self._sequence, slots, dict(wanted), self._waiting(now)
         )
 
     def hear(self, taker: Peer, question: SlotQuestion, now: float) -> bool:
@@ -106,7 +107,7 @@
             if service == wins:
                 granted += self._lend(taker, self._book.lendable(service, now)[:1], now)
                 continue
-            urgent = question.waiting_by_service.get(service, 0) > 0
+            urgent = service in question.waiting_by_service
             far = taker.host in self.far_hosts
             spare = self._spare(service, now, urgent=urgent, far=far)
             granted += self._lend(taker, spare[:wanted], now)
@@ -135,8 +136,14 @@
                 found = True
         return found
 
-    def _waiting(self) -> dict[str, int]:
-        return {name: count for name, count in self._waiting_by_service.items() if count}
+    def waiting_here(self, service: str, now: float) -> Waiting:
+        """Return this host's waiting requests of a service."""
+        slots = self._book.usable_count(service, now)
+        return Waiting(self._waiting_by_service.get(service, 0), slots)
+
+    def _waiting(self, now: float) -> dict[str, Waiting]:
+        counts = self._waiting_by_service
+        return {name: self.waiting_here(name, now) for name, count in counts.items() if count}
 
     def has_idle(self, giver: Peer, now: float) -> bool:
         """Return whether a slot of ``giver`` is to go back."""
--- a/src/flamingoladder/steering/messages.py
+++ b/src/flamingoladder/steering/messages.py
@@ -17,19 +17,31 @@
         return self.target.partition("/")[0]
 
 
+class Waiting(msgspec.Struct, frozen=True, array_like=True):
+    """How many requests of a service wait at a host, and how many slots it has for them."""
+
+    requests: int
+    slots: int
+
+    @property
+    def for_each_slot(self) -> float:
+        """Return how many requests wait for each slot, counting one more slot."""
+        return self.requests / (self.slots + 1)
+
+
 class SlotQuestion(msgspec.Struct, frozen=True, tag="slot_question"):
     """Asks for leases on slots, and states which of the receiver's slots the sender holds.
 
     ``sequence`` rises with each question of one run of the sender. A question voids every answer
     to an earlier one: the sender will not use what such an answer grants. ``waiting_by_service``
-    counts the sender's requests that wait for a slot.
+    has the sender's requests that wait for a slot, where there are any.
     """
 
     division_version: int
     sequence: int
     held: tuple[Slot, ...]
     wanted_by_service: dict[str, int]
-    waiting_by_service: dict[str, int]
+    waiting_by_service: dict[str, Waiting]
 
 
 class SlotAnswer(msgspec.Struct, frozen=True, tag="slot_answer"):
--- a/src/flamingoladder/steering/slot_chooser.py
+++ b/src/flamingoladder/steering/slot_chooser.py
@@ -11,6 +11,7 @@
 from flamingoladder.steering.chooser import Reservation
 from flamingoladder.steering.chooser import TargetChooser
 from flamingoladder.steering.fair_queue import FairQueue
+from flamingoladder.steering.fair_queue import Weight
 from flamingoladder.steering.preference import Preference
 from flamingoladder.steering.slot_sharing import SlotSharing
 from flamingoladder.upstreams.targets import declared_targets
@@ -101,11 +102,11 @@
             return _no_capacity("no target takes work", None)
         if not self._state.has_proof(now):
             return _no_proof()
-        weight = self._weight(request)
+        weight = self._weight_of(request.workspace or "")
         self._sharing.needs_by_service[request.service].arrive(now)
         waiter = service.queue.join(request, tried, weight, now)
         self._serve(service, now)
-        wait_s = 0.0 if waiter.turn.done() else self._expected_wait_s(service, waiter, weight, now)
+        wait_s = 0.0 if waiter.turn.done() else self._expected_wait_s(service, waiter, now)
         if now + wait_s > request.deadline or len(service.queue) > MAX_WAITING:
             self._give_up(service, waiter, weight)
             return _no_capacity("all slots are in use beyond the deadline", wait_s)
@@ -131,7 +132,7 @@
             self._serve(service, now)
 
     async def _wait(
-        self, service: ServiceQueue, waiter: Waiter, weight: float
+        self, service: ServiceQueue, waiter: Waiter, weight: Weight
     ) -> Reservation | Refusal:
         try:
             async with asyncio.timeout_at(waiter.request.deadline):
@@ -148,7 +149,7 @@
             self._give_up(service, waiter, weight)
             raise
 
-    def _give_up(self, service: ServiceQueue, waiter: Waiter, weight: float) -> None:
+    def _give_up(self, service: ServiceQueue, waiter: Waiter, weight: Weight) -> None:
         service.queue.give_up(waiter, weight)
         self._sharing.waiting_by_service[service.service] = len(service.queue)
 
@@ -204,25 +205,20 @@
         need = self._sharing.needs_by_service[service.service]
         return place * need.duration_s / count if count else inf
 
-    def _expected_wait_s(
-        self, service: ServiceQueue, waiter: Waiter, weight: float, now: float
-    ) -> float:
-        """Return how long the last request of the workspace will probably wait."""
+    def _expected_wait_s(self, service: ServiceQueue, waiter: Waiter, now: float) -> float:
+        """Return how long a request will probably wait."""
         count = self._sharing.book.usable_count(service.service, now)
         if not count:
             return 0.0
         duration_s = self._sharing.needs_by_service[service.service].duration_s
-        weights = sum(self._weight_of(name) for name in service.queue.workspaces)
-        turns = 1 + (service.queue.waiting(waiter.workspace) - 1) * weights / weight
-        return min(turns, len(service.queue)) * duration_s / count
-
-    def _weight(self, request: CallerRequest) -> float:
-        return self._weight_of(request.workspace or "")
-
-    def _weight_of(self, workspace: str) -> float:
-        if workspace in self._deployment.workspaces:
-            return self._deployment.rate_of(workspace)
-        return self._deployment.defaults.workspace_rate_per_s
+        return (1 + service.queue.before(waiter)) * duration_s / count
+
+    def _weight_of(self, workspace: str) -> Weight:
+        deployment = self._deployment
+        if workspace in deployment.workspaces:
+            return Weight(deployment.rate_of(workspace), deployment.burst_of(workspace))
+        defaults = deployment.defaults
+        return Weight(defaults.workspace_rate_per_s, defaults.workspace_burst)
 
     def _follow(self, state: AgreedState) -> None:
         self._deployment = state.deployment
--- a/src/flamingoladder/steering/slot_sharing.py
+++ b/src/flamingoladder/steering/slot_sharing.py
@@ -17,6 +17,7 @@
 from flamingoladder.steering.leasing import Leasing
 from flamingoladder.steering.messages import SlotQuestion
 from flamingoladder.steering.messages import SlotsReleased
+from flamingoladder.steering.messages import Waiting
 from flamingoladder.steering.need import Need
 
 if TYPE_CHECKING:
@@ -33,7 +34,7 @@
 
 MAX_BATCH = 4
 LONGER_FACTOR = 1.5
-LONGER_MARGIN = 2
+NONE_WAITING = Waiting(0, 0)
 
 
 class HeldQuestion:
@@ -51,11 +52,11 @@
         """Return whether the answer was given."""
         return self._answer.done()
 
-    def waiting(self, service: str) -> int:
-        """Return how many requests wait for slots that the question asks for."""
+    def waiting(self, service: str) -> Waiting:
+        """Return the requests that wait for slots that the question asks for."""
         if service not in self.question.wanted_by_service:
-            return 0
-        return self.question.waiting_by_service.get(service, 0)
+            return NONE_WAITING
+        return self.question.waiting_by_service.get(service, NONE_WAITING)
 
     def give(self, answer: SlotAnswer | None) -> None:
         """Answer the question."""
@@ -152,7 +153,7 @@
     def finish(self, held: HeldSlot, now: float) -> None:
         """Take in that the request on the slot has ended."""
         self.book.finish(held, now)
-        self._return_if_owner_waits(held)
+        self._return_if_owner_waits(held, now)
         if held in self._dropped:
             self._dropped.discard(held)
             self._hand_over([held.slot])
@@ -176,7 +177,7 @@
 
     def lend_to_waiting(self, service: str, now: float) -> None:
         """Answer questions of hosts where more requests wait for the service than here."""
-        waiting_here = self.waiting_by_service.get(service, 0)
+        waiting_here = self._leasing.waiting_here(service, now) if self._held else NONE_WAITING
         for held in tuple(self._held):
             if not self.book.lendable(service, now):
                 return
@@ -184,7 +185,7 @@
                 continue
             if not _is_longer(held.waiting(service), waiting_here):
                 continue
-            if waiting_here and held.peer.host in self._leasing.far_hosts:
+            if waiting_here.requests and held.peer.host in self._leasing.far_hosts:
                 continue
             held.give(self._leasing.answer(held.peer, held.question, now, wins=service))
 
@@ -244,12 +245,12 @@
             return None
         return self._leasing.answer(peer, question, loop.time())
 
-    def _return_if_owner_waits(self, held: HeldSlot) -> None:
+    def _return_if_owner_waits(self, held: HeldSlot, now: float) -> None:
         talk = self._talks_by_host.get(held.giver.host) if held.giver else None
         if talk is None:
             return
-        waiting_here = self.waiting_by_service.get(held.service, 0)
-        if _is_longer(talk.waiting_by_service.get(held.service, 0), waiting_here):
+        waiting_there = talk.waiting_by_service.get(held.service, NONE_WAITING)
+        if _is_longer(waiting_there, self._leasing.waiting_here(held.service, now)):
             self.book.give_up(held)
             talk.wake()
 
@@ -317,11 +318,11 @@
     return (proof_s + longest_s) * (1 + drift) + SETTLE_S
 
 
-def _is_longer(waiting_there: int, waiting_here: int) -> bool:
-    """Return whether so many more requests wait there that moving a slot is worth while."""
-    if not waiting_here:
-        return waiting_there > 0
-    return waiting_there > LONGER_FACTOR * waiting_here + LONGER_MARGIN
+def _is_longer(there: Waiting, here: Waiting) -> bool:
+    """Return whether requests wait so much longer there that moving a slot is worth while."""
+    if not here.requests:
+        return there.requests > 0
+    return there.for_each_slot > LONGER_FACTOR * here.for_each_slot
 
 
 def _joined(early: SlotsReleased | None, message: SlotsReleased) -> SlotsReleased:
--- /dev/null
+++ b/tests/steering/test_fair_queue.py
@@ -0,0 +1,99 @@
+"""Tests of the order in which waiting requests are served."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.steering.chooser import AttemptEnd
+from flamingoladder.steering.chooser import Reservation
+from flamingoladder.steering.fair_queue import FairQueue
+from flamingoladder.steering.fair_queue import Waiter
+from flamingoladder.steering.fair_queue import Weight
+from tests.upstreams.parts import request_for
+
+WEIGHTS = {"large": Weight(100.0, 50), "middle": Weight(50.0, 25), "small": Weight(4.0, 4)}
+
+
+class NoSlot(Reservation):
+    """A reservation of nothing."""
+
+    target = ""
+    address = ""
+    region = ""
+
+    def release(self, end: AttemptEnd, now: float) -> None:
+        """Do nothing."""
+
+
+def _join(queue: FairQueue, workspace: str, count: int) -> list[Waiter]:
+    waiters = []
+    for _ in range(count):
+        request = request_for()
+        request.workspace = workspace
+        waiters.append(queue.join(request, (), WEIGHTS[workspace], 0.0))
+    return waiters
+
+
+def _serve(queue: FairQueue, count: int) -> list[str]:
+    served = []
+    for _ in range(count):
+        for waiter in queue.in_order():
+            queue.serve(waiter, NoSlot())
+            served.append(waiter.workspace)
+            break
+    return served
+
+
+@pytest.mark.parametrize("flood", [1_000, 5_000])
+def test_waiting_workspaces_are_served_in_proportion_to_their_rates(flood: int) -> None:
+    async def scenario() -> Counter[str]:
+        queue = FairQueue()
+        for workspace in WEIGHTS:
+            _join(queue, workspace, flood if workspace == "large" else 1_000)
+        _serve(queue, 500)
+        return Counter(_serve(queue, 462))
+
+    served = run_on_injected_time(scenario())
+    for workspace, weight in WEIGHTS.items():
+        assert served[workspace] == pytest.approx(3 * weight.rate, abs=2)
+
+
+def test_a_small_workspace_within_its_burst_goes_before_a_flood() -> None:
+    async def scenario() -> list[str]:
+        queue = FairQueue()
+        _join(queue, "large", 1_000)
+        _serve(queue, 500)
+        _join(queue, "small", 3)
+        return _serve(queue, 3)
+
+    assert run_on_injected_time(scenario()) == ["small"] * 3
+
+
+def test_requests_that_gave_up_are_not_charged() -> None:
+    async def scenario() -> list[str]:
+        queue = FairQueue()
+        _join(queue, "large", 1_000)
+        _serve(queue, 500)
+        for waiter in _join(queue, "small", 100):
+            queue.give_up(waiter, WEIGHTS["small"])
+        _join(queue, "small", 1)
+        return _serve(queue, 1)
+
+    assert run_on_injected_time(scenario()) == ["small"]
+
+
+def test_a_request_whose_caller_went_away_is_passed_over() -> None:
+    async def scenario() -> tuple[list[str], int]:
+        queue = FairQueue()
+        waiters = _join(queue, "large", 1)
+        _join(queue, "middle", 1)
+        waiters[0].turn.cancel()
+        queue.give_up(waiters[0], WEIGHTS["large"])
+        await asyncio.sleep(0)
+        return _serve(queue, 2), len(queue)
+
+    assert run_on_injected_time(scenario()) == (["middle"], 0)
--- /dev/null
+++ b/tests/steering/test_fairness.py
@@ -0,0 +1,44 @@
+"""Tests that one workspace at several times its rate costs small ones no answer."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+from bench.steering_fleet import SteeringFleet
+from bench.steering_fleet import example
+
+from flamingoladder.standins.loop import run_on_injected_time
+
+START_S = 8.0
+SECONDS = 12.0
+SERVICE_S = 0.3
+SMALL = {"desert-radio", "walvis-port", "etosha-survey", "kunene-power", "gobabis-laboratory"}
+
+
+async def _run(flood: int) -> SteeringFleet:
+    """Send the declared rates, which exceed the capacity if ``flood`` is more than 1."""
+    deployment = example("kalahari")
+    fleet = SteeringFleet(deployment, 1, service_s=SERVICE_S)
+    random = Random(3)
+    part = 0.7 * 48 / SERVICE_S / sum(deployment.rate_of(w) for w in deployment.workspaces)
+    sending = []
+    for workspace in deployment.workspaces:
+        factor = flood if workspace == "copperbelt-mines" else 1
+        at = START_S
+        while at < START_S + SECONDS:
+            at += random.expovariate(deployment.rate_of(workspace) * part * factor)
+            sending.append(fleet.send(random.choice(list(fleet.hosts)), "archive", workspace, at))
+    await asyncio.gather(*sending)
+    fleet.close()
+    return fleet
+
+
+def _took(fleet: SteeringFleet, workspaces: set[str]) -> list[float]:
+    mine = [sent for sent in fleet.sent if sent.workspace in workspaces]
+    return sorted(sent.took_s if sent.answered else float("inf") for sent in mine)
+
+
+def test_a_flood_costs_small_workspaces_no_answer() -> None:
+    flooded = _took(run_on_injected_time(_run(5)), SMALL)
+    assert flooded[-1] < float("inf")
