Hold shifts under their cap, divided among the hosts of the region they come from

Cause: agreed shifts moved nothing. Now each request of the region is drawn by the shift's share, and pays from the host's part of the cap when it takes a slot of the receiving region; other requests that would go there pay too, so everything counted at the receiving region is under the cap. Ruled out: paying at arrival (waits make starts bunch above the cap); look-up weights (answers in callers' caches go on for their lifetime; entry hosts move traffic themselves and need no such wait). Seen failing without payment, with the whole cap at each host, with closed regions ignored, without the wait for growth: tests/steering/test_shift_cap.py.

--- a/bench/steering.py
+++ b/bench/steering.py
@@ -8,10 +8,13 @@
 
 import msgspec
 
+from bench.limits import largest_excess
 from bench.steering_fleet import SteeringFleet
 from bench.steering_fleet import ends
 from bench.steering_fleet import example
+from flamingoladder.config.agreed import Shift
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.steering.shift_cap import BURST_S
 from flamingoladder.upstreams.probe_messages import ProbeReply
 
 if TYPE_CHECKING:
@@ -26,6 +29,8 @@
 EVEN = (1, 1, 1, 1, 1, 1, 1)
 SKEWED = (3, 1, 1, 1, 1, 1, 1)
 FLOOD = 5
+CAP_PER_S = 20.0
+SHIFT_LOAD_PER_S = 60.0
 MS_PER_S = 1_000
 HEADER = (
     f"{'site':9} {'load':22} {'chooser':8} {'sent':>6} {'over':>4} {'shed%':>6} {'late%':>6} "
@@ -71,9 +76,47 @@
             for coordinated in (False, True):
                 fleet = run_on_injected_time(_run(site, load, coordinated, seconds, services))
                 _print_row(site, load, coordinated, fleet, seconds)
+    _measure_shift(3.0 if quick else 10.0)
     _measure_fairness(3.0 if quick else 20.0, quick)
 
 
+def _measure_shift(seconds: float) -> None:
+    """Print how much a shift of all traffic of the first region moves under its cap."""
+    print(f"shift of all of the first region's traffic, cap {CAP_PER_S:.0f}/s")
+    for site in SITES:
+        for lost in (False, True):
+            moved = run_on_injected_time(_shift(site, seconds, lost=lost))
+            excess = largest_excess(moved, CAP_PER_S, CAP_PER_S * BURST_S)
+            print(
+                f"{site:9} {'a host dies' if lost else 'quiet':11} "
+                f"moved {len(moved) / seconds:5.1f}/s, over the cap and its burst {excess:5.2f}"
+            )
+
+
+async def _shift(site: str, seconds: float, *, lost: bool) -> list[float]:
+    """Return when moved requests started at the receiving region."""
+    fleet = SteeringFleet(example(site), 1, service_s=SERVICE_S)
+    regions = list(fleet.deployment.places.regions)
+    service = next(iter(fleet.deployment.services))
+    hosts = [m.host for m in fleet.agreed.members if m.region == regions[0]]
+    random = Random(3)
+    await asyncio.sleep(START_S)
+    shift = Shift("s1", service, regions[0], regions[1], 1.0, CAP_PER_S, "measured")
+    fleet.commit(divides=False, shifts=(shift,))
+    at = START_S + fleet.deployment.defaults.proof_s
+    end = at + seconds
+    sending = []
+    while at < end:
+        at += random.expovariate(SHIFT_LOAD_PER_S)
+        task = fleet.send(random.choice(hosts), service, "", at)
+        sending.append(asyncio.create_task(task))
+    if lost:
+        asyncio.get_running_loop().call_later(seconds / 2, lambda: fleet.lose({hosts[0]}))
+    await asyncio.gather(*sending)
+    fleet.close()
+    return [s.started_at for s in fleet.sent if s.region == regions[1] and s.host in hosts]
+
+
 def _measure_fairness(seconds: float, quick: bool) -> None:
     quiet = Load("declared rates", 0.7)
     flooded = Load("largest at 5 times", 0.7, flooding=True)
--- a/bench/steering_fleet.py
+++ b/bench/steering_fleet.py
@@ -130,6 +130,7 @@
     took_s: float = 0.0
     end: str = ""
     region: str = ""
+    started_at: float = 0.0
 
     @property
     def answered(self) -> bool:
@@ -265,6 +266,7 @@
             if isinstance(held, Refusal):
                 return str(held.reason)
             sent.region = held.region
+            sent.started_at = loop.time()
             end = await self._attempt(entry, held, service_s, request.deadline)
             if end in {AttemptEnd.ANSWERED, AttemptEnd.CANCELLED}:
                 break
--- a/src/flamingoladder/steering/conversation.py
+++ b/src/flamingoladder/steering/conversation.py
@@ -45,6 +45,7 @@
         "_task",
         "_wake",
         "peer",
+        "region",
         "round_trip_s",
         "unsure",
         "waiting_by_service",
@@ -61,6 +62,7 @@
         on_credit: Callable[[float], None],
     ) -> None:
         self.peer = peer
+        self.region = ""
         self.round_trip_s = round_trip_s
         self.wanted_by_service: dict[str, int] = {}
         self.waiting_by_service: dict[str, Waiting] = {}
--- a/src/flamingoladder/steering/fair_queue.py
+++ b/src/flamingoladder/steering/fair_queue.py
@@ -31,9 +31,21 @@
 
 
 class Waiter:
-    """A request that waits; ``turn`` brings its reservation."""
-
-    __slots__ = ("_number", "_start", "joined_at", "request", "tried", "turn", "workspace")
+    """A request that waits; ``turn`` brings its reservation.
+
+    ``moves_to`` is the region that a shift moves the request to, if any.
+    """
+
+    __slots__ = (
+        "_number",
+        "_start",
+        "joined_at",
+        "moves_to",
+        "request",
+        "tried",
+        "turn",
+        "workspace",
+    )
 
     def __init__(
         self,
@@ -47,6 +59,7 @@
         self.tried = tried
         self.workspace = request.workspace or ""
         self.joined_at = joined_at
+        self.moves_to: str | None = None
         self.turn: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
         self._start = start
         self._number = number
@@ -80,6 +93,10 @@
         """Return how many requests are to be served before ``waiter``."""
         return sum(other < waiter and not other.turn.done() for other in self._waiters)
 
+    def shifted(self) -> list[Waiter]:
+        """Return the waiting requests that are to move to another region."""
+        return [w for w in self._waiters if w.moves_to is not None and not w.turn.done()]
+
     def first_waits_s(self, now: float) -> float:
         """Return how long the request to be served next has waited, in seconds."""
         while self._waiters and self._waiters[0].turn.done():
--- a/src/flamingoladder/steering/preference.py
+++ b/src/flamingoladder/steering/preference.py
@@ -17,6 +17,7 @@
     from flamingoladder.upstreams.targets import DeclaredTarget
 
 REPORTED_FULL_FACTOR = 3.0
+SHIFT_TRIPS = 3.0
 
 
 class Preference:
@@ -46,12 +47,14 @@
         targets: Iterable[DeclaredTarget],
         waiter: Waiter,
         local_wait_s: float,
+        closed: frozenset[str],
         now: float,
     ) -> tuple[HeldSlot, DeclaredTarget] | None:
         """Return the slot for ``waiter``, or None if it should rather wait.
 
         ``local_wait_s`` is how long a slot of the own region will probably take. Another region is
-        used only if the way there is shorter than that.
+        used only if the way there is shorter than that. A request that follows a shift waits a few
+        round trips for a slot of the receiving region. No request goes to a ``closed`` region.
         """
         allowed = {t.name: t for t in candidates(targets, self._board, waiter.tried, now)}
         deadline = waiter.request.deadline
@@ -59,9 +62,16 @@
             (held, allowed[held.slot.target])
             for held in free
             if held.slot.target in allowed
+            and allowed[held.slot.target].region not in closed
             and held.is_free(deadline, now)
             and self._is_warm(held, allowed[held.slot.target], now)
         ]
+        if waiter.moves_to is not None and waiter.moves_to not in closed:
+            moved = [pair for pair in suited if pair[1].region == waiter.moves_to]
+            if moved:
+                return min(moved, key=lambda pair: self._cost(*pair))
+            if now - waiter.joined_at < SHIFT_TRIPS * self.round_trip_s:
+                return None
         local = [pair for pair in suited if pair[1].region == self.region]
         if not local and self._should_stay(waiter, local_wait_s, now):
             return None
--- a/src/flamingoladder/steering/slot_chooser.py
+++ b/src/flamingoladder/steering/slot_chooser.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 from flamingoladder.steering.fair_queue import FairQueue
 from flamingoladder.steering.fair_queue import Weight
 from flamingoladder.steering.preference import Preference
+from flamingoladder.steering.shift_cap import ShiftCaps
 from flamingoladder.steering.slot_sharing import SlotSharing
 from flamingoladder.upstreams.targets import declared_targets
 from flamingoladder.verdict import Reason
@@ -63,6 +65,7 @@
         "_preference",
         "_queues_by_service",
         "_sharing",
+        "_shifts",
         "_state",
         "_subscription",
     )
@@ -83,6 +86,7 @@
         self._queues_by_service: dict[str, ServiceQueue] = {}
         peer = Peer(own.host, own.incarnation)
         self._sharing = SlotSharing(peer, state, links, recorder, self._serve_all)
+        self._shifts = ShiftCaps(peer, own.region, random)
         self._subscription = state.changes.subscribe(self._follow)
 
     def close(self) -> None:
@@ -105,6 +109,7 @@
         weight = self._weight_of(request.workspace or "")
         self._sharing.needs_by_service[request.service].arrive(now)
         waiter = service.queue.join(request, tried, weight, now)
+        waiter.moves_to = self._shifts.draw(request.service, now)
         self._serve(service, now)
         wait_s = 0.0 if waiter.turn.done() else self._expected_wait_s(service, waiter, now)
         if now + wait_s > request.deadline or len(service.queue) > MAX_WAITING:
@@ -168,6 +173,7 @@
             local_wait_s = self._local_wait_s(service, len(service.queue), now)
             patience_s = max(local_wait_s, service.queue.first_waits_s(now)) / WORTH_TRIPS
         self._sharing.borrow_if_short(service.service, now, patience_s)
+        self._borrow_for_shifts(service, now)
         if len(service.queue) and service.timer is None:
             loop = asyncio.get_running_loop()
             service.timer = loop.call_later(LOOK_AGAIN_S, self._look_again, service)
@@ -183,13 +189,20 @@
             if not free or passed >= MAX_PASSED:
                 return
             local_wait_s = self._local_wait_s(service, passed + 1, now)
-            best = self._preference.best(free, service.targets, waiter, local_wait_s, now)
+            closed = self._shifts.closed_regions(service.service, now)
+            best = self._preference.best(free, service.targets, waiter, local_wait_s, closed, now)
             if best is None:
                 passed += 1
                 continue
+            self._shifts.pay(service.service, best[1].region, now)
             free.remove(best[0])
             service.queue.serve(waiter, self._take(*best, now))
 
+    def _borrow_for_shifts(self, service: ServiceQueue, now: float) -> None:
+        counts = Counter(waiter.moves_to or "" for waiter in service.queue.shifted())
+        for region, count in counts.items():
+            self._sharing.borrow_in_region(service.service, region, count, now)
+
     def _take(self, held: HeldSlot, target: DeclaredTarget, now: float) -> Reservation:
         held.busy = True
         self._preference.observed(target.name).in_flight += 1
@@ -231,6 +244,7 @@
             queue.targets = []
         for target in declared_targets(state):
             self._queues_by_service[target.service].targets.append(target)
+        self._shifts.adopt(state)
         self._sharing.adopt(state)
         self._serve_all(asyncio.get_running_loop().time())
 
--- a/src/flamingoladder/steering/slot_sharing.py
+++ b/src/flamingoladder/steering/slot_sharing.py
@@ -175,6 +175,15 @@
                 talk.ask(service, wanted)
                 short -= talk.expected(service, now)
 
+    def borrow_in_region(self, service: str, region: str, wanted: int, now: float) -> None:
+        """Ask the hosts of a region for slots, for requests that a shift moves there."""
+        for talk in self._talks_by_host.values():
+            if wanted <= 0:
+                return
+            if talk.region == region and talk.may_ask(service, now, urgent=True):
+                talk.ask(service, min(wanted, MAX_BATCH))
+                wanted -= MAX_BATCH
+
     def lend_to_waiting(self, service: str, now: float) -> None:
         """Answer questions of hosts where more requests wait for the service than here."""
         waiting_here = self._leasing.waiting_here(service, now) if self._held else NONE_WAITING
@@ -298,6 +307,7 @@
                 self.book,
                 self._on_gain,
             )
+            talk.region = there.region
             talk.unsure = talk.peer in unsure
             self._talks_by_host[there.host] = talk
 
--- /dev/null
+++ b/tests/steering/test_shift_cap.py
@@ -0,0 +1,82 @@
+"""Tests that moved traffic stays under a shift's cap, counted at the receiving region."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+from bench.limits import largest_excess
+from bench.steering_fleet import SteeringFleet
+from bench.steering_fleet import example
+from bench.steering_fleet import first_state
+from bench.steering_fleet import next_state
+
+from flamingoladder.config.agreed import Shift
+from flamingoladder.peers.link import Peer
+from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.steering.shift_cap import BURST_S
+from flamingoladder.steering.shift_cap import ShiftCaps
+
+if TYPE_CHECKING:
+    from bench.steering_fleet import Sent
+
+START_S = 8.0
+SECONDS = 10.0
+PER_S = 100.0
+SERVICE_S = 0.04
+CAP_PER_S = 20.0
+
+
+async def _run(name: str, share: float, *, lose: bool = False) -> list[Sent]:
+    """Send a third of the capacity to hosts of the first region, of which a shift moves a part."""
+    fleet = SteeringFleet(example(name), 1, service_s=SERVICE_S)
+    regions = list(fleet.deployment.places.regions)
+    service = next(iter(fleet.deployment.services))
+    shift = Shift("s1", service, regions[0], regions[1], share, CAP_PER_S, "works")
+    random = Random(5)
+    hosts = [m.host for m in fleet.agreed.members if m.region == regions[0]]
+    await asyncio.sleep(START_S)
+    fleet.commit(divides=False, shifts=(shift,))
+    at = START_S
+    sending = []
+    while at < START_S + SECONDS:
+        at += random.expovariate(PER_S)
+        sending.append(fleet.send(random.choice(hosts), service, "lava-fields", at))
+    if lose:
+        loop = asyncio.get_running_loop()
+        loop.call_later(SECONDS / 3, lambda: fleet.lose({hosts[0]}))
+    await asyncio.gather(*sending)
+    fleet.close()
+    # What callers send to a host of another region, as after a loss, is not moved by the shift.
+    return [sent for sent in fleet.sent if sent.region == regions[1] and sent.host in hosts]
+
+
+@pytest.mark.parametrize("name", ["tjaldvik", "kalahari"])
+@pytest.mark.parametrize("lose", [False, True])
+def test_the_moved_traffic_stays_under_its_cap_over_all_hosts(name: str, lose: bool) -> None:
+    moved = run_on_injected_time(_run(name, 1.0, lose=lose))
+    burst = CAP_PER_S * BURST_S
+    assert largest_excess([sent.started_at for sent in moved], CAP_PER_S, burst) <= 0
+    assert len(moved) > CAP_PER_S
+
+
+def test_a_part_grows_only_when_no_earlier_owner_can_spend_it() -> None:
+    async def scenario() -> tuple[str | None, str | None, str | None]:
+        loop = asyncio.get_running_loop()
+        state = first_state(example("tjaldvik"))
+        shift = Shift("s1", "catalogue", "reykjavik", "akureyri", 1.0, CAP_PER_S, "works")
+        caps = ShiftCaps(Peer("h0", "h0-1"), "reykjavik", Random(1))
+        caps.adopt(next_state(state, divides=False, shifts=(shift,)))
+        await asyncio.sleep(0.9 * state.deployment.defaults.proof_s)
+        early = caps.draw("catalogue", loop.time())
+        await asyncio.sleep(state.deployment.defaults.proof_s)
+        return early, caps.draw("catalogue", loop.time()), caps.draw("returns", loop.time())
+
+    assert run_on_injected_time(scenario()) == (None, "akureyri", None)
+
+
+def test_no_more_than_the_share_is_moved() -> None:
+    moved = run_on_injected_time(_run("tjaldvik", 0.05))
+    assert 0 < len(moved) < 0.1 * PER_S * SECONDS
