--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -85,6 +85,19 @@
     return AgreedState(1, 1, 1, deployment(site, workspaces), members=members())
 
 
+def successor(state: AgreedState, members: tuple[Member, ...]) -> AgreedState:
+    """Return the next state, a new division among ``members``."""
+    version = state.version + 1
+    return AgreedState(
+        version=version,
+        division_version=version,
+        configuration_version=state.configuration_version,
+        deployment=state.deployment,
+        members=members,
+        previous_division_version=state.division_version,
+    )
+
+
 def network(state: AgreedState, random: Random, loss: float = 0.0) -> Network:
     """Return a network with the deployment's delays."""
     net = Network(random, loss=loss)
--- a/src/flamingoladder/ledger/pruner.py
+++ b/src/flamingoladder/ledger/pruner.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from flamingoladder.ledger.entries import ANSWER_NOT_KEPT
+from flamingoladder.ledger.exceptions import LedgerRowError
 from flamingoladder.ledger.marks import Horizon
 from flamingoladder.ledger.reader import TABLE_TIMEOUT_S
 from flamingoladder.ledger.records import CLAIMS_PREFIX
@@ -18,6 +19,7 @@
 from flamingoladder.ledger.records import decode_claim
 from flamingoladder.ledger.records import encode
 from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.platform.table import MAX_TRANSACTION_ROWS
 from flamingoladder.platform.table import Condition
 from flamingoladder.platform.table import Write
 
@@ -35,7 +37,8 @@
 SHARD_PAUSE_S = 0.5
 HORIZON_PAUSE_S = 300.0
 SHARD_DIGITS = 3
-MAX_ROWS = 128
+# Each row may bring a closing row along.
+MAX_ROWS = MAX_TRANSACTION_ROWS // 2
 
 
 class Pruner:
@@ -64,6 +67,9 @@
         loop = asyncio.get_running_loop()
         while True:
             horizon = await self._horizon(loop.time())
+            if horizon.answers == 0:
+                await asyncio.sleep(HORIZON_PAUSE_S)
+                continue
             until = loop.time() + HORIZON_PAUSE_S
             while loop.time() < until:
                 await asyncio.sleep(SHARD_PAUSE_S * (1 + len(self._links.hosts)))
@@ -74,7 +80,7 @@
 
         A caller's own key outlives its answer: its row is deleted only with ``horizon.keys``. With
         the outcome of a ticket goes its issuer's closing row, which states that all outcomes are
-        there. Return the number of rows pruned.
+        there: guard ``closing_pruned_with_outcomes``. Return the number of rows pruned.
 
         :raises PlatformError: if the table did not answer.
         """
@@ -96,11 +102,10 @@
             return Horizon(0, 0)
 
     async def _pruned(self, prefix: str, horizon: Horizon) -> None:
-        if horizon.answers == 0:
-            return
         try:
             rows = await self.prune(prefix, horizon)
-        except PlatformError:
+        except (LedgerRowError, PlatformError) as error:
+            self._recorder.record("ledger.prune_failed", error=error)
             return
         if rows:
             self._recorder.record("ledger.pruned", rows=rows, revision=horizon.answers)
--- a/src/flamingoladder/ledger/writer.py
+++ b/src/flamingoladder/ledger/writer.py
@@ -8,6 +8,7 @@
 from enum import auto
 from typing import TYPE_CHECKING
 
+from flamingoladder.ledger.exceptions import LedgerRowError
 from flamingoladder.ledger.reader import TABLE_TIMEOUT_S
 from flamingoladder.ledger.records import CLAIMS_PREFIX
 from flamingoladder.ledger.records import ClaimRow
@@ -16,6 +17,7 @@
 from flamingoladder.ledger.records import encode
 from flamingoladder.platform.exceptions import OutcomeUnknownError
 from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.platform.exceptions import PlatformRefusedError
 from flamingoladder.platform.exceptions import PlatformUnavailableError
 from flamingoladder.platform.table import Condition
 from flamingoladder.platform.table import Write
@@ -114,12 +116,12 @@
         self._wake.set()
 
     async def _flushed(self, batch: list[PendingWrite]) -> bool:
-        """Write the batch; what is left, or all of it when cancelled, stays pending."""
+        """Write the batch; what is left, or all of it when cancelled, is pending again."""
         left = batch
         try:
             left = await self._written(batch)
         finally:
-            self._pending.extendleft(reversed(left))
+            self._pending.extend(left)
         return not left
 
     async def _written(self, batch: Sequence[PendingWrite]) -> list[PendingWrite]:
@@ -129,8 +131,8 @@
         try:
             if await self._written_together(ready):
                 return left
-        except OutcomeUnknownError:
-            self._recorder.record("ledger.write_unknown", rows=len(ready))
+        except (OutcomeUnknownError, PlatformRefusedError) as error:
+            self._recorder.record("ledger.write_unknown", rows=len(ready), error=error)
         except PlatformUnavailableError as error:
             self._recorder.record("ledger.write_failed", rows=len(ready), error=error)
             return left + ready
@@ -150,8 +152,10 @@
     async def _written_together(self, batch: Sequence[PendingWrite]) -> bool:
         """Write the whole batch in one transaction.
 
-        :raises PlatformError: if the table did not answer.
+        :raises PlatformError: if the table did not answer, or took no such transaction.
         """
+        if len({each.entry.name for each in batch}) < len(batch):
+            return False
         if any(not each.is_ticket and each.revision is None for each in batch):
             return False
         conditions = [
@@ -176,7 +180,7 @@
         return True
 
     async def _tried(self, pending: PendingWrite) -> bool:
-        """Return whether nothing is left to write.
+        """Return whether nothing is left to write; guard ``release_is_conditional``.
 
         :raises PlatformError: if the table did not answer.
         """
@@ -191,7 +195,11 @@
         return commit.committed
 
     def _is_claim_of(self, entry: Entry, value: bytes) -> bool:
-        claim = decode_claim(value)
+        try:
+            claim = decode_claim(value)
+        except LedgerRowError as error:
+            self._recorder.record("ledger.bad_row", error=error)
+            return False
         holder = (claim.host, claim.incarnation, claim.attempt)
         own = (self._recorder.host, self._recorder.incarnation, entry.attempt)
         return holder == own and claim.state is ClaimState.CLAIMED
--- a/src/flamingoladder/members/registrar.py
+++ b/src/flamingoladder/members/registrar.py
@@ -13,7 +13,7 @@
 from flamingoladder.members.changes import RemoveMember
 from flamingoladder.members.directory import enter_directory
 from flamingoladder.members.directory import leave_directory
-from flamingoladder.members.directory import read_directory
+from flamingoladder.members.directory import read_entries
 from flamingoladder.platform.exceptions import PlatformError
 from flamingoladder.platform.hostlist import HostStatus
 
@@ -117,10 +117,14 @@
         if self._knowledge.installed == NO_STATE_VERSION:
             return
         try:
-            directory = await read_directory(self._table, self._settings.store_timeout_s)
+            entries = await read_entries(self._table, self._settings.store_timeout_s)
         except PlatformError:
             return
-        change = RegisterMember(self._knowledge.member, tuple(directory.values()))
+        by_host = self._knowledge.members_by_host
+        started = tuple(
+            entry for entry in entries if by_host.get(entry.member.host) != entry.member
+        )
+        change = RegisterMember(self._knowledge.member, started)
         result = await self._committer.commit(change)
         if result.is_ok():
             self._recorder.record("member.registered", version=result.ok.version)
@@ -130,8 +134,9 @@
         await asyncio.gather(*(self._probe(host) for host in unlisted))
         now = asyncio.get_running_loop().time()
         for host in unlisted:
-            if self._silence.silent_s(host, now) >= self._patience_s(host, now):
-                await self._remove(self._knowledge.members_by_host[host])
+            member = self._knowledge.members_by_host.get(host)
+            if member and self._silence.silent_s(host, now) >= self._patience_s(host):
+                await self._remove(member)
 
     async def _unlisted(self) -> list[str]:
         """Return the registered hosts that the platform no longer lists as live."""
@@ -149,7 +154,7 @@
         if isinstance(reply, VouchReply):
             self._silence.heard(host, asyncio.get_running_loop().time())
 
-    def _patience_s(self, dead: str, now: float) -> float:
+    def _patience_s(self, dead: str) -> float:
         """Return the silence to wait for; hosts take their turn in order of their names."""
         own = self._knowledge.member.host
         hosts = sorted(host for host in self._knowledge.members_by_host if host != dead)
--- a/src/flamingoladder/shares/bucket.py
+++ b/src/flamingoladder/shares/bucket.py
@@ -25,6 +25,11 @@
         self.rate = rate
         self.expires_at = expires_at
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing is on loan."""
+        return not self.units and not self.rate
+
 
 class Part:
     """A host's own part of an allowance."""
@@ -102,8 +107,18 @@
         self._grow_at = grow_at
         self._recount()
 
-    def grow(self) -> None:
-        """Take the whole own part at the last update; the units that come with it are room."""
+    def grow_from(self, grow_at: float) -> None:
+        """Set when the whole own part may be taken, if it isn't yet."""
+        if self._grown is not None:
+            self._grow_at = grow_at
+            self._recount()
+
+    def grow(self, now: float) -> None:
+        """Take the whole own part now; the units that come with it are room."""
+        self.advance(now)
+        self._grow()
+
+    def _grow(self) -> None:
         if self._grown is not None:
             self.own = self._grown
         self._grown = None
@@ -179,11 +194,14 @@
             for host in [host for host, loan in loans_by_host.items() if loan.expires_at <= now]:
                 del loans_by_host[host]
         if self._grow_at <= now:
-            self.grow()
+            self._grow()
         self._recount()
 
     def _recount(self) -> None:
         borrowed = self.borrowed_by_host.values()
+        for loans_by_host in (self.borrowed_by_host, self.lent_by_host):
+            for host in [host for host, loan in loans_by_host.items() if loan.is_empty]:
+                del loans_by_host[host]
         self.units = self.lendable_units + sum(loan.units for loan in borrowed)
         self.rate = self.lendable_rate + sum(loan.rate for loan in borrowed)
         self.tokens = min(self.tokens, self.units)
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -29,15 +29,17 @@
 
     NO_CONNECTION = "no_connection"
     LOST = "lost"
+    REFUSED = "refused"
     SILENT = "silent"
     TIMEOUT = "timeout"
     TOO_LARGE = "too_large"
 
 
 class SendFailure(msgspec.Struct, frozen=True):
-    """A request without a whole answer; no byte of it left only if it got no connection.
+    """A request without a whole answer.
 
-    ``reused`` is True if it went over a kept connection, whose fault this may be.
+    No byte of it left only if it got no connection, or was refused by the last check. ``reused`` is
+    True if it went over a kept connection, whose fault this may be.
     """
 
     kind: FailureKind
@@ -47,11 +49,11 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether a byte of the request may have left."""
-        return self.kind is not FailureKind.NO_CONNECTION
+        return self.kind not in {FailureKind.NO_CONNECTION, FailureKind.REFUSED}
 
 
 class Outgoing:
-    """A request as it goes out."""
+    """A request as it goes out; an answer with another ``request_id`` is refused."""
 
     __slots__ = ("body", "headers", "method", "request_id", "url")
 
@@ -99,7 +101,7 @@
         allow_redirects=False,
     )
     exchange.response = response
-    if response.headers.get(fields.REQUEST_ID, outgoing.request_id) != outgoing.request_id:
+    if _is_crossed(response, outgoing.request_id):
         return _lost(exchange, "the answer is to another request")
     if not _ends_detectably(response, outgoing.method):
         return _lost(exchange, "the answer has no length and no chunks, so no certain end")
@@ -115,6 +117,11 @@
     return Answer(response.status, headers, body)
 
 
+def _is_crossed(response: aiohttp.ClientResponse, request_id: str) -> bool:
+    answered = response.headers.get(fields.REQUEST_ID)
+    return bool(request_id) and answered is not None and answered != request_id
+
+
 async def _read_body(response: aiohttp.ClientResponse) -> bytes | None:
     """Return the whole body, or None if it is too large to be kept in memory."""
     length = response.content_length
@@ -153,6 +160,8 @@
 
 def _broken(exchange: Exchange, error: Exception) -> SendFailure:
     name = type(error).__name__
+    if exchange.refusal is not None:
+        return SendFailure(FailureKind.REFUSED, exchange.refusal.detail, reused=False)
     if not exchange.connected:
         return SendFailure(FailureKind.NO_CONNECTION, f"no connection: {name}", reused=False)
     return _lost(exchange, f"the connection was lost: {name}")
--- a/tests/upstreams/scripted.py
+++ b/tests/upstreams/scripted.py
@@ -28,6 +28,8 @@
     SHED = "sheds"
     SILENT = "reads the request and is silent"
     SLOW = "answers after 150 ms"
+    SLOWER = "answers after 300 ms"
+    SLOW_CLOSE = "closes after 150 ms"
     STALL = "sends half of an answer and is silent"
     UNMARKED_503 = "answers 503 of its own accord"
 
@@ -37,6 +39,7 @@
 
     __slots__ = (
         "_server",
+        "_silent",
         "_writers",
         "accepts_and_closes",
         "acts",
@@ -59,6 +62,7 @@
         self.hung_up = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
 
     @property
     def address(self) -> str:
@@ -71,6 +75,10 @@
         """Listen."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
 
+    def silence(self) -> None:
+        """Let all connections that are open now hang for good."""
+        self._silent.update(self._writers)
+
     async def stop(self) -> None:
         """Close the port and all connections."""
         assert self._server is not None
@@ -92,6 +100,8 @@
 
     async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         head = await reader.readuntil(b"\r\n\r\n")
+        if writer in self._silent:
+            return await self._hang(reader)
         await reader.readexactly(_content_length(head))
         if head.startswith((b"GET /health", b"GET /load")):
             writer.write(_answer("{}"))
@@ -117,8 +127,11 @@
             case Act.STALL:
                 writer.write(_answer(self.name * 2)[: -len(self.name)])
                 return await self._hang(reader)
-            case Act.SLOW:
+            case Act.SLOW_CLOSE:
                 await asyncio.sleep(0.15)
+                return False
+            case Act.SLOW | Act.SLOWER:
+                await asyncio.sleep(0.15 if act is Act.SLOW else 0.3)
                 writer.write(_answer(self.name))
             case Act.HALF:
                 writer.write(_answer(self.name * 2)[: -len(self.name)])
