--- a/src/flamingoladder/steering/conversation.py
+++ b/src/flamingoladder/steering/conversation.py
@@ -16,6 +16,7 @@
     from flamingoladder.peers.link import PeerLinks
     from flamingoladder.steering.book import SlotBook
     from flamingoladder.steering.leasing import Leasing
+    from flamingoladder.steering.messages import Waiting
 
 RENEW_S = 1.0
 LOOK_S = 0.25
@@ -44,6 +45,7 @@
         "_task",
         "_wake",
         "peer",
+        "region",
         "round_trip_s",
         "unsure",
         "waiting_by_service",
@@ -60,9 +62,10 @@
         on_credit: Callable[[float], None],
     ) -> None:
         self.peer = peer
+        self.region = ""
         self.round_trip_s = round_trip_s
         self.wanted_by_service: dict[str, int] = {}
-        self.waiting_by_service: dict[str, int] = {}
+        self.waiting_by_service: dict[str, Waiting] = {}
         self.unsure = False
         self._links = links
         self._leasing = leasing
--- a/src/flamingoladder/steering/slot_chooser.py
+++ b/src/flamingoladder/steering/slot_chooser.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -11,7 +12,9 @@
 from flamingoladder.steering.chooser import Reservation
 from flamingoladder.steering.chooser import TargetChooser
 from flamingoladder.steering.fair_queue import FairQueue
+from flamingoladder.steering.fair_queue import Weight
 from flamingoladder.steering.preference import Preference
+from flamingoladder.steering.shift_cap import ShiftCaps
 from flamingoladder.steering.slot_sharing import SlotSharing
 from flamingoladder.upstreams.targets import declared_targets
 from flamingoladder.verdict import Reason
@@ -62,6 +65,7 @@
         "_preference",
         "_queues_by_service",
         "_sharing",
+        "_shifts",
         "_state",
         "_subscription",
     )
@@ -82,6 +86,7 @@
         self._queues_by_service: dict[str, ServiceQueue] = {}
         peer = Peer(own.host, own.incarnation)
         self._sharing = SlotSharing(peer, state, links, recorder, self._serve_all)
+        self._shifts = ShiftCaps(peer, own.region, random)
         self._subscription = state.changes.subscribe(self._follow)
 
     def close(self) -> None:
@@ -101,11 +106,12 @@
             return _no_capacity("no target takes work", None)
         if not self._state.has_proof(now):
             return _no_proof()
-        weight = self._weight(request)
+        weight = self._weight_of(request.workspace or "")
         self._sharing.needs_by_service[request.service].arrive(now)
         waiter = service.queue.join(request, tried, weight, now)
+        waiter.moves_to = self._shifts.draw(request.service, now)
         self._serve(service, now)
-        wait_s = 0.0 if waiter.turn.done() else self._expected_wait_s(service, waiter, weight, now)
+        wait_s = 0.0 if waiter.turn.done() else self._expected_wait_s(service, waiter, now)
         if now + wait_s > request.deadline or len(service.queue) > MAX_WAITING:
             self._give_up(service, waiter, weight)
             return _no_capacity("all slots are in use beyond the deadline", wait_s)
@@ -131,7 +137,7 @@
             self._serve(service, now)
 
     async def _wait(
-        self, service: ServiceQueue, waiter: Waiter, weight: float
+        self, service: ServiceQueue, waiter: Waiter, weight: Weight
     ) -> Reservation | Refusal:
         try:
             async with asyncio.timeout_at(waiter.request.deadline):
@@ -148,7 +154,7 @@
             self._give_up(service, waiter, weight)
             raise
 
-    def _give_up(self, service: ServiceQueue, waiter: Waiter, weight: float) -> None:
+    def _give_up(self, service: ServiceQueue, waiter: Waiter, weight: Weight) -> None:
         service.queue.give_up(waiter, weight)
         self._sharing.waiting_by_service[service.service] = len(service.queue)
 
@@ -167,6 +173,7 @@
             local_wait_s = self._local_wait_s(service, len(service.queue), now)
             patience_s = max(local_wait_s, service.queue.first_waits_s(now)) / WORTH_TRIPS
         self._sharing.borrow_if_short(service.service, now, patience_s)
+        self._borrow_for_shifts(service, now)
         if len(service.queue) and service.timer is None:
             loop = asyncio.get_running_loop()
             service.timer = loop.call_later(LOOK_AGAIN_S, self._look_again, service)
@@ -182,13 +189,20 @@
             if not free or passed >= MAX_PASSED:
                 return
             local_wait_s = self._local_wait_s(service, passed + 1, now)
-            best = self._preference.best(free, service.targets, waiter, local_wait_s, now)
+            closed = self._shifts.closed_regions(service.service, now)
+            best = self._preference.best(free, service.targets, waiter, local_wait_s, closed, now)
             if best is None:
                 passed += 1
                 continue
+            self._shifts.pay(service.service, best[1].region, now)
             free.remove(best[0])
             service.queue.serve(waiter, self._take(*best, now))
 
+    def _borrow_for_shifts(self, service: ServiceQueue, now: float) -> None:
+        counts = Counter(waiter.moves_to or "" for waiter in service.queue.shifted())
+        for region, count in counts.items():
+            self._sharing.borrow_in_region(service.service, region, count, now)
+
     def _take(self, held: HeldSlot, target: DeclaredTarget, now: float) -> Reservation:
         held.busy = True
         self._preference.observed(target.name).in_flight += 1
@@ -204,25 +218,20 @@
         need = self._sharing.needs_by_service[service.service]
         return place * need.duration_s / count if count else inf
 
-    def _expected_wait_s(
-        self, service: ServiceQueue, waiter: Waiter, weight: float, now: float
-    ) -> float:
-        """Return how long the last request of the workspace will probably wait."""
+    def _expected_wait_s(self, service: ServiceQueue, waiter: Waiter, now: float) -> float:
+        """Return how long a request will probably wait."""
         count = self._sharing.book.usable_count(service.service, now)
         if not count:
             return 0.0
         duration_s = self._sharing.needs_by_service[service.service].duration_s
-        weights = sum(self._weight_of(name) for name in service.queue.workspaces)
-        turns = 1 + (service.queue.waiting(waiter.workspace) - 1) * weights / weight
-        return min(turns, len(service.queue)) * duration_s / count
-
-    def _weight(self, request: CallerRequest) -> float:
-        return self._weight_of(request.workspace or "")
+        return (1 + service.queue.before(waiter)) * duration_s / count
 
-    def _weight_of(self, workspace: str) -> float:
-        if workspace in self._deployment.workspaces:
-            return self._deployment.rate_of(workspace)
-        return self._deployment.defaults.workspace_rate_per_s
+    def _weight_of(self, workspace: str) -> Weight:
+        deployment = self._deployment
+        if workspace in deployment.workspaces:
+            return Weight(deployment.rate_of(workspace), deployment.burst_of(workspace))
+        defaults = deployment.defaults
+        return Weight(defaults.workspace_rate_per_s, defaults.workspace_burst)
 
     def _follow(self, state: AgreedState) -> None:
         self._deployment = state.deployment
@@ -235,6 +244,7 @@
             queue.targets = []
         for target in declared_targets(state):
             self._queues_by_service[target.service].targets.append(target)
+        self._shifts.adopt(state)
         self._sharing.adopt(state)
         self._serve_all(asyncio.get_running_loop().time())
 
