Let slots and caps of shifts grow only once the division has settled

Cause: as for rates, a slot that changed owner was used after a time from having learned of the division, while hosts that vouch for the division before may go on using it. It is used now from division_settles_at() and the longest deadline on, or when its earlier owner releases it. Shown failing first with the earlier rule: test_a_slot_is_used_only_once_the_division_has_settled, test_a_part_does_not_grow_before_the_division_has_settled. Ruled out: a longer wait.

--- a/src/flamingoladder/steering/book.py
+++ b/src/flamingoladder/steering/book.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from math import inf
+from math import isinf
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -35,7 +36,8 @@
     """A slot that this host owns (``giver`` is None) or has borrowed.
 
     Requests may start from ``usable_at`` on if they end by ``usable_until``; both are monotonic
-    seconds. ``idle_since`` is when the last request ended.
+    seconds. ``usable_at`` is infinite while an earlier owner may use the slot, nobody knows for how
+    long. ``idle_since`` is when the last request ended.
     """
 
     __slots__ = (
@@ -83,31 +85,36 @@
         self._own_by_slot: dict[Slot, HeldSlot] = {}
         self._borrowed_by_slot: dict[Slot, HeldSlot] = {}
 
-    def divide(
-        self, owned: Iterable[Slot], division: SlotDivision, grow_at: float, now: float
-    ) -> list[HeldSlot]:
+    def divide(self, owned: Iterable[Slot], division: SlotDivision, now: float) -> list[HeldSlot]:
         """Own ``owned`` from now on, and return the slots that are no longer owned.
 
-        A slot that was not owned before may be used from ``grow_at`` on. A borrowed slot is kept
-        if its owner is the same as before.
+        A slot that was not owned before may be used once ``grow_from`` says so. A borrowed slot is
+        kept if its owner is the same as before.
         """
         earlier = self._own_by_slot
         self._own_by_slot = {}
         for slot in owned:
             held = earlier.pop(slot, None)
-            self._own_by_slot[slot] = held or HeldSlot(slot, None, grow_at, inf, now)
+            self._own_by_slot[slot] = held or HeldSlot(slot, None, inf, inf, now)
         for borrowed in tuple(self._borrowed_by_slot.values()):
             if division.owner_of(borrowed.slot) != borrowed.giver:
                 self.give_up(borrowed)
         return list(earlier.values())
 
-    def suspend(self, until: float) -> None:
-        """Start nothing on any slot, as other hosts may have owned them; on own ones ``until``.
+    def grow_from(self, at: float) -> None:
+        """Use from ``at`` on the own slots that earlier owners may have used."""
+        for own in self._own_by_slot.values():
+            if isinf(own.usable_at):
+                own.usable_at = at
+
+    def suspend(self) -> None:
+        """Start nothing on any slot, as other hosts may have owned them.
 
-        Leases that were granted go on: their takers may still know of no other owner.
+        Own ones may be used again once ``grow_from`` says so. Leases that were granted go on: their
+        takers may still know of no other owner.
         """
         for own in self._own_by_slot.values():
-            own.usable_at = max(own.usable_at, until)
+            own.usable_at = inf
         for borrowed in tuple(self._borrowed_by_slot.values()):
             self.give_up(borrowed)
 
--- a/src/flamingoladder/steering/shift_cap.py
+++ b/src/flamingoladder/steering/shift_cap.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from math import ceil
+from math import inf
+from math import isinf
 from typing import TYPE_CHECKING
 
 from flamingoladder.shares.bucket import NANOS_PER_UNIT
@@ -16,20 +18,25 @@
 
     from flamingoladder.config.agreed import AgreedState
     from flamingoladder.config.agreed import Shift
+    from flamingoladder.config.agreed import StateInForce
     from flamingoladder.peers.link import Peer
 
 BURST_S = 0.2
 
 
 class ShiftPart:
-    """One host's part of one shift, as divided at ``division_version``."""
+    """One host's part of one shift, as divided at ``division_version``.
 
-    __slots__ = ("bucket", "division_version", "shift")
+    It may grow from ``grow_at`` on, in monotonic seconds; that is infinite until it is known.
+    """
+
+    __slots__ = ("bucket", "division_version", "grow_at", "shift")
 
     def __init__(self, shift: Shift, now: float) -> None:
         self.shift = shift
         self.division_version = 0
         self.bucket = Bucket(now)
+        self.grow_at = inf
 
     def has_token(self, now: float) -> bool:
         """Return whether one more request may move."""
@@ -45,10 +52,11 @@
     part that grows does so when no earlier owner can spend it any more.
     """
 
-    __slots__ = ("_adopted", "_own", "_parts_by_id", "_random", "_region")
+    __slots__ = ("_adopted", "_own", "_parts_by_id", "_random", "_region", "_state")
 
-    def __init__(self, own: Peer, region: str, random: Random) -> None:
+    def __init__(self, own: Peer, region: str, state: StateInForce, random: Random) -> None:
         self._own = own
+        self._state = state
         self._region = region
         self._random = random
         self._adopted: AgreedState | None = None
@@ -60,7 +68,9 @@
         earlier = self._adopted
         self._adopted = state
         defaults = state.deployment.defaults
-        grow_at = now + defaults.proof_s * (1 + defaults.clock_drift)
+        grow_at = max(
+            now + defaults.proof_s * (1 + defaults.clock_drift), self._state.division_settles_at()
+        )
         known = earlier is not None and follows(earlier, state)
         shifts = {shift.shift_id: shift for shift in state.shifts}
         for gone in self._parts_by_id.keys() - shifts.keys():
@@ -72,6 +82,10 @@
             if part.division_version != state.division_version or part.shift != shift:
                 share = _part_of(shift, state, self._own)
                 part.bucket.divide(share, grow_at, now, follows=known)
+                part.grow_at = grow_at
+            elif isinf(part.grow_at):
+                part.bucket.grow_from(grow_at)
+                part.grow_at = grow_at
             part.division_version = state.division_version
             part.shift = shift
 
--- a/src/flamingoladder/steering/slot_chooser.py
+++ b/src/flamingoladder/steering/slot_chooser.py
@@ -86,7 +86,7 @@
         self._queues_by_service: dict[str, ServiceQueue] = {}
         peer = Peer(own.host, own.incarnation)
         self._sharing = SlotSharing(peer, state, links, recorder, self._serve_all)
-        self._shifts = ShiftCaps(peer, own.region, random)
+        self._shifts = ShiftCaps(peer, own.region, state, random)
         self._subscription = state.changes.subscribe(self._follow)
 
     def close(self) -> None:
--- a/src/flamingoladder/steering/slot_sharing.py
+++ b/src/flamingoladder/steering/slot_sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import isinf
 from typing import TYPE_CHECKING
 
 from flamingoladder.peers.link import Peer
@@ -87,6 +88,7 @@
         "_on_gain",
         "_own",
         "_recorder",
+        "_running_s",
         "_state",
         "_talks_by_host",
         "_timer",
@@ -114,6 +116,7 @@
         self._recorder = recorder
         self._on_gain = on_gain
         self._adopted: AgreedState | None = None
+        self._running_s = 0.0
         self._leasing = Leasing(self.book, self.needs_by_service, self.waiting_by_service)
         self._talks_by_host: dict[str, SlotConversation] = {}
         self._dropped: set[HeldSlot] = set()
@@ -135,19 +138,20 @@
         """Go over to the division of ``state``, if it is a new one."""
         earlier = self._adopted
         self._adopted = state
+        now = asyncio.get_running_loop().time()
         if earlier is not None and earlier.division_version >= state.division_version:
+            self._grow_later(now)
             return
-        now = asyncio.get_running_loop().time()
         self.division = SlotDivision.from_state(state)
         for service in state.deployment.services:
             self.needs_by_service.setdefault(service, Need(now))
-        wait_s = _growth_wait_s(earlier or state, state)
+        self._running_s = _longest_run_s(earlier or state, state)
         known = earlier is not None and follows(earlier, state)
-        self._divide(now + wait_s, now, known=known)
+        self._divide(now, known=known)
         defaults = state.deployment.defaults
         self._leasing.adopt(state.division_version, longest_deadline_s(state), defaults.clock_drift)
         self._converse(state)
-        self._grow_later(now + wait_s)
+        self._grow_later(now)
         self._recorder.record("slots.divided", version=state.division_version, kept=known)
 
     def finish(self, held: HeldSlot, now: float) -> None:
@@ -207,11 +211,11 @@
             return 0
         return 1
 
-    def _divide(self, grow_at: float, now: float, *, known: bool) -> None:
+    def _divide(self, now: float, *, known: bool) -> None:
         if not known:
-            self.book.suspend(grow_at)
+            self.book.suspend()
         owned = self.division.owned_by(self._own)
-        dropped = self.book.divide(owned, self.division, grow_at, now)
+        dropped = self.book.divide(owned, self.division, now)
         # A slot that was not usable yet, or is lent, is not this host's to pass on.
         passed = [h for h in dropped if known and h.usable_at <= now and not h.is_lent(now)]
         self._dropped = {held for held in passed if held.busy}
@@ -311,21 +315,22 @@
             talk.unsure = talk.peer in unsure
             self._talks_by_host[there.host] = talk
 
-    def _grow_later(self, at: float) -> None:
+    def _grow_later(self, now: float) -> None:
+        """Use new slots once no earlier owner can start a request and all that it started ended."""
+        settles_at = self._state.division_settles_at()
+        if isinf(settles_at):
+            return
+        grow_at = max(settles_at + self._running_s, now)
+        self.book.grow_from(grow_at)
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = asyncio.get_running_loop().call_at(at, self._on_gain, at)
+        self._timer = asyncio.get_running_loop().call_at(grow_at, self._on_gain, grow_at)
 
 
-def _growth_wait_s(earlier: AgreedState, later: AgreedState) -> float:
-    """Return how long an earlier owner may still use a slot, in seconds.
-
-    It may start requests until its proof ends, and these run until their deadlines.
-    """
+def _longest_run_s(earlier: AgreedState, later: AgreedState) -> float:
+    """Return how long a request may run that an earlier owner of a slot started, in seconds."""
     longest_s = max(longest_deadline_s(earlier), longest_deadline_s(later))
-    proof_s = max(state.deployment.defaults.proof_s for state in (earlier, later))
-    drift = later.deployment.defaults.clock_drift
-    return (proof_s + longest_s) * (1 + drift) + SETTLE_S
+    return longest_s * (1 + later.deployment.defaults.clock_drift) + SETTLE_S
 
 
 def _is_longer(there: Waiting, here: Waiting) -> bool:
--- a/tests/steering/chaos.py
+++ b/tests/steering/chaos.py
@@ -56,9 +56,18 @@
 
     __slots__ = ("chooser", "known", "member", "state")
 
-    def __init__(self, own: Member, state: AgreedState, network: Network, seed: float) -> None:
+    def __init__(
+        self,
+        own: Member,
+        state: AgreedState,
+        network: Network,
+        seed: float,
+        settles_at: float | None,
+    ) -> None:
         self.member = own
         self.state = SettableState(state)
+        if settles_at is not None:
+            self.state.settles_at = settles_at
         self.known = state.version
         links = network.join(own.host, own.incarnation)
         recorder = Recorder(own.host, own.incarnation)
@@ -68,10 +77,23 @@
 class Chaos:
     """A fleet, its agreed state, and how many requests use each target's slots."""
 
-    __slots__ = ("agreed", "hosts", "in_use", "network", "over", "random", "served", "tasks")
-
-    def __init__(self, seed: int, loss: float = 0.0, hosts: int = 3) -> None:
+    __slots__ = (
+        "_settles_at",
+        "agreed",
+        "hosts",
+        "in_use",
+        "network",
+        "over",
+        "random",
+        "served",
+        "tasks",
+    )
+
+    def __init__(
+        self, seed: int, loss: float = 0.0, hosts: int = 3, settles_at: float | None = None
+    ) -> None:
         self.random = Random(seed)
+        self._settles_at = settles_at
         self.network = Network(self.random, 0.002, loss)
         self.agreed = state_of(hosts)
         self.in_use: Counter[str] = Counter()
@@ -84,7 +106,9 @@
 
     def start(self, own: Member) -> None:
         """Start a run of a host."""
-        self.hosts[own.host] = ChaosHost(own, self.agreed, self.network, self.random.random())
+        self.hosts[own.host] = ChaosHost(
+            own, self.agreed, self.network, self.random.random(), self._settles_at
+        )
 
     def commit(self, late_s: float = 0.0, **changes: object) -> None:
         """Commit a change of the division; hosts learn of it up to ``late_s`` later.
--- a/tests/steering/test_shift_cap.py
+++ b/tests/steering/test_shift_cap.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import inf
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,7 @@
 from flamingoladder.config.agreed import Shift
 from flamingoladder.peers.link import Peer
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.standins.state import SettableState
 from flamingoladder.steering.shift_cap import BURST_S
 from flamingoladder.steering.shift_cap import ShiftCaps
 
@@ -27,6 +29,7 @@
 PER_S = 100.0
 SERVICE_S = 0.04
 CAP_PER_S = 20.0
+NEVER_S = 1_000.0
 
 
 async def _run(name: str, share: float, *, lose: bool = False) -> list[Sent]:
@@ -67,8 +70,10 @@
         loop = asyncio.get_running_loop()
         state = first_state(example("tjaldvik"))
         shift = Shift("s1", "catalogue", "reykjavik", "akureyri", 1.0, CAP_PER_S, "works")
-        caps = ShiftCaps(Peer("h0", "h0-1"), "reykjavik", Random(1))
-        caps.adopt(next_state(state, divides=False, shifts=(shift,)))
+        started = next_state(state, divides=False, shifts=(shift,))
+        in_force = SettableState(started)
+        caps = ShiftCaps(Peer("h0", "h0-1"), "reykjavik", in_force, Random(1))
+        caps.adopt(started)
         await asyncio.sleep(0.9 * state.deployment.defaults.proof_s)
         early = caps.draw("catalogue", loop.time())
         await asyncio.sleep(state.deployment.defaults.proof_s)
@@ -80,3 +85,23 @@
 def test_no_more_than_the_share_is_moved() -> None:
     moved = run_on_injected_time(_run("tjaldvik", 0.05))
     assert 0 < len(moved) < 0.1 * PER_S * SECONDS
+
+
+def test_a_part_does_not_grow_before_the_division_has_settled() -> None:
+    async def scenario() -> list[str | None]:
+        loop = asyncio.get_running_loop()
+        state = first_state(example("tjaldvik"))
+        shift = Shift("s1", "catalogue", "reykjavik", "akureyri", 1.0, CAP_PER_S, "works")
+        started = next_state(state, divides=False, shifts=(shift,))
+        in_force = SettableState(started)
+        in_force.settles_at = inf
+        caps = ShiftCaps(Peer("h0", "h0-1"), "reykjavik", in_force, Random(1))
+        caps.adopt(started)
+        await asyncio.sleep(NEVER_S)
+        drawn = [caps.draw("catalogue", loop.time())]
+        in_force.settles_at = loop.time()
+        caps.adopt(started)
+        await asyncio.sleep(NEVER_S)
+        return [*drawn, caps.draw("catalogue", loop.time())]
+
+    assert run_on_injected_time(scenario()) == [None, "akureyri"]
--- a/tests/steering/test_slots_over_all_hosts.py
+++ b/tests/steering/test_slots_over_all_hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import inf
 from typing import TYPE_CHECKING
 
 import pytest
@@ -24,6 +25,7 @@
 READY_S = PROOF_S + DEADLINE_S + 0.5
 EVENTS = 24
 HOSTS = 5
+NEVER_S = 1_000.0
 SEEDS = 8
 TERM_S = DEADLINE_S + 4.0
 
@@ -109,6 +111,22 @@
     assert run_on_injected_time(scenario()) == 6
 
 
+def test_a_slot_is_used_only_once_the_division_has_settled() -> None:
+    async def scenario() -> list[int]:
+        fleet = Chaos(1, settles_at=inf)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(NEVER_S)
+        held = [_held(await _reserve(fleet, "h0", 6))]
+        for host in fleet.hosts.values():
+            host.state.settle(loop.time())
+        await asyncio.sleep(READY_S)
+        held.append(_held(await _reserve(fleet, "h0", 6)))
+        fleet.close()
+        return held
+
+    assert run_on_injected_time(scenario()) == [0, 6]
+
+
 def test_without_proof_nothing_is_started() -> None:
     async def scenario() -> Refusal | Reservation:
         fleet = Chaos(1)
