Keep to a ticket whose outcome is in doubt

Cause: a call whose ticket had ended may_have_run, when it was made again, presented its first key, which nobody had claimed: once the store was back a second run was possible. Found by reading; shown failing first: test_a_ticket_in_doubt_is_the_only_key_of_its_call. Ruled out: letting a later not_run from another host free the call again (a request on its way to the issuer could still arrive). Conclusion: such a call presents its ticket for good, at the host that gave it first.

--- a/src/flamingoladder/client/call.py
+++ b/src/flamingoladder/client/call.py
@@ -15,8 +15,8 @@
     """A call; all its repeats carry the same request id and idempotency key.
 
     ``host`` is the base URL of the entry host that it was sent to last. ``ticket`` is the ticket in
-    use as idempotency key, if that host gave one. ``idempotent`` must be False unless the route is
-    declared idempotent. ``fresh_key`` says that no earlier request with the key is in doubt; for a
+    use as idempotency key, if that host gave one; once its outcome is in doubt it is the only key
+    of the call, for good. ``idempotent`` must be False unless the route is declared idempotent. ``fresh_key`` says that no earlier request with the key is in doubt; for a
     key that the call did not make itself that is not known.
     """
 
@@ -32,6 +32,7 @@
         "request_id",
         "service",
         "ticket",
+        "ticket_in_doubt",
     )
 
     def __init__(
@@ -55,6 +56,7 @@
         self.request_id = uuid4().hex
         self.host: str | None = None
         self.ticket: str | None = None
+        self.ticket_in_doubt = False
 
     @property
     def key_in_use(self) -> str:
--- a/src/flamingoladder/client/caller.py
+++ b/src/flamingoladder/client/caller.py
@@ -71,6 +71,8 @@
         """Send the call, to other entry hosts too if that helps, and return its outcome."""
         deadline = self._now() + self._settings.deadline_ms / MS_PER_S
         urls = await self._lookups.urls_for(call.service, deadline)
+        if call.ticket_in_doubt and call.host is not None:
+            urls = [call.host, *(url for url in urls if url != call.host)]
         last = Refusal.not_run(Reason.HOST_UNREACHABLE, "no entry host is known")
         may_have_run = False
         for position, url in enumerate(urls):
@@ -109,6 +111,8 @@
     async def _send(self, url: str, call: Call, deadline: float, *, is_last: bool) -> Outcome:
         give_up = self._half(deadline) if call.idempotent and not is_last else deadline
         call.host = url
+        if call.ticket_in_doubt:
+            return await self._send_once(url, call, deadline, give_up)
         call.ticket = None
         outcome = await self._send_once(url, call, deadline, give_up)
         if outcome.is_ok() or not _offers_ticket(call, outcome.error):
@@ -123,7 +127,9 @@
             outcome = await self._hosts.send(url, call, deadline, give_up)
             return outcome
         finally:
-            call.fresh_key = was_fresh and _has_not_run(outcome)
+            not_run = _has_not_run(outcome)
+            call.fresh_key = was_fresh and not_run
+            call.ticket_in_doubt |= call.ticket is not None and not not_run
 
     def _half(self, deadline: float) -> float:
         return (self._now() + deadline) / 2
--- a/tests/client/test_caller.py
+++ b/tests/client/test_caller.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Sequence
 
     from expression import Result
 
@@ -45,10 +46,11 @@
 class StorelessLedger(MemoryLedger):
     """Runs only requests that carry a ticket."""
 
-    __slots__ = ("fresh", "keys")
+    __slots__ = ("_ticket_outcomes", "fresh", "keys")
 
-    def __init__(self) -> None:
+    def __init__(self, ticket_outcomes: Sequence[Refusal] = ()) -> None:
         super().__init__()
+        self._ticket_outcomes = list(ticket_outcomes)
         self.fresh: list[bool] = []
         self.keys: list[str | None] = []
 
@@ -56,6 +58,8 @@
         """Refuse the request with a ticket, or run the ticket."""
         self.fresh.append(request.fresh_key)
         self.keys.append(request.idempotency_key)
+        if request.idempotency_key == "t1" and self._ticket_outcomes:
+            return Error(self._ticket_outcomes.pop(0))
         if request.idempotency_key == "t1":
             return await super().run_once(request, run)
         refusal = Refusal.not_run(Reason.CLAIM_STORE_UNAVAILABLE, "store is down")
@@ -182,6 +186,16 @@
     assert ["Flamingoladder-Fresh-Key: 1" in head for head in host.received] == stated
 
 
+async def test_a_ticket_in_doubt_is_the_only_key_of_its_call() -> None:
+    ledger = StorelessLedger(ticket_outcomes=[Refusal.may_have_run(Reason.UPSTREAM_LOST, "lost")])
+    async with two_gateways() as (first, second, caller):
+        first.stages.ledger = second.stages.ledger = ledger
+        call = booking()
+        assert (await caller.call(call)).error.verdict is Verdict.MAY_HAVE_RUN
+        await caller.call(call)
+        assert ledger.keys == [call.idempotency_key, "t1", "t1"]
+
+
 async def test_a_key_stays_fresh_after_not_run() -> None:
     ledger = StorelessLedger()
     async with two_gateways() as (first, second, caller):
