Take one block of ports for a local deployment; let injected time always advance

Cause: ports of services were chosen one after the other before any was bound, so two blocks could overlap (a set-up error of the process tests, seen once); and a timer less than a rounding step ahead never came due on injected time (a measurement hung once). Ruled out: trying again.

--- a/src/flamingoladder/standins/deployment.py
+++ b/src/flamingoladder/standins/deployment.py
@@ -96,9 +96,11 @@
         self._upstream_arguments = upstream_arguments
         self._token = secrets.token_hex(16)
         self.operator_token = secrets.token_hex(16)
-        self.first_ports_by_service = self._move_targets(random)
+        targets = sum(len(service["targets"]) for service in document["services"].values())
+        own_ports = 1 + HOSTS * PORTS_PER_HOST
+        first = free_ports(own_ports + targets, random)
+        self.first_ports_by_service = self._move_targets(first + own_ports)
         self.deployment: Deployment = validate(document).ok
-        first = free_ports(1 + HOSTS * PORTS_PER_HOST, random)
         self.platform_url = f"http://{LOOPBACK}:{first}"
         self._platform = PlatformControl(self.platform_url, self._token)
         self.hosts = self._place_hosts(first + 1)
@@ -238,13 +240,13 @@
         listed = tuple(ListedHost(host, HostStatus.LIVE) for host in hosts)
         await self._platform.set_hosts(HostSettings(hosts=listed))
 
-    def _move_targets(self, random: Random) -> dict[str, int]:
+    def _move_targets(self, port: int) -> dict[str, int]:
         first_ports = {}
         for name, service in self._document["services"].items():
-            first = free_ports(len(service["targets"]), random)
-            first_ports[name] = first
-            for offset, target in enumerate(service["targets"].values()):
-                target["address"] = f"{LOOPBACK}:{first + offset}"
+            first_ports[name] = port
+            for target in service["targets"].values():
+                target["address"] = f"{LOOPBACK}:{port}"
+                port += 1
         return first_ports
 
     def _place_hosts(self, first_port: int) -> tuple[LocalHost, ...]:
--- a/src/flamingoladder/standins/loop.py
+++ b/src/flamingoladder/standins/loop.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import selectors
+from math import inf
+from math import nextafter
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -24,7 +26,10 @@
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         if timeout is None:
             raise RuntimeError("all tasks wait for something that no timer brings")
-        self.elapsed_s += max(timeout, 0.0)
+        if timeout > 0:
+            # A timer less than a rounding step ahead would never come due otherwise.
+            step = nextafter(self.elapsed_s, inf)
+            self.elapsed_s = max(self.elapsed_s + timeout, step)
         return super().select(0)
 
 
