--- a/src/flamingoladder/client/call.py
+++ b/src/flamingoladder/client/call.py
@@ -16,8 +16,9 @@
 
     ``host`` is the base URL of the entry host that it was sent to last. ``ticket`` is the ticket in
     use as idempotency key, if that host gave one; once its outcome is in doubt it is the only key
-    of the call, for good. ``idempotent`` must be False unless the route is declared idempotent. ``fresh_key`` says that no earlier request with the key is in doubt; for a
-    key that the call did not make itself that is not known.
+    of the call, for good. ``idempotent`` must be False unless the route is declared idempotent.
+    ``fresh_key`` says that no earlier request with the key is in doubt; for a key that the call did
+    not make itself that is not known.
     """
 
     __slots__ = (
