Move each kind of change to the slice that owns its part

Ruled out: smaller files in the same slice. Conclusion: behaviour as it was; lint and the tests of freshness, members, operators, keys and the golden sessions pass.

--- a/bench/freshness.py
+++ b/bench/freshness.py
@@ -17,12 +17,12 @@
 from tests.freshness.fleet import SETTINGS
 from tests.freshness.fleet import Fleet
 
-from flamingoladder.freshness.changes import WithdrawKey
 from flamingoladder.freshness.head import HEAD_KEY
 from flamingoladder.freshness.head import decode_head
 from flamingoladder.freshness.head import decode_state
 from flamingoladder.freshness.messages import VouchReply
 from flamingoladder.freshness.messages import VouchRequest
+from flamingoladder.keys.changes import WithdrawKey
 from flamingoladder.peers.envelope import Envelope
 from flamingoladder.peers.envelope import encode
 from flamingoladder.platform.exceptions import PlatformError
--- a/src/flamingoladder/freshness/knowledge.py
+++ b/src/flamingoladder/freshness/knowledge.py
@@ -10,7 +10,7 @@
 
 from flamingoladder.freshness import guards
 from flamingoladder.freshness.changes import NO_STATE_VERSION
-from flamingoladder.freshness.changes import with_keys_withdrawn
+from flamingoladder.keys.changes import with_keys_withdrawn
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/src/flamingoladder/operators/server.py
+++ b/src/flamingoladder/operators/server.py
@@ -13,15 +13,11 @@
 from flamingoladder.config.agreed import Drain
 from flamingoladder.config.agreed import DrainKind
 from flamingoladder.config.agreed import Shift
+from flamingoladder.config.changes import ApplyConfiguration
 from flamingoladder.config.reader import read_deployment
 from flamingoladder.daemon.settings import Role
-from flamingoladder.freshness.changes import AddDrain
-from flamingoladder.freshness.changes import ApplyConfiguration
-from flamingoladder.freshness.changes import EndShift
-from flamingoladder.freshness.changes import GrantKey
-from flamingoladder.freshness.changes import RemoveDrain
-from flamingoladder.freshness.changes import StartShift
-from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.keys.changes import GrantKey
+from flamingoladder.keys.changes import WithdrawKey
 from flamingoladder.keys.issue import issue_key
 from flamingoladder.members.changes import RemoveMember
 from flamingoladder.operators.messages import ErrorCode
@@ -36,6 +32,10 @@
 from flamingoladder.operators.replies import error_reply
 from flamingoladder.operators.replies import json_reply
 from flamingoladder.operators.replies import refused_reply
+from flamingoladder.steering.drain_changes import AddDrain
+from flamingoladder.steering.drain_changes import RemoveDrain
+from flamingoladder.steering.shift_changes import EndShift
+from flamingoladder.steering.shift_changes import StartShift
 
 if TYPE_CHECKING:
     from ssl import SSLContext
--- a/tests/freshness/fleet.py
+++ b/tests/freshness/fleet.py
@@ -10,6 +10,7 @@
 
 from flamingoladder.config.agreed import AgreedState
 from flamingoladder.config.agreed import KeyGrant
+from flamingoladder.config.changes import ApplyConfiguration
 from flamingoladder.config.model import Defaults
 from flamingoladder.config.model import Delays
 from flamingoladder.config.model import Deployment
@@ -18,11 +19,9 @@
 from flamingoladder.config.model import Places
 from flamingoladder.config.model import Region
 from flamingoladder.config.model import Workspace
-from flamingoladder.freshness.changes import ApplyConfiguration
-from flamingoladder.freshness.changes import Change
-from flamingoladder.freshness.changes import GrantKey
 from flamingoladder.freshness.keeper import StateKeeper
 from flamingoladder.freshness.settings import FreshnessSettings
+from flamingoladder.keys.changes import GrantKey
 from flamingoladder.members.state import Member
 from flamingoladder.platform.hostlist import HostStatus
 from flamingoladder.platform.hostlist import ListedHost
@@ -37,6 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from flamingoladder.freshness.changes import Change
     from flamingoladder.freshness.commits import CommitRefused
     from flamingoladder.freshness.commits import CommitReport
     from flamingoladder.timeline.events import Event
--- a/tests/freshness/test_commits.py
+++ b/tests/freshness/test_commits.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import pytest
 
 from flamingoladder.config.agreed import KeyGrant
-from flamingoladder.freshness.changes import ApplyConfiguration
-from flamingoladder.freshness.changes import Change
-from flamingoladder.freshness.changes import GrantKey
-from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.config.changes import ApplyConfiguration
 from flamingoladder.freshness.commits import RefusalKind
 from flamingoladder.freshness.messages import Intent
+from flamingoladder.keys.changes import GrantKey
+from flamingoladder.keys.changes import WithdrawKey
 from flamingoladder.standins.loop import run_on_injected_time
 from tests.freshness.fleet import KEY
 from tests.freshness.fleet import PROOF_S
@@ -21,6 +21,9 @@
 from tests.freshness.fleet import Fleet
 from tests.freshness.fleet import renamed
 
+if TYPE_CHECKING:
+    from flamingoladder.freshness.changes import Change
+
 OTHER = KeyGrant("k2", "camp", "d2")
 
 
--- a/tests/freshness/test_head.py
+++ b/tests/freshness/test_head.py
@@ -9,14 +9,14 @@
 import pytest
 
 from flamingoladder.config.agreed import KeyGrant
-from flamingoladder.freshness.changes import ApplyConfiguration
-from flamingoladder.freshness.changes import GrantKey
-from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.config.changes import ApplyConfiguration
 from flamingoladder.freshness.commits import RefusalKind
 from flamingoladder.freshness.exceptions import StateUnreadableError
 from flamingoladder.freshness.head import decode_head
 from flamingoladder.freshness.messages import ObjectReply
 from flamingoladder.freshness.messages import ObjectRequest
+from flamingoladder.keys.changes import GrantKey
+from flamingoladder.keys.changes import WithdrawKey
 from flamingoladder.platform.table import Write
 from flamingoladder.standins.loop import run_on_injected_time
 from tests.freshness.fleet import KEY
--- a/tests/freshness/test_keeper.py
+++ b/tests/freshness/test_keeper.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from flamingoladder.freshness.changes import ApplyConfiguration
-from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.config.changes import ApplyConfiguration
+from flamingoladder.keys.changes import WithdrawKey
 from flamingoladder.standins.loop import run_on_injected_time
 from tests.freshness.fleet import KEY
 from tests.freshness.fleet import Fleet
--- a/tests/freshness/test_partitions.py
+++ b/tests/freshness/test_partitions.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from flamingoladder.freshness.changes import ApplyConfiguration
-from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.config.changes import ApplyConfiguration
 from flamingoladder.freshness.commits import RefusalKind
+from flamingoladder.keys.changes import WithdrawKey
 from flamingoladder.members.changes import RemoveMember
 from flamingoladder.standins.loop import run_on_injected_time
 from tests.freshness.fleet import KEY
--- a/tests/freshness/test_random.py
+++ b/tests/freshness/test_random.py
@@ -9,10 +9,10 @@
 import pytest
 
 from flamingoladder.config.agreed import KeyGrant
-from flamingoladder.freshness.changes import ApplyConfiguration
-from flamingoladder.freshness.changes import GrantKey
-from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.config.changes import ApplyConfiguration
 from flamingoladder.freshness.commits import RefusalKind
+from flamingoladder.keys.changes import GrantKey
+from flamingoladder.keys.changes import WithdrawKey
 from flamingoladder.platform.hostlist import HostStatus
 from flamingoladder.platform.hostlist import ListedHost
 from flamingoladder.standins.loop import run_on_injected_time
--- a/tests/freshness/test_restarts.py
+++ b/tests/freshness/test_restarts.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.keys.changes import WithdrawKey
 from flamingoladder.standins.loop import run_on_injected_time
 from tests.freshness.fleet import KEY
 from tests.freshness.fleet import PROOF_S
--- a/tests/golden/session.py
+++ b/tests/golden/session.py
@@ -10,15 +10,15 @@
 from aiohttp.test_utils import make_mocked_request
 from expression import Ok
 
+from flamingoladder.config.changes import ApplyConfiguration
 from flamingoladder.config.reader import read_deployment
 from flamingoladder.daemon.host_slices import HostSlices
 from flamingoladder.daemon.platform_services import PlatformServices
-from flamingoladder.freshness.changes import ApplyConfiguration
-from flamingoladder.freshness.changes import GrantKey
 from flamingoladder.gateway.handler import RequestHandler
 from flamingoladder.gateway.in_progress import InProgress
 from flamingoladder.gateway.reply import outcome_response
 from flamingoladder.gateway.stages import Dispatcher
+from flamingoladder.keys.changes import GrantKey
 from flamingoladder.keys.issue import issue_key
 from flamingoladder.members.state import Member
 from flamingoladder.platform.hostlist import HostStatus
--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -12,10 +12,10 @@
 
 from flamingoladder.config.agreed import Drain
 from flamingoladder.config.agreed import DrainKind
-from flamingoladder.freshness.changes import AddDrain
-from flamingoladder.freshness.changes import ApplyConfiguration
-from flamingoladder.freshness.changes import WithdrawKey
+from flamingoladder.config.changes import ApplyConfiguration
+from flamingoladder.keys.changes import WithdrawKey
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.steering.drain_changes import AddDrain
 from tests.golden.session import Session
 
 if TYPE_CHECKING:
