Share the reservation of a declared target

Cause: the two choosers' reservations stood twice, line for line. Ruled out: properties on the interface itself (a fake need not know targets). Conclusion: behaviour as it was.

--- a/src/flamingoladder/steering/least_in_flight.py
+++ b/src/flamingoladder/steering/least_in_flight.py
@@ -9,6 +9,7 @@
 from flamingoladder.steering.candidates import candidates
 from flamingoladder.steering.chooser import Reservation
 from flamingoladder.steering.chooser import TargetChooser
+from flamingoladder.steering.reservation import TargetReservation
 from flamingoladder.upstreams.targets import declared_targets
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
@@ -125,29 +126,14 @@
             self._targets_by_service[target.service].append(target)
 
 
-class HeldSlot(Reservation):
+class HeldSlot(TargetReservation):
     """A slot of one target."""
 
-    __slots__ = ("_chooser", "_target")
+    __slots__ = ("_chooser",)
 
     def __init__(self, chooser: LeastInFlight, target: DeclaredTarget) -> None:
+        super().__init__(target)
         self._chooser = chooser
-        self._target = target
-
-    @property
-    def target(self) -> str:
-        """Return the target's name, ``service/target``."""
-        return self._target.name
-
-    @property
-    def address(self) -> str:
-        """Return the target's ``ip:port``."""
-        return self._target.address
-
-    @property
-    def region(self) -> str:
-        """Return the target's region."""
-        return self._target.region
 
     def release(self, end: AttemptEnd, now: float) -> None:
         """Give the slot back."""
--- a/src/flamingoladder/steering/slot_chooser.py
+++ b/src/flamingoladder/steering/slot_chooser.py
@@ -14,6 +14,7 @@
 from flamingoladder.steering.fair_queue import FairQueue
 from flamingoladder.steering.fair_queue import Weight
 from flamingoladder.steering.preference import Preference
+from flamingoladder.steering.reservation import TargetReservation
 from flamingoladder.steering.shift_cap import ShiftCaps
 from flamingoladder.steering.slot_sharing import SlotSharing
 from flamingoladder.upstreams.targets import declared_targets
@@ -249,34 +250,19 @@
         self._serve_all(asyncio.get_running_loop().time())
 
 
-class SlotReservation(Reservation):
+class SlotReservation(TargetReservation):
     """A slot of one target."""
 
-    __slots__ = ("_chooser", "_held", "_taken_at", "_target")
+    __slots__ = ("_chooser", "_held", "_taken_at")
 
     def __init__(
         self, chooser: SlotChooser, held: HeldSlot, target: DeclaredTarget, taken_at: float
     ) -> None:
+        super().__init__(target)
         self._chooser = chooser
         self._held = held
-        self._target = target
         self._taken_at = taken_at
 
-    @property
-    def target(self) -> str:
-        """Return the target's name, ``service/target``."""
-        return self._target.name
-
-    @property
-    def address(self) -> str:
-        """Return the target's ``ip:port``."""
-        return self._target.address
-
-    @property
-    def region(self) -> str:
-        """Return the target's region."""
-        return self._target.region
-
     def release(self, end: AttemptEnd, now: float) -> None:
         """Give the slot back."""
         self._chooser.freed(self._held, self._target, self._taken_at, end, now)
