--- a/src/flamingoladder/console/application.py
+++ b/src/flamingoladder/console/application.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+PROGRAM = "flamingoladder"
 COMMANDS_PACKAGE = "flamingoladder.console.commands"
 COMMANDS = (
     "apply",
@@ -40,10 +41,12 @@
 
     Only the named command is imported, as a daemon's memory is bounded.
     """
+    sys.argv[0] = PROGRAM
     named = sys.argv[1].replace("-", "_") if len(sys.argv) > 1 else ""
     names = (named,) if named in COMMANDS else COMMANDS
     commands = [_command(name) for name in names]
-    sys.exit(defopt.run({function.__name__.replace("_", "-"): function for function in commands}))
+    by_name = {function.__name__.replace("_", "-"): function for function in commands}
+    sys.exit(defopt.run(by_name, no_negated_flags=True))
 
 
 def _command(name: str) -> Callable[..., int]:
--- a/src/flamingoladder/console/commands/drain.py
+++ b/src/flamingoladder/console/commands/drain.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from flamingoladder.config.agreed import DrainKind
+from flamingoladder.console.drain_kind import DrainKindName
 from flamingoladder.console.operator_console import Call
 from flamingoladder.console.operator_console import OperatorConsole
 from flamingoladder.console.reports import report_text
@@ -11,7 +11,13 @@
 
 
 def drain(
-    kind: DrainKind, name: str, *, reason: str, url: str = "", token: str = "", json: bool = False
+    kind: DrainKindName,
+    name: str,
+    *,
+    reason: str,
+    url: str = "",
+    token: str = "",
+    json: bool = False,
 ) -> int:
     """Give a target, failure domain or host no new work.
 
--- a/src/flamingoladder/console/commands/undrain.py
+++ b/src/flamingoladder/console/commands/undrain.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from flamingoladder.config.agreed import DrainKind
+from flamingoladder.console.drain_kind import DrainKindName
 from flamingoladder.console.operator_console import Call
 from flamingoladder.console.operator_console import OperatorConsole
 from flamingoladder.console.reports import report_text
@@ -10,7 +10,7 @@
 
 
 def undrain(
-    kind: DrainKind, name: str, *, url: str = "", token: str = "", json: bool = False
+    kind: DrainKindName, name: str, *, url: str = "", token: str = "", json: bool = False
 ) -> int:
     """Put a drained target, failure domain or host back to use.
 
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -40,6 +40,9 @@
         (["status"], ExitCode.BAD_INPUT, "FLAMINGOLADDER_OPERATOR_URL"),
         (["status", "--url", "http://127.0.0.1:9"], ExitCode.BAD_INPUT, "OPERATOR_TOKEN"),
         (["status", "--url", "http://127.0.0.1:9", "--token", "t"], ExitCode.UNREACHABLE, ":9"),
+        (["drain", "shelf", "x", "--reason", "y"], ExitCode.BAD_INPUT, "failure_domain"),
+        (["drain", "target", "x", "--reason", "y"], ExitCode.BAD_INPUT, "OPERATOR_URL"),
+        (["undrain", "host", "x"], ExitCode.BAD_INPUT, "OPERATOR_URL"),
         (["timeline", "--log-file", "no-such-file"], ExitCode.BAD_INPUT, "no-such-file"),
     ],
 )
