--- a/src/flamingoladder/config/shape.py
+++ b/src/flamingoladder/config/shape.py
@@ -70,7 +70,7 @@
 
 
 def _python_type(info: inspect.Type) -> Any:
-    if isinstance(info, inspect.StructType | inspect.EnumType):
+    if isinstance(info, inspect.StructType):
         return info.cls
     if isinstance(info, inspect.DictType):
         return dict[str, _python_type(info.value_type)]  # type: ignore[misc]
@@ -86,8 +86,6 @@
 
 
 def _expected(info: inspect.Type) -> str:
-    if isinstance(info, inspect.EnumType):
-        return "one of: " + ", ".join(str(member.value) for member in info.cls)
     names_by_info: dict[type, str] = {
         inspect.IntType: "a whole number",
         inspect.FloatType: "a number",
