Share probes of targets among hosts

Cause: idle daemons spent 4.7 to 5.1% of a core, most of it on asking 40 targets for health and load every 2 s, seven times over; the bound is 2.2%. Two hosts, chosen by rendezvous hashing, probe a target now and tell the others; a host that is told nothing for 6 s probes for itself. Ruled out: longer intervals (a drain has to be seen within seconds). Shown failing first: without the fallback a cut host never sees a drain; without taking in, all hosts probe. Still above the bound.

--- a/src/flamingoladder/daemon/upstream_side.py
+++ b/src/flamingoladder/daemon/upstream_side.py
@@ -59,7 +59,7 @@
             permission=permission,
             recorder=recorder,
         )
-        probes = TargetProbes(state, pools, board, recorder, random)
+        probes = TargetProbes(state, pools, board, links, recorder, random)
         return cls(dispatcher, chooser, pools, probes)
 
     async def close(self) -> None:
