Send heartbeats of links every 2 s

Cause: idle daemons still spent 2.8 to 3.35% of a core. ZeroMQ's own heartbeats every 0.5 s on twelve connections and ours every 1 s were part of it. Ruled out: ours alone (connections from peers need ZeroMQ's to be cleared).

--- a/src/flamingoladder/peers/connection.py
+++ b/src/flamingoladder/peers/connection.py
@@ -22,8 +22,8 @@
     from flamingoladder.peers.keys import LinkKeys
     from flamingoladder.timeline.recorder import Recorder
 
-HEARTBEAT_INTERVAL_MS = 500
-HEARTBEAT_TIMEOUT_MS = 1_500
+HEARTBEAT_INTERVAL_MS = 2_000
+HEARTBEAT_TIMEOUT_MS = 6_000
 RECONNECT_INTERVAL_MS = 100
 RECONNECT_INTERVAL_MAX_MS = 1_000
 QUEUED_MESSAGES = 1_000
--- a/src/flamingoladder/peers/zmq_links.py
+++ b/src/flamingoladder/peers/zmq_links.py
@@ -36,7 +36,7 @@
     from flamingoladder.timeline.recorder import Recorder
 
 HANDLERS_AT_ONCE = 1_000
-HEARTBEAT_INTERVAL_S = 1.0
+HEARTBEAT_INTERVAL_S = 2.0
 HEARTBEAT_TIMEOUT_S = 0.3
 
 
