--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -108,12 +108,14 @@
     return net
 
 
-def request(workspace: str | None, deadline: float) -> CallerRequest:
+def request(
+    workspace: str | None, deadline: float, service: str = "", route: Route = ROUTE
+) -> CallerRequest:
     """Return a request of a workspace."""
     return CallerRequest(
         request_id="",
-        service="",
-        route=ROUTE,
+        service=service,
+        route=route,
         method="GET",
         path="/",
         headers=(),
--- a/bench/steering_fleet.py
+++ b/bench/steering_fleet.py
@@ -11,9 +11,9 @@
 import msgspec
 import yaml
 
+from bench.fleet import request as request_from
 from flamingoladder.config.agreed import AgreedState
 from flamingoladder.config.reader import validate
-from flamingoladder.gateway.request import CallerRequest
 from flamingoladder.members.state import Member
 from flamingoladder.standins.network import Network
 from flamingoladder.standins.state import SettableState
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     from flamingoladder.config.model import Deployment
+    from flamingoladder.gateway.request import CallerRequest
     from flamingoladder.steering.chooser import Reservation
     from flamingoladder.upstreams.targets import DeclaredTarget
 
@@ -250,7 +251,7 @@
         sent.host = entry.member.host
         route = self.deployment.services[service].routes[0]
         deadline_ms = route.deadline_ms or self.deployment.defaults.deadline_ms
-        request = request_of(service, workspace, route, at + deadline_ms / MS_PER_S)
+        request = request_from(workspace, at + deadline_ms / MS_PER_S, service, route)
         entry.budget.deposit(self.deployment.defaults.retry_budget_ratio)
         sent.end = await self._attempts(entry, request, sent)
         sent.took_s = loop.time() - at
@@ -299,24 +300,6 @@
                 self.network.delays_by_pair[(here.host, there.host)] = one_way_ms / MS_PER_S
 
 
-def request_of(service: str, workspace: str, route: object, deadline: float) -> CallerRequest:
-    """Return a request of a workspace."""
-    return CallerRequest(
-        request_id="",
-        service=service,
-        route=route,  # type: ignore[arg-type]
-        method="GET",
-        path="/",
-        headers=(),
-        body=b"",
-        digest="",
-        deadline=deadline,
-        workspace=workspace,
-        key_id=None,
-        idempotency_key=None,
-    )
-
-
 def ends(sent: list[Sent]) -> Counter[str]:
     """Return how many requests ended how."""
     return Counter(one.end for one in sent)
--- a/src/flamingoladder/console/environment.py
+++ b/src/flamingoladder/console/environment.py
@@ -4,7 +4,7 @@
 
 import os
 
-PREFIX = "FLAMINGOLADDER_"
+from flamingoladder.daemon.settings import PREFIX
 
 
 def text(name: str, default: str = "") -> str:
--- a/src/flamingoladder/upstreams/probes.py
+++ b/src/flamingoladder/upstreams/probes.py
@@ -39,13 +39,13 @@
     """Keeps one probing task for each declared target."""
 
     __slots__ = (
+        "_assigned",
         "_board",
         "_links",
         "_pools",
         "_random",
         "_recorder",
         "_replies_to_tell",
-        "_state",
         "_subscription",
         "_tasks_by_target",
         "_telling",
@@ -61,7 +61,7 @@
         recorder: Recorder,
         random: Random,
     ) -> None:
-        self._state = state
+        self._assigned: frozenset[str] = frozenset()
         self._links = links
         self._told_at_by_target: dict[str, float] = {}
         self._replies_to_tell: dict[str, ProbeReply] = {}
@@ -85,6 +85,12 @@
 
     def _follow(self, state: AgreedState) -> None:
         targets = declared_targets(state)
+        hosts = state.members_by_host
+        self._assigned = frozenset(
+            target.name
+            for target in targets
+            if self._recorder.host in probers_of(target.name, hosts)
+        )
         keys_by_name = {f"{target.name} {target.address}": target for target in targets}
         for gone in self._tasks_by_target.keys() - keys_by_name.keys():
             self._tasks_by_target.pop(gone).cancel()
@@ -101,9 +107,7 @@
 
     def _is_to_probe(self, target: str, now: float) -> bool:
         """Return whether this host is to probe the target for all, or for want of others' word."""
-        state = self._state.current
-        hosts = state.members_by_host if state else {}
-        if self._recorder.host in probers_of(target, hosts):
+        if target in self._assigned:
             return True
         told_at = self._told_at_by_target.get(target)
         return told_at is None or now - told_at > TOLD_LATELY_S
@@ -134,11 +138,10 @@
             load_answer = await connections.get(LOAD_PATH, PROBE_TIMEOUT_S)
         reply = read_probe(health_answer, load_answer)
         health = self._board.of(target.name)
+        self._replies_to_tell[target.name] = reply
         if (reply.ok, reply.draining) != (health.probe_ok, health.draining):
             self._recorder.record(
                 "target.probed", target=target.name, ok=reply.ok, draining=reply.draining
             )
-            self._replies_to_tell[target.name] = reply
             self._tell()
         health.observe_probe(reply)
-        self._replies_to_tell[target.name] = reply
