--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -25,6 +25,7 @@
 from flamingoladder.config.model import Service
 from flamingoladder.config.model import Target
 from flamingoladder.config.model import Workspace
+from flamingoladder.daemon.peer_messages import PEER_CODEC
 from flamingoladder.freshness.head import decode_state
 from flamingoladder.freshness.head import encode_state
 from flamingoladder.members.state import Member
@@ -114,7 +115,7 @@
 
 def _links(host: str) -> tuple[ZmqLinks, Member]:
     keys = LinkKeys.generate()
-    links = ZmqLinks(keys, Recorder(host, "i"))
+    links = ZmqLinks(keys, PEER_CODEC, Recorder(host, "i"))
     links.start("tcp://127.0.0.1:*")
     endpoint = links._socket.getsockopt_string(zmq.LAST_ENDPOINT)
     return links, Member(host, "r", "d", "i", "", endpoint, keys.public_key)
--- a/bench/freshness.py
+++ b/bench/freshness.py
@@ -17,6 +17,7 @@
 from tests.freshness.fleet import SETTINGS
 from tests.freshness.fleet import Fleet
 
+from flamingoladder.daemon.peer_messages import PEER_CODEC
 from flamingoladder.freshness.head import HEAD_KEY
 from flamingoladder.freshness.head import decode_head
 from flamingoladder.freshness.head import decode_state
@@ -24,7 +25,6 @@
 from flamingoladder.freshness.messages import VouchRequest
 from flamingoladder.keys.changes import WithdrawKey
 from flamingoladder.peers.envelope import Envelope
-from flamingoladder.peers.envelope import encode
 from flamingoladder.platform.exceptions import PlatformError
 from flamingoladder.standins.loop import run_on_injected_time
 from flamingoladder.standins.memory import MemoryTable
@@ -223,8 +223,10 @@
         share = run_on_injected_time(_outage(delays, outage_s))
         print(f"store out for {outage_s:.0f} s, {delays.name}: {share:.4%} of host time refused")
     _print_costs((7, 14) if quick else (7, 14, 28, 56), 5.0 if quick else 20.0)
-    request = encode(Envelope("h1", "0" * 12, 1, 1 << 50, VouchRequest(1_000)))
-    reply = encode(Envelope("h1", "0" * 12, 1, 1 << 50, VouchReply(1_000, True, "0" * 12)))
+    request = PEER_CODEC.encode(Envelope("h1", "0" * 12, 1, 1 << 50, VouchRequest(1_000)))
+    reply = PEER_CODEC.encode(
+        Envelope("h1", "0" * 12, 1, 1 << 50, VouchReply(1_000, True, "0" * 12))
+    )
     print(f"a vouch: {len(request)} bytes asked, {len(reply)} bytes answered")
 
 
--- a/src/flamingoladder/console/application.py
+++ b/src/flamingoladder/console/application.py
@@ -19,6 +19,7 @@
     "daemon",
     "demo",
     "drain",
+    "entry",
     "exceptions",
     "forget",
     "grant",
--- a/src/flamingoladder/daemon/application.py
+++ b/src/flamingoladder/daemon/application.py
@@ -11,6 +11,7 @@
 from flamingoladder.daemon.host_slices import HostSlices
 from flamingoladder.daemon.identity import member_of
 from flamingoladder.daemon.identity import new_incarnation
+from flamingoladder.daemon.peer_messages import PEER_CODEC
 from flamingoladder.daemon.platform_services import PlatformServices
 from flamingoladder.daemon.supervision import supervised
 from flamingoladder.daemon.tls import tls_context
@@ -52,7 +53,7 @@
         keys = LinkKeys.generate()
         own = member_of(settings, keys, incarnation)
         recorder = Recorder(settings.host, incarnation)
-        links = ZmqLinks(keys, recorder)
+        links = ZmqLinks(keys, PEER_CODEC, recorder)
         transport = HttpTransport.from_config(settings.platform_url, settings.platform_token)
         platform = PlatformServices.over_http(transport)
         slices = HostSlices.from_config(own, platform, links, recorder)
--- /dev/null
+++ b/src/flamingoladder/entry/beliefs.py
@@ -0,0 +1,39 @@
+"""What this host believes to be in force: the configuration and the evacuations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from flamingoladder.limits.rates import FleetRates
+    from flamingoladder.routing.model import RoutePlan
+    from flamingoladder.targets.book import TargetBook
+    from flamingoladder.timeline.recorder import Recorder
+
+
+class Beliefs:
+    """The newest configuration; an older one never replaces a newer."""
+
+    __slots__ = ("_rates", "_recorder", "_targets", "plan")
+
+    def __init__(self, targets: TargetBook, rates: FleetRates, recorder: Recorder) -> None:
+        self._targets = targets
+        self._rates = rates
+        self._recorder = recorder
+        self.plan: RoutePlan | None = None
+
+    def set_plan(self, plan: RoutePlan, now: float) -> None:
+        """Act on a configuration if it is newer than the one in force."""
+        if self.plan is not None and plan.version <= self.plan.version:
+            return
+        self.plan = plan
+        self._rates.keep_only(plan.workspaces_by_name)
+        self._recorder.record("configuration.in_force", version=plan.version)
+
+    def set_evacuated(self, domains: Iterable[str], now: float) -> None:
+        """Act on the set of failure domains that are evacuated."""
+        services = self.plan.services_by_name.values() if self.plan is not None else ()
+        ramp_s = max((service.ramp_s for service in services), default=0.0)
+        self._targets.set_evacuated(domains, now, ramp_s)
--- /dev/null
+++ b/src/flamingoladder/entry/chooser.py
@@ -0,0 +1,128 @@
+"""Chooses the target that is expected to complete a request first."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from flamingoladder.steering.homes import HomePlan
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterable
+
+    from flamingoladder.entry.beliefs import Beliefs
+    from flamingoladder.entry.request import RoutedRequest
+    from flamingoladder.fleet.members import MemberBook
+    from flamingoladder.targets.book import TargetBook
+    from flamingoladder.targets.ramp import ColdRamp
+    from flamingoladder.targets.state import TargetState
+
+WARM_PART = 0.3
+AWAY_PART = 0.12
+CONSIDERED = 4
+
+
+class TargetChooser:
+    """Weighs path, queue, and whether the target has handled the object of late."""
+
+    __slots__ = ("_beliefs", "_book", "_members", "_plans_by_service", "_ramp", "_region", "_seen")
+
+    def __init__(
+        self,
+        book: TargetBook,
+        beliefs: Beliefs,
+        members: MemberBook,
+        ramp: ColdRamp,
+        region: str,
+    ) -> None:
+        self._book = book
+        self._beliefs = beliefs
+        self._members = members
+        self._ramp = ramp
+        self._region = region
+        self._plans_by_service: dict[str, HomePlan] = {}
+        self._seen = -1
+
+    def choose(
+        self, request: RoutedRequest, tried: Collection[str], now: float
+    ) -> TargetState | None:
+        """Return the target to send to next, or None if none can take the request."""
+        allowed = [
+            target
+            for target in self._book.members(request.service)
+            if target.record.target_id not in tried
+            and not target.down
+            and (request.regions is None or target.region in request.regions)
+        ]
+        usable = [target for target in allowed if not target.is_cold(now)]
+        sound = [target for target in usable if not target.is_ejected(now)]
+        chosen = self._best(request, sound or usable, now)
+        if chosen is not None:
+            return chosen
+        return self._cold(request, (target for target in allowed if target.is_cold(now)), now)
+
+    def sending(self, target: TargetState, now: float) -> None:
+        """Count a send to the target."""
+        target.in_flight += 1
+        if target.is_cold(now):
+            target.cold_sends.append(now)
+
+    def plan_of(self, service: str) -> HomePlan:
+        """Return the homes of a service's objects."""
+        plan = self._plans_by_service.get(service)
+        if plan is None:
+            plan = self._plans_by_service[service] = HomePlan()
+        return plan
+
+    def objects(self) -> Iterable[tuple[str, Collection[str]]]:
+        """Return the known objects by service."""
+        return [(service, plan.objects) for service, plan in self._plans_by_service.items()]
+
+    def _best(
+        self, request: RoutedRequest, targets: list[TargetState], now: float
+    ) -> TargetState | None:
+        if not targets:
+            return None
+        if request.object_key is None:
+            return min(targets, key=lambda target: self._cost(target, False, now))
+        by_id = {target.record.target_id: target for target in targets}
+        plan = self.plan_of(request.service)
+        plan.set_targets(self._home_ids(request.service, now))
+        order = [by_id[name] for name in plan.order(request.object_key) if name in by_id]
+        if not order:
+            return min(targets, key=lambda target: self._cost(target, False, now))
+        considered = order[:CONSIDERED]
+        return min(considered, key=lambda target: self._cost(target, target is considered[0], now))
+
+    def _home_ids(self, service: str, now: float) -> list[str]:
+        return [
+            target.record.target_id
+            for target in self._book.members(service)
+            if not target.is_cold(now)
+        ]
+
+    def _cost(self, target: TargetState, warm: bool, now: float) -> float:
+        """Return the expected time to completion, in runs of a request that is not warm."""
+        slots = target.record.slots
+        waiting = max(0, target.load(now) + 1 - slots)
+        path = 0.0 if target.region == self._region else AWAY_PART
+        return path + (WARM_PART if warm else 1.0) + waiting * WARM_PART / slots
+
+    def _cold(
+        self, request: RoutedRequest, targets: Iterable[TargetState], now: float
+    ) -> TargetState | None:
+        plan = self._beliefs.plan
+        service = None if plan is None else plan.services_by_name.get(request.service)
+        if service is None:
+            return None
+        hosts = self._members.members_by_host.keys()
+        fitting = [
+            target
+            for target in targets
+            if self._ramp.may_send(
+                target,
+                self._ramp.allowance(target.record.target_id, service.ramp_per_s, hosts),
+                now,
+            )
+        ]
+        return min(fitting, key=lambda target: self._cost(target, False, now), default=None)
--- /dev/null
+++ b/src/flamingoladder/entry/forwarder.py
@@ -0,0 +1,159 @@
+"""Has a target serve a request, and tries others as far as that is safe and within the budget."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+
+from flamingoladder.entry.outcomes import SendEnd
+from flamingoladder.entry.outcomes import SendResult
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Refusal
+
+if TYPE_CHECKING:
+    from flamingoladder.entry.chooser import TargetChooser
+    from flamingoladder.entry.crashes import CrashGuard
+    from flamingoladder.entry.probing import TargetProber
+    from flamingoladder.entry.request import RoutedRequest
+    from flamingoladder.entry.wire import TargetWire
+    from flamingoladder.limits.retries import RetryBudgets
+    from flamingoladder.targets.state import TargetState
+    from flamingoladder.timeline.recorder import Recorder
+    from flamingoladder.verdict import Outcome
+
+RETRY_AFTER_S = 0.25
+MIN_TIME_LEFT_S = 0.02
+MAX_UNREACHED = 3
+
+REASONS_BY_END = {
+    SendEnd.NOT_RUN: Reason.UPSTREAM_SHED,
+    SendEnd.OTHER_TARGET: Reason.UPSTREAM_SHED,
+    SendEnd.NO_CONNECTION: Reason.UPSTREAM_UNREACHABLE,
+    SendEnd.FAILED: Reason.UPSTREAM_LOST,
+    SendEnd.LOST: Reason.UPSTREAM_LOST,
+    SendEnd.TIMEOUT: Reason.UPSTREAM_SILENT,
+}
+
+
+class Journey:
+    """The sends of one request."""
+
+    __slots__ = ("maybe_ran", "request", "sends", "tried", "unreached")
+
+    def __init__(self, request: RoutedRequest) -> None:
+        self.request = request
+        self.sends = 0
+        self.unreached = 0
+        self.tried: list[str] = []
+        self.maybe_ran = False
+
+    def take_in(self, target: TargetState, result: SendResult) -> None:
+        """Count a send that did not bring a good answer."""
+        self.tried.append(target.record.target_id)
+        if result.end is SendEnd.NO_CONNECTION:
+            self.unreached += 1
+        else:
+            self.sends += 1
+        self.maybe_ran |= result.may_have_run
+
+
+class Forwarder:
+    """Sends requests to targets."""
+
+    __slots__ = ("_budgets", "_chooser", "_crashes", "_prober", "_recorder", "_wire")
+
+    def __init__(
+        self,
+        chooser: TargetChooser,
+        wire: TargetWire,
+        budgets: RetryBudgets,
+        crashes: CrashGuard,
+        prober: TargetProber,
+        recorder: Recorder,
+    ) -> None:
+        self._chooser = chooser
+        self._wire = wire
+        self._budgets = budgets
+        self._crashes = crashes
+        self._prober = prober
+        self._recorder = recorder
+
+    async def forward(self, request: RoutedRequest) -> Outcome:
+        """Return the target's answer, or a refusal that says whether the request may have run."""
+        loop = asyncio.get_running_loop()
+        journey = Journey(request)
+        self._budgets.deposit(request.service, loop.time())
+        last = SendResult(SendEnd.NOT_RUN, "no target can take the request")
+        while True:
+            target = self._chooser.choose(request, journey.tried, loop.time())
+            if target is None:
+                return self._refused(journey, last)
+            last = await self._send(request, target)
+            if last.end is SendEnd.ANSWERED and last.answer is not None:
+                return Ok(last.answer)
+            journey.take_in(target, last)
+            if not self._may_go_on(journey, last, loop.time()):
+                return self._refused(journey, last)
+
+    async def _send(self, request: RoutedRequest, target: TargetState) -> SendResult:
+        loop = asyncio.get_running_loop()
+        self._chooser.sending(target, loop.time())
+        try:
+            result = await self._wire.send(request, target)
+        finally:
+            target.in_flight -= 1
+        self._take_in(request, target, result, loop.time())
+        return result
+
+    def _take_in(
+        self, request: RoutedRequest, target: TargetState, result: SendResult, now: float
+    ) -> None:
+        if result.load is not None:
+            target.saw_load(result.load, now)
+        if result.end is SendEnd.ANSWERED:
+            target.saw_success()
+            self._crashes.saw_answer(request.fingerprint)
+            return
+        self._recorder.record(
+            "send.failed",
+            request=request.arrived.request_id,
+            target=target.record.target_id,
+            end=result.end.value,
+            detail=result.detail,
+            reused=result.reused,
+            load=target.load(now),
+        )
+        if result.end is SendEnd.NO_CONNECTION:
+            self._prober.found_down(target)
+            self._crashes.saw_down(target.record.target_id, now)
+            return
+        if result.end is SendEnd.LOST:
+            self._crashes.saw_loss(request.fingerprint, target.record.target_id, now)
+            self._prober.check(target)
+        if result.end is SendEnd.OTHER_TARGET:
+            self._prober.found_down(target)
+        elif target.saw_failure(now):
+            self._recorder.record("target.ejected", target=target.record.target_id)
+
+    def _may_go_on(self, journey: Journey, last: SendResult, now: float) -> bool:
+        request = journey.request
+        if now + MIN_TIME_LEFT_S >= request.deadline or last.end is SendEnd.TIMEOUT:
+            return False
+        if journey.maybe_ran and not request.route.idempotent:
+            return False
+        if journey.sends >= request.route.max_targets or journey.unreached >= MAX_UNREACHED:
+            return False
+        if self._crashes.refuses(request.fingerprint, now):
+            return False
+        return last.end is SendEnd.NO_CONNECTION or self._budgets.take(request.service, now)
+
+    def _refused(self, journey: Journey, last: SendResult) -> Outcome:
+        if last.answer is not None:
+            return Ok(last.answer)
+        reason = REASONS_BY_END[last.end] if journey.tried else Reason.NO_CAPACITY
+        if journey.maybe_ran:
+            return Error(Refusal.may_have_run(reason, last.detail))
+        return Error(Refusal.not_run(reason, last.detail, RETRY_AFTER_S))
--- /dev/null
+++ b/src/flamingoladder/entry/request.py
@@ -0,0 +1,69 @@
+"""A caller's request on its way to a target."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.verdict import Header
+
+if TYPE_CHECKING:
+    from flamingoladder.routing.model import Route
+    from flamingoladder.routing.model import Workspace
+
+
+class ArrivedRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request as its caller sent it.
+
+    ``headers`` are those that may go on; the caller's ``keys`` are not among them. ``affinity``
+    names the object that it concerns, ``patience_s`` is how long the caller waits.
+    """
+
+    request_id: str
+    method: str
+    host: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    keys: tuple[str, ...]
+    affinity: str | None
+    patience_s: float | None
+
+
+class RoutedRequest:
+    """A request that may be served. ``deadline`` is monotonic time in seconds."""
+
+    __slots__ = (
+        "arrived",
+        "deadline",
+        "fingerprint",
+        "object_key",
+        "regions",
+        "route",
+        "service",
+        "started",
+        "workspace",
+    )
+
+    def __init__(
+        self,
+        *,
+        arrived: ArrivedRequest,
+        route: Route,
+        service: str,
+        workspace: Workspace | None,
+        regions: frozenset[str] | None,
+        started: float,
+        deadline: float,
+        fingerprint: str,
+    ) -> None:
+        self.arrived = arrived
+        self.route = route
+        self.service = service
+        self.workspace = workspace
+        self.regions = regions
+        self.started = started
+        self.deadline = deadline
+        self.fingerprint = fingerprint
+        self.object_key = None if arrived.affinity is None else f"{route.name}\0{arrived.affinity}"
--- /dev/null
+++ b/src/flamingoladder/fleet/__init__.py
@@ -0,0 +1,3 @@
+"""What the hosts tell one another, and which of them are alive."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/flamingoladder/fleet/lookups.py
@@ -0,0 +1,43 @@
+"""Names the hosts that a caller should use."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from flamingoladder.fleet.members import MemberBook
+    from flamingoladder.members.state import Member
+
+LIFETIME_S = 2.0
+MAX_HOSTS = 64
+MIN_HOSTS = 2
+
+
+class LookupAnswer(msgspec.Struct, frozen=True):
+    """Addresses of hosts (``ip:port``), and how long the answer holds in seconds."""
+
+    addresses: tuple[str, ...]
+    lifetime_s: float
+
+
+class FleetLookup:
+    """Names the hosts of the caller's region, and others if these are few."""
+
+    __slots__ = ("_book", "_own", "leaving")
+
+    def __init__(self, own: Member, book: MemberBook) -> None:
+        self._own = own
+        self._book = book
+        self.leaving = False
+
+    def answer(self, region: str, now: float) -> LookupAnswer:
+        """Return the answer for a caller in ``region``."""
+        members = self._book.serving(now)
+        if not self.leaving or not members:
+            members = [self._own, *members]
+        near = [member for member in members if member.region == region]
+        if len(near) < MIN_HOSTS:
+            near = members
+        return LookupAnswer(tuple(member.caller_url for member in near[:MAX_HOSTS]), LIFETIME_S)
--- /dev/null
+++ b/src/flamingoladder/fleet/members.py
@@ -0,0 +1,98 @@
+"""The hosts of the fleet: those that are registered, and those that are heard."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.fleet.messages import HostReport
+
+if TYPE_CHECKING:
+    from flamingoladder.members.state import Member
+    from flamingoladder.timeline.recorder import Recorder
+
+HEARD_LIFETIME_S = 1.6
+FORGET_AFTER_S = 45.0
+
+
+class HeardReport(msgspec.Struct, frozen=True):
+    """The newest report of a host, and when it came in monotonic seconds."""
+
+    report: HostReport
+    incarnation: str
+    at: float
+
+
+class MemberBook:
+    """Registered members by host, without this one, and their newest reports."""
+
+    __slots__ = ("_own_host", "_recorder", "_silent_since", "heard_by_host", "members_by_host")
+
+    def __init__(self, own_host: str, recorder: Recorder) -> None:
+        self._own_host = own_host
+        self._recorder = recorder
+        self._silent_since: dict[str, float] = {}
+        self.members_by_host: dict[str, Member] = {}
+        self.heard_by_host: dict[str, HeardReport] = {}
+
+    @property
+    def hosts(self) -> int:
+        """Return the number of registered hosts, this one included."""
+        return len(self.members_by_host) + 1
+
+    def put(self, member: Member, now: float) -> None:
+        """Take in a registration."""
+        if member.host == self._own_host:
+            return
+        known = self.members_by_host.get(member.host)
+        self.members_by_host[member.host] = member
+        if known is None or known.incarnation != member.incarnation:
+            self.heard_by_host.pop(member.host, None)
+            self._silent_since[member.host] = now
+
+    def remove(self, host: str) -> None:
+        """Forget a host."""
+        self.members_by_host.pop(host, None)
+        self.heard_by_host.pop(host, None)
+        self._silent_since.pop(host, None)
+
+    def hear(self, host: str, incarnation: str, report: HostReport, now: float) -> None:
+        """Take in a report."""
+        member = self.members_by_host.get(host)
+        if member is None or member.incarnation != incarnation:
+            return
+        if not self.is_heard(host, now):
+            self._recorder.record("host.heard", peer=host)
+        self.heard_by_host[host] = HeardReport(report, incarnation, now)
+        self._silent_since[host] = now
+
+    def is_heard(self, host: str, now: float) -> bool:
+        """Return whether the host reported of late."""
+        heard = self.heard_by_host.get(host)
+        return heard is not None and now - heard.at < HEARD_LIFETIME_S
+
+    def heard(self, now: float) -> dict[str, HostReport]:
+        """Return the reports that are young enough to count, by host."""
+        return {
+            host: heard.report
+            for host, heard in self.heard_by_host.items()
+            if now - heard.at < HEARD_LIFETIME_S
+        }
+
+    def serving(self, now: float) -> list[Member]:
+        """Return the other members that take callers."""
+        reports = self.heard(now)
+        return [
+            member
+            for host, member in self.members_by_host.items()
+            if not member.leaving and host in reports and not reports[host].leaving
+        ]
+
+    def lost(self, now: float) -> list[Member]:
+        """Return members that were silent for so long that they count as gone for good."""
+        return [
+            member
+            for host, member in self.members_by_host.items()
+            if now - self._silent_since.get(host, now) > FORGET_AFTER_S
+        ]
--- /dev/null
+++ b/src/flamingoladder/fleet/messages.py
@@ -0,0 +1,32 @@
+"""Messages between hosts of one fleet."""
+
+from __future__ import annotations
+
+import msgspec
+
+from flamingoladder.peers.messages import LinkMessage
+
+
+class HostReport(msgspec.Struct, frozen=True, tag="report"):
+    """What a host tells all others a few times a second.
+
+    ``demand_by_workspace`` is in requests per second, ``in_flight_by_target`` counts requests.
+    ``failing`` names targets that this host has taken out of use. ``objects_by_service`` names some
+    of the objects that it knows; all come round in time.
+    """
+
+    leaving: bool
+    demand_by_workspace: dict[str, float]
+    in_flight_by_target: dict[str, int]
+    failing: tuple[str, ...]
+    objects_by_service: dict[str, tuple[str, ...]]
+
+
+class CrashReport(msgspec.Struct, frozen=True, tag="crash"):
+    """A target went down while it ran the request with this ``fingerprint``."""
+
+    fingerprint: str
+    target: str
+
+
+FleetMessage = LinkMessage | HostReport | CrashReport
--- /dev/null
+++ b/src/flamingoladder/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Limits that hold over all hosts together."""
+
+from __future__ import annotations
--- a/src/flamingoladder/peers/connection.py
+++ b/src/flamingoladder/peers/connection.py
@@ -4,21 +4,18 @@
 
 import asyncio
 from typing import TYPE_CHECKING
-from typing import cast
 
 import zmq
 import zmq.asyncio
 
 from flamingoladder.peers.envelope import Envelope
-from flamingoladder.peers.envelope import decode
-from flamingoladder.peers.envelope import encode
 from flamingoladder.peers.exceptions import PeerMessageError
 
 if TYPE_CHECKING:
     import msgspec
 
     from flamingoladder.members.state import Member
-    from flamingoladder.peers.envelope import Body
+    from flamingoladder.peers.envelope import EnvelopeCodec
     from flamingoladder.peers.keys import LinkKeys
     from flamingoladder.timeline.recorder import Recorder
 
@@ -48,6 +45,7 @@
     """Questions to one incarnation of a peer, and the task that receives its replies."""
 
     __slots__ = (
+        "_codec",
         "_questions",
         "_recorder",
         "_replies_by_question",
@@ -58,8 +56,15 @@
         "was_answered",
     )
 
-    def __init__(self, socket: zmq.asyncio.Socket, member: Member, recorder: Recorder) -> None:
+    def __init__(
+        self,
+        socket: zmq.asyncio.Socket,
+        member: Member,
+        codec: EnvelopeCodec,
+        recorder: Recorder,
+    ) -> None:
         self.member = member
+        self._codec = codec
         self._socket = socket
         self._recorder = recorder
         self._questions = 0
@@ -74,6 +79,7 @@
         context: zmq.asyncio.Context,
         member: Member,
         keys: LinkKeys,
+        codec: EnvelopeCodec,
         recorder: Recorder,
     ) -> PeerConnection:
         """Start connecting; messages wait until the link is up, or are lost with the connection."""
@@ -83,7 +89,7 @@
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_INTERVAL_MAX_MS)
         socket.connect(member.peer_endpoint)
-        return cls(socket, member, recorder)
+        return cls(socket, member, codec, recorder)
 
     def is_silent(self, now: float) -> bool:
         """Return whether questions have gone unanswered for too long.
@@ -123,8 +129,8 @@
     def _send(self, message: msgspec.Struct, question: int) -> None:
         recorder = self._recorder
         clock = recorder.clock.tick()
-        frame = encode(
-            Envelope(recorder.host, recorder.incarnation, question, clock, cast("Body", message))
+        frame = self._codec.encode(
+            Envelope(recorder.host, recorder.incarnation, question, clock, message)
         )
         try:
             zmq.Socket.send(self._socket, frame, zmq.NOBLOCK)
@@ -135,7 +141,7 @@
         while True:
             frame = await self._socket.recv()
             try:
-                envelope = decode(frame)
+                envelope = self._codec.decode(frame)
             except PeerMessageError as error:
                 self._recorder.record("peer.bad_message", peer=self.member.host, error=error)
                 continue
--- a/src/flamingoladder/peers/envelope.py
+++ b/src/flamingoladder/peers/envelope.py
@@ -2,29 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
-from flamingoladder.freshness.messages import FreshnessMessage
-from flamingoladder.ledger.messages import LedgerMessage
 from flamingoladder.peers.exceptions import PeerMessageError
-from flamingoladder.peers.messages import LinkMessage
-from flamingoladder.shares.messages import SharesMessage
-from flamingoladder.steering.messages import SteeringMessage
-from flamingoladder.timeline.messages import TimelineMessage
-from flamingoladder.upstreams.messages import UpstreamMessage
-
-Body = (
-    FreshnessMessage
-    | LedgerMessage
-    | LinkMessage
-    | SharesMessage
-    | SteeringMessage
-    | TimelineMessage
-    | UpstreamMessage
-)
-
-
-class Envelope(msgspec.Struct, frozen=True, array_like=True):
+
+
+class Envelope(msgspec.Struct, frozen=True):
     """A message with its origin.
 
     ``question`` numbers a question of the sender, so that its reply finds it; 0 asks for no reply.
@@ -35,24 +20,51 @@
     incarnation: str
     question: int
     clock: int
-    body: Body | None
+    body: msgspec.Struct | None
 
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Envelope)
+class _Frame(msgspec.Struct, frozen=True, array_like=True):
+    """An envelope as it is sent."""
 
+    host: str
+    incarnation: str
+    question: int
+    clock: int
+    body: msgspec.Raw
 
-def encode(envelope: Envelope) -> bytes:
-    """Return the envelope as MessagePack."""
-    return _encoder.encode(envelope)
 
+class EnvelopeCodec:
+    """Encodes and decodes envelopes whose bodies are of the types in ``bodies``, a union."""
 
-def decode(frame: bytes) -> Envelope:
-    """Return the envelope in ``frame``.
+    __slots__ = ("_body_decoder", "_encoder", "_frame_decoder")
 
-    :raises PeerMessageError: if the frame is truncated or not an envelope.
-    """
-    try:
-        return _decoder.decode(frame)
-    except msgspec.DecodeError as error:
-        raise PeerMessageError(f"peer message of {len(frame)} bytes: {error}") from error
+    def __init__(self, bodies: Any) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+        self._frame_decoder = msgspec.msgpack.Decoder(_Frame)
+        self._body_decoder: msgspec.msgpack.Decoder[msgspec.Struct | None] = (
+            msgspec.msgpack.Decoder(bodies | None)
+        )
+
+    def encode(self, envelope: Envelope) -> bytes:
+        """Return the envelope as MessagePack."""
+        return self._encoder.encode(
+            _Frame(
+                envelope.host,
+                envelope.incarnation,
+                envelope.question,
+                envelope.clock,
+                msgspec.Raw(self._encoder.encode(envelope.body)),
+            )
+        )
+
+    def decode(self, frame: bytes) -> Envelope:
+        """Return the envelope in ``frame``.
+
+        :raises PeerMessageError: if the frame is truncated or not an envelope.
+        """
+        try:
+            found = self._frame_decoder.decode(frame)
+            body = self._body_decoder.decode(found.body)
+        except msgspec.DecodeError as error:
+            raise PeerMessageError(f"peer message of {len(frame)} bytes: {error}") from error
+        return Envelope(found.host, found.incarnation, found.question, found.clock, body)
--- a/src/flamingoladder/peers/zmq_links.py
+++ b/src/flamingoladder/peers/zmq_links.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import cast
 
 import zmq
 import zmq.asyncio
@@ -15,8 +14,6 @@
 from flamingoladder.peers.connection import configure
 from flamingoladder.peers.directory import PeerDirectory
 from flamingoladder.peers.envelope import Envelope
-from flamingoladder.peers.envelope import decode
-from flamingoladder.peers.envelope import encode
 from flamingoladder.peers.exceptions import PeerMessageError
 from flamingoladder.peers.link import Handler
 from flamingoladder.peers.link import M
@@ -31,7 +28,7 @@
     import msgspec
 
     from flamingoladder.members.state import Member
-    from flamingoladder.peers.envelope import Body
+    from flamingoladder.peers.envelope import EnvelopeCodec
     from flamingoladder.peers.keys import LinkKeys
     from flamingoladder.timeline.recorder import Recorder
 
@@ -44,6 +41,7 @@
     """One socket that peers connect to, and one connection to each peer."""
 
     __slots__ = (
+        "_codec",
         "_connections_by_host",
         "_context",
         "_directory",
@@ -57,8 +55,9 @@
         "authenticator",
     )
 
-    def __init__(self, keys: LinkKeys, recorder: Recorder) -> None:
+    def __init__(self, keys: LinkKeys, codec: EnvelopeCodec, recorder: Recorder) -> None:
         self._keys = keys
+        self._codec = codec
         self._recorder = recorder
         self._context = zmq.asyncio.Context()
         self._directory = PeerDirectory(recorder.host)
@@ -155,7 +154,7 @@
 
     def _open(self, member: Member) -> None:
         self._connections_by_host[member.host] = PeerConnection.open(
-            self._context, member, self._keys, self._recorder
+            self._context, member, self._keys, self._codec, self._recorder
         )
 
     def _reopen_if_silent(self, connection: PeerConnection, now: float) -> None:
@@ -184,7 +183,7 @@
         if sender is None:
             return None
         try:
-            envelope = decode(frames[-1].bytes)
+            envelope = self._codec.decode(frames[-1].bytes)
         except PeerMessageError as error:
             self._recorder.record("peer.bad_message", peer=sender.host, error=error)
             return None
@@ -210,6 +209,6 @@
             recorder.incarnation,
             envelope.question,
             recorder.clock.tick(),
-            cast("Body | None", reply),
+            reply,
         )
-        await self._socket.send_multipart([route, encode(answer)])
+        await self._socket.send_multipart([route, self._codec.encode(answer)])
--- /dev/null
+++ b/src/flamingoladder/platform/configuration.py
@@ -0,0 +1,149 @@
+"""Decodes the operator's configuration into routes, services and workspaces."""
+
+from __future__ import annotations
+
+import msgspec
+
+from flamingoladder.platform.exceptions import UnreadableRowError
+from flamingoladder.routing.model import Limits
+from flamingoladder.routing.model import Part
+from flamingoladder.routing.model import Route
+from flamingoladder.routing.model import RoutePlan
+from flamingoladder.routing.model import Service
+from flamingoladder.routing.model import Workspace
+
+VERSION_BASE = 16
+IDEMPOTENT = "idempotent"
+DEFAULT_PRIORITY = 1
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_check: str = "/healthz"
+    max_conns: int = 100
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 67_108_864
+    idle_timeout_s: float = 15.0
+
+
+# The platform calls a workspace a tenant.
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    rate_per_s: float | None = None
+    burst: float | None = None
+    allowed_regions: tuple[str, ...] = ()
+
+
+class _Weighted(msgspec.Struct):
+    service: str
+    weight: float
+
+
+# The platform calls a route a path of a virtual host.
+class _Path(msgspec.Struct):
+    name: str
+    path_prefix: str
+    kind: str
+    timeout_s: float
+    latency_slo_s: float = 0.0
+    priority: int = DEFAULT_PRIORITY
+    service: str | None = None
+    traffic_split: tuple[_Weighted, ...] = ()
+    max_attempts: int = 1
+    public: bool = False
+    sticky: bool = False
+    allowed_regions: tuple[str, ...] = ()
+
+
+class _Host(msgspec.Struct):
+    host: str
+    paths: tuple[_Path, ...] = ()
+
+
+class _Document(msgspec.Struct):
+    version: str
+    services: tuple[_Service, ...]
+    virtual_hosts: tuple[_Host, ...]
+    tenants: tuple[_Tenant, ...] = ()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def decode_configuration(value: bytes) -> RoutePlan:
+    """Return the configuration in a row's value.
+
+    :raises UnreadableRowError: if it can't be read.
+    """
+    try:
+        document = msgspec.json.decode(value, type=_Document)
+        version = int(document.version, VERSION_BASE)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise UnreadableRowError(f"configuration: {error}") from error
+    workspaces = [(_workspace(tenant), tenant.api_keys) for tenant in document.tenants]
+    return RoutePlan(
+        version=version,
+        routes_by_host={
+            host.host.lower(): tuple(_route(host.host.lower(), path) for path in host.paths)
+            for host in document.virtual_hosts
+        },
+        services_by_name={service.name: _service(service) for service in document.services},
+        workspaces_by_key={key: workspace for workspace, keys in workspaces for key in keys},
+        workspaces_by_name={workspace.name: workspace for workspace, _ in workspaces},
+        limits=Limits(
+            max_header_bytes=document.limits.max_header_bytes,
+            max_body_bytes=document.limits.max_body_bytes,
+            idle_s=document.limits.idle_timeout_s,
+        ),
+    )
+
+
+def _service(found: _Service) -> Service:
+    return Service(
+        name=found.name,
+        health_path=found.health_check,
+        max_connections=found.max_conns,
+        ramp_s=found.warmup_s,
+        ramp_per_s=found.warmup_per_s,
+    )
+
+
+def _workspace(found: _Tenant) -> Workspace:
+    return Workspace(
+        name=found.name,
+        priority=found.priority,
+        rate_per_s=found.rate_per_s or 0.0,
+        burst=found.burst or 0.0,
+        regions=frozenset(found.allowed_regions),
+    )
+
+
+def _route(host: str, found: _Path) -> Route:
+    return Route(
+        name=found.name,
+        host=host,
+        prefix=found.path_prefix,
+        idempotent=found.kind == IDEMPOTENT,
+        timeout_s=found.timeout_s,
+        objective_s=found.latency_slo_s,
+        priority=found.priority,
+        parts=_parts(found),
+        max_targets=max(1, found.max_attempts),
+        open=found.public,
+        sticky=found.sticky,
+        regions=frozenset(found.allowed_regions),
+    )
+
+
+def _parts(found: _Path) -> tuple[Part, ...]:
+    total = sum(part.weight for part in found.traffic_split)
+    if found.traffic_split and total > 0:
+        return tuple(Part(part.service, part.weight / total) for part in found.traffic_split)
+    if found.service is None:
+        raise UnreadableRowError(f"route {found.name}: neither service nor traffic_split")
+    return (Part(found.service, 1.0),)
--- a/src/flamingoladder/platform/exceptions.py
+++ b/src/flamingoladder/platform/exceptions.py
@@ -17,3 +17,15 @@
 
 class PlatformRefusedError(PlatformUnavailableError):
     """The service refused the call, such as for a wrong token; the call had no effect."""
+
+
+class SettingsFileError(ValueError):
+    """The settings file can't be used; the message names the field."""
+
+
+class HistoryLostError(PlatformUnavailableError):
+    """The store no longer has the changes after the version that was asked for."""
+
+
+class UnreadableRowError(ValueError):
+    """A row's value is not what its writer should have written."""
--- a/src/flamingoladder/platform/http_transport.py
+++ b/src/flamingoladder/platform/http_transport.py
@@ -49,13 +49,13 @@
 
     __slots__ = ("_headers", "_pool", "_url")
 
-    def __init__(self, url: str, token: str) -> None:
+    def __init__(self, url: str, token: str | None) -> None:
         self._url = url.rstrip("/")
-        self._headers = {"Authorization": f"Bearer {token}"}
+        self._headers = {} if token is None else {"Authorization": f"Bearer {token}"}
         self._pool: _Pool | None = None
 
     @classmethod
-    def from_config(cls, url: str, token: str) -> HttpTransport:
+    def from_config(cls, url: str, token: str | None) -> HttpTransport:
         """Return a transport to the service at the base URL ``url``; it connects when called."""
         return cls(url, token)
 
--- /dev/null
+++ b/src/flamingoladder/platform/memberships.py
@@ -0,0 +1,101 @@
+"""Registers this host in the platform's store and takes in the registrations of the others."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.members.state import Member
+from flamingoladder.platform.exceptions import OutcomeUnknownError
+from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.platform.exceptions import PlatformUnavailableError
+from flamingoladder.platform.watcher import TableReader
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from flamingoladder.fleet.members import MemberBook
+    from flamingoladder.platform.rows import RowStore
+    from flamingoladder.platform.rows import StoredRow
+    from flamingoladder.timeline.recorder import Recorder
+
+TABLE = "members"
+RETRY_PAUSE_S = 0.5
+
+
+class MembershipReader(TableReader):
+    """Brings the registrations to the book of members, and repeats this host's if it is lost."""
+
+    __slots__ = ("_book", "_changed", "_own", "_recorder", "_store", "_tasks")
+
+    def __init__(
+        self,
+        own: Member,
+        book: MemberBook,
+        store: RowStore,
+        changed: Callable[[], None],
+        recorder: Recorder,
+    ) -> None:
+        self._own = own
+        self._book = book
+        self._store = store
+        self._changed = changed
+        self._recorder = recorder
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def replace(self, rows: Sequence[StoredRow], now: float) -> None:
+        """Take in all registrations."""
+        for host in self._book.members_by_host.keys() - {row.key for row in rows}:
+            self._book.remove(host)
+        self.change(rows, now)
+
+    def change(self, rows: Sequence[StoredRow], now: float) -> None:
+        """Take in changed registrations."""
+        for row in rows:
+            if row.value is None:
+                self._removed(row.key)
+                continue
+            try:
+                member = msgspec.json.decode(row.value, type=Member)
+            except msgspec.DecodeError as error:
+                self._recorder.record("member.unreadable", peer=row.key, error=error)
+                continue
+            self._book.put(member, now)
+        self._changed()
+
+    def regained(self, now: float) -> None:
+        """Need nothing: registrations do not lapse."""
+
+    async def register(self) -> None:
+        """Write this host's registration, however often that takes."""
+        value = msgspec.json.encode(self._own)
+        while True:
+            try:
+                await self._store.write(TABLE, self._own.host, value)
+            except PlatformError as error:
+                self._recorder.record("member.not_registered", error=error)
+                await asyncio.sleep(RETRY_PAUSE_S)
+            else:
+                return
+
+    async def leave(self) -> None:
+        """Delete this host's registration, if the store can be reached."""
+        await self.forget(self._own.host)
+
+    async def forget(self, host: str) -> None:
+        """Delete a host's registration, if the store can be reached."""
+        try:
+            await self._store.delete(TABLE, host)
+        except (PlatformUnavailableError, OutcomeUnknownError) as error:
+            self._recorder.record("member.not_deleted", peer=host, error=error)
+
+    def _removed(self, host: str) -> None:
+        if host != self._own.host:
+            self._book.remove(host)
+            return
+        task = asyncio.create_task(self.register())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/flamingoladder/platform/operators.py
@@ -0,0 +1,63 @@
+"""Takes in what the operator writes: the configuration and evacuations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from flamingoladder.platform.configuration import decode_configuration
+from flamingoladder.platform.exceptions import UnreadableRowError
+from flamingoladder.platform.watcher import TableReader
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from flamingoladder.entry.beliefs import Beliefs
+    from flamingoladder.platform.rows import StoredRow
+    from flamingoladder.timeline.recorder import Recorder
+
+TABLE = "op"
+CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+
+
+class OperatorReader(TableReader):
+    """Brings the operator's rows to the slices."""
+
+    __slots__ = ("_beliefs", "_evacuated", "_recorder")
+
+    def __init__(self, beliefs: Beliefs, recorder: Recorder) -> None:
+        self._beliefs = beliefs
+        self._recorder = recorder
+        self._evacuated: set[str] = set()
+
+    def replace(self, rows: Sequence[StoredRow], now: float) -> None:
+        """Take in all rows."""
+        self._evacuated.clear()
+        self.change(rows, now)
+
+    def change(self, rows: Sequence[StoredRow], now: float) -> None:
+        """Take in changed rows."""
+        for row in rows:
+            if row.key.startswith(EVACUATION_PREFIX):
+                self._evacuation(row)
+            elif row.key == CONFIGURATION_KEY and row.value is not None:
+                self._configuration(row.value, now)
+        self._beliefs.set_evacuated(self._evacuated, now)
+
+    def regained(self, now: float) -> None:
+        """Need nothing: what the operator wrote stays until it is changed."""
+
+    def _evacuation(self, row: StoredRow) -> None:
+        domain = row.key.removeprefix(EVACUATION_PREFIX)
+        if row.value is None:
+            self._evacuated.discard(domain)
+        else:
+            self._evacuated.add(domain)
+
+    def _configuration(self, value: bytes, now: float) -> None:
+        try:
+            plan = decode_configuration(value)
+        except UnreadableRowError as error:
+            self._recorder.record("configuration.unreadable", error=error)
+            return
+        self._beliefs.set_plan(plan, now)
--- /dev/null
+++ b/src/flamingoladder/platform/registry.py
@@ -0,0 +1,102 @@
+"""Takes in the targets' registrations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.platform.exceptions import UnreadableRowError
+from flamingoladder.platform.watcher import TableReader
+from flamingoladder.targets.record import TargetRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from flamingoladder.platform.rows import StoredRow
+    from flamingoladder.targets.book import TargetBook
+    from flamingoladder.timeline.recorder import Recorder
+
+TABLE = "servers"
+STATES = ("ready", "draining")
+RETURN_S = 2.1
+OUTAGE_ENDS_S = 2.1
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    warmup_left_s: float = 0.0
+    born: int | None = None
+
+
+class RegistryReader(TableReader):
+    """Brings the targets' entries to the book of targets.
+
+    An entry that is missing within ``OUTAGE_ENDS_S`` of the store's return may have lapsed while
+    the store was away, so its target is kept for ``RETURN_S`` from the return.
+    """
+
+    __slots__ = ("_book", "_recorder", "_regained_at")
+
+    def __init__(self, book: TargetBook, recorder: Recorder) -> None:
+        self._book = book
+        self._recorder = recorder
+        self._regained_at: float | None = None
+
+    def replace(self, rows: Sequence[StoredRow], now: float) -> None:
+        """Take in all entries; targets without one have left."""
+        self.change(rows, now)
+        for target_id in self._book.by_id.keys() - {row.key for row in rows}:
+            self._gone(target_id, now)
+
+    def change(self, rows: Sequence[StoredRow], now: float) -> None:
+        """Take in changed entries."""
+        for row in rows:
+            if row.value is None:
+                self._gone(row.key, now)
+                continue
+            try:
+                record = decode_entry(row.key, row.value)
+            except UnreadableRowError as error:
+                self._recorder.record("target.unreadable", target=row.key, error=error)
+                self._book.remove(row.key, "unreadable")
+                continue
+            self._book.put(record, now)
+
+    def regained(self, now: float) -> None:
+        """Note the end of an outage."""
+        self._regained_at = now
+
+    def _gone(self, target_id: str, now: float) -> None:
+        if self._regained_at is None or now - self._regained_at > OUTAGE_ENDS_S:
+            self._book.remove(target_id, "gone")
+            return
+        self._book.hold(target_id, self._regained_at + RETURN_S)
+
+
+def decode_entry(target_id: str, value: bytes) -> TargetRecord:
+    """Return the target that the entry names.
+
+    :raises UnreadableRowError: if it can't be read, or names no usable state.
+    """
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+    except msgspec.DecodeError as error:
+        raise UnreadableRowError(f"entry of {target_id}: {error}") from error
+    address, _, port = entry.address.rpartition(":")
+    if entry.state not in STATES or not address or not port.isdecimal():
+        raise UnreadableRowError(f"entry of {target_id}: state or address")
+    return TargetRecord(
+        target_id=target_id,
+        service=entry.service,
+        address=entry.address,
+        failure_domain=entry.zone,
+        slots=max(1, entry.slots),
+        draining=entry.state == "draining",
+        cold_s=max(0.0, entry.warmup_left_s),
+        started_ms=entry.born,
+    )
--- /dev/null
+++ b/src/flamingoladder/platform/settings.py
@@ -0,0 +1,116 @@
+"""Reads the settings file of a host."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from flamingoladder.entry.settings import Bounds
+from flamingoladder.entry.settings import Endpoint
+from flamingoladder.entry.settings import HostSettings
+from flamingoladder.platform.exceptions import SettingsFileError
+
+PATH_VARIABLE = "FLAMINGOLADDER_CONFIG"
+
+
+class _Own(msgspec.Struct):
+    node: str
+    ip: str
+    zone: str
+    region: str
+    bootstrap: bool = False
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+    directory: str
+
+
+class _Network(msgspec.Struct):
+    listen: _Listen
+    internal_ports: tuple[int, int]
+    zones: dict[str, str]
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _Provider(msgspec.Struct):
+    provider: _Store
+
+
+class _Bounds(msgspec.Struct):
+    stable_s: float
+    drain_s: float
+    grace_s: float
+    retry_budget_ratio: float
+    budget_window_s: float
+    retry_budget_slack: float
+    warmup_overshoot: float
+    warmup_slack: float
+    ttl_max_s: float
+
+
+class _Tolerances(msgspec.Struct):
+    bounds: _Bounds
+
+
+# The file's "self" table is the host's own.
+class _File(msgspec.Struct, rename={"own": "self"}):
+    own: _Own
+    network: _Network
+    provider: _Provider
+    tolerances: _Tolerances
+
+
+def read_settings_file(path: str) -> HostSettings:
+    """Return the settings in the JSON file at ``path``; fields that nothing uses are ignored.
+
+    :raises SettingsFileError: if the file can't be read or a field is missing or wrong.
+    """
+    try:
+        found = msgspec.json.decode(Path(path).read_bytes(), type=_File)
+    except OSError as error:
+        raise SettingsFileError(f"{path}: {error}; set {PATH_VARIABLE} to its path") from error
+    except msgspec.DecodeError as error:
+        raise SettingsFileError(f"{path}: {error}; correct that field") from error
+    return _settings(found, path)
+
+
+def _settings(found: _File, path: str) -> HostSettings:
+    listen, bounds = found.network.listen, found.tolerances.bounds
+    try:
+        return HostSettings(
+            host=found.own.node,
+            failure_domain=found.own.zone,
+            region=found.own.region,
+            first_start=found.own.bootstrap,
+            regions_by_domain=found.network.zones,
+            callers=_endpoint(listen.front),
+            health=_endpoint(listen.ready),
+            lookups=_endpoint(listen.directory),
+            peers=Endpoint(found.own.ip, found.network.internal_ports[0]),
+            store_url=f"http://{found.provider.provider.address}",
+            bounds=Bounds(
+                settle_s=bounds.stable_s,
+                drain_s=bounds.drain_s,
+                grace_s=bounds.grace_s,
+                retry_ratio=bounds.retry_budget_ratio,
+                retry_window_s=bounds.budget_window_s,
+                retry_slack=bounds.retry_budget_slack,
+                ramp_overshoot=bounds.warmup_overshoot,
+                ramp_slack=bounds.warmup_slack,
+                lookup_lifetime_s=bounds.ttl_max_s,
+            ),
+        )
+    except ValueError as error:
+        raise SettingsFileError(f"{path}: {error}; give ip:port") from error
+
+
+def _endpoint(text: Any) -> Endpoint:
+    address, _, port = str(text).rpartition(":")
+    return Endpoint(address, int(port))
--- /dev/null
+++ b/src/flamingoladder/platform/target_wire.py
@@ -0,0 +1,165 @@
+"""Sends requests to targets and reads what their answers say."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from multidict import CIMultiDict
+from yarl import URL
+
+from flamingoladder.entry.outcomes import ProbeResult
+from flamingoladder.entry.outcomes import SendEnd
+from flamingoladder.entry.outcomes import SendResult
+from flamingoladder.entry.wire import TargetWire
+from flamingoladder.platform import headers
+from flamingoladder.targets.state import LoadReport
+from flamingoladder.transport.exchange import Exchange
+from flamingoladder.transport.pool import Pool
+from flamingoladder.transport.sending import EchoRule
+from flamingoladder.transport.sending import FailureKind
+from flamingoladder.transport.sending import Outgoing
+from flamingoladder.verdict import Answer
+
+if TYPE_CHECKING:
+    from reactivex import Observable
+
+    from flamingoladder.entry.request import RoutedRequest
+    from flamingoladder.targets.state import TargetState
+    from flamingoladder.transport.sending import SendFailure
+
+MS_PER_S = 1_000
+KEPT_IDLE_S = 6.0
+CONNECTIONS = 64
+ECHO = EchoRule(headers.REQUEST_ID, required=True)
+PROBE_ECHO = EchoRule(headers.REQUEST_ID, required=False)
+
+# Statuses that promise to a caller that the request never runs.
+PROMISING = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+
+
+class PlatformTargets(TargetWire):
+    """Kept connections to each target."""
+
+    __slots__ = ("_pools_by_target", "_tasks")
+
+    def __init__(self, removed: Observable[str]) -> None:
+        self._pools_by_target: dict[str, Pool] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        removed.subscribe(self._drop)
+
+    async def send(self, request: RoutedRequest, target: TargetState) -> SendResult:
+        """Send the request once."""
+        pool = self._pool(target.record.target_id)
+        exchange = Exchange(request.deadline)
+        sent = await pool.send(_outgoing(request, target), exchange)
+        if isinstance(sent, Answer):
+            return _result_of(sent, reused=exchange.reused)
+        if sent.kind is FailureKind.TIMEOUT and sent.reused and exchange.progress == 0:
+            # The connection may be silent for good, and the others that were kept with it.
+            self._drop(target.record.target_id)
+        return _failed(sent)
+
+    async def probe(self, target: TargetState, path: str, timeout_s: float) -> ProbeResult:
+        """Ask the target whether it is healthy, over a new connection."""
+        pool = Pool(1, keep=False)
+        url = URL(f"http://{target.record.address}{path}", encoded=True)
+        exchange = Exchange(asyncio.get_running_loop().time() + timeout_s)
+        try:
+            sent = await pool.send(
+                Outgoing("GET", url, CIMultiDict(), b"", "", PROBE_ECHO), exchange
+            )
+        finally:
+            await pool.retire()
+        if not isinstance(sent, Answer) or sent.status != HTTPStatus.OK:
+            return ProbeResult(False, 0.0)
+        if _field(sent, headers.INSTANCE_ID) != target.record.target_id:
+            return ProbeResult(False, 0.0)
+        return ProbeResult(True, _number(_field(sent, headers.WARMUP_MS)) / MS_PER_S)
+
+    async def close(self) -> None:
+        """Close all connections as their requests end."""
+        for name in list(self._pools_by_target):
+            await self._pools_by_target.pop(name).retire()
+
+    def _pool(self, target_id: str) -> Pool:
+        pool = self._pools_by_target.get(target_id)
+        if pool is None:
+            pool = Pool(CONNECTIONS, keep=True, keep_s=KEPT_IDLE_S)
+            self._pools_by_target[target_id] = pool
+        return pool
+
+    def _drop(self, target_id: str) -> None:
+        pool = self._pools_by_target.pop(target_id, None)
+        if pool is None:
+            return
+        task = asyncio.ensure_future(pool.retire())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _outgoing(request: RoutedRequest, target: TargetState) -> Outgoing:
+    arrived = request.arrived
+    found: CIMultiDict[str] = CIMultiDict()
+    for header in arrived.headers:
+        found.add(header.name, header.value)
+    left_s = request.deadline - asyncio.get_running_loop().time()
+    found[headers.DEADLINE_MS] = str(max(1, int(left_s * MS_PER_S)))
+    found[headers.EXPECT_INSTANCE] = target.record.target_id
+    if request.workspace is not None:
+        found[headers.TENANT_ID] = request.workspace.name
+    url = URL(f"http://{target.record.address}{arrived.path}", encoded=True)
+    return Outgoing(arrived.method, url, found, arrived.body, arrived.request_id, ECHO)
+
+
+def _result_of(answer: Answer, *, reused: bool) -> SendResult:
+    load = _load(_field(answer, headers.SERVER_LOAD))
+    if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return SendResult(SendEnd.OTHER_TARGET, "another target has the address", None, load)
+    if _field(answer, headers.NOT_EXECUTED) is not None:
+        detail = f"the target did not run it (status {answer.status})"
+        return SendResult(SendEnd.NOT_RUN, detail, None, load, reused)
+    signed = _field(answer, headers.SIGNATURE) is not None
+    if answer.status < HTTPStatus.BAD_REQUEST and signed:
+        return SendResult(SendEnd.ANSWERED, "", answer, load, reused)
+    if answer.status < HTTPStatus.BAD_REQUEST or answer.status in PROMISING:
+        detail = f"status {answer.status} that can't be passed on"
+        return SendResult(SendEnd.FAILED, detail, None, load, reused)
+    detail = f"the target answered with status {answer.status}"
+    return SendResult(SendEnd.FAILED, detail, answer, load, reused)
+
+
+def _failed(failure: SendFailure) -> SendResult:
+    if not failure.may_have_run:
+        return SendResult(SendEnd.NO_CONNECTION, failure.detail)
+    if failure.kind is FailureKind.TIMEOUT:
+        return SendResult(SendEnd.TIMEOUT, failure.detail, reused=failure.reused)
+    return SendResult(SendEnd.LOST, failure.detail, reused=failure.reused)
+
+
+def _field(answer: Answer, name: str) -> str | None:
+    wanted = name.lower()
+    return next((h.value for h in answer.headers if h.name.lower() == wanted), None)
+
+
+def _number(text: str | None) -> float:
+    try:
+        return max(0.0, float(text or 0))
+    except ValueError:
+        return 0.0
+
+
+def _load(text: str | None) -> LoadReport | None:
+    parts = (text or "").split(",")
+    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return LoadReport(running, waiting, slots)
--- /dev/null
+++ b/src/flamingoladder/routing/model.py
@@ -0,0 +1,87 @@
+"""Routes, services and workspaces of one version of the configuration.
+
+Field names carry their units: ``_s`` seconds, ``_per_s`` requests per second.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Part(msgspec.Struct, frozen=True):
+    """The share of a route's requests that one service gets; shares add up to 1."""
+
+    service: str
+    share: float
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True):
+    """A route, chosen by the host name and the longest prefix of the path.
+
+    ``objective_s`` is the time within which an answer has its full worth. ``priority`` 0 is the
+    highest. ``max_targets`` bounds the targets that one request is sent to. ``regions`` names the
+    only regions that may serve it; if it is empty, all may.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    timeout_s: float
+    objective_s: float
+    priority: int
+    parts: tuple[Part, ...]
+    max_targets: int
+    open: bool
+    sticky: bool
+    regions: frozenset[str] = frozenset()
+
+
+class Service(msgspec.Struct, frozen=True, kw_only=True):
+    """A service. A target that has just started takes ``ramp_per_s`` for ``ramp_s`` seconds."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    ramp_s: float
+    ramp_per_s: float
+
+
+class Workspace(msgspec.Struct, frozen=True, kw_only=True):
+    """A workspace; a ``rate_per_s`` of 0 sets no limit. ``priority`` goes before a route's."""
+
+    name: str
+    priority: int | None
+    rate_per_s: float
+    burst: float
+    regions: frozenset[str] = frozenset()
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """What a caller may send; ``idle_s`` bounds the pause between requests of a connection."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 67_108_864
+    idle_s: float = 15.0
+
+
+class RoutePlan(msgspec.Struct, frozen=True, kw_only=True):
+    """One version of the configuration; without ``workspaces_by_key`` no key is asked for."""
+
+    version: int
+    routes_by_host: dict[str, tuple[Route, ...]]
+    services_by_name: dict[str, Service]
+    workspaces_by_key: dict[str, Workspace]
+    workspaces_by_name: dict[str, Workspace]
+    limits: Limits
+
+    def route_of(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path``, or None."""
+        found = [
+            route for route in self.routes_by_host.get(host, ()) if path.startswith(route.prefix)
+        ]
+        return max(found, key=_prefix_length, default=None)
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
--- /dev/null
+++ b/src/flamingoladder/targets/state.py
@@ -0,0 +1,110 @@
+"""What a host knows of one target."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from flamingoladder.targets.record import TargetRecord
+
+LOAD_REPORT_LIFETIME_S = 0.6
+OUTCOMES_KEPT = 8
+MIN_FAILURES = 3
+EJECTION_S = 2.5
+MAX_EJECTION_S = 10.0
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """A target's own count of running and waiting requests."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class TargetState:
+    """One target. Times are monotonic seconds.
+
+    ``down`` is set when no connection can be had, until a probe succeeds.
+    """
+
+    __slots__ = (
+        "_ejection_s",
+        "_load",
+        "_load_at",
+        "_outcomes",
+        "cold_sends",
+        "cold_until",
+        "down",
+        "ejected_until",
+        "gone_at",
+        "in_flight",
+        "in_flight_elsewhere",
+        "record",
+        "region",
+    )
+
+    def __init__(self, record: TargetRecord, region: str, now: float) -> None:
+        self.record = record
+        self.region = region
+        self.cold_until = now + record.cold_s
+        self.cold_sends: deque[float] = deque()
+        self.in_flight = 0
+        self.in_flight_elsewhere = 0
+        self.down = False
+        self.ejected_until = now
+        self.gone_at: float | None = None
+        self._ejection_s = EJECTION_S
+        self._load: LoadReport | None = None
+        self._load_at = now
+        self._outcomes: deque[bool] = deque(maxlen=OUTCOMES_KEPT)
+
+    def update(self, record: TargetRecord, now: float) -> None:
+        """Take in a newer record; a new start forgets what was seen of the one before."""
+        if record.started_ms != self.record.started_ms or record.address != self.record.address:
+            self._outcomes.clear()
+            self.down = False
+            self.ejected_until = now
+            self._load = None
+        self.cold_until = max(self.cold_until, now + record.cold_s)
+        self.record = record
+        self.gone_at = None
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the target takes little work yet."""
+        return now < self.cold_until
+
+    def is_ejected(self, now: float) -> bool:
+        """Return whether too many requests failed of late."""
+        return now < self.ejected_until
+
+    def saw_load(self, load: LoadReport, now: float) -> None:
+        """Take in the target's own count."""
+        self._load = load
+        self._load_at = now
+
+    def load(self, now: float) -> int:
+        """Return the requests that the target has, as far as this host knows."""
+        counted = self.in_flight + self.in_flight_elsewhere
+        if self._load is None or now - self._load_at > LOAD_REPORT_LIFETIME_S:
+            return counted
+        return max(counted, self._load.running + self._load.waiting)
+
+    def saw_success(self) -> None:
+        """Count a request that was answered well."""
+        self._outcomes.append(True)
+        self._ejection_s = max(EJECTION_S, self._ejection_s * 0.9)
+
+    def saw_failure(self, now: float) -> bool:
+        """Count a request that failed; return whether the target is ejected for that."""
+        self._outcomes.append(False)
+        failures = self._outcomes.count(False)
+        if failures < MIN_FAILURES or failures * 2 < len(self._outcomes):
+            return False
+        self._outcomes.clear()
+        self.ejected_until = now + self._ejection_s
+        self._ejection_s = min(MAX_EJECTION_S, self._ejection_s * 2)
+        return True
--- a/src/flamingoladder/transport/connector.py
+++ b/src/flamingoladder/transport/connector.py
@@ -67,6 +67,8 @@
         if exchange is not None:
             exchange.connected = True
             exchange.transport = connection.transport
+            if connection.protocol is not None:
+                exchange.connection_error = connection.protocol.exception
             exchange.reused = self._is_used(connection)
         if connection.transport is not None:
             self._used.add(connection.transport)
--- a/src/flamingoladder/transport/exchange.py
+++ b/src/flamingoladder/transport/exchange.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import aiohttp
+
 if TYPE_CHECKING:
     from asyncio import Transport
     from collections.abc import Callable
@@ -29,6 +31,7 @@
         "_last_check",
         "_timeout",
         "connected",
+        "connection_error",
         "deadline",
         "refusal",
         "response",
@@ -42,6 +45,7 @@
         self._last_check = last_check
         self.refusal: Refusal | None = None
         self.connected = False
+        self.connection_error: Callable[[], BaseException | None] = _unknown
         self.silent = False
         self.reused = False
         self.transport: Transport | None = None
@@ -53,6 +57,12 @@
         """Return a number that grows with each part of the answer; it is 0 before the head."""
         return 0 if self.response is None else 1 + self.response.content.total_bytes
 
+    def was_reset(self) -> bool:
+        """Return whether the connection ended with an error instead of its other end's close."""
+        return isinstance(self.connection_error(), OSError) and not isinstance(
+            self.connection_error(), aiohttp.ServerDisconnectedError
+        )
+
     def may_leave(self) -> bool:
         """Return whether the request may still be written."""
         if self._last_check is not None:
@@ -78,3 +88,7 @@
         self._timeout = None
         if not whole and self.transport is not None:
             self.transport.abort()
+
+
+def _unknown() -> BaseException | None:
+    return None
--- a/src/flamingoladder/transport/pool.py
+++ b/src/flamingoladder/transport/pool.py
@@ -28,9 +28,9 @@
 
     __slots__ = ("_retired", "_users", "session")
 
-    def __init__(self, limit: int, *, keep: bool) -> None:
+    def __init__(self, limit: int, *, keep: bool, keep_s: float = KEPT_IDLE_S) -> None:
         self.session = aiohttp.ClientSession(
-            connector=ExchangeConnector(limit, keep_s=KEPT_IDLE_S if keep else None),
+            connector=ExchangeConnector(limit, keep_s=keep_s if keep else None),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             timeout=TIMEOUT,
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -52,14 +52,35 @@
         return self.kind not in {FailureKind.NO_CONNECTION, FailureKind.REFUSED}
 
 
+class EchoRule(msgspec.Struct, frozen=True):
+    """How an answer proves to be the one to a request.
+
+    ``field`` brings back the request's id. If it is ``required``, an answer without it is refused;
+    with it an answer may also end with its connection, as long as that is not reset.
+    """
+
+    field: str
+    required: bool
+
+
+OPTIONAL_ECHO = EchoRule(fields.REQUEST_ID, required=False)
+
+
 class Outgoing:
     """A request as it goes out; an answer with another ``request_id`` is refused."""
 
-    __slots__ = ("body", "headers", "method", "request_id", "url")
+    __slots__ = ("body", "echo", "headers", "method", "request_id", "url")
 
     def __init__(
-        self, method: str, url: URL, headers: CIMultiDict[str], body: bytes, request_id: str
+        self,
+        method: str,
+        url: URL,
+        headers: CIMultiDict[str],
+        body: bytes,
+        request_id: str,
+        echo: EchoRule = OPTIONAL_ECHO,
     ) -> None:
+        self.echo = echo
         self.method = method
         self.url = url
         self.headers = headers
@@ -101,11 +122,14 @@
         allow_redirects=False,
     )
     exchange.response = response
-    if _is_crossed(response, outgoing.request_id):
+    if _is_crossed(response, outgoing):
         return _lost(exchange, "the answer is to another request")
-    if not _ends_detectably(response, outgoing.method):
+    framed = _ends_detectably(response, outgoing.method)
+    if not framed and not outgoing.echo.required:
         return _lost(exchange, "the answer has no length and no chunks, so no certain end")
     body = await _read_body(response)
+    if not framed and exchange.was_reset():
+        return _lost(exchange, "the connection was reset before the end of an answer")
     if body is None:
         detail = f"the answer is over {MAX_ANSWER_BYTES} bytes"
         return SendFailure(FailureKind.TOO_LARGE, detail, exchange.reused)
@@ -117,9 +141,11 @@
     return Answer(response.status, headers, body)
 
 
-def _is_crossed(response: aiohttp.ClientResponse, request_id: str) -> bool:
-    answered = response.headers.get(fields.REQUEST_ID)
-    return bool(request_id) and answered is not None and answered != request_id
+def _is_crossed(response: aiohttp.ClientResponse, outgoing: Outgoing) -> bool:
+    answered = response.headers.getall(outgoing.echo.field, [])
+    if not answered:
+        return outgoing.echo.required
+    return bool(outgoing.request_id) and answered != [outgoing.request_id]
 
 
 async def _read_body(response: aiohttp.ClientResponse) -> bytes | None:
--- a/tests/peers/test_zmq_links.py
+++ b/tests/peers/test_zmq_links.py
@@ -9,6 +9,7 @@
 import zmq
 import zmq.asyncio
 
+from flamingoladder.daemon.peer_messages import PEER_CODEC
 from flamingoladder.freshness.messages import VouchReply
 from flamingoladder.freshness.messages import VouchRequest
 from flamingoladder.members.state import Member
@@ -34,7 +35,7 @@
     def __init__(self, host: str) -> None:
         self.keys = LinkKeys.generate()
         self.recorder = Recorder(host, f"{host}-1")
-        self.links = ZmqLinks(self.keys, self.recorder)
+        self.links = ZmqLinks(self.keys, PEER_CODEC, self.recorder)
         self.links.start("tcp://127.0.0.1:*")
         endpoint = self.links._socket.getsockopt_string(zmq.LAST_ENDPOINT)
         self.member = Member(
