Give links between regions time for their handshake; bound the store's connects

Cause 1: with 55 ms one way a link needs over 0.5 s for TCP, greeting and CURVE. Ruled out: unknown keys (links inside a region worked).

Connects are given up after 0.8 s.

A refusal by rate says in the log what decided it.

--- a/src/flamingoladder/entry/handler.py
+++ b/src/flamingoladder/entry/handler.py
@@ -105,9 +105,9 @@
         if self._crashes.refuses(fingerprint, now):
             detail = "requests like this took down their targets"
             return Refusal.not_run(Reason.REQUEST_CRASHES_UPSTREAMS, detail, CRASHING_RETRY_S)
-        wait_s = None if workspace is None else self._rates.admit(workspace, now)
-        if wait_s is not None:
-            return Refusal.not_run(Reason.RATE_EXCEEDED, "over the workspace's rate", wait_s)
+        over = None if workspace is None else self._rates.admit(workspace, now)
+        if over is not None:
+            return Refusal.not_run(Reason.RATE_EXCEEDED, f"over its rate: {over}", over.wait_s)
         return RoutedRequest(
             arrived=arrived,
             route=route,
--- a/src/flamingoladder/limits/rates.py
+++ b/src/flamingoladder/limits/rates.py
@@ -8,6 +8,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Mapping
@@ -21,6 +23,28 @@
 MIN_DEMAND_PER_S = 0.01
 
 
+class RateRefusal(msgspec.Struct, frozen=True):
+    """Why a request is over the limit: this host's ``share`` of the rate, and what led to it.
+
+    ``wait_s`` is the time until there is a unit; ``heard`` counts the other hosts whose demand
+    went into the share.
+    """
+
+    workspace: str
+    wait_s: float
+    share: float
+    rate_per_s: float
+    demand_per_s: float
+    heard: int
+
+    def __str__(self) -> str:
+        """Return the figures for a log line."""
+        return (
+            f"{self.workspace}: share {self.share:.3f}, {self.rate_per_s:.2f}/s here, "
+            f"demand {self.demand_per_s:.2f}/s here, {self.heard} hosts heard"
+        )
+
+
 class Bucket:
     """What one host may admit of one workspace; ``level`` is in requests."""
 
@@ -67,8 +91,8 @@
                 found[name] = round(rate, 2)
         return found
 
-    def admit(self, workspace: Workspace, now: float) -> float | None:
-        """Take one unit and return None, or return in how many seconds there will be one."""
+    def admit(self, workspace: Workspace, now: float) -> RateRefusal | None:
+        """Take one unit and return None, or return why there is none."""
         if workspace.rate_per_s <= 0:
             return None
         bucket = self._bucket(workspace, now)
@@ -79,7 +103,9 @@
         if bucket.level >= 1:
             bucket.level -= 1
             return None
-        return (1 - bucket.level) / rate if rate > 0 else DEMAND_TIME_S
+        wait_s = (1 - bucket.level) / rate if rate > 0 else DEMAND_TIME_S
+        heard = len(self._demand_by_host)
+        return RateRefusal(workspace.name, wait_s, share, rate, bucket.demand_per_s, heard)
 
     def keep_only(self, workspaces: Collection[str]) -> None:
         """Forget workspaces that are no longer configured."""
--- a/src/flamingoladder/peers/connection.py
+++ b/src/flamingoladder/peers/connection.py
@@ -26,7 +26,7 @@
 QUEUED_MESSAGES = 1_000
 MESSAGE_BYTES = 4_194_304
 SILENCE_S = 2.0
-UNANSWERED_START_S = 0.25
+UNANSWERED_START_S = 1.2
 
 
 def configure(socket: zmq.asyncio.Socket, keys: LinkKeys) -> None:
--- a/src/flamingoladder/platform/http_transport.py
+++ b/src/flamingoladder/platform/http_transport.py
@@ -18,6 +18,7 @@
 
 CONNECTION_LIMIT = 32
 IDLE_CONNECTION_S = 30.0
+CONNECT_TIMEOUT_S = 0.8
 CLIENT_CLOSED_REQUEST = 499
 UNKNOWN_OUTCOME_STATUSES = frozenset({HTTPStatus.REQUEST_TIMEOUT, CLIENT_CLOSED_REQUEST})
 
@@ -138,7 +139,7 @@
         self.session = aiohttp.ClientSession(
             connector=ExchangeConnector(CONNECTION_LIMIT, keep_s=IDLE_CONNECTION_S),
             cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         )
 
     async def close_if_unused(self) -> None:
