Plan homes in the region that asks for an object; keep one late account of each rate

Cause 1: each object is asked for from one region, but homes lay anywhere: two of three requests crossed regions.

--- a/src/flamingoladder/entry/chooser.py
+++ b/src/flamingoladder/entry/chooser.py
@@ -74,9 +74,12 @@
             plan = self._plans_by_service[service] = HomePlan()
         return plan
 
-    def objects(self) -> Iterable[tuple[str, Collection[str]]]:
-        """Return the known objects by service."""
-        return [(service, plan.objects) for service, plan in self._plans_by_service.items()]
+    def objects(self) -> dict[str, list[str]]:
+        """Return the known objects that are asked for from this host's region, by service."""
+        return {
+            service: plan.objects_of(self._region)
+            for service, plan in self._plans_by_service.items()
+        }
 
     def _best(
         self, request: RoutedRequest, targets: list[TargetState], now: float
@@ -87,19 +90,20 @@
             return min(targets, key=lambda target: self._cost(target, False, now))
         by_id = {target.record.target_id: target for target in targets}
         plan = self.plan_of(request.service)
-        plan.set_targets(self._home_ids(request.service, now))
+        plan.set_targets(self._regions_of_homes(request.service, now))
+        plan.add((request.object_key,), self._region)
         order = [by_id[name] for name in plan.order(request.object_key) if name in by_id]
         if not order:
             return min(targets, key=lambda target: self._cost(target, False, now))
         considered = order[:CONSIDERED]
         return min(considered, key=lambda target: self._cost(target, target is considered[0], now))
 
-    def _home_ids(self, service: str, now: float) -> list[str]:
-        return [
-            target.record.target_id
+    def _regions_of_homes(self, service: str, now: float) -> dict[str, str]:
+        return {
+            target.record.target_id: target.region
             for target in self._book.members(service)
             if not target.is_cold(now)
-        ]
+        }
 
     def _cost(self, target: TargetState, warm: bool, now: float) -> float:
         """Return the expected time to completion, in runs of a request that is not warm."""
--- a/src/flamingoladder/entry/reporting.py
+++ b/src/flamingoladder/entry/reporting.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from itertools import islice
 from typing import TYPE_CHECKING
 
 from flamingoladder.fleet.messages import HostReport
@@ -51,31 +50,34 @@
         targets = self._targets.by_id
         return HostReport(
             self.leaving,
-            self._rates.demand(now),
+            self._rates.report(now),
             {name: target.in_flight for name, target in targets.items() if target.in_flight},
             tuple(name for name, target in targets.items() if target.down),
-            {service: self._some_objects(service) for service, _ in self._chooser.objects()},
+            {
+                service: self._some_objects(service, objects)
+                for service, objects in self._chooser.objects().items()
+            },
         )
 
     def take_in(self, now: float) -> None:
         """Let the newest reports of all hosts take effect."""
         reports = self._members.heard(now)
-        demand = {host: report.demand_by_workspace for host, report in reports.items()}
-        self._rates.update(self._members.hosts, demand, now)
+        rates = {host: report.rates_by_workspace for host, report in reports.items()}
+        self._rates.update(self._members.hosts, rates)
         self._budgets.set_hosts(self._members.hosts)
         elsewhere: dict[str, int] = {}
-        for report in reports.values():
+        for host, report in reports.items():
+            region = self._members.members_by_host[host].region
             for name, count in report.in_flight_by_target.items():
                 elsewhere[name] = elsewhere.get(name, 0) + count
             for service, objects in report.objects_by_service.items():
-                self._chooser.plan_of(service).add(objects)
+                self._chooser.plan_of(service).add(objects, region)
         for name, target in self._targets.by_id.items():
             target.in_flight_elsewhere = elsewhere.get(name, 0)
 
-    def _some_objects(self, service: str) -> tuple[str, ...]:
-        objects = self._chooser.plan_of(service).objects
+    def _some_objects(self, service: str, objects: list[str]) -> tuple[str, ...]:
         start = self._next_object_by_service.get(service, 0)
         if start >= len(objects):
             start = 0
         self._next_object_by_service[service] = start + OBJECTS_A_REPORT
-        return tuple(islice(objects, start, start + OBJECTS_A_REPORT))
+        return tuple(objects[start : start + OBJECTS_A_REPORT])
--- a/src/flamingoladder/entry/request.py
+++ b/src/flamingoladder/entry/request.py
@@ -66,4 +66,8 @@
         self.started = started
         self.deadline = deadline
         self.fingerprint = fingerprint
-        self.object_key = None if arrived.affinity is None else f"{route.name}\0{arrived.affinity}"
+        self.object_key = _object_key(route, arrived.affinity)
+
+
+def _object_key(route: Route, affinity: str | None) -> str | None:
+    return f"{route.name}\0{affinity}" if route.sticky and affinity is not None else None
--- a/src/flamingoladder/fleet/lookups.py
+++ b/src/flamingoladder/fleet/lookups.py
@@ -12,7 +12,7 @@
 
 LIFETIME_S = 2.0
 MAX_HOSTS = 64
-MIN_HOSTS = 2
+MIN_HOSTS = 1
 
 
 class LookupAnswer(msgspec.Struct, frozen=True):
@@ -23,7 +23,7 @@
 
 
 class FleetLookup:
-    """Names the hosts of the caller's region, and others if these are few."""
+    """Names the hosts of the caller's region, or all if there is none."""
 
     __slots__ = ("_book", "_own", "leaving")
 
--- a/src/flamingoladder/fleet/messages.py
+++ b/src/flamingoladder/fleet/messages.py
@@ -4,19 +4,20 @@
 
 import msgspec
 
+from flamingoladder.limits.rates import RateReport
 from flamingoladder.peers.messages import LinkMessage
 
 
 class HostReport(msgspec.Struct, frozen=True, tag="report"):
     """What a host tells all others a few times a second.
 
-    ``demand_by_workspace`` is in requests per second, ``in_flight_by_target`` counts requests.
+    ``rates_by_workspace`` tells what was admitted, ``in_flight_by_target`` counts requests.
     ``failing`` names targets that this host has taken out of use. ``objects_by_service`` names some
-    of the objects that it knows; all come round in time.
+    of the objects that are asked for from its region; all come round in time.
     """
 
     leaving: bool
-    demand_by_workspace: dict[str, float]
+    rates_by_workspace: dict[str, RateReport]
     in_flight_by_target: dict[str, int]
     failing: tuple[str, ...]
     objects_by_service: dict[str, tuple[str, ...]]
--- a/src/flamingoladder/limits/rates.py
+++ b/src/flamingoladder/limits/rates.py
@@ -1,7 +1,9 @@
 """Holds each workspace to its rate and burst over all hosts.
 
-Each host admits the part of the rate that its part of the demand asks for. The demand of the others
-comes with their reports; a host that is not heard keeps an even part of the rate reserved.
+Each host keeps an account of the whole limit: it refills with time, and falls with every request
+that any host admits. What others admit comes with their reports, so the account runs late. While it
+holds more than may be spent unseen, a host admits at once. When it is low, a host admits only its
+share of the rate, by its part of the demand. A host that is not heard keeps an even part reserved.
 """
 
 from __future__ import annotations
@@ -18,124 +20,169 @@
 
 DEMAND_TIME_S = 1.5
 DEMAND_FLOOR_PER_S = 0.3
-EXTRA_UNITS = 14.0
-EXTRA_RATE = 1.05
 MIN_DEMAND_PER_S = 0.01
+REPORT_DELAY_S = 0.4
+UNSEEN_UNITS = 8.0
+OWN_UNITS = 1.0
+EXTRA_RATE = 1.05
+
+
+class RateReport(msgspec.Struct, frozen=True):
+    """What a host tells the others of one workspace.
+
+    ``admitted`` counts requests since the start of the host, ``demand_per_s`` is what comes in.
+    """
+
+    admitted: int
+    demand_per_s: float
 
 
 class RateRefusal(msgspec.Struct, frozen=True):
-    """Why a request is over the limit: this host's ``share`` of the rate, and what led to it.
+    """Why a request is over the limit.
 
-    ``wait_s`` is the time until there is a unit; ``heard`` counts the other hosts whose demand
-    went into the share.
+    ``left`` is the account in requests, ``share`` this host's part of the rate, ``wait_s`` the time
+    until there is a unit; ``heard`` counts the other hosts whose reports went into it.
     """
 
     workspace: str
     wait_s: float
+    left: float
     share: float
-    rate_per_s: float
     demand_per_s: float
     heard: int
 
     def __str__(self) -> str:
         """Return the figures for a log line."""
         return (
-            f"{self.workspace}: share {self.share:.3f}, {self.rate_per_s:.2f}/s here, "
-            f"demand {self.demand_per_s:.2f}/s here, {self.heard} hosts heard"
+            f"{self.workspace}: {self.left:.1f} left of all, share {self.share:.3f}, "
+            f"demand {self.demand_per_s:.1f}/s of all, {self.heard} hosts heard"
         )
 
 
-class Bucket:
-    """What one host may admit of one workspace; ``level`` is in requests."""
+class Account:
+    """One workspace. ``left`` is what all hosts may still admit, ``own`` what this host may."""
 
-    __slots__ = ("at", "demand_per_s", "level")
+    __slots__ = ("admitted", "at", "demand_per_s", "left", "own")
 
-    def __init__(self, level: float, now: float) -> None:
-        self.level = level
+    def __init__(self, left: float, now: float) -> None:
+        self.left = left
+        self.own = OWN_UNITS
         self.at = now
+        self.admitted = 0
         self.demand_per_s = 0.0
 
-    def decay(self, now: float) -> None:
-        """Let the measured demand fade up to ``now``."""
+    def demand(self, now: float) -> float:
+        """Return the demand at this host in requests per second, as it faded up to ``now``."""
         elapsed = max(0.0, now - self.at)
-        self.demand_per_s *= max(0.0, 1 - elapsed / DEMAND_TIME_S)
+        return self.demand_per_s * max(0.0, 1 - elapsed / DEMAND_TIME_S)
+
+    def refill(self, workspace: Workspace, part: float, share: float, now: float) -> None:
+        """Let time pass; ``part`` of the limit belongs to the hosts that are heard."""
+        elapsed = max(0.0, now - self.at)
+        gained = elapsed * workspace.rate_per_s * EXTRA_RATE
+        self.left = min(max(1.0, workspace.burst * part), self.left + gained * part)
+        self.own = min(OWN_UNITS, self.own + gained * share)
+        self.demand_per_s = self.demand(now)
+        self.at = now
+
+    def take(self) -> None:
+        """Count an admitted request."""
+        self.left -= 1
+        self.admitted += 1
 
 
 class FleetRates:
-    """The buckets of this host."""
+    """The accounts of this host."""
 
-    __slots__ = ("_buckets_by_workspace", "_demand_by_host", "_full", "_hosts")
+    __slots__ = ("_accounts_by_workspace", "_full", "_hosts", "_reported", "_reports_by_host")
 
     def __init__(self, *, start_full: bool) -> None:
-        self._buckets_by_workspace: dict[str, Bucket] = {}
-        self._demand_by_host: dict[str, Mapping[str, float]] = {}
+        self._accounts_by_workspace: dict[str, Account] = {}
+        self._reports_by_host: dict[str, Mapping[str, RateReport]] = {}
+        self._reported: dict[str, RateReport] = {}
         self._hosts = 1
         self._full = start_full
 
-    def update(
-        self, hosts: int, demand_by_host: Mapping[str, Mapping[str, float]], now: float
-    ) -> None:
-        """Take in the number of hosts, and the demand per second at each other one heard."""
-        if hosts < self._hosts:
-            self._full = False
+    def update(self, hosts: int, reports_by_host: Mapping[str, Mapping[str, RateReport]]) -> None:
+        """Take in the number of all hosts, and the reports of the others that are heard."""
         self._hosts = max(1, hosts)
-        self._demand_by_host = dict(demand_by_host)
-
-    def demand(self, now: float) -> dict[str, float]:
-        """Return the measured demand per second of each workspace at this host."""
-        found = {}
-        for name, bucket in self._buckets_by_workspace.items():
-            elapsed = now - bucket.at
-            rate = bucket.demand_per_s * max(0.0, 1 - elapsed / DEMAND_TIME_S)
-            if rate >= MIN_DEMAND_PER_S:
-                found[name] = round(rate, 2)
-        return found
+        for host, reports in reports_by_host.items():
+            known = self._reports_by_host.get(host)
+            if known is None:
+                continue
+            for name, report in reports.items():
+                before = known.get(name)
+                self._spent_elsewhere(name, report.admitted - (before.admitted if before else 0))
+        self._reports_by_host = dict(reports_by_host)
+
+    def report(self, now: float) -> dict[str, RateReport]:
+        """Return what to tell the other hosts.
+
+        The own share is worked out from what was reported last, as the others do with theirs: a
+        host that looked at its newest demand would take more than its part while demand rises.
+        """
+        self._reported = {
+            name: RateReport(account.admitted, round(account.demand(now), 2))
+            for name, account in self._accounts_by_workspace.items()
+        }
+        return self._reported
 
     def admit(self, workspace: Workspace, now: float) -> RateRefusal | None:
         """Take one unit and return None, or return why there is none."""
         if workspace.rate_per_s <= 0:
             return None
-        bucket = self._bucket(workspace, now)
-        share = self._share(workspace.name, bucket.demand_per_s)
-        rate = workspace.rate_per_s * EXTRA_RATE * share
-        self._refill(bucket, workspace, share, rate, now)
-        bucket.demand_per_s += 1 / DEMAND_TIME_S
-        if bucket.level >= 1:
-            bucket.level -= 1
+        account = self._account(workspace, now)
+        demand = self._demands(workspace.name)
+        part = 1 - self._silent / self._hosts
+        share = part * self._own_part(workspace.name)
+        account.refill(workspace, part, share, now)
+        account.demand_per_s += 1 / DEMAND_TIME_S
+        unseen = max(0.0, demand * REPORT_DELAY_S - UNSEEN_UNITS)
+        if account.left >= 1 + unseen:
+            account.take()
             return None
-        wait_s = (1 - bucket.level) / rate if rate > 0 else DEMAND_TIME_S
-        heard = len(self._demand_by_host)
-        return RateRefusal(workspace.name, wait_s, share, rate, bucket.demand_per_s, heard)
+        if account.own >= 1:
+            account.own -= 1
+            account.take()
+            return None
+        gain_per_s = max(MIN_DEMAND_PER_S, workspace.rate_per_s * EXTRA_RATE * share)
+        wait_s = (1 - account.own) / gain_per_s
+        heard = len(self._reports_by_host)
+        return RateRefusal(workspace.name, wait_s, account.left, share, demand, heard)
 
     def keep_only(self, workspaces: Collection[str]) -> None:
         """Forget workspaces that are no longer configured."""
-        for name in self._buckets_by_workspace.keys() - set(workspaces):
-            del self._buckets_by_workspace[name]
-
-    def _bucket(self, workspace: Workspace, now: float) -> Bucket:
-        bucket = self._buckets_by_workspace.get(workspace.name)
-        if bucket is None:
-            level = self._cap(workspace, 1 / self._hosts) if self._full else 1.0
-            bucket = self._buckets_by_workspace[workspace.name] = Bucket(level, now)
-        return bucket
-
-    def _refill(
-        self, bucket: Bucket, workspace: Workspace, share: float, rate: float, now: float
-    ) -> None:
-        elapsed = max(0.0, now - bucket.at)
-        bucket.level = min(self._cap(workspace, share), bucket.level + elapsed * rate)
-        bucket.decay(now)
-        bucket.at = now
-
-    def _cap(self, workspace: Workspace, share: float) -> float:
-        return max(1.0, workspace.burst * share + EXTRA_UNITS / self._hosts)
-
-    def _share(self, workspace: str, own_demand: float) -> float:
-        heard = len(self._demand_by_host)
-        silent = max(0, self._hosts - 1 - heard)
-        others = sum(
-            demand.get(workspace, 0.0) + DEMAND_FLOOR_PER_S
-            for demand in self._demand_by_host.values()
-        )
-        own = own_demand + DEMAND_FLOOR_PER_S
-        return (1 - silent / self._hosts) * own / (own + others)
+        for name in self._accounts_by_workspace.keys() - set(workspaces):
+            del self._accounts_by_workspace[name]
+
+    def _account(self, workspace: Workspace, now: float) -> Account:
+        account = self._accounts_by_workspace.get(workspace.name)
+        if account is None:
+            left = workspace.burst if self._full else 0.0
+            account = self._accounts_by_workspace[workspace.name] = Account(left, now)
+        return account
+
+    def _spent_elsewhere(self, workspace: str, units: int) -> None:
+        account = self._accounts_by_workspace.get(workspace)
+        if account is not None and units > 0:
+            account.left -= units
+
+    @property
+    def _silent(self) -> int:
+        return max(0, self._hosts - 1 - len(self._reports_by_host))
+
+    def _demands(self, workspace: str) -> float:
+        own = self._reported.get(workspace)
+        found = 0.0 if own is None else own.demand_per_s
+        for reports in self._reports_by_host.values():
+            report = reports.get(workspace)
+            found += 0.0 if report is None else report.demand_per_s
+        return found
+
+    def _own_part(self, workspace: str) -> float:
+        own = self._reported.get(workspace)
+        floor = DEMAND_FLOOR_PER_S
+        own_demand = floor + (0.0 if own is None else own.demand_per_s)
+        heard = len(self._reports_by_host)
+        all_demand = self._demands(workspace) + floor * (1 + heard)
+        return own_demand / all_demand
--- /dev/null
+++ b/src/flamingoladder/platform/standins/targets.py
@@ -0,0 +1,146 @@
+"""Targets that register in the store's stand-in and run requests."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from time import time_ns
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import web
+
+from flamingoladder.platform import headers
+from flamingoladder.standins.server import ApplicationServer
+
+if TYPE_CHECKING:
+    from flamingoladder.platform.rows import RowStore
+
+MS_PER_S = 1_000
+NS_PER_MS = 1_000_000
+TABLE = "servers"
+QUEUE = 9
+
+
+class TargetRun(msgspec.Struct, frozen=True):
+    """One request that a target began to run."""
+
+    request_id: str
+    target_id: str
+    method: str
+    path: str
+    workspace: str | None
+    key: str | None
+    deadline_ms: int | None
+    at: float
+
+
+class StandinTarget:
+    """A target with ``slots``; each request takes ``work_s`` seconds."""
+
+    def __init__(
+        self,
+        target_id: str,
+        service: str,
+        failure_domain: str,
+        *,
+        slots: int = 3,
+        work_s: float = 0.01,
+        address: str = "127.0.0.1",
+        port: int = 0,
+    ) -> None:
+        self.target_id = target_id
+        self.service = service
+        self.failure_domain = failure_domain
+        self.slots = slots
+        self.work_s = work_s
+        self.state = "ready"
+        self.runs: list[TargetRun] = []
+        self.running = 0
+        self.cancelled = 0
+        self._free = asyncio.Semaphore(slots)
+        self._waiting = 0
+        self._born_ms = time_ns() // NS_PER_MS
+        application = web.Application()
+        application.router.add_get("/healthz", self._health)
+        application.router.add_route("*", "/{rest:.*}", self._work)
+        self.server = ApplicationServer(application, address, port)
+
+    async def start(self, store: RowStore) -> None:
+        """Listen and register."""
+        await self.server.start()
+        await self.register(store)
+
+    async def register(self, store: RowStore) -> None:
+        """Write the entry."""
+        entry = {
+            "service": self.service,
+            "address": f"{self.server.address}:{self.server.port}",
+            "zone": self.failure_domain,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "warmup_left_s": 0,
+            "seq": 1,
+            "born": self._born_ms,
+        }
+        await store.write(TABLE, self.target_id, msgspec.json.encode(entry))
+
+    async def drain(self, store: RowStore) -> None:
+        """Report that the target leaves; it goes on serving."""
+        self.state = "draining"
+        await self.register(store)
+
+    async def _health(self, _request: web.Request) -> web.Response:
+        found = {headers.INSTANCE_ID: self.target_id, headers.SERVER_LOAD: self._load()}
+        return web.Response(status=200 if self.state == "ready" else 503, headers=found)
+
+    async def _work(self, request: web.Request) -> web.Response:
+        found = {
+            headers.REQUEST_ID: request.headers.get(headers.REQUEST_ID, ""),
+            headers.SERVER_LOAD: self._load(),
+        }
+        expected = request.headers.get(headers.EXPECT_INSTANCE)
+        if expected not in (None, self.target_id):
+            found[headers.INSTANCE_ID] = self.target_id
+            return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST, headers=found)
+        if self._waiting >= QUEUE:
+            found[headers.NOT_EXECUTED] = "1"
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=found)
+        body = await request.read()
+        await self._run(request)
+        found[headers.SIGNATURE] = f"signed-by-{self.target_id}"
+        return web.Response(body=body or request.raw_path.encode(), headers=found)
+
+    async def _run(self, request: web.Request) -> None:
+        self._waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self._waiting -= 1
+        self.running += 1
+        self.runs.append(self._record(request))
+        try:
+            await asyncio.sleep(self.work_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.running -= 1
+            self._free.release()
+
+    def _record(self, request: web.Request) -> TargetRun:
+        deadline = request.headers.get(headers.DEADLINE_MS)
+        return TargetRun(
+            request.headers.get(headers.REQUEST_ID, ""),
+            self.target_id,
+            request.method,
+            request.raw_path,
+            request.headers.get(headers.TENANT_ID),
+            request.headers.get(headers.API_KEY),
+            None if deadline is None else int(deadline),
+            asyncio.get_running_loop().time(),
+        )
+
+    def _load(self) -> str:
+        return f"{self.running},{self._waiting},{self.slots}"
--- a/src/flamingoladder/steering/homes.py
+++ b/src/flamingoladder/steering/homes.py
@@ -2,7 +2,8 @@
 
 A target that has handled an object of late handles it several times faster. All hosts work the
 homes out alone, from the same targets and objects, by rendezvous hashing with a bound: a target is
-home to at most its even part of the objects and a little more.
+home to at most its even part of the objects and a little more. An object's home is in the region
+that its requests come from while a target there has room.
 """
 
 from __future__ import annotations
@@ -14,9 +15,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
-    from collections.abc import Sequence
+    from collections.abc import Mapping
 
 SPREAD = 1.1
+MAX_OBJECTS = 20_000
 
 ObjectKey = str
 
@@ -24,39 +26,45 @@
 class HomePlan:
     """The homes of the known objects of one service."""
 
-    __slots__ = ("_home_by_object", "_objects", "_ranks_by_object", "_stale", "_targets")
+    __slots__ = (
+        "_home_by_object",
+        "_order",
+        "_ranks_by_object",
+        "_regions_by_object",
+        "_regions_by_target",
+        "_stale",
+    )
 
     def __init__(self) -> None:
-        self._targets: tuple[str, ...] = ()
-        self._objects: dict[ObjectKey, int] = {}
+        self._regions_by_target: dict[str, str] = {}
+        self._regions_by_object: dict[ObjectKey, str] = {}
+        self._order: dict[ObjectKey, int] = {}
         self._ranks_by_object: dict[ObjectKey, tuple[str, ...]] = {}
         self._home_by_object: dict[ObjectKey, str] = {}
         self._stale = False
 
-    def set_targets(self, targets: Sequence[str]) -> None:
+    def set_targets(self, regions_by_target: Mapping[str, str]) -> None:
         """Plan for these targets from now on."""
-        wanted = tuple(sorted(targets))
-        if wanted == self._targets:
+        if regions_by_target == self._regions_by_target:
             return
-        self._targets = wanted
+        self._regions_by_target = dict(regions_by_target)
         self._ranks_by_object.clear()
         self._stale = True
 
-    def add(self, objects: Collection[ObjectKey]) -> None:
-        """Plan for these objects, too."""
+    def add(self, objects: Collection[ObjectKey], region: str) -> None:
+        """Plan for these objects, too, which are asked for from ``region``."""
         for key in objects:
-            if key not in self._objects:
-                self._objects[key] = stable_hash(key)
+            if key not in self._order and len(self._order) < MAX_OBJECTS:
+                self._order[key] = stable_hash(key)
+                self._regions_by_object[key] = region
                 self._stale = True
 
-    @property
-    def objects(self) -> Collection[ObjectKey]:
-        """Return the known objects."""
-        return self._objects.keys()
+    def objects_of(self, region: str) -> list[ObjectKey]:
+        """Return the known objects that are asked for from ``region``."""
+        return [key for key, found in self._regions_by_object.items() if found == region]
 
     def order(self, key: ObjectKey) -> tuple[str, ...]:
         """Return all targets, the object's home first, the others by their rank for it."""
-        self.add((key,))
         self._settle()
         ranks = self._ranks(key)
         home = self._home_by_object.get(key)
@@ -67,7 +75,9 @@
     def _ranks(self, key: ObjectKey) -> tuple[str, ...]:
         ranks = self._ranks_by_object.get(key)
         if ranks is None:
-            ranks = tuple(sorted(self._targets, key=lambda target: stable_hash(key, target)))
+            ranks = tuple(
+                sorted(self._regions_by_target, key=lambda target: stable_hash(key, target))
+            )
             self._ranks_by_object[key] = ranks
         return ranks
 
@@ -76,11 +86,20 @@
             return
         self._stale = False
         self._home_by_object.clear()
-        if not self._targets:
+        if not self._regions_by_target:
             return
-        bound = ceil(len(self._objects) * SPREAD / len(self._targets))
-        room = dict.fromkeys(self._targets, bound)
-        for key in sorted(self._objects, key=self._objects.__getitem__):
-            home = next(target for target in self._ranks(key) if room[target] > 0)
-            room[home] -= 1
-            self._home_by_object[key] = home
+        bound = ceil(len(self._order) * SPREAD / len(self._regions_by_target))
+        room = dict.fromkeys(self._regions_by_target, bound)
+        keys = sorted(self._order, key=self._order.__getitem__)
+        for own_region in (True, False):
+            for key in keys:
+                if key not in self._home_by_object:
+                    self._place(key, room, own_region=own_region)
+
+    def _place(self, key: ObjectKey, room: dict[str, int], *, own_region: bool) -> None:
+        region = self._regions_by_object[key]
+        for target in self._ranks(key):
+            if room[target] and (not own_region or self._regions_by_target[target] == region):
+                room[target] -= 1
+                self._home_by_object[key] = target
+                return
--- a/src/flamingoladder/transport/exchange.py
+++ b/src/flamingoladder/transport/exchange.py
@@ -5,8 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import aiohttp
-
 if TYPE_CHECKING:
     from asyncio import Transport
     from collections.abc import Callable
@@ -59,9 +57,7 @@
 
     def was_reset(self) -> bool:
         """Return whether the connection ended with an error instead of its other end's close."""
-        return isinstance(self.connection_error(), OSError) and not isinstance(
-            self.connection_error(), aiohttp.ServerDisconnectedError
-        )
+        return isinstance(self.connection_error(), OSError)
 
     def may_leave(self) -> bool:
         """Return whether the request may still be written."""
--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of entry."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of fleet."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/platform/test_target_wire.py
@@ -0,0 +1,228 @@
+"""Tests of requests to targets over real sockets, against answers of all kinds."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from socket import SO_LINGER
+from socket import SOL_SOCKET
+from struct import pack
+from typing import TYPE_CHECKING
+
+import pytest
+from reactivex import Subject
+
+from flamingoladder.entry.outcomes import SendEnd
+from flamingoladder.entry.request import ArrivedRequest
+from flamingoladder.entry.request import RoutedRequest
+from flamingoladder.platform.target_wire import PlatformTargets
+from flamingoladder.routing.model import Workspace
+from flamingoladder.targets.record import TargetRecord
+from flamingoladder.targets.state import LoadReport
+from flamingoladder.targets.state import TargetState
+from flamingoladder.verdict import Header
+from tests.routing.test_model import route
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from flamingoladder.entry.outcomes import SendResult
+
+ID = "9c41d07be2a35f68"
+ECHO = f"Flamingoladder-Request-Id: {ID}\r\n"
+SIGNED = ECHO + "Flamingoladder-Response-Signature: 3e1b\r\n"
+LENGTH = "Content-Length: 5\r\n"
+NOT_RUN = "Flamingoladder-Not-Executed: 1\r\n"
+PATIENCE_S = 0.4
+RESET_ON_CLOSE = pack("ii", 1, 0)
+
+
+class RawTarget:
+    """Answers each request with the next of ``replies``; ``reset`` ends the connection hard."""
+
+    def __init__(self, *replies: str, reset: bool = False, close: bool = False) -> None:
+        self.replies = list(replies)
+        self.reset = reset
+        self.close = close
+        self.heads: list[str] = []
+        self.connections = 0
+
+    @asynccontextmanager
+    async def serving(self) -> AsyncIterator[TargetState]:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        record = TargetRecord(
+            target_id="i-1",
+            service="s",
+            address=f"{host}:{port}",
+            failure_domain="d",
+            slots=3,
+            draining=False,
+            cold_s=0.0,
+        )
+        try:
+            yield TargetState(record, "r", 0.0)
+        finally:
+            server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        while self.replies:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                break
+            self.heads.append(head.decode())
+            writer.write(self.replies.pop(0).encode())
+            await writer.drain()
+            if self.reset:
+                await asyncio.sleep(0.02)
+                socket = writer.get_extra_info("socket")
+                socket.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+                writer.transport.abort()
+                return
+            if self.close:
+                break
+        if self.close:
+            writer.close()
+        else:
+            await reader.read()
+
+
+def request(patience_s: float = PATIENCE_S) -> RoutedRequest:
+    now = asyncio.get_running_loop().time()
+    arrived = ArrivedRequest(
+        request_id=ID,
+        method="GET",
+        host="a.example",
+        path="/kit/%2e/7?x=%20",
+        headers=(Header("Host", "a.example"), Header("Flamingoladder-Request-Id", ID)),
+        body=b"",
+        keys=("secret",),
+        affinity="17",
+        patience_s=patience_s,
+    )
+    return RoutedRequest(
+        arrived=arrived,
+        route=route("r", "/"),
+        service="s",
+        workspace=Workspace(name="turf", priority=None, rate_per_s=0.0, burst=0.0),
+        regions=None,
+        started=now,
+        deadline=now + patience_s,
+        fingerprint="f",
+    )
+
+
+async def send_once(raw: RawTarget) -> SendResult:
+    wire = PlatformTargets(Subject())
+    async with raw.serving() as target:
+        try:
+            return await wire.send(request(), target)
+        finally:
+            await wire.close()
+
+
+def reply(head: str, body: str = "hello", status: str = "200 OK") -> str:
+    return f"HTTP/1.1 {status}\r\n{head}\r\n{body}"
+
+
+@pytest.mark.parametrize(
+    ("text", "end", "may_have_run"),
+    [
+        (reply(SIGNED + LENGTH), SendEnd.ANSWERED, True),
+        (reply(ECHO + LENGTH), SendEnd.FAILED, True),
+        (reply(LENGTH), SendEnd.LOST, True),
+        (reply(SIGNED.replace(ID, "another") + LENGTH), SendEnd.LOST, True),
+        (reply(SIGNED + "Content-Length: 9\r\n"), SendEnd.TIMEOUT, True),
+        ("no answer at all\r\n\r\n", SendEnd.LOST, True),
+        (reply(SIGNED + LENGTH, status="500 Oops"), SendEnd.FAILED, True),
+        (reply(ECHO + LENGTH, status="503 Busy"), SendEnd.FAILED, True),
+        (reply(ECHO + LENGTH + NOT_RUN, status="503 Busy"), SendEnd.NOT_RUN, False),
+        (reply(ECHO + LENGTH + NOT_RUN, status="429 Many"), SendEnd.NOT_RUN, False),
+        (reply(ECHO + LENGTH, status="421 Other"), SendEnd.OTHER_TARGET, False),
+    ],
+)
+async def test_what_an_answer_says(text: str, end: SendEnd, may_have_run: bool) -> None:
+    result = await send_once(RawTarget(text))
+    assert (result.end, result.may_have_run) == (end, may_have_run)
+
+
+@pytest.mark.parametrize("status", ["503 Busy", "429 Many", "408 Late"])
+async def test_a_status_that_promises_is_not_passed_on_without_the_marker(status: str) -> None:
+    result = await send_once(RawTarget(reply(SIGNED + LENGTH, status=status)))
+    assert result.answer is None
+    assert result.may_have_run
+
+
+async def test_an_answer_without_length_ends_with_its_connection() -> None:
+    result = await send_once(RawTarget(reply(SIGNED), close=True))
+    assert result.answer is not None
+    assert result.answer.body == b"hello"
+
+
+async def test_an_answer_without_length_that_is_reset_is_not_whole() -> None:
+    result = await send_once(RawTarget(reply(SIGNED), reset=True))
+    assert (result.end, result.answer) == (SendEnd.LOST, None)
+
+
+async def test_a_refused_connection_ran_nothing() -> None:
+    raw = RawTarget()
+    async with raw.serving() as target:
+        pass
+    result = await PlatformTargets(Subject()).send(request(), target)
+    assert (result.end, result.may_have_run) == (SendEnd.NO_CONNECTION, False)
+
+
+async def test_a_request_reaches_the_target_unchanged_and_without_the_key() -> None:
+    raw = RawTarget(reply(SIGNED + LENGTH))
+    await send_once(raw)
+    head = raw.heads[0]
+    assert head.startswith("GET /kit/%2e/7?x=%20 HTTP/1.1\r\n")
+    assert "Flamingoladder-Expect-Instance: i-1\r\n" in head
+    assert "Flamingoladder-Tenant-Id: turf\r\n" in head
+    assert "secret" not in head
+
+
+async def test_an_answer_that_nobody_asked_for_reaches_no_request() -> None:
+    wire = PlatformTargets(Subject())
+    raw = RawTarget(
+        reply(SIGNED + LENGTH) + reply(SIGNED + LENGTH, "OTHER"), reply(SIGNED + LENGTH)
+    )
+    async with raw.serving() as target:
+        first = await wire.send(request(), target)
+        await asyncio.sleep(0.05)
+        raw.replies = [reply(SIGNED + LENGTH)]
+        second = await wire.send(request(), target)
+        await wire.close()
+    assert [result.answer.body for result in (first, second) if result.answer] == [b"hello"] * 2
+
+
+async def test_the_load_of_the_target_is_read() -> None:
+    load = "Flamingoladder-Server-Load: 3,2,8\r\n"
+    result = await send_once(RawTarget(reply(SIGNED + load + LENGTH)))
+    assert result.load == LoadReport(3, 2, 8)
+
+
+@pytest.mark.parametrize(
+    ("head", "status", "healthy", "cold_s"),
+    [
+        ("Flamingoladder-Instance-Id: i-1\r\n", "200 OK", True, 0.0),
+        (
+            "Flamingoladder-Instance-Id: i-1\r\nFlamingoladder-Warmup-Ms: 1500\r\n",
+            "200 OK",
+            True,
+            1.5,
+        ),
+        ("Flamingoladder-Instance-Id: i-2\r\n", "200 OK", False, 0.0),
+        ("Flamingoladder-Instance-Id: i-1\r\n", "503 Draining", False, 0.0),
+        ("", "200 OK", False, 0.0),
+    ],
+)
+async def test_a_probe_knows_its_target(
+    head: str, status: str, healthy: bool, cold_s: float
+) -> None:
+    wire = PlatformTargets(Subject())
+    async with RawTarget(reply(head + LENGTH, status=status)).serving() as target:
+        result = await wire.probe(target, "/healthz", PATIENCE_S)
+    assert (result.healthy, result.cold_s) == (healthy, cold_s)
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of routing."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/routing/test_split.py
@@ -0,0 +1,42 @@
+"""Tests of the division of a route's requests among services."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from flamingoladder.routing.model import Part
+from flamingoladder.routing.split import SplitChooser
+from tests.routing.test_model import route
+
+OBJECTS = 72
+REQUESTS = 1_000
+OFF = 0.1
+
+
+@pytest.mark.parametrize("shares", [(0.9, 0.1), (0.5, 0.5), (0.6, 0.3, 0.1)])
+@pytest.mark.parametrize("seed", range(5))
+def test_each_service_gets_its_share(shares: tuple[float, ...], seed: int) -> None:
+    parts = tuple(Part(f"s{number}", share) for number, share in enumerate(shares))
+    split = route("r", "/", "a.example", *parts)
+    chooser = SplitChooser()
+    random = Random(seed)
+    counts = Counter(
+        chooser.service_of(split, str(random.randrange(OBJECTS))) for _ in range(REQUESTS)
+    )
+    for part in parts:
+        assert abs(counts[part.service] / REQUESTS - part.share) < OFF
+
+
+def test_an_object_mostly_stays_at_one_service() -> None:
+    split = route("r", "/", "a.example", Part("a", 0.5), Part("b", 0.5))
+    chooser = SplitChooser()
+    random = Random(1)
+    services: dict[str, Counter[str]] = {}
+    for _ in range(REQUESTS):
+        key = str(random.randrange(OBJECTS))
+        services.setdefault(key, Counter())[chooser.service_of(split, key)] += 1
+    at_home = sum(max(counts.values()) for counts in services.values())
+    assert at_home > 0.8 * REQUESTS
--- /dev/null
+++ b/tests/steering/test_homes.py
@@ -0,0 +1,66 @@
+"""Tests of the homes of objects."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from flamingoladder.steering.homes import HomePlan
+
+REGIONS = {f"t{number}": ("north", "south", "south", "east")[number % 4] for number in range(16)}
+OBJECTS = {f"route\0{number}": ("north", "south", "east")[number % 3] for number in range(72)}
+
+
+def plan(regions: dict[str, str], objects: dict[str, str]) -> HomePlan:
+    found = HomePlan()
+    found.set_targets(regions)
+    for key, region in objects.items():
+        found.add((key,), region)
+    return found
+
+
+def homes(found: HomePlan) -> dict[str, str]:
+    return {key: found.order(key)[0] for key in OBJECTS}
+
+
+def reverse(found: dict[str, str]) -> dict[str, str]:
+    return dict(reversed(found.items()))
+
+
+def test_all_hosts_find_the_same_homes_in_whatever_order_they_learn() -> None:
+    assert homes(plan(REGIONS, OBJECTS)) == homes(plan(reverse(REGIONS), reverse(OBJECTS)))
+
+
+@pytest.mark.parametrize("count", [3, 12, 16])
+def test_no_target_is_home_to_many_more_than_its_even_part(count: int) -> None:
+    regions = dict(list(REGIONS.items())[:count])
+    found = Counter(homes(plan(regions, OBJECTS)).values())
+    assert max(found.values()) <= len(OBJECTS) / count * 1.1 + 1
+
+
+def test_a_home_is_in_the_region_of_its_object_while_there_is_room() -> None:
+    found = homes(plan(REGIONS, OBJECTS))
+    of_south = [key for key, region in OBJECTS.items() if region == "south"]
+    assert all(REGIONS[found[key]] == "south" for key in of_south)
+    of_north = [key for key, region in OBJECTS.items() if region == "north"]
+    assert sum(REGIONS[found[key]] == "north" for key in of_north) >= 4 * 72 // 16
+
+
+def test_a_lost_target_moves_few_other_objects() -> None:
+    before = homes(plan(REGIONS, OBJECTS))
+    left = {target: region for target, region in REGIONS.items() if target != "t0"}
+    after = homes(plan(left, OBJECTS))
+    lost = [key for key, home in before.items() if home == "t0"]
+    moved = [key for key in OBJECTS if before[key] != after[key]]
+    assert set(lost) <= set(moved)
+    assert len(moved) <= 4 * len(lost)
+
+
+def test_the_order_names_every_target_once() -> None:
+    found = plan(REGIONS, OBJECTS)
+    assert all(sorted(found.order(key)) == sorted(REGIONS) for key in OBJECTS)
+
+
+def test_without_targets_there_is_no_home() -> None:
+    assert plan({}, OBJECTS).order("route\0001") == ()
--- /dev/null
+++ b/tests/targets/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of targets."""
+
+from __future__ import annotations
