--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -22,6 +22,7 @@
 from flamingoladder.entry.server import Phase
 from flamingoladder.entry.server import Port
 from flamingoladder.fleet.exchange import ReportExchange
+from flamingoladder.fleet.kept_objects import ObjectKeeper
 from flamingoladder.fleet.lookups import FleetLookup
 from flamingoladder.fleet.members import MemberBook
 from flamingoladder.fleet.messages import FleetMessage
@@ -37,6 +38,7 @@
 from flamingoladder.platform import registry
 from flamingoladder.platform.http_transport import HttpTransport
 from flamingoladder.platform.memberships import MembershipReader
+from flamingoladder.platform.object_rows import ObjectRows
 from flamingoladder.platform.operators import OperatorReader
 from flamingoladder.platform.registry import RegistryReader
 from flamingoladder.platform.rows import RowStore
@@ -113,6 +115,9 @@
         self._membership = MembershipReader(
             self._own, self._members, self._store, self._update_links, recorder
         )
+        self._objects = ObjectKeeper(
+            self._own, self._members, self._chooser, ObjectRows(self._store, recorder)
+        )
         self._gate = CallerGate(self._serve, _refuse)
         self._callers = Port(self._gate.handle)
         self._health = Port(self._ready)
@@ -140,6 +145,7 @@
         self._tasks += [
             asyncio.create_task(self._membership.register()),
             asyncio.create_task(self._exchange.run()),
+            asyncio.create_task(self._objects.run()),
             asyncio.create_task(self._keep_up()),
         ]
         self._recorder.record("host.started", address=settings.callers)
--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -63,7 +63,7 @@
 class Forwarder:
     """Sends requests to targets."""
 
-    __slots__ = ("_budgets", "_chooser", "_crashes", "_prober", "_recorder", "_wire")
+    __slots__ = ("_budgets", "_chooser", "_crashes", "_prober", "_recorder", "_running", "_wire")
 
     def __init__(
         self,
@@ -80,6 +80,7 @@
         self._crashes = crashes
         self._prober = prober
         self._recorder = recorder
+        self._running: set[asyncio.Task[SendResult]] = set()
 
     async def forward(self, request: RoutedRequest) -> Outcome:
         """Return the target's answer, or a refusal that says whether the request may have run."""
@@ -99,6 +100,19 @@
                 return self._refused(journey, last)
 
     async def _send(self, request: RoutedRequest, target: TargetState) -> SendResult:
+        task = asyncio.create_task(self._run(request, target))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            return SendResult(SendEnd.TIMEOUT, "no whole answer in time")
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+
+    async def _run(self, request: RoutedRequest, target: TargetState) -> SendResult:
         loop = asyncio.get_running_loop()
         self._chooser.sending(target, loop.time())
         try:
--- a/src/flamingoladder/entry/handler.py
+++ b/src/flamingoladder/entry/handler.py
@@ -98,7 +98,8 @@
         workspace = _workspace(plan, route, arrived)
         if isinstance(workspace, Refusal):
             return workspace
-        deadline = started + min(route.timeout_s, arrived.patience_s or route.timeout_s)
+        patience_s = arrived.patience_s or route.timeout_s
+        deadline = started + min(route.timeout_s, patience_s)
         if now >= deadline:
             return Refusal.not_run(Reason.DEADLINE_PASSED, "the deadline has passed")
         fingerprint = _fingerprint(arrived, workspace)
@@ -116,6 +117,7 @@
             regions=_regions(route, workspace),
             started=started,
             deadline=deadline,
+            work_until=deadline if route.idempotent else started + patience_s,
             fingerprint=fingerprint,
         )
 
--- a/src/flamingoladder/entry/request.py
+++ b/src/flamingoladder/entry/request.py
@@ -32,7 +32,11 @@
 
 
 class RoutedRequest:
-    """A request that may be served. ``deadline`` is monotonic time in seconds."""
+    """A request that may be served. Times are monotonic seconds.
+
+    By ``deadline`` the caller is answered. Work that a target has begun may go on until
+    ``work_until``: what is not idempotent is not broken off half way while its caller waits.
+    """
 
     __slots__ = (
         "arrived",
@@ -43,6 +47,7 @@
         "route",
         "service",
         "started",
+        "work_until",
         "workspace",
     )
 
@@ -56,6 +61,7 @@
         regions: frozenset[str] | None,
         started: float,
         deadline: float,
+        work_until: float,
         fingerprint: str,
     ) -> None:
         self.arrived = arrived
@@ -65,6 +71,7 @@
         self.regions = regions
         self.started = started
         self.deadline = deadline
+        self.work_until = work_until
         self.fingerprint = fingerprint
         self.object_key = _object_key(route, arrived.affinity)
 
--- /dev/null
+++ b/src/flamingoladder/fleet/kept_objects.py
@@ -0,0 +1,81 @@
+"""Keeps the known objects where a host finds them after all hosts were lost at once."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from flamingoladder.entry.chooser import TargetChooser
+    from flamingoladder.fleet.members import MemberBook
+    from flamingoladder.members.state import Member
+
+CHECK_INTERVAL_S = 2.0
+
+ObjectsByService = dict[str, list[str]]
+
+
+class ObjectShelf(ABC):
+    """Where the objects of each region are kept."""
+
+    @abstractmethod
+    async def read(self) -> dict[str, ObjectsByService] | None:
+        """Return the objects by region, or None if they can't be read now."""
+
+    @abstractmethod
+    async def write(self, region: str, objects: ObjectsByService) -> bool:
+        """Keep the objects of a region in place of the earlier; return whether that was done."""
+
+
+class ObjectKeeper:
+    """Reads the kept objects at the start, and has one host of each region keep new ones."""
+
+    __slots__ = ("_chooser", "_kept", "_members", "_own", "_shelf")
+
+    def __init__(
+        self, own: Member, members: MemberBook, chooser: TargetChooser, shelf: ObjectShelf
+    ) -> None:
+        self._own = own
+        self._members = members
+        self._chooser = chooser
+        self._shelf = shelf
+        self._kept: ObjectsByService = {}
+
+    async def run(self) -> None:
+        """Read once, then keep for ever."""
+        await self._restore()
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            await self._keep(asyncio.get_running_loop().time())
+
+    async def _restore(self) -> None:
+        found = await self._shelf.read()
+        while found is None:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            found = await self._shelf.read()
+        for region, objects_by_service in found.items():
+            for service, objects in objects_by_service.items():
+                self._chooser.plan_of(service).add(objects, region)
+        self._kept = found.get(self._own.region, {})
+
+    async def _keep(self, now: float) -> None:
+        if not self._is_first(now):
+            return
+        objects = self._chooser.objects()
+        if _count(objects) <= _count(self._kept):
+            return
+        if await self._shelf.write(self._own.region, objects):
+            self._kept = objects
+
+    def _is_first(self, now: float) -> bool:
+        """Return whether this is the first serving host of its region."""
+        return not any(
+            member.region == self._own.region and member.host < self._own.host
+            for member in self._members.serving(now)
+        )
+
+
+def _count(objects: ObjectsByService) -> int:
+    return sum(map(len, objects.values()))
--- a/src/flamingoladder/platform/target_wire.py
+++ b/src/flamingoladder/platform/target_wire.py
@@ -59,7 +59,7 @@
     async def send(self, request: RoutedRequest, target: TargetState) -> SendResult:
         """Send the request once."""
         pool = self._pool(target.record.target_id)
-        exchange = Exchange(request.deadline)
+        exchange = Exchange(request.work_until)
         sent = await pool.send(_outgoing(request, target), exchange)
         if isinstance(sent, Answer):
             return _result_of(sent, reused=exchange.reused)
@@ -111,7 +111,7 @@
     found: CIMultiDict[str] = CIMultiDict()
     for header in arrived.headers:
         found.add(header.name, header.value)
-    left_s = request.deadline - asyncio.get_running_loop().time()
+    left_s = request.work_until - asyncio.get_running_loop().time()
     found[headers.DEADLINE_MS] = str(max(1, int(left_s * MS_PER_S)))
     found[headers.EXPECT_INSTANCE] = target.record.target_id
     if request.workspace is not None:
--- a/src/flamingoladder/steering/homes.py
+++ b/src/flamingoladder/steering/homes.py
@@ -17,7 +17,7 @@
     from collections.abc import Collection
     from collections.abc import Mapping
 
-SPREAD = 1.1
+SPREAD = 1.4
 MAX_OBJECTS = 20_000
 
 ObjectKey = str
--- a/tests/platform/test_target_wire.py
+++ b/tests/platform/test_target_wire.py
@@ -110,6 +110,7 @@
         regions=None,
         started=now,
         deadline=now + patience_s,
+        work_until=now + patience_s,
         fingerprint="f",
     )
 
