Reach the platform by one client: the table, objects and host list are kept in its store

Cause: the etcd-style client and its stand-in were a second way to reach the platform. The abstract base classes move to storage/; platform/ implements them over the store's rows and objects. A transaction holds at most 50 conditions and 50 writes, as the store takes 100 entries.

--- a/bench/freshness.py
+++ b/bench/freshness.py
@@ -25,9 +25,9 @@
 from flamingoladder.freshness.messages import VouchRequest
 from flamingoladder.keys.changes import WithdrawKey
 from flamingoladder.peers.envelope import Envelope
-from flamingoladder.platform.exceptions import PlatformError
 from flamingoladder.standins.loop import run_on_injected_time
 from flamingoladder.standins.memory import MemoryTable
+from flamingoladder.storage.exceptions import PlatformError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/bench/platform.py
+++ b/bench/platform.py
@@ -10,14 +10,15 @@
 from time import process_time
 from typing import TYPE_CHECKING
 
-from flamingoladder.platform.http_table import HttpTable
 from flamingoladder.platform.http_transport import HttpTransport
-from flamingoladder.platform.table import MAX_TRANSACTION_ROWS
-from flamingoladder.platform.table import Condition
-from flamingoladder.platform.table import Write
+from flamingoladder.platform.rows import RowStore
+from flamingoladder.platform.services import StoreTable
 from flamingoladder.standins.processes import LOOPBACK
 from flamingoladder.standins.processes import Processes
 from flamingoladder.standins.processes import free_ports
+from flamingoladder.storage.table import MAX_TRANSACTION_ROWS
+from flamingoladder.storage.table import Condition
+from flamingoladder.storage.table import Write
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -52,11 +53,11 @@
             process = processes.start("platform", "standin-platform", "--port", str(port))
             await process.wait_until_ready(url)
             transport = HttpTransport.from_config(url, TOKEN)
-            await _run(HttpTable(transport), rows, calls)
+            await _run(StoreTable(RowStore(transport)), rows, calls)
             await transport.close()
 
 
-async def _run(table: HttpTable, rows: int, calls: int) -> None:
+async def _run(table: StoreTable, rows: int, calls: int) -> None:
     await _fill(table, rows)
 
     async def get(number: int) -> None:
@@ -73,7 +74,7 @@
         await _report(rows, name, call, calls)
 
 
-async def _fill(table: HttpTable, rows: int) -> None:
+async def _fill(table: StoreTable, rows: int) -> None:
     numbers = range(rows)
     for first in range(0, rows, MAX_TRANSACTION_ROWS):
         batch = numbers[first : first + MAX_TRANSACTION_ROWS]
--- a/bench/share_ways.py
+++ b/bench/share_ways.py
@@ -13,9 +13,6 @@
 from bench.fleet import network
 from bench.fleet import request
 from bench.fleet import successor
-from flamingoladder.platform.exceptions import PlatformError
-from flamingoladder.platform.table import Condition
-from flamingoladder.platform.table import Write
 from flamingoladder.shares.admission import ShareAdmission
 from flamingoladder.shares.bucket import Bucket
 from flamingoladder.shares.bucket import Part
@@ -26,6 +23,9 @@
 from flamingoladder.standins.memory import StoredTable
 from flamingoladder.standins.state import SettableState
 from flamingoladder.standins.state import last_proof_ends_at
+from flamingoladder.storage.exceptions import PlatformError
+from flamingoladder.storage.table import Condition
+from flamingoladder.storage.table import Write
 from flamingoladder.timeline.recorder import Recorder
 
 if TYPE_CHECKING:
--- a/src/flamingoladder/console/commands/standin_platform.py
+++ b/src/flamingoladder/console/commands/standin_platform.py
@@ -6,8 +6,8 @@
 import sys
 
 from flamingoladder.console import environment
-from flamingoladder.standins.platform import PlatformState
-from flamingoladder.standins.platform_server import platform_application
+from flamingoladder.platform.standins.state import PlatformState
+from flamingoladder.platform.standins.store import platform_application
 from flamingoladder.standins.server import ApplicationServer
 from flamingoladder.standins.server import wait_for_signal
 
--- a/src/flamingoladder/daemon/directory_watcher.py
+++ b/src/flamingoladder/daemon/directory_watcher.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.members.directory import read_directory
-from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.storage.exceptions import PlatformError
 
 if TYPE_CHECKING:
     from reactivex import Observable
@@ -14,7 +14,7 @@
 
     from flamingoladder.config.agreed import AgreedState
     from flamingoladder.peers.zmq_links import ZmqLinks
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.table import TableService
     from flamingoladder.timeline.recorder import Recorder
 
 READ_INTERVAL_S = 5.0
--- a/src/flamingoladder/daemon/platform_services.py
+++ b/src/flamingoladder/daemon/platform_services.py
@@ -1,18 +1,19 @@
-"""The platform's services together, as one host reaches them."""
+"""The store's services together, as one host reaches them."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from flamingoladder.platform.http_hosts import HttpHostList
-from flamingoladder.platform.http_objects import HttpObjects
-from flamingoladder.platform.http_table import HttpTable
+from flamingoladder.platform.rows import RowStore
+from flamingoladder.platform.services import StoreHosts
+from flamingoladder.platform.services import StoreObjects
+from flamingoladder.platform.services import StoreTable
 
 if TYPE_CHECKING:
-    from flamingoladder.platform.hostlist import HostList
     from flamingoladder.platform.http_transport import HttpTransport
-    from flamingoladder.platform.objects import ObjectStore
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.hostlist import HostList
+    from flamingoladder.storage.objects import ObjectStore
+    from flamingoladder.storage.table import TableService
 
 
 class PlatformServices:
@@ -28,4 +29,5 @@
     @classmethod
     def over_http(cls, transport: HttpTransport) -> PlatformServices:
         """Return the services behind one base URL."""
-        return cls(HttpTable(transport), HttpObjects(transport), HttpHostList(transport))
+        store = RowStore(transport)
+        return cls(StoreTable(store), StoreObjects(transport), StoreHosts(store))
--- a/src/flamingoladder/freshness/attempt.py
+++ b/src/flamingoladder/freshness/attempt.py
@@ -17,8 +17,8 @@
 from flamingoladder.freshness.head import encode_state
 from flamingoladder.freshness.intents import IntentEnd
 from flamingoladder.freshness.messages import Intent
-from flamingoladder.platform.exceptions import OutcomeUnknownError
-from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.storage.exceptions import OutcomeUnknownError
+from flamingoladder.storage.exceptions import PlatformError
 
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import AgreedState
--- a/src/flamingoladder/freshness/changes.py
+++ b/src/flamingoladder/freshness/changes.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import AgreedState
-    from flamingoladder.platform.table import Condition
+    from flamingoladder.storage.table import Condition
 
 NO_STATE_VERSION = 0
 
--- a/src/flamingoladder/freshness/intents.py
+++ b/src/flamingoladder/freshness/intents.py
@@ -14,7 +14,7 @@
 from flamingoladder.freshness.messages import IntentReply
 from flamingoladder.freshness.messages import IntentWithdrawn
 from flamingoladder.members.directory import read_directory
-from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.storage.exceptions import PlatformError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,7 +26,7 @@
     from flamingoladder.members.silence import Silence
     from flamingoladder.members.state import Member
     from flamingoladder.peers.link import PeerLinks
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.table import TableService
 
 
 class IntentEnd(StrEnum):
--- a/src/flamingoladder/freshness/keeper.py
+++ b/src/flamingoladder/freshness/keeper.py
@@ -31,9 +31,9 @@
     from flamingoladder.freshness.status import FreshnessStatus
     from flamingoladder.members.state import Member
     from flamingoladder.peers.link import PeerLinks
-    from flamingoladder.platform.hostlist import HostList
-    from flamingoladder.platform.objects import ObjectStore
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.hostlist import HostList
+    from flamingoladder.storage.objects import ObjectStore
+    from flamingoladder.storage.table import TableService
     from flamingoladder.timeline.recorder import Recorder
 
 
--- a/src/flamingoladder/freshness/renewal.py
+++ b/src/flamingoladder/freshness/renewal.py
@@ -15,7 +15,7 @@
 from flamingoladder.freshness.messages import IntentQuestion
 from flamingoladder.freshness.messages import VouchReply
 from flamingoladder.freshness.messages import VouchRequest
-from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.storage.exceptions import PlatformError
 
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import AgreedState
--- a/src/flamingoladder/freshness/storage.py
+++ b/src/flamingoladder/freshness/storage.py
@@ -16,18 +16,18 @@
 from flamingoladder.freshness.head import object_names
 from flamingoladder.freshness.messages import ObjectReply
 from flamingoladder.freshness.messages import ObjectRequest
-from flamingoladder.platform.exceptions import PlatformError
-from flamingoladder.platform.table import Condition
-from flamingoladder.platform.table import Write
+from flamingoladder.storage.exceptions import PlatformError
+from flamingoladder.storage.table import Condition
+from flamingoladder.storage.table import Write
 
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import AgreedState
     from flamingoladder.freshness.head import EncodedHead
     from flamingoladder.freshness.settings import FreshnessSettings
     from flamingoladder.peers.link import PeerLinks
-    from flamingoladder.platform.objects import ObjectStore
-    from flamingoladder.platform.table import Commit
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.objects import ObjectStore
+    from flamingoladder.storage.table import Commit
+    from flamingoladder.storage.table import TableService
 
 
 class StoredHead(msgspec.Struct, frozen=True):
--- a/src/flamingoladder/ledger/answers.py
+++ b/src/flamingoladder/ledger/answers.py
@@ -9,10 +9,10 @@
 from flamingoladder.ledger.records import KeptOutcome
 from flamingoladder.ledger.records import decode_answer
 from flamingoladder.ledger.records import encode
-from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.storage.exceptions import PlatformError
 
 if TYPE_CHECKING:
-    from flamingoladder.platform.objects import ObjectStore
+    from flamingoladder.storage.objects import ObjectStore
     from flamingoladder.verdict import Outcome
 
 ROW_ANSWER_BYTES = 4_096
--- a/src/flamingoladder/ledger/claim_runs.py
+++ b/src/flamingoladder/ledger/claim_runs.py
@@ -12,7 +12,7 @@
 from flamingoladder.ledger.reader import TABLE_TIMEOUT_S
 from flamingoladder.ledger.records import claim_name
 from flamingoladder.ledger.records import workspace_name
-from flamingoladder.platform.exceptions import PlatformUnavailableError
+from flamingoladder.storage.exceptions import PlatformUnavailableError
 from flamingoladder.verdict import Reason
 
 if TYPE_CHECKING:
--- a/src/flamingoladder/ledger/claims.py
+++ b/src/flamingoladder/ledger/claims.py
@@ -17,10 +17,10 @@
 from flamingoladder.ledger.records import ClaimState
 from flamingoladder.ledger.records import decode_claim
 from flamingoladder.ledger.records import encode
-from flamingoladder.platform.exceptions import OutcomeUnknownError
-from flamingoladder.platform.exceptions import PlatformUnavailableError
-from flamingoladder.platform.table import Condition
-from flamingoladder.platform.table import Write
+from flamingoladder.storage.exceptions import OutcomeUnknownError
+from flamingoladder.storage.exceptions import PlatformUnavailableError
+from flamingoladder.storage.table import Condition
+from flamingoladder.storage.table import Write
 
 if TYPE_CHECKING:
     from flamingoladder.gateway.request import CallerRequest
@@ -30,8 +30,8 @@
     from flamingoladder.ledger.holders import Holders
     from flamingoladder.ledger.reader import RowReader
     from flamingoladder.members.state import Member
-    from flamingoladder.platform.table import Row
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.table import Row
+    from flamingoladder.storage.table import TableService
     from flamingoladder.verdict import Outcome
 
 ABSENT = 0
--- a/src/flamingoladder/ledger/closing.py
+++ b/src/flamingoladder/ledger/closing.py
@@ -9,14 +9,14 @@
 from flamingoladder.ledger.records import ClosingRow
 from flamingoladder.ledger.records import closing_name
 from flamingoladder.ledger.records import encode
-from flamingoladder.platform.exceptions import PlatformError
-from flamingoladder.platform.table import Write
+from flamingoladder.storage.exceptions import PlatformError
+from flamingoladder.storage.table import Write
 
 if TYPE_CHECKING:
     from flamingoladder.ledger.executor import Executor
     from flamingoladder.ledger.writer import OutcomeWriter
     from flamingoladder.members.state import Member
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.table import TableService
 
 CLOSE_S = 30.0
 POLL_S = 0.05
--- a/src/flamingoladder/ledger/ledger.py
+++ b/src/flamingoladder/ledger/ledger.py
@@ -36,8 +36,8 @@
     from flamingoladder.gateway.stages import Run
     from flamingoladder.members.state import Member
     from flamingoladder.peers.link import PeerLinks
-    from flamingoladder.platform.objects import ObjectStore
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.objects import ObjectStore
+    from flamingoladder.storage.table import TableService
     from flamingoladder.timeline.recorder import Recorder
     from flamingoladder.verdict import Outcome
 
--- a/src/flamingoladder/ledger/marks.py
+++ b/src/flamingoladder/ledger/marks.py
@@ -11,11 +11,11 @@
 from flamingoladder.ledger.records import MarksRow
 from flamingoladder.ledger.records import decode_marks
 from flamingoladder.ledger.records import encode
-from flamingoladder.platform.table import Condition
-from flamingoladder.platform.table import Write
+from flamingoladder.storage.table import Condition
+from flamingoladder.storage.table import Write
 
 if TYPE_CHECKING:
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.table import TableService
 
 MARK_S = 3_600.0
 ANSWERS_KEPT_HOURS = 24
--- a/src/flamingoladder/ledger/pruner.py
+++ b/src/flamingoladder/ledger/pruner.py
@@ -18,10 +18,10 @@
 from flamingoladder.ledger.records import closing_name
 from flamingoladder.ledger.records import decode_claim
 from flamingoladder.ledger.records import encode
-from flamingoladder.platform.exceptions import PlatformError
-from flamingoladder.platform.table import MAX_TRANSACTION_ROWS
-from flamingoladder.platform.table import Condition
-from flamingoladder.platform.table import Write
+from flamingoladder.storage.exceptions import PlatformError
+from flamingoladder.storage.table import MAX_TRANSACTION_ROWS
+from flamingoladder.storage.table import Condition
+from flamingoladder.storage.table import Write
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -30,8 +30,8 @@
     from flamingoladder.config.agreed import StateInForce
     from flamingoladder.ledger.marks import Marks
     from flamingoladder.peers.link import PeerLinks
-    from flamingoladder.platform.table import Row
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.table import Row
+    from flamingoladder.storage.table import TableService
     from flamingoladder.timeline.recorder import Recorder
 
 SHARD_PAUSE_S = 0.5
--- a/src/flamingoladder/ledger/reader.py
+++ b/src/flamingoladder/ledger/reader.py
@@ -10,13 +10,13 @@
 from flamingoladder.ledger.records import closing_name
 from flamingoladder.ledger.records import decode_claim
 from flamingoladder.ledger.records import decode_closing
-from flamingoladder.platform.exceptions import PlatformUnavailableError
+from flamingoladder.storage.exceptions import PlatformUnavailableError
 
 if TYPE_CHECKING:
     from flamingoladder.ledger.answers import AnswerStore
     from flamingoladder.ledger.records import ClosingRow
-    from flamingoladder.platform.table import Row
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.table import Row
+    from flamingoladder.storage.table import TableService
     from flamingoladder.verdict import Outcome
 
 TABLE_TIMEOUT_S = 0.8
--- a/src/flamingoladder/ledger/ticket_runs.py
+++ b/src/flamingoladder/ledger/ticket_runs.py
@@ -15,7 +15,7 @@
 from flamingoladder.ledger.records import ticket_name
 from flamingoladder.ledger.records import workspace_name
 from flamingoladder.ledger.tickets import parse
-from flamingoladder.platform.exceptions import PlatformUnavailableError
+from flamingoladder.storage.exceptions import PlatformUnavailableError
 from flamingoladder.verdict import Reason
 
 if TYPE_CHECKING:
--- a/src/flamingoladder/ledger/writer.py
+++ b/src/flamingoladder/ledger/writer.py
@@ -15,12 +15,12 @@
 from flamingoladder.ledger.records import ClaimState
 from flamingoladder.ledger.records import decode_claim
 from flamingoladder.ledger.records import encode
-from flamingoladder.platform.exceptions import OutcomeUnknownError
-from flamingoladder.platform.exceptions import PlatformError
-from flamingoladder.platform.exceptions import PlatformRefusedError
-from flamingoladder.platform.exceptions import PlatformUnavailableError
-from flamingoladder.platform.table import Condition
-from flamingoladder.platform.table import Write
+from flamingoladder.storage.exceptions import OutcomeUnknownError
+from flamingoladder.storage.exceptions import PlatformError
+from flamingoladder.storage.exceptions import PlatformRefusedError
+from flamingoladder.storage.exceptions import PlatformUnavailableError
+from flamingoladder.storage.table import Condition
+from flamingoladder.storage.table import Write
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -28,7 +28,7 @@
     from flamingoladder.ledger.answers import AnswerStore
     from flamingoladder.ledger.entries import Entries
     from flamingoladder.ledger.entries import Entry
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.table import TableService
     from flamingoladder.timeline.recorder import Recorder
 
 BATCH_ROWS = 32
--- a/src/flamingoladder/members/changes.py
+++ b/src/flamingoladder/members/changes.py
@@ -14,7 +14,7 @@
     from flamingoladder.freshness.changes import Rejection
     from flamingoladder.members.directory import DirectoryEntry
     from flamingoladder.members.state import Member
-    from flamingoladder.platform.table import Condition
+    from flamingoladder.storage.table import Condition
 
 
 class RegisterMember(Change):
--- a/src/flamingoladder/members/directory.py
+++ b/src/flamingoladder/members/directory.py
@@ -7,11 +7,11 @@
 import msgspec
 
 from flamingoladder.members.state import Member
-from flamingoladder.platform.table import Condition
-from flamingoladder.platform.table import Write
+from flamingoladder.storage.table import Condition
+from flamingoladder.storage.table import Write
 
 if TYPE_CHECKING:
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.table import TableService
 
 DIRECTORY_PREFIX = "hosts/"
 
--- a/src/flamingoladder/members/registrar.py
+++ b/src/flamingoladder/members/registrar.py
@@ -14,8 +14,8 @@
 from flamingoladder.members.directory import enter_directory
 from flamingoladder.members.directory import leave_directory
 from flamingoladder.members.directory import read_entries
-from flamingoladder.platform.exceptions import PlatformError
-from flamingoladder.platform.hostlist import HostStatus
+from flamingoladder.storage.exceptions import PlatformError
+from flamingoladder.storage.hostlist import HostStatus
 
 if TYPE_CHECKING:
     from flamingoladder.freshness.committer import Committer
@@ -24,8 +24,8 @@
     from flamingoladder.members.silence import Silence
     from flamingoladder.members.state import Member
     from flamingoladder.peers.link import PeerLinks
-    from flamingoladder.platform.hostlist import HostList
-    from flamingoladder.platform.table import TableService
+    from flamingoladder.storage.hostlist import HostList
+    from flamingoladder.storage.table import TableService
     from flamingoladder.timeline.recorder import Recorder
 
 CHECK_S = 2.0
--- a/src/flamingoladder/platform/http_transport.py
+++ b/src/flamingoladder/platform/http_transport.py
@@ -9,9 +9,9 @@
 import aiohttp
 import msgspec
 
-from flamingoladder.platform.exceptions import OutcomeUnknownError
-from flamingoladder.platform.exceptions import PlatformRefusedError
-from flamingoladder.platform.exceptions import PlatformUnavailableError
+from flamingoladder.storage.exceptions import OutcomeUnknownError
+from flamingoladder.storage.exceptions import PlatformRefusedError
+from flamingoladder.storage.exceptions import PlatformUnavailableError
 from flamingoladder.transport.connector import ExchangeConnector
 from flamingoladder.transport.connector import current_exchange
 from flamingoladder.transport.exchange import Exchange
@@ -38,7 +38,6 @@
 
     status: int
     body: bytes
-    etag: str | None
 
 
 class HttpTransport:
@@ -120,7 +119,7 @@
             allow_redirects=False,
         ) as response:
             body = await response.read()
-            return HttpReply(response.status, body, response.headers.get("ETag"))
+            return HttpReply(response.status, body)
 
     def _retire(self, pool: _Pool) -> None:
         pool.retired = True
--- a/src/flamingoladder/platform/memberships.py
+++ b/src/flamingoladder/platform/memberships.py
@@ -8,10 +8,10 @@
 import msgspec
 
 from flamingoladder.members.state import Member
-from flamingoladder.platform.exceptions import OutcomeUnknownError
-from flamingoladder.platform.exceptions import PlatformError
-from flamingoladder.platform.exceptions import PlatformUnavailableError
 from flamingoladder.platform.watcher import TableReader
+from flamingoladder.storage.exceptions import OutcomeUnknownError
+from flamingoladder.storage.exceptions import PlatformError
+from flamingoladder.storage.exceptions import PlatformUnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/flamingoladder/platform/object_rows.py
+++ b/src/flamingoladder/platform/object_rows.py
@@ -8,7 +8,7 @@
 
 from flamingoladder.fleet.kept_objects import ObjectsByService
 from flamingoladder.fleet.kept_objects import ObjectShelf
-from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.storage.exceptions import PlatformError
 
 if TYPE_CHECKING:
     from flamingoladder.platform.rows import RowStore
--- a/src/flamingoladder/platform/rows.py
+++ b/src/flamingoladder/platform/rows.py
@@ -12,11 +12,12 @@
 import msgspec
 
 from flamingoladder.platform.exceptions import HistoryLostError
-from flamingoladder.platform.exceptions import PlatformUnavailableError
 from flamingoladder.platform.http_transport import HttpCall
+from flamingoladder.storage.exceptions import OutcomeUnknownError
+from flamingoladder.storage.exceptions import PlatformUnavailableError
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable
 
     from flamingoladder.platform.http_transport import HttpReply
     from flamingoladder.platform.http_transport import HttpTransport
@@ -26,6 +27,8 @@
 FOLLOW_WAIT_S = 12.0
 FOLLOW_MARGIN_S = 2.0
 PAGE_ROWS = 500
+READ_STATUSES = frozenset({HTTPStatus.OK, HTTPStatus.GONE})
+TRANSACTION_STATUSES = frozenset({HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED})
 
 
 class StoredRow(msgspec.Struct, frozen=True):
@@ -43,6 +46,20 @@
     version: int
 
 
+class RequiredVersion(msgspec.Struct, frozen=True):
+    """Requires that a row has a version; 0 requires that there is no such row."""
+
+    key: str
+    version: int
+
+
+class Transacted(msgspec.Struct, frozen=True):
+    """Whether a transaction was applied, and the store's version after it."""
+
+    applied: bool
+    version: int
+
+
 class _Row(msgspec.Struct):
     key: str = ""
     value: str = ""
@@ -57,6 +74,10 @@
     has_more: bool = False
 
 
+class _TransactionReply(msgspec.Struct):
+    ver: int
+
+
 class RowStore:
     """The tables of the platform's store, all rows with an empty part."""
 
@@ -65,19 +86,23 @@
     def __init__(self, transport: HttpTransport) -> None:
         self._transport = transport
 
-    async def read_all(self, table: str) -> StoredRows:
-        """Return all rows; changes after ``version`` may already be in them.
+    async def read_all(
+        self,
+        table: str,
+        start: str = "",
+        end: str | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> StoredRows:
+        """Return the rows from key ``start`` up to ``end``, which is not included.
+
+        Changes after ``version`` may already be in them. ``timeout_s`` bounds each call (seconds).
 
         :raises PlatformUnavailableError: if no whole answer came.
         """
         rows: list[StoredRow] = []
         version: int | None = None
-        start = ""
         while True:
-            query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
-            if start:
-                query["from"] = start
-            reply = _decoded(await self._read("rows-get", query, CALL_TIMEOUT_S))
+            reply = await self._page(table, start, end, timeout_s)
             version = reply.ver if version is None else version
             rows += map(_stored, reply.rows)
             if not reply.has_more or not reply.rows:
@@ -105,8 +130,7 @@
         :raises PlatformUnavailableError: if it was not written.
         :raises OutcomeUnknownError: if it may have been written.
         """
-        upsert = {"table": table, "part": "", "key": key, "value": b64encode(value).decode()}
-        await self._transact(upserts=[upsert], remove=[])
+        await self.transact(table, (), {key: value})
 
     async def delete(self, table: str, key: str) -> None:
         """Delete a row, whatever it held.
@@ -114,19 +138,52 @@
         :raises PlatformUnavailableError: if it was not deleted.
         :raises OutcomeUnknownError: if it may have been deleted.
         """
-        await self._transact(upserts=[], remove=[{"table": table, "part": "", "key": key}])
-
-    async def _transact(
-        self, upserts: Sequence[dict[str, str]], remove: Sequence[dict[str, str]]
-    ) -> None:
-        body = msgspec.json.encode({"precondition": [], "upserts": upserts, "remove": remove})
+        await self.transact(table, (), {key: None})
+
+    async def transact(
+        self,
+        table: str,
+        required: Iterable[RequiredVersion],
+        values_by_key: dict[str, bytes | None],
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Transacted:
+        """Set rows, and delete those without a value, if all required versions hold; else nothing.
+
+        :raises PlatformUnavailableError: if nothing was done.
+        :raises OutcomeUnknownError: if it may have been done.
+        """
+        row = {"table": table, "part": ""}
+        body = {
+            "precondition": [{**row, "key": of.key, "ver": of.version} for of in required],
+            "upserts": [
+                {**row, "key": key, "value": b64encode(value).decode()}
+                for key, value in values_by_key.items()
+                if value is not None
+            ],
+            "remove": [
+                {**row, "key": key} for key, value in values_by_key.items() if value is None
+            ],
+        }
         headers = {"Content-Type": "application/json"}
-        call = HttpCall(HTTPMethod.POST, "/-/rows-tx", body=body, headers=headers)
-        await self._transport.write(call, CALL_TIMEOUT_S)
+        content = msgspec.json.encode(body)
+        call = HttpCall(HTTPMethod.POST, "/-/rows-tx", TRANSACTION_STATUSES, content, headers)
+        reply = await self._transport.write(call, timeout_s)
+        try:
+            found = msgspec.json.decode(reply.body, type=_TransactionReply)
+        except msgspec.DecodeError as error:
+            raise OutcomeUnknownError(f"malformed answer of the store: {error}") from error
+        return Transacted(reply.status == HTTPStatus.OK, found.ver)
+
+    async def _page(self, table: str, start: str, end: str | None, timeout_s: float) -> _Reply:
+        query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
+        if start:
+            query["from"] = start
+        if end is not None:
+            query["to"] = end
+        return _decoded(await self._read("rows-get", query, timeout_s))
 
     async def _read(self, name: str, query: dict[str, str], timeout_s: float) -> HttpReply:
-        accepted = frozenset({HTTPStatus.OK, HTTPStatus.GONE})
-        call = HttpCall(HTTPMethod.GET, f"/-/{name}?{urlencode(query)}", accepted)
+        call = HttpCall(HTTPMethod.GET, f"/-/{name}?{urlencode(query)}", READ_STATUSES)
         return await self._transport.read(call, timeout_s)
 
 
--- a/src/flamingoladder/platform/watcher.py
+++ b/src/flamingoladder/platform/watcher.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.platform.exceptions import HistoryLostError
-from flamingoladder.platform.exceptions import PlatformError
+from flamingoladder.storage.exceptions import PlatformError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/flamingoladder/standins/deployment.py
+++ b/src/flamingoladder/standins/deployment.py
@@ -18,8 +18,6 @@
 from flamingoladder.freshness.commits import CommitReport
 from flamingoladder.operators.messages import KeyReply
 from flamingoladder.operators.messages import KeyRequest
-from flamingoladder.platform.hostlist import HostStatus
-from flamingoladder.platform.hostlist import ListedHost
 from flamingoladder.standins.control import PlatformControl
 from flamingoladder.standins.control import UpstreamControl
 from flamingoladder.standins.exceptions import CallFailedError
@@ -27,6 +25,8 @@
 from flamingoladder.standins.processes import LOOPBACK
 from flamingoladder.standins.processes import Processes
 from flamingoladder.standins.processes import free_ports
+from flamingoladder.storage.hostlist import HostStatus
+from flamingoladder.storage.hostlist import ListedHost
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/src/flamingoladder/standins/memory.py
+++ b/src/flamingoladder/standins/memory.py
@@ -5,24 +5,24 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from flamingoladder.platform.exceptions import OutcomeUnknownError
-from flamingoladder.platform.exceptions import PlatformRefusedError
-from flamingoladder.platform.exceptions import PlatformUnavailableError
-from flamingoladder.platform.hostlist import HostList
-from flamingoladder.platform.objects import ObjectStore
-from flamingoladder.platform.table import MAX_TRANSACTION_ROWS
-from flamingoladder.platform.table import Commit
-from flamingoladder.platform.table import Row
-from flamingoladder.platform.table import Rows
-from flamingoladder.platform.table import TableService
 from flamingoladder.standins.exceptions import MalformedRequestError
+from flamingoladder.storage.exceptions import OutcomeUnknownError
+from flamingoladder.storage.exceptions import PlatformRefusedError
+from flamingoladder.storage.exceptions import PlatformUnavailableError
+from flamingoladder.storage.hostlist import HostList
+from flamingoladder.storage.objects import ObjectStore
+from flamingoladder.storage.table import MAX_TRANSACTION_ROWS
+from flamingoladder.storage.table import Commit
+from flamingoladder.storage.table import Row
+from flamingoladder.storage.table import Rows
+from flamingoladder.storage.table import TableService
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from flamingoladder.platform.hostlist import ListedHost
-    from flamingoladder.platform.table import Condition
-    from flamingoladder.platform.table import Write
+    from flamingoladder.storage.hostlist import ListedHost
+    from flamingoladder.storage.table import Condition
+    from flamingoladder.storage.table import Write
 
 
 class Faults:
--- a/src/flamingoladder/platform/table.py
+++ b/src/flamingoladder/storage/table.py
@@ -12,7 +12,7 @@
     from collections.abc import Sequence
 
 
-MAX_TRANSACTION_ROWS = 128
+MAX_TRANSACTION_ROWS = 50
 
 
 class Row(msgspec.Struct, frozen=True):
--- a/tests/freshness/fleet.py
+++ b/tests/freshness/fleet.py
@@ -23,14 +23,14 @@
 from flamingoladder.freshness.settings import FreshnessSettings
 from flamingoladder.keys.changes import GrantKey
 from flamingoladder.members.state import Member
-from flamingoladder.platform.hostlist import HostStatus
-from flamingoladder.platform.hostlist import ListedHost
 from flamingoladder.standins.memory import Faults
 from flamingoladder.standins.memory import MemoryHostList
 from flamingoladder.standins.memory import MemoryObjects
 from flamingoladder.standins.memory import MemoryTable
 from flamingoladder.standins.memory import StoredTable
 from flamingoladder.standins.network import Network
+from flamingoladder.storage.hostlist import HostStatus
+from flamingoladder.storage.hostlist import ListedHost
 from flamingoladder.timeline.recorder import Recorder
 
 if TYPE_CHECKING:
--- a/tests/freshness/test_head.py
+++ b/tests/freshness/test_head.py
@@ -17,8 +17,8 @@
 from flamingoladder.freshness.messages import ObjectRequest
 from flamingoladder.keys.changes import GrantKey
 from flamingoladder.keys.changes import WithdrawKey
-from flamingoladder.platform.table import Write
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.storage.table import Write
 from tests.freshness.fleet import KEY
 from tests.freshness.fleet import Fleet
 from tests.freshness.fleet import renamed
--- a/tests/freshness/test_random.py
+++ b/tests/freshness/test_random.py
@@ -13,9 +13,9 @@
 from flamingoladder.freshness.commits import RefusalKind
 from flamingoladder.keys.changes import GrantKey
 from flamingoladder.keys.changes import WithdrawKey
-from flamingoladder.platform.hostlist import HostStatus
-from flamingoladder.platform.hostlist import ListedHost
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.storage.hostlist import HostStatus
+from flamingoladder.storage.hostlist import ListedHost
 from tests.freshness.fleet import Fleet
 from tests.freshness.fleet import renamed
 
--- a/tests/golden/session.py
+++ b/tests/golden/session.py
@@ -21,14 +21,14 @@
 from flamingoladder.keys.changes import GrantKey
 from flamingoladder.keys.issue import issue_key
 from flamingoladder.members.state import Member
-from flamingoladder.platform.hostlist import HostStatus
-from flamingoladder.platform.hostlist import ListedHost
 from flamingoladder.standins.memory import Faults
 from flamingoladder.standins.memory import MemoryHostList
 from flamingoladder.standins.memory import MemoryObjects
 from flamingoladder.standins.memory import MemoryTable
 from flamingoladder.standins.memory import StoredTable
 from flamingoladder.standins.network import Network
+from flamingoladder.storage.hostlist import HostStatus
+from flamingoladder.storage.hostlist import ListedHost
 from flamingoladder.timeline.recorder import Recorder
 from flamingoladder.verdict import Answer
 from tests.golden.transcript import Transcript
--- a/tests/ledger/fleet.py
+++ b/tests/ledger/fleet.py
@@ -37,11 +37,11 @@
 
     from reactivex import Observable
 
-    from flamingoladder.platform.table import Commit
-    from flamingoladder.platform.table import Condition
-    from flamingoladder.platform.table import Row
-    from flamingoladder.platform.table import Rows
-    from flamingoladder.platform.table import Write
+    from flamingoladder.storage.table import Commit
+    from flamingoladder.storage.table import Condition
+    from flamingoladder.storage.table import Row
+    from flamingoladder.storage.table import Rows
+    from flamingoladder.storage.table import Write
     from flamingoladder.verdict import Outcome
 
 RUN_S = 0.05
--- a/tests/ledger/test_failures.py
+++ b/tests/ledger/test_failures.py
@@ -9,8 +9,8 @@
 
 from flamingoladder.ledger.reader import TABLE_TIMEOUT_S
 from flamingoladder.ledger.records import claim_name
-from flamingoladder.platform.table import Write
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.storage.table import Write
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
 from tests.ledger.fleet import Fleet
--- a/tests/ledger/test_pruner.py
+++ b/tests/ledger/test_pruner.py
@@ -17,12 +17,12 @@
 from flamingoladder.ledger.records import ClosingRow
 from flamingoladder.ledger.records import closing_name
 from flamingoladder.ledger.records import encode
-from flamingoladder.platform.table import MAX_TRANSACTION_ROWS
-from flamingoladder.platform.table import Write
 from flamingoladder.standins.loop import run_on_injected_time
 from flamingoladder.standins.memory import MemoryTable
 from flamingoladder.standins.memory import StoredTable
 from flamingoladder.standins.network import Network
+from flamingoladder.storage.table import MAX_TRANSACTION_ROWS
+from flamingoladder.storage.table import Write
 from flamingoladder.timeline.recorder import Recorder
 from tests.gateway.states import FixedState
 from tests.gateway.states import agreed
--- a/tests/ledger/test_tickets.py
+++ b/tests/ledger/test_tickets.py
@@ -9,8 +9,8 @@
 from flamingoladder.ledger.closing import ISSUED_SINCE_S
 from flamingoladder.ledger.tickets import REMEMBERED_AFTER_EXPIRY_S
 from flamingoladder.ledger.tickets import TICKET_LIFETIME_S
-from flamingoladder.platform.table import Write
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.storage.table import Write
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
 from tests.ledger.fleet import Fleet
--- a/tests/members/test_changes.py
+++ b/tests/members/test_changes.py
@@ -11,7 +11,7 @@
 from flamingoladder.members.changes import RemoveMember
 from flamingoladder.members.directory import DirectoryEntry
 from flamingoladder.members.state import Member
-from flamingoladder.platform.table import Condition
+from flamingoladder.storage.table import Condition
 from tests.freshness.fleet import DEPLOYMENT
 
 
--- a/tests/members/test_registrar.py
+++ b/tests/members/test_registrar.py
@@ -10,11 +10,11 @@
 from flamingoladder.members.directory import DirectoryEntry
 from flamingoladder.members.directory import read_directory
 from flamingoladder.members.state import Member
-from flamingoladder.platform.hostlist import HostStatus
-from flamingoladder.platform.hostlist import ListedHost
-from flamingoladder.platform.table import Condition
 from flamingoladder.standins.loop import run_on_injected_time
 from flamingoladder.standins.memory import MemoryTable
+from flamingoladder.storage.hostlist import HostStatus
+from flamingoladder.storage.hostlist import ListedHost
+from flamingoladder.storage.table import Condition
 from tests.freshness.fleet import SETTINGS
 from tests.freshness.fleet import WAIT_S
 from tests.freshness.fleet import Fleet
--- a/tests/platform/test_table_contract.py
+++ b/tests/platform/test_table_contract.py
@@ -7,16 +7,16 @@
 import pytest
 import pytest_asyncio
 
-from flamingoladder.platform.exceptions import OutcomeUnknownError
-from flamingoladder.platform.exceptions import PlatformError
-from flamingoladder.platform.exceptions import PlatformRefusedError
-from flamingoladder.platform.exceptions import PlatformUnavailableError
-from flamingoladder.platform.table import MAX_TRANSACTION_ROWS
-from flamingoladder.platform.table import Commit
-from flamingoladder.platform.table import Condition
-from flamingoladder.platform.table import Row
-from flamingoladder.platform.table import Rows
-from flamingoladder.platform.table import Write
+from flamingoladder.storage.exceptions import OutcomeUnknownError
+from flamingoladder.storage.exceptions import PlatformError
+from flamingoladder.storage.exceptions import PlatformRefusedError
+from flamingoladder.storage.exceptions import PlatformUnavailableError
+from flamingoladder.storage.table import MAX_TRANSACTION_ROWS
+from flamingoladder.storage.table import Commit
+from flamingoladder.storage.table import Condition
+from flamingoladder.storage.table import Row
+from flamingoladder.storage.table import Rows
+from flamingoladder.storage.table import Write
 from tests.platform.access import http_access
 from tests.platform.access import memory_access
 
