--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -56,6 +56,7 @@
 
 LINGER_S = 3.0
 EXIT_MARGIN_S = 0.4
+FAREWELL_S = 0.1
 UPKEEP_INTERVAL_S = 0.25
 INCARNATION_BYTES = 8
 
@@ -166,8 +167,26 @@
         finished = await self._gate.in_progress.wait_until_idle(latest - loop.time())
         for task in self._tasks:
             task.cancel()
-        await asyncio.wait([asyncio.create_task(self._membership.leave())], timeout=0.1)
+        leaving = asyncio.create_task(self._membership.leave())
+        await asyncio.wait([leaving], timeout=FAREWELL_S)
         self._recorder.record("host.stopped", requests_finished=finished)
+        await self.close()
+
+    @property
+    def version(self) -> int | None:
+        """Return the version of the configuration in force here, if there is one."""
+        return None if self._beliefs.plan is None else self._beliefs.plan.version
+
+    def serves_with(self, others: int) -> bool:
+        """Return whether this host serves callers and hears this number of other hosts."""
+        now = asyncio.get_running_loop().time()
+        targets = self._targets.by_id
+        return self._is_ready and bool(targets) and len(self._members.heard(now)) >= others
+
+    async def close(self) -> None:
+        """End at once, without a word to other hosts."""
+        for task in self._tasks:
+            task.cancel()
         self._prober.close()
         await self._callers.close()
         await self._health.close()
@@ -213,9 +232,12 @@
         outcome = await self._handler.handle(arrived, started)
         return callers.response_to(outcome, arrived.request_id)
 
+    @property
+    def _is_ready(self) -> bool:
+        return self._gate.phase is Phase.SERVING and self._beliefs.plan is not None
+
     async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
-        ready = self._gate.phase is Phase.SERVING and self._beliefs.plan is not None
-        return web.Response(status=200 if ready else 503)
+        return web.Response(status=200 if self._is_ready else 503)
 
     async def _lookup(self, request: web.BaseRequest) -> web.StreamResponse:
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/entry/test_whole_path.py
@@ -0,0 +1,194 @@
+"""Tests of the whole path on stand-ins: callers, three entry hosts, store and targets."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+
+from flamingoladder.platform.standins.deployment import LocalPlatform
+from flamingoladder.platform.standins.deployment import local_platform
+from flamingoladder.standins.platform import FaultSettings
+from tests.waiting import eventually
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+KEYS = {"turf": ["k-turf"], "moss": ["k-moss", "k-moss-2"]}
+
+
+class Caller:
+    """Sends requests to the hosts in turn."""
+
+    def __init__(self, platform: LocalPlatform) -> None:
+        self._platform = platform
+        self._session = aiohttp.ClientSession()
+        self.sent = 0
+
+    async def send(
+        self,
+        path: str,
+        *,
+        key: str | None = "k-turf",
+        method: str = "GET",
+        body: bytes | None = None,
+        host: int | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes, str | None]:
+        """Return status, body and signature."""
+        number = self.sent if host is None else host
+        urls = self._platform.caller_urls
+        self.sent += 1
+        fields = {
+            "Host": "rental.example",
+            "Flamingoladder-Request-Id": f"r-{self.sent}",
+            "Cookie": f"Flamingoladder-Affinity-Key={self.sent % 5}",
+            "Flamingoladder-Deadline-Ms": "2000",
+            **({} if key is None else {"X-Api-Key": key}),
+            **(headers or {}),
+        }
+        url = urls[number % len(urls)] + path
+        async with self._session.request(method, url, data=body, headers=fields) as response:
+            signature = response.headers.get("Flamingoladder-Response-Signature")
+            return response.status, await response.read(), signature
+
+    async def close(self) -> None:
+        await self._session.close()
+
+
+@pytest.fixture
+async def platform() -> AsyncIterator[LocalPlatform]:
+    async with local_platform(Random(), KEYS) as found:
+        yield found
+
+
+@pytest.fixture
+async def caller(platform: LocalPlatform) -> AsyncIterator[Caller]:
+    found = Caller(platform)
+    yield found
+    await found.close()
+
+
+async def test_requests_run_once_for_the_workspace_of_their_key(
+    platform: LocalPlatform, caller: Caller
+) -> None:
+    for number in range(12):
+        status, body, signature = await caller.send(
+            f"/bookings/{number}", method="POST", body=b"two tents"
+        )
+        assert (status, body) == (200, b"two tents")
+        assert signature is not None
+    assert sorted(platform.runs) == sorted(set(platform.runs))
+    runs = [run for target in platform.targets for run in target.runs]
+    assert {run.workspace for run in runs} == {"turf"}
+    assert {run.key for run in runs} == {None}
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/kit/1", "k-moss", 200),
+        ("/kit/1", None, 401),
+        ("/kit/1", "stolen", 401),
+        ("/nowhere/1", "k-moss", 404),
+    ],
+)
+async def test_routes_and_keys(
+    platform: LocalPlatform, caller: Caller, path: str, key: str | None, status: int
+) -> None:
+    assert (await caller.send(path, key=key))[0] == status
+    assert len(platform.runs) == (status == 200)
+
+
+async def test_a_caller_can_not_speak_for_the_system(
+    platform: LocalPlatform, caller: Caller
+) -> None:
+    forged = {"Flamingoladder-Tenant-Id": "moss", "Flamingoladder-Expect-Instance": "i-none"}
+    assert (await caller.send("/kit/1", headers=forged))[0] == 200
+    assert [run.workspace for target in platform.targets for run in target.runs] == ["turf"]
+
+
+async def test_a_withdrawn_key_stops_and_a_new_one_works_at_all_hosts(
+    platform: LocalPlatform, caller: Caller
+) -> None:
+    await platform.configure(2, {"turf": ["k-new"], "moss": ["k-moss"]})
+    for host in range(3):
+        for _ in range(100):
+            if (await caller.send("/kit/1", key="k-new", host=host))[0] == 200:
+                break
+            await asyncio.sleep(0.02)
+        assert (await caller.send("/kit/1", key="k-turf", host=host))[0] == 401
+        assert (await caller.send("/kit/1", key="k-new", host=host))[0] == 200
+
+
+async def test_an_older_configuration_that_comes_later_changes_nothing(
+    platform: LocalPlatform, caller: Caller
+) -> None:
+    await platform.configure(9, {"turf": ["k-new"]})
+    await eventually(lambda: all(host.version == 9 for host in platform.hosts))
+    await platform.configure(8, KEYS)
+    await asyncio.sleep(0.1)
+    assert (await caller.send("/kit/1", key="k-turf"))[0] == 401
+
+
+async def test_draining_and_evacuated_targets_get_no_new_work(
+    platform: LocalPlatform, caller: Caller
+) -> None:
+    drained, *_ = [target for target in platform.targets if target.service == "catalogue"]
+    await drained.drain(platform.store)
+    await platform.store.write("op", "evacuate/south-a", b"{}")
+    await asyncio.sleep(0.2)
+    for target in platform.targets:
+        target.runs.clear()
+    for number in range(30):
+        assert (await caller.send(f"/kit/{number}"))[0] == 200
+    names = {target for _, target in platform.runs}
+    assert names == {"i-catalogue-2"}
+
+
+async def test_serving_goes_on_without_the_store(platform: LocalPlatform, caller: Caller) -> None:
+    platform.state.faults = FaultSettings(refuse=True)
+    for number in range(30):
+        assert (await caller.send(f"/kit/{number}"))[0] == 200
+    platform.state.faults = FaultSettings()
+
+
+async def test_a_stopping_host_finishes_its_requests_and_is_named_no_more(
+    platform: LocalPlatform, caller: Caller
+) -> None:
+    for target in platform.targets:
+        target.work_s = 0.3
+    under_way = [asyncio.create_task(caller.send(f"/kit/{n}", host=0)) for n in range(6)]
+    await asyncio.sleep(0.05)
+    stopping = asyncio.create_task(platform.hosts[0].stop())
+    assert [status for status, _, _ in await asyncio.gather(*under_way)] == [200] * 6
+    late = await caller.send("/kit/late", host=0)
+    assert late[0] == 200
+    async with aiohttp.ClientSession() as session:
+        for url in platform.lookup_urls:
+            asked = f"{url}/-/resolve?name=rental.example&region=north&zone=north-a"
+            async with session.get(asked) as response:
+                addresses = (await response.json())["addrs"]
+            assert addresses
+            assert platform.caller_urls[0].removeprefix("http://") not in addresses
+    await stopping
+
+
+async def test_a_body_over_the_limit_is_refused(platform: LocalPlatform, caller: Caller) -> None:
+    status, _, _ = await caller.send("/bookings/1", method="POST", body=b"x" * 70_000)
+    assert status == 413
+    assert platform.runs == []
+
+
+async def test_work_of_a_caller_that_left_is_broken_off(
+    platform: LocalPlatform, caller: Caller
+) -> None:
+    for target in platform.targets:
+        target.work_s = 0.5
+    task = asyncio.create_task(caller.send("/kit/1"))
+    await eventually(lambda: bool(platform.runs))
+    task.cancel()
+    await eventually(lambda: sum(target.running for target in platform.targets) == 0)
