--- a/src/flamingoladder/console/commands/entry.py
+++ b/src/flamingoladder/console/commands/entry.py
@@ -6,12 +6,14 @@
 import os
 import sys
 
+import logbook
+
 from flamingoladder.console.exit_codes import ExitCode
 from flamingoladder.entry.daemon import run_host
 from flamingoladder.platform.exceptions import SettingsFileError
 from flamingoladder.platform.settings import PATH_VARIABLE
 from flamingoladder.platform.settings import read_settings_file
-from flamingoladder.timeline.logs import stdout_handler
+from flamingoladder.timeline.bounded_log import BoundedHandler
 
 
 def entry(*, settings: str | None = None, log_level: str = "INFO") -> int:
@@ -27,8 +29,9 @@
         print(f"settings: {error}", file=sys.stderr)
         return ExitCode.BAD_INPUT
     try:
-        with stdout_handler(log_level).applicationbound():
-            asyncio.run(run_host(found))
+        handler = BoundedHandler(sys.stdout.fileno(), logbook.lookup_level(log_level.upper()))
+        with handler.applicationbound():
+            asyncio.run(run_host(found, lambda: handler.dropped))
     except (OSError, LookupError) as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return ExitCode.REFUSED
--- a/src/flamingoladder/entry/chooser.py
+++ b/src/flamingoladder/entry/chooser.py
@@ -4,7 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from flamingoladder.steering.homes import HomePlan
+from flamingoladder.targets.state import TargetState
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -15,13 +18,21 @@
     from flamingoladder.fleet.members import MemberBook
     from flamingoladder.targets.book import TargetBook
     from flamingoladder.targets.ramp import ColdRamp
-    from flamingoladder.targets.state import TargetState
 
 WARM_PART = 0.3
 AWAY_PART = 0.12
 CONSIDERED = 4
 
 
+class Choice(msgspec.Struct, frozen=True):
+    """A target, and what spoke for it: ``load`` in requests, ``cost`` in runs that are not warm."""
+
+    target: TargetState
+    is_home: bool
+    load: int
+    cost: float
+
+
 class TargetChooser:
     """Weighs path, queue, and whether the target has handled the object of late."""
 
@@ -43,9 +54,7 @@
         self._plans_by_service: dict[str, HomePlan] = {}
         self._seen = -1
 
-    def choose(
-        self, request: RoutedRequest, tried: Collection[str], now: float
-    ) -> TargetState | None:
+    def choose(self, request: RoutedRequest, tried: Collection[str], now: float) -> Choice | None:
         """Return the target to send to next, or None if none can take the request."""
         allowed = [
             target
@@ -83,20 +92,28 @@
 
     def _best(
         self, request: RoutedRequest, targets: list[TargetState], now: float
-    ) -> TargetState | None:
-        if not targets:
-            return None
+    ) -> Choice | None:
         if request.object_key is None:
-            return min(targets, key=lambda target: self._cost(target, False, now))
+            return self._cheapest(targets, None, now)
         by_id = {target.record.target_id: target for target in targets}
         plan = self.plan_of(request.service)
         plan.set_targets(self._regions_of_homes(request.service, now))
         plan.add((request.object_key,), self._region)
         order = [by_id[name] for name in plan.order(request.object_key) if name in by_id]
         if not order:
-            return min(targets, key=lambda target: self._cost(target, False, now))
-        considered = order[:CONSIDERED]
-        return min(considered, key=lambda target: self._cost(target, target is considered[0], now))
+            return self._cheapest(targets, None, now)
+        return self._cheapest(order[:CONSIDERED], order[0], now)
+
+    def _cheapest(
+        self, targets: Iterable[TargetState], home: TargetState | None, now: float
+    ) -> Choice | None:
+        choices = [
+            Choice(
+                target, target is home, target.load(now), self._cost(target, target is home, now)
+            )
+            for target in targets
+        ]
+        return min(choices, key=_cost_of, default=None)
 
     def _regions_of_homes(self, service: str, now: float) -> dict[str, str]:
         return {
@@ -114,7 +131,7 @@
 
     def _cold(
         self, request: RoutedRequest, targets: Iterable[TargetState], now: float
-    ) -> TargetState | None:
+    ) -> Choice | None:
         plan = self._beliefs.plan
         service = None if plan is None else plan.services_by_name.get(request.service)
         if service is None:
@@ -129,4 +146,8 @@
                 now,
             )
         ]
-        return min(fitting, key=lambda target: self._cost(target, False, now), default=None)
+        return self._cheapest(fitting, None, now)
+
+
+def _cost_of(choice: Choice) -> float:
+    return choice.cost
--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -16,6 +16,8 @@
 from flamingoladder.entry.forwarder import Forwarder
 from flamingoladder.entry.handler import RequestHandler
 from flamingoladder.entry.intake import read_body
+from flamingoladder.entry.metrics import CONTENT_TYPE
+from flamingoladder.entry.metrics import EntryMetrics
 from flamingoladder.entry.probing import TargetProber
 from flamingoladder.entry.reporting import Reporter
 from flamingoladder.entry.server import CallerGate
@@ -51,6 +53,9 @@
 from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from flamingoladder.entry.request import ArrivedRequest
     from flamingoladder.entry.settings import HostSettings
     from flamingoladder.platform.watcher import TableReader
 
@@ -59,12 +64,17 @@
 FAREWELL_S = 0.1
 UPKEEP_INTERVAL_S = 0.25
 INCARNATION_BYTES = 8
+NO_ROUTE = "none"
+
+
+def _none_dropped() -> float:
+    return 0.0
 
 
 class EntryHost:
     """The slices of one entry host."""
 
-    def __init__(self, settings: HostSettings) -> None:
+    def __init__(self, settings: HostSettings, dropped_lines: Callable[[], float]) -> None:
         bounds = settings.bounds
         self._settings = settings
         incarnation = token_hex(INCARNATION_BYTES)
@@ -78,7 +88,9 @@
             f"tcp://{settings.peers}",
             keys.public_key,
         )
-        self._recorder = recorder = Recorder(settings.host, incarnation)
+        self._recorder = recorder = Recorder(settings.host, incarnation, kept_events=0)
+        self._metrics = EntryMetrics(dropped_lines)
+        self._metrics.follow(recorder.events)
         self._links = ZmqLinks(keys, EnvelopeCodec(FleetMessage), recorder)
         self._transport = HttpTransport.from_config(settings.store_url, None)
         self._store = RowStore(self._transport)
@@ -123,12 +135,15 @@
         self._callers = Port(self._gate.handle)
         self._health = Port(self._ready)
         self._directory = Port(self._lookup)
+        self._exposition = Port(self._expose)
         self._tasks: list[asyncio.Task[None]] = []
 
     @classmethod
-    def from_config(cls, settings: HostSettings) -> EntryHost:
+    def from_config(
+        cls, settings: HostSettings, dropped_lines: Callable[[], float] = _none_dropped
+    ) -> EntryHost:
         """Return a host; to be called with a running event loop."""
-        return cls(settings)
+        return cls(settings, dropped_lines)
 
     async def start(self) -> None:
         """Bind all ports, then join the fleet.
@@ -140,6 +155,7 @@
         await self._callers.open(settings.callers)
         await self._health.open(settings.health)
         await self._directory.open(settings.lookups)
+        await self._exposition.open(settings.metrics)
         self._follow(operators.TABLE, OperatorReader(self._beliefs, self._recorder))
         self._follow(registry.TABLE, RegistryReader(self._targets, self._recorder))
         self._follow(memberships.TABLE, self._membership)
@@ -191,6 +207,7 @@
         await self._callers.close()
         await self._health.close()
         await self._directory.close()
+        await self._exposition.close()
         await self._wire.close()
         self._links.close()
         await self._transport.close()
@@ -230,7 +247,19 @@
             return response
         arrived = callers.arrived_request(request, body)
         outcome = await self._handler.handle(arrived, started)
-        return callers.response_to(outcome, arrived.request_id)
+        response = callers.response_to(outcome, arrived.request_id)
+        seconds = asyncio.get_running_loop().time() - started
+        self._metrics.answered(self._route_name(arrived), response.status, seconds)
+        return response
+
+    def _route_name(self, arrived: ArrivedRequest) -> str:
+        plan = self._beliefs.plan
+        route = None if plan is None else plan.route_of(arrived.host, arrived.path)
+        return NO_ROUTE if route is None else route.name
+
+    async def _expose(self, request: web.BaseRequest) -> web.StreamResponse:
+        found = {"Content-Type": CONTENT_TYPE}
+        return web.Response(body=self._metrics.text(), headers=found)
 
     @property
     def _is_ready(self) -> bool:
@@ -245,14 +274,14 @@
         return callers.lookup_response(answer)
 
 
-async def run_host(settings: HostSettings) -> None:
+async def run_host(settings: HostSettings, dropped_lines: Callable[[], float]) -> None:
     """Run an entry host until SIGTERM or SIGINT, then stop it gracefully.
 
     :raises OSError: if a port can't be had.
     """
     asked_to_stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    host = EntryHost.from_config(settings)
+    host = EntryHost.from_config(settings, dropped_lines)
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, asked_to_stop.set)
     loop.add_signal_handler(signal.SIGHUP, host.reload)
--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -14,6 +14,7 @@
 from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
+    from flamingoladder.entry.chooser import Choice
     from flamingoladder.entry.chooser import TargetChooser
     from flamingoladder.entry.crashes import CrashGuard
     from flamingoladder.entry.probing import TargetProber
@@ -27,6 +28,7 @@
 RETRY_AFTER_S = 0.25
 MIN_TIME_LEFT_S = 0.02
 MAX_UNREACHED = 3
+MS_PER_S = 1_000
 
 REASONS_BY_END = {
     SendEnd.NOT_RUN: Reason.UPSTREAM_SHED,
@@ -89,13 +91,14 @@
         self._budgets.deposit(request.service, loop.time())
         last = SendResult(SendEnd.NOT_RUN, "no target can take the request")
         while True:
-            target = self._chooser.choose(request, journey.tried, loop.time())
-            if target is None:
+            choice = self._chooser.choose(request, journey.tried, loop.time())
+            if choice is None:
                 return self._refused(journey, last)
-            last = await self._send(request, target)
+            last = await self._send(request, choice.target)
+            self._record(journey, choice, last, loop.time())
             if last.end is SendEnd.ANSWERED and last.answer is not None:
                 return Ok(last.answer)
-            journey.take_in(target, last)
+            journey.take_in(choice.target, last)
             if not self._may_go_on(journey, last, loop.time()):
                 return self._refused(journey, last)
 
@@ -131,15 +134,6 @@
             target.saw_success()
             self._crashes.saw_answer(request.fingerprint)
             return
-        self._recorder.record(
-            "send.failed",
-            request=request.arrived.request_id,
-            target=target.record.target_id,
-            end=result.end.value,
-            detail=result.detail,
-            reused=result.reused,
-            load=target.load(now),
-        )
         if result.end is SendEnd.NO_CONNECTION:
             self._prober.found_down(target)
             self._crashes.saw_down(target.record.target_id, now)
@@ -152,6 +146,25 @@
         elif target.saw_failure(now):
             self._recorder.record("target.ejected", target=target.record.target_id)
 
+    def _record(self, journey: Journey, choice: Choice, result: SendResult, now: float) -> None:
+        request, target = journey.request, choice.target
+        self._recorder.record(
+            "request.sent",
+            request=request.arrived.request_id,
+            route=request.route.name,
+            target=target.record.target_id,
+            send=journey.sends + journey.unreached + 1,
+            end=result.end.value,
+            home=choice.is_home,
+            load=choice.load,
+            cost=round(choice.cost, 2),
+            cold=target.is_cold(now),
+            reused=result.reused,
+            elapsed_ms=round((now - request.started) * MS_PER_S),
+            left_ms=round((request.deadline - now) * MS_PER_S),
+            detail=result.detail,
+        )
+
     def _may_go_on(self, journey: Journey, last: SendResult, now: float) -> bool:
         request = journey.request
         if now + MIN_TIME_LEFT_S >= request.deadline or last.end is SendEnd.TIMEOUT:
--- /dev/null
+++ b/src/flamingoladder/entry/metrics.py
@@ -0,0 +1,63 @@
+"""Counters and latency histograms of an entry host, as text for a collector."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+from prometheus_client import generate_latest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from reactivex import Observable
+
+    from flamingoladder.timeline.events import Event
+
+LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class EntryMetrics:
+    """What is counted; labels take few values whatever callers send."""
+
+    __slots__ = ("_events", "_registry", "_requests", "_seconds")
+
+    def __init__(self, dropped_lines: Callable[[], float]) -> None:
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            "flamingoladder_requests", "Requests by status", ["status"], registry=self._registry
+        )
+        self._seconds = Histogram(
+            "flamingoladder_request_seconds",
+            "Time from a request's arrival to its answer",
+            ["route"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._events = Counter(
+            "flamingoladder_events", "Events by kind", ["kind"], registry=self._registry
+        )
+        dropped = Gauge(
+            "flamingoladder_log_lines_dropped", "Log lines dropped", registry=self._registry
+        )
+        dropped.set_function(dropped_lines)
+
+    def follow(self, events: Observable[Event]) -> None:
+        """Count each event of the stream."""
+        events.subscribe(self._count)
+
+    def answered(self, route: str, status: int, seconds: float) -> None:
+        """Count an answered request."""
+        self._requests.labels(str(status)).inc()
+        self._seconds.labels(route).observe(seconds)
+
+    def text(self) -> bytes:
+        """Return all figures in the text exposition format."""
+        return generate_latest(self._registry)
+
+    def _count(self, event: Event) -> None:
+        self._events.labels(event.kind).inc()
--- a/src/flamingoladder/entry/settings.py
+++ b/src/flamingoladder/entry/settings.py
@@ -47,5 +47,6 @@
     health: Endpoint
     lookups: Endpoint
     peers: Endpoint
+    metrics: Endpoint
     store_url: str
     bounds: Bounds
--- a/src/flamingoladder/platform/settings.py
+++ b/src/flamingoladder/platform/settings.py
@@ -94,6 +94,7 @@
             health=_endpoint(listen.ready),
             lookups=_endpoint(listen.directory),
             peers=Endpoint(found.own.ip, found.network.internal_ports[0]),
+            metrics=Endpoint(found.own.ip, found.network.internal_ports[0] + 1),
             store_url=f"http://{found.provider.provider.address}",
             bounds=Bounds(
                 settle_s=bounds.stable_s,
--- a/src/flamingoladder/platform/standins/deployment.py
+++ b/src/flamingoladder/platform/standins/deployment.py
@@ -26,7 +26,7 @@
     from collections.abc import AsyncIterator
     from random import Random
 
-PORTS_A_HOST = 4
+PORTS_A_HOST = 5
 READY_POLLS = 500
 POLL_S = 0.02
 REGIONS_BY_DOMAIN = {"north-a": "north", "south-a": "south", "south-b": "south"}
@@ -157,6 +157,7 @@
             health=Endpoint(LOOPBACK, port + 1),
             lookups=Endpoint(LOOPBACK, port + 2),
             peers=Endpoint(LOOPBACK, port + 3),
+            metrics=Endpoint(LOOPBACK, port + 4),
             store_url=self._server.url,
             bounds=BOUNDS,
         )
--- a/src/flamingoladder/timeline/logs.py
+++ b/src/flamingoladder/timeline/logs.py
@@ -30,15 +30,6 @@
     return logbook.StreamHandler(sys.stderr, level=number, format_string=FORMAT)
 
 
-def stdout_handler(level: str) -> logbook.Handler:
-    """Return a handler that writes one line for each event to standard output.
-
-    :raises LookupError: if ``level`` is not the name of a level.
-    """
-    number = logbook.lookup_level(level.upper())
-    return logbook.StreamHandler(sys.stdout, level=number, format_string=FORMAT)
-
-
 def parse_events(lines: Iterable[str]) -> Iterator[Event]:
     """Return the events in log lines; other lines are passed over."""
     for line in lines:
--- a/src/flamingoladder/timeline/recorder.py
+++ b/src/flamingoladder/timeline/recorder.py
@@ -46,11 +46,17 @@
 
     __slots__ = ("_events", "_logger", "_subject", "clock", "host", "incarnation")
 
-    def __init__(self, host: str, incarnation: str, clock: HybridClock | None = None) -> None:
+    def __init__(
+        self,
+        host: str,
+        incarnation: str,
+        clock: HybridClock | None = None,
+        kept_events: int = KEPT_EVENTS,
+    ) -> None:
         self.host = host
         self.incarnation = incarnation
         self.clock = clock or HybridClock()
-        self._events: deque[Event] = deque(maxlen=KEPT_EVENTS)
+        self._events: deque[Event] = deque(maxlen=kept_events)
         self._subject: Subject[Event] = Subject()
         self._logger = logbook.Logger("timeline")
 
