Let a workspace far over its rate have all of its rate, and pay its debts

Cause 1: a host kept at most one unit of its share, so at 3 times the rate the fleet admitted 86% of the limit (60/s, 7 hosts, injected time). Now 11 units over all hosts. Cause 2: shares went on at the full rate while the account was in debt from a sudden start, so a window could hold 1.02 of the bound. A host now slows to 0.7 beyond 10 units of debt.

--- a/src/flamingoladder/limits/rates.py
+++ b/src/flamingoladder/limits/rates.py
@@ -23,7 +23,11 @@
 MIN_DEMAND_PER_S = 0.01
 REPORT_DELAY_S = 0.4
 UNSEEN_UNITS = 8.0
+SUDDEN_PART = 0.5
+MAX_DEBT_UNITS = 10.0
+DEBT_SLOWING = 0.7
 OWN_UNITS = 1.0
+SPARE_UNITS = 11.0
 EXTRA_RATE = 1.05
 
 
@@ -76,12 +80,15 @@
         elapsed = max(0.0, now - self.at)
         return self.demand_per_s * max(0.0, 1 - elapsed / DEMAND_TIME_S)
 
-    def refill(self, workspace: Workspace, part: float, share: float, now: float) -> None:
+    def refill(
+        self, workspace: Workspace, part: float, share: float, own_cap: float, now: float
+    ) -> None:
         """Let time pass; ``part`` of the limit belongs to the hosts that are heard."""
         elapsed = max(0.0, now - self.at)
         gained = elapsed * workspace.rate_per_s * EXTRA_RATE
         self.left = min(max(1.0, workspace.burst * part), self.left + gained * part)
-        self.own = min(OWN_UNITS, self.own + gained * share)
+        slowing = DEBT_SLOWING if self.left < -MAX_DEBT_UNITS else 1.0
+        self.own = min(own_cap, self.own + gained * share * slowing)
         self.demand_per_s = self.demand(now)
         self.at = now
 
@@ -135,9 +142,10 @@
         demand = self._demands(workspace.name)
         part = 1 - self._silent / self._hosts
         share = part * self._own_part(workspace.name)
-        account.refill(workspace, part, share, now)
+        account.refill(workspace, part, share, max(OWN_UNITS, SPARE_UNITS / self._hosts), now)
         account.demand_per_s += 1 / DEMAND_TIME_S
-        unseen = max(0.0, demand * REPORT_DELAY_S - UNSEEN_UNITS)
+        sudden = account.demand_per_s * self._hosts * SUDDEN_PART
+        unseen = max(0.0, max(demand, sudden) * REPORT_DELAY_S - UNSEEN_UNITS)
         if account.left >= 1 + unseen:
             account.take()
             return None
--- a/tests/limits/test_rates.py
+++ b/tests/limits/test_rates.py
@@ -65,7 +65,7 @@
 
 
 @pytest.mark.parametrize("shares", [EVEN, SKEWED])
-@pytest.mark.parametrize("load", [0.6, 1.5, 7.5])
+@pytest.mark.parametrize("load", [0.6, 1.5, 3.0, 7.5])
 @pytest.mark.parametrize(("rate", "burst"), [(6.0, 6.0), (60.0, 60.0), (200.0, 100.0)])
 def test_no_window_is_over_the_limit(
     shares: list[float], load: float, rate: float, burst: float
@@ -105,3 +105,11 @@
         refused = rates.admit(limit, 0.0)
     assert 0 < refused.wait_s <= 1.0
     assert rates.admit(limit, refused.wait_s + 0.01) is None
+
+
+@pytest.mark.parametrize("shares", [EVEN, SKEWED])
+@pytest.mark.parametrize("load", [1.1, 1.5, 3.0, 7.5])
+def test_a_workspace_over_its_rate_gets_its_rate(shares: list[float], load: float) -> None:
+    limit = workspace(60.0, 60.0)
+    admitted, _ = play(limit, load, shares)
+    assert len(admitted) >= 0.9 * (limit.rate_per_s * RUN_S + limit.burst)
