Tell one crash of a domain from a request that crashes targets; find silent targets in 1 s

Cause: every request in flight at a failure domain that lost power counted as having crashed its targets; two such losses of one popular path refused it for 120 s. Crashes within a second now count once, three are needed, and a request is tried again after 30 s (tests/entry/test_crashes). A connection to a target on which nothing is acknowledged for 1 s is given up; it was 3 s.

--- a/src/flamingoladder/entry/crashes.py
+++ b/src/flamingoladder/entry/crashes.py
@@ -10,35 +10,37 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-MAX_CRASHES = 2
-LIFETIME_S = 120.0
+MAX_CRASHES = 3
+LIFETIME_S = 30.0
+SAME_CRASH_S = 1.0
 MAX_REQUESTS = 2_000
 SUSPICION_S = 2.0
 
 
 class CrashGuard:
-    """Counts the targets that went down while they ran a request, by its fingerprint.
+    """Counts the crashes of targets that ran a request, by the request's fingerprint.
 
     A lost answer alone proves no crash: the target must then refuse connections or start anew.
+    Crashes within ``SAME_CRASH_S`` count once, as a failure domain takes down many targets, and
+    many requests with them, at one moment. Times are monotonic seconds.
     """
 
-    __slots__ = ("_at", "_suspects_by_target", "_targets_by_fingerprint", "_tell")
+    __slots__ = ("_crashes_by_fingerprint", "_suspects_by_target", "_tell")
 
     def __init__(self, tell: Callable[[CrashReport], None]) -> None:
         self._tell = tell
-        self._targets_by_fingerprint: OrderedDict[str, set[str]] = OrderedDict()
-        self._at: dict[str, float] = {}
+        self._crashes_by_fingerprint: OrderedDict[str, list[float]] = OrderedDict()
         self._suspects_by_target: dict[str, list[tuple[float, str]]] = {}
 
     def refuses(self, fingerprint: str, now: float) -> bool:
         """Return whether requests like this took down too many targets."""
-        targets = self._targets_by_fingerprint.get(fingerprint)
-        if targets is None:
+        crashes = self._crashes_by_fingerprint.get(fingerprint)
+        if crashes is None:
             return False
-        if now - self._at[fingerprint] > LIFETIME_S:
-            self._forget(fingerprint)
+        if now - crashes[-1] >= LIFETIME_S:
+            del self._crashes_by_fingerprint[fingerprint]
             return False
-        return len(targets) >= MAX_CRASHES
+        return len(crashes) >= MAX_CRASHES
 
     def saw_loss(self, fingerprint: str, target: str, now: float) -> None:
         """Note that a connection was lost while the target had the request."""
@@ -56,18 +58,14 @@
 
     def count(self, report: CrashReport, now: float) -> None:
         """Count a crash seen here or by another host."""
-        targets = self._targets_by_fingerprint.setdefault(report.fingerprint, set())
-        targets.add(f"{report.target}@{int(now)}")
-        self._at[report.fingerprint] = now
-        self._targets_by_fingerprint.move_to_end(report.fingerprint)
-        if len(self._targets_by_fingerprint) > MAX_REQUESTS:
-            self._forget(next(iter(self._targets_by_fingerprint)))
+        crashes = self._crashes_by_fingerprint.setdefault(report.fingerprint, [])
+        if crashes and now - crashes[-1] < SAME_CRASH_S:
+            return
+        crashes.append(now)
+        self._crashes_by_fingerprint.move_to_end(report.fingerprint)
+        if len(self._crashes_by_fingerprint) > MAX_REQUESTS:
+            self._crashes_by_fingerprint.popitem(last=False)
 
     def saw_answer(self, fingerprint: str) -> None:
         """Forget the crashes of a request that was answered."""
-        if fingerprint in self._targets_by_fingerprint:
-            self._forget(fingerprint)
-
-    def _forget(self, fingerprint: str) -> None:
-        del self._targets_by_fingerprint[fingerprint]
-        del self._at[fingerprint]
+        self._crashes_by_fingerprint.pop(fingerprint, None)
--- a/src/flamingoladder/platform/target_wire.py
+++ b/src/flamingoladder/platform/target_wire.py
@@ -31,6 +31,7 @@
 
 MS_PER_S = 1_000
 KEPT_IDLE_S = 6.0
+SILENCE_S = 1.0
 CONNECTIONS = 64
 ECHO = EchoRule(headers.REQUEST_ID, required=True)
 PROBE_ECHO = EchoRule(headers.REQUEST_ID, required=False)
@@ -93,7 +94,7 @@
     def _pool(self, target_id: str) -> Pool:
         pool = self._pools_by_target.get(target_id)
         if pool is None:
-            pool = Pool(CONNECTIONS, keep=True, keep_s=KEPT_IDLE_S)
+            pool = Pool(CONNECTIONS, keep=True, keep_s=KEPT_IDLE_S, silence_s=SILENCE_S)
             self._pools_by_target[target_id] = pool
         return pool
 
--- a/src/flamingoladder/transport/connector.py
+++ b/src/flamingoladder/transport/connector.py
@@ -41,11 +41,14 @@
     asked for is closed, as they would pass for the answer to the next request.
     """
 
-    def __init__(self, limit: int, *, keep_s: float | None) -> None:
+    def __init__(self, limit: int, *, keep_s: float | None, silence_s: float = SILENCE_S) -> None:
+        def open_socket(address: AddressInfo) -> socket.socket:
+            return _open_socket(address, silence_s)
+
         if keep_s is None:
-            super().__init__(limit=limit, force_close=True, socket_factory=_open_socket)
+            super().__init__(limit=limit, force_close=True, socket_factory=open_socket)
         else:
-            super().__init__(limit=limit, keepalive_timeout=keep_s, socket_factory=_open_socket)
+            super().__init__(limit=limit, keepalive_timeout=keep_s, socket_factory=open_socket)
         self._used: WeakSet[Transport] = WeakSet()
 
     async def connect(
@@ -90,8 +93,8 @@
         return connection.transport is None or connection.transport in self._used
 
 
-def _open_socket(address: AddressInfo) -> socket.socket:
+def _open_socket(address: AddressInfo, silence_s: float) -> socket.socket:
     family, kind, protocol, _, _ = address
     opened = socket.socket(family, kind, protocol)
-    require_acknowledgements(opened, SILENCE_S)
+    require_acknowledgements(opened, silence_s)
     return opened
--- a/src/flamingoladder/transport/pool.py
+++ b/src/flamingoladder/transport/pool.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from flamingoladder.transport.connector import SILENCE_S
 from flamingoladder.transport.connector import ExchangeConnector
 from flamingoladder.transport.sending import send
 
@@ -28,9 +29,17 @@
 
     __slots__ = ("_retired", "_users", "session")
 
-    def __init__(self, limit: int, *, keep: bool, keep_s: float = KEPT_IDLE_S) -> None:
+    def __init__(
+        self,
+        limit: int,
+        *,
+        keep: bool,
+        keep_s: float = KEPT_IDLE_S,
+        silence_s: float = SILENCE_S,
+    ) -> None:
+        kept_s = keep_s if keep else None
         self.session = aiohttp.ClientSession(
-            connector=ExchangeConnector(limit, keep_s=keep_s if keep else None),
+            connector=ExchangeConnector(limit, keep_s=kept_s, silence_s=silence_s),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             timeout=TIMEOUT,
