--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,9 +2,10 @@
 # Puts the libraries that the entry daemon needs, and the daemon, under target/deps.
 set -eu
 deps=target/deps
-if [ ! -e "$deps/.installed" ] || [ deploy/requirements.txt -nt "$deps/.installed" ]; then
-    python3 -m pip install --quiet --upgrade --target "$deps" --requirement deploy/requirements.txt
-    touch "$deps/.installed"
+if ! cmp -s deploy/requirements.txt "$deps/installed.txt"; then
+    rm -rf "$deps"
+    python3 -m pip install --quiet --target "$deps" --requirement deploy/requirements.txt
+    cp deploy/requirements.txt "$deps/installed.txt"
 fi
 rm -rf "$deps/flamingoladder"
 cp -r src/flamingoladder "$deps/flamingoladder"
