--- a/src/flamingoladder/console/application.py
+++ b/src/flamingoladder/console/application.py
@@ -30,6 +30,7 @@
     "standin_platform",
     "standin_upstreams",
     "status",
+    "story",
     "timeline",
     "undrain",
     "version",
--- a/src/flamingoladder/console/commands/timeline.py
+++ b/src/flamingoladder/console/commands/timeline.py
@@ -10,12 +10,11 @@
 import msgspec
 
 from flamingoladder.console.exit_codes import ExitCode
-from flamingoladder.console.files import read_file
+from flamingoladder.console.files import read_events
 from flamingoladder.console.operator_console import Call
 from flamingoladder.console.operator_console import OperatorConsole
 from flamingoladder.console.operator_console import UnreachableError
 from flamingoladder.operators.messages import TimelineReply
-from flamingoladder.timeline.logs import parse_events
 from flamingoladder.timeline.merge import EventFilter
 from flamingoladder.timeline.merge import merged
 from flamingoladder.timeline.recorder import format_event
@@ -70,12 +69,9 @@
 
 
 def _show_files(paths: list[Path], event_filter: EventFilter, json: bool) -> int:
-    events: list[Event] = []
-    for path in paths:
-        content = read_file(path)
-        if content is None:
-            return ExitCode.BAD_INPUT
-        events += parse_events(content.decode(errors="replace").splitlines())
+    events = read_events(paths)
+    if events is None:
+        return ExitCode.BAD_INPUT
     print(_text(merged(events), event_filter, json))
     return ExitCode.DONE
 
--- a/src/flamingoladder/limits/rates.py
+++ b/src/flamingoladder/limits/rates.py
@@ -24,6 +24,7 @@
 REPORT_DELAY_S = 0.4
 UNSEEN_UNITS = 8.0
 SUDDEN_PART = 0.5
+RESTART_UNITS = 8.0
 MAX_DEBT_UNITS = 10.0
 DEBT_SLOWING = 0.7
 OWN_UNITS = 1.0
@@ -166,7 +167,7 @@
     def _account(self, workspace: Workspace, now: float) -> Account:
         account = self._accounts_by_workspace.get(workspace.name)
         if account is None:
-            left = workspace.burst if self._full else 0.0
+            left = workspace.burst if self._full else min(workspace.burst, RESTART_UNITS)
             account = self._accounts_by_workspace[workspace.name] = Account(left, now)
         return account
 
