--- a/src/flamingoladder/entry/intake.py
+++ b/src/flamingoladder/entry/intake.py
@@ -1,4 +1,4 @@
-"""Reads the body of a caller's request within its limit."""
+"""Reads a caller's request within its limits."""
 
 from __future__ import annotations
 
@@ -10,17 +10,26 @@
 if TYPE_CHECKING:
     from aiohttp import web
 
-DEFAULT_LIMIT_BYTES = 67_108_864
+    from flamingoladder.routing.model import Limits
 
+SEPARATOR_BYTES = 4
 
-async def read_body(request: web.BaseRequest, limit_bytes: int | None) -> bytes | Refusal:
-    """Return the whole body, or a refusal if it is over the limit."""
-    limit = DEFAULT_LIMIT_BYTES if limit_bytes is None else limit_bytes
+
+async def read_body(request: web.BaseRequest, limits: Limits) -> bytes | Refusal:
+    """Return the whole body, or a refusal if the request is over a limit."""
+    if _header_bytes(request) > limits.max_header_bytes:
+        detail = f"the header fields are over {limits.max_header_bytes} bytes"
+        return Refusal.not_run(Reason.HEADERS_TOO_LARGE, detail)
     if not request.body_exists:
         return b""
     body = bytearray()
     async for chunk in request.content.iter_any():
         body += chunk
-        if len(body) > limit:
-            return Refusal.not_run(Reason.BODY_TOO_LARGE, f"the body is over {limit} bytes")
+        if len(body) > limits.max_body_bytes:
+            detail = f"the body is over {limits.max_body_bytes} bytes"
+            return Refusal.not_run(Reason.BODY_TOO_LARGE, detail)
     return bytes(body)
+
+
+def _header_bytes(request: web.BaseRequest) -> int:
+    return sum(len(name) + len(value) + SEPARATOR_BYTES for name, value in request.raw_headers)
--- a/src/flamingoladder/fleet/kept_objects.py
+++ b/src/flamingoladder/fleet/kept_objects.py
@@ -61,7 +61,7 @@
         self._kept = found.get(self._own.region, {})
 
     async def _keep(self, now: float) -> None:
-        if not self._is_first(now):
+        if not self._members.is_first(now, self._own.region):
             return
         objects = self._chooser.objects()
         if _count(objects) <= _count(self._kept):
@@ -69,13 +69,6 @@
         if await self._shelf.write(self._own.region, objects):
             self._kept = objects
 
-    def _is_first(self, now: float) -> bool:
-        """Return whether this is the first serving host of its region."""
-        return not any(
-            member.region == self._own.region and member.host < self._own.host
-            for member in self._members.serving(now)
-        )
-
 
 def _count(objects: ObjectsByService) -> int:
     return sum(map(len, objects.values()))
--- a/src/flamingoladder/fleet/lookups.py
+++ b/src/flamingoladder/fleet/lookups.py
@@ -12,7 +12,6 @@
 
 LIFETIME_S = 2.0
 MAX_HOSTS = 64
-MIN_HOSTS = 1
 
 
 class LookupAnswer(msgspec.Struct, frozen=True):
@@ -25,11 +24,12 @@
 class FleetLookup:
     """Names the hosts of the caller's region, or all if there is none."""
 
-    __slots__ = ("_book", "_own", "leaving")
+    __slots__ = ("_book", "_lifetime_s", "_own", "leaving")
 
-    def __init__(self, own: Member, book: MemberBook) -> None:
+    def __init__(self, own: Member, book: MemberBook, max_lifetime_s: float) -> None:
         self._own = own
         self._book = book
+        self._lifetime_s = min(LIFETIME_S, max_lifetime_s)
         self.leaving = False
 
     def answer(self, region: str, now: float) -> LookupAnswer:
@@ -38,6 +38,5 @@
         if not self.leaving or not members:
             members = [self._own, *members]
         near = [member for member in members if member.region == region]
-        if len(near) < MIN_HOSTS:
-            near = members
-        return LookupAnswer(tuple(member.caller_url for member in near[:MAX_HOSTS]), LIFETIME_S)
+        named = (near or members)[:MAX_HOSTS]
+        return LookupAnswer(tuple(member.caller_url for member in named), self._lifetime_s)
--- a/src/flamingoladder/fleet/members.py
+++ b/src/flamingoladder/fleet/members.py
@@ -89,6 +89,17 @@
             if not member.leaving and host in reports and not reports[host].leaving
         ]
 
+    def is_first(self, now: float, region: str | None = None) -> bool:
+        """Return whether this host's name comes before those of all other serving hosts.
+
+        With a ``region`` only its hosts count.
+        """
+        return not any(
+            member.host < self._own_host
+            for member in self.serving(now)
+            if region is None or member.region == region
+        )
+
     def lost(self, now: float) -> list[Member]:
         """Return members that were silent for so long that they count as gone for good."""
         return [
--- a/src/flamingoladder/platform/configuration.py
+++ b/src/flamingoladder/platform/configuration.py
@@ -28,7 +28,6 @@
 class _Limits(msgspec.Struct):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 67_108_864
-    idle_timeout_s: float = 15.0
 
 
 # The platform calls a workspace a tenant.
@@ -98,7 +97,6 @@
         limits=Limits(
             max_header_bytes=document.limits.max_header_bytes,
             max_body_bytes=document.limits.max_body_bytes,
-            idle_s=document.limits.idle_timeout_s,
         ),
     )
 
--- a/src/flamingoladder/platform/standins/deployment.py
+++ b/src/flamingoladder/platform/standins/deployment.py
@@ -113,6 +113,11 @@
         """Return the base URL of each host for look-ups."""
         return [f"http://{LOOPBACK}:{port + 2}" for port in self._ports]
 
+    @property
+    def metrics_urls(self) -> list[str]:
+        """Return the URL of each host's metrics."""
+        return [f"http://{LOOPBACK}:{port + 4}/metrics" for port in self._ports]
+
     @property
     def runs(self) -> list[tuple[str, str]]:
         """Return request id and target of all runs."""
--- a/src/flamingoladder/platform/target_wire.py
+++ b/src/flamingoladder/platform/target_wire.py
@@ -23,6 +23,8 @@
 from flamingoladder.verdict import Answer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from reactivex import Observable
 
     from flamingoladder.entry.request import RoutedRequest
@@ -32,7 +34,6 @@
 MS_PER_S = 1_000
 KEPT_IDLE_S = 6.0
 SILENCE_S = 1.0
-CONNECTIONS = 64
 ECHO = EchoRule(headers.REQUEST_ID, required=True)
 PROBE_ECHO = EchoRule(headers.REQUEST_ID, required=False)
 
@@ -48,18 +49,22 @@
 
 
 class PlatformTargets(TargetWire):
-    """Kept connections to each target."""
+    """Kept connections to each target.
+
+    ``connections_of`` tells this host's part of the connections that a service's target accepts.
+    """
 
-    __slots__ = ("_pools_by_target", "_tasks")
+    __slots__ = ("_connections_of", "_pools_by_target", "_tasks")
 
-    def __init__(self, removed: Observable[str]) -> None:
+    def __init__(self, removed: Observable[str], connections_of: Callable[[str], int]) -> None:
+        self._connections_of = connections_of
         self._pools_by_target: dict[str, Pool] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         removed.subscribe(self._drop)
 
     async def send(self, request: RoutedRequest, target: TargetState) -> SendResult:
         """Send the request once."""
-        pool = self._pool(target.record.target_id)
+        pool = self._pool(target)
         exchange = Exchange(request.work_until)
         sent = await pool.send(_outgoing(request, target), exchange)
         if isinstance(sent, Answer):
@@ -91,10 +96,12 @@
         for name in list(self._pools_by_target):
             await self._pools_by_target.pop(name).retire()
 
-    def _pool(self, target_id: str) -> Pool:
+    def _pool(self, target: TargetState) -> Pool:
+        target_id = target.record.target_id
         pool = self._pools_by_target.get(target_id)
         if pool is None:
-            pool = Pool(CONNECTIONS, keep=True, keep_s=KEPT_IDLE_S, silence_s=SILENCE_S)
+            limit = self._connections_of(target.record.service)
+            pool = Pool(limit, keep=True, keep_s=KEPT_IDLE_S, silence_s=SILENCE_S)
             self._pools_by_target[target_id] = pool
         return pool
 
--- a/src/flamingoladder/routing/model.py
+++ b/src/flamingoladder/routing/model.py
@@ -38,7 +38,10 @@
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
-    """A service. A target that has just started takes ``ramp_per_s`` for ``ramp_s`` seconds."""
+    """A service. A target that has just started takes ``ramp_per_s`` for ``ramp_s`` seconds.
+
+    ``max_connections`` is what one of its targets accepts from all hosts together.
+    """
 
     name: str
     health_path: str
@@ -58,11 +61,10 @@
 
 
 class Limits(msgspec.Struct, frozen=True, kw_only=True):
-    """What a caller may send; ``idle_s`` bounds the pause between requests of a connection."""
+    """What a caller may send."""
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 67_108_864
-    idle_s: float = 15.0
 
 
 class RoutePlan(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -183,6 +183,26 @@
     assert platform.runs == []
 
 
+async def test_header_fields_over_the_limit_are_refused(
+    platform: LocalPlatform, caller: Caller
+) -> None:
+    fields = {f"X-Field-{number}": "x" * 4_000 for number in range(5)}
+    status, _, _ = await caller.send("/kit/1", headers=fields)
+    assert status == 431
+    assert platform.runs == []
+
+
+async def test_metrics_are_exposed_as_text(platform: LocalPlatform, caller: Caller) -> None:
+    await caller.send("/kit/1", host=0)
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(platform.metrics_urls[0]) as response,
+    ):
+        text = await response.text()
+    assert 'flamingoladder_requests_total{status="200"} 1.0' in text
+    assert 'flamingoladder_request_seconds_bucket{le="+Inf",route="read"} 1.0' in text
+
+
 async def test_work_of_a_caller_that_left_is_broken_off(
     platform: LocalPlatform, caller: Caller
 ) -> None:
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -27,7 +27,7 @@
 
 
 def named(book: MemberBook, region: str, now: float, *, leaving: bool = False) -> list[str]:
-    lookup = FleetLookup(member("h0"), book)
+    lookup = FleetLookup(member("h0"), book, 5.0)
     lookup.leaving = leaving
     return sorted(lookup.answer(region, now).addresses)
 
--- a/tests/platform/test_target_wire.py
+++ b/tests/platform/test_target_wire.py
@@ -116,7 +116,7 @@
 
 
 async def send_once(raw: RawTarget) -> SendResult:
-    wire = PlatformTargets(Subject())
+    wire = PlatformTargets(Subject(), lambda _: 8)
     async with raw.serving() as target:
         try:
             return await wire.send(request(), target)
@@ -171,7 +171,7 @@
     raw = RawTarget()
     async with raw.serving() as target:
         pass
-    result = await PlatformTargets(Subject()).send(request(), target)
+    result = await PlatformTargets(Subject(), lambda _: 8).send(request(), target)
     assert (result.end, result.may_have_run) == (SendEnd.NO_CONNECTION, False)
 
 
@@ -186,7 +186,7 @@
 
 
 async def test_an_answer_that_nobody_asked_for_reaches_no_request() -> None:
-    wire = PlatformTargets(Subject())
+    wire = PlatformTargets(Subject(), lambda _: 8)
     raw = RawTarget(
         reply(SIGNED + LENGTH) + reply(SIGNED + LENGTH, "OTHER"), reply(SIGNED + LENGTH)
     )
@@ -223,7 +223,7 @@
 async def test_a_probe_knows_its_target(
     head: str, status: str, healthy: bool, cold_s: float
 ) -> None:
-    wire = PlatformTargets(Subject())
+    wire = PlatformTargets(Subject(), lambda _: 8)
     async with RawTarget(reply(head + LENGTH, status=status)).serving() as target:
         result = await wire.probe(target, "/healthz", PATIENCE_S)
     assert (result.healthy, result.cold_s) == (healthy, cold_s)
