--- a/src/flamingoladder/entry/reporting.py
+++ b/src/flamingoladder/entry/reporting.py
@@ -63,7 +63,7 @@
         """Let the newest reports of all hosts take effect."""
         reports = self._members.heard(now)
         rates = {host: report.rates_by_workspace for host, report in reports.items()}
-        self._rates.update(self._members.hosts, rates)
+        self._rates.update(self._members.hosts, rates, self._members.report_interval_s)
         self._budgets.set_hosts(self._members.hosts)
         elsewhere: dict[str, int] = {}
         for host, report in reports.items():
--- a/src/flamingoladder/fleet/exchange.py
+++ b/src/flamingoladder/fleet/exchange.py
@@ -15,11 +15,9 @@
     from flamingoladder.peers.link import Peer
     from flamingoladder.peers.link import PeerLinks
 
-REPORT_INTERVAL_S = 0.25
-
 
 class ReportExchange:
-    """Tells all other hosts the same few times a second; a lost report is replaced by the next."""
+    """Tells all other hosts the same again and again; a lost report is replaced by the next."""
 
     __slots__ = ("_book", "_heard", "_links", "_make_report")
 
@@ -47,7 +45,7 @@
         loop = asyncio.get_running_loop()
         while True:
             self.send(loop.time())
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            await asyncio.sleep(self._book.report_interval_s)
 
     def send(self, now: float) -> None:
         """Report once, and let the heard reports take effect."""
--- a/src/flamingoladder/fleet/lookups.py
+++ b/src/flamingoladder/fleet/lookups.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from flamingoladder.hashing import stable_hash
+
 if TYPE_CHECKING:
     from flamingoladder.fleet.members import MemberBook
     from flamingoladder.members.state import Member
@@ -38,5 +40,9 @@
         if not self.leaving or not members:
             members = [self._own, *members]
         near = [member for member in members if member.region == region]
-        named = (near or members)[:MAX_HOSTS]
+        # Each host names others first, so that no host of a large region is left out by all.
+        named = sorted(near or members, key=self._rank)[:MAX_HOSTS]
         return LookupAnswer(tuple(member.caller_url for member in named), self._lifetime_s)
+
+    def _rank(self, member: Member) -> int:
+        return stable_hash(self._own.host, member.host)
--- a/src/flamingoladder/fleet/members.py
+++ b/src/flamingoladder/fleet/members.py
@@ -12,7 +12,9 @@
     from flamingoladder.members.state import Member
     from flamingoladder.timeline.recorder import Recorder
 
-HEARD_LIFETIME_S = 1.6
+REPORT_INTERVAL_S = 0.25
+HOSTS_AT_FULL_RATE = 32
+HEARD_INTERVALS = 6.4
 FORGET_AFTER_S = 45.0
 
 
@@ -41,6 +43,14 @@
         """Return the number of registered hosts, this one included."""
         return len(self.members_by_host) + 1
 
+    @property
+    def report_interval_s(self) -> float:
+        """Return the pause between two reports; a larger fleet reports less often.
+
+        So the messages that a host takes in a second stay below a bound.
+        """
+        return REPORT_INTERVAL_S * max(1.0, self.hosts / HOSTS_AT_FULL_RATE)
+
     def put(self, member: Member, now: float) -> None:
         """Take in a registration."""
         if member.host == self._own_host:
@@ -70,16 +80,21 @@
     def is_heard(self, host: str, now: float) -> bool:
         """Return whether the host reported of late."""
         heard = self.heard_by_host.get(host)
-        return heard is not None and now - heard.at < HEARD_LIFETIME_S
+        return heard is not None and now - heard.at < self._heard_lifetime_s
 
     def heard(self, now: float) -> dict[str, HostReport]:
         """Return the reports that are young enough to count, by host."""
+        lifetime_s = self._heard_lifetime_s
         return {
             host: heard.report
             for host, heard in self.heard_by_host.items()
-            if now - heard.at < HEARD_LIFETIME_S
+            if now - heard.at < lifetime_s
         }
 
+    @property
+    def _heard_lifetime_s(self) -> float:
+        return HEARD_INTERVALS * self.report_interval_s
+
     def serving(self, now: float) -> list[Member]:
         """Return the other members that take callers."""
         reports = self.heard(now)
--- a/src/flamingoladder/limits/rates.py
+++ b/src/flamingoladder/limits/rates.py
@@ -21,7 +21,7 @@
 DEMAND_TIME_S = 1.5
 DEMAND_FLOOR_PER_S = 0.3
 MIN_DEMAND_PER_S = 0.01
-REPORT_DELAY_S = 0.4
+PATH_DELAY_S = 0.15
 UNSEEN_UNITS = 8.0
 SUDDEN_PART = 0.5
 RESTART_UNITS = 8.0
@@ -102,18 +102,32 @@
 class FleetRates:
     """The accounts of this host."""
 
-    __slots__ = ("_accounts_by_workspace", "_full", "_hosts", "_reported", "_reports_by_host")
+    __slots__ = (
+        "_accounts_by_workspace",
+        "_full",
+        "_hosts",
+        "_report_delay_s",
+        "_reported",
+        "_reports_by_host",
+    )
 
     def __init__(self, *, start_full: bool) -> None:
         self._accounts_by_workspace: dict[str, Account] = {}
         self._reports_by_host: dict[str, Mapping[str, RateReport]] = {}
         self._reported: dict[str, RateReport] = {}
         self._hosts = 1
+        self._report_delay_s = PATH_DELAY_S
         self._full = start_full
 
-    def update(self, hosts: int, reports_by_host: Mapping[str, Mapping[str, RateReport]]) -> None:
+    def update(
+        self,
+        hosts: int,
+        reports_by_host: Mapping[str, Mapping[str, RateReport]],
+        report_interval_s: float,
+    ) -> None:
         """Take in the number of all hosts, and the reports of the others that are heard."""
         self._hosts = max(1, hosts)
+        self._report_delay_s = report_interval_s + PATH_DELAY_S
         for host, reports in reports_by_host.items():
             known = self._reports_by_host.get(host)
             if known is None:
@@ -146,7 +160,7 @@
         account.refill(workspace, part, share, max(OWN_UNITS, SPARE_UNITS / self._hosts), now)
         account.demand_per_s += 1 / DEMAND_TIME_S
         sudden = account.demand_per_s * self._hosts * SUDDEN_PART
-        unseen = max(0.0, max(demand, sudden) * REPORT_DELAY_S - UNSEEN_UNITS)
+        unseen = max(0.0, max(demand, sudden) * self._report_delay_s - UNSEEN_UNITS)
         if account.left >= 1 + unseen:
             account.take()
             return None
--- /dev/null
+++ b/tests/entry/test_kept_objects.py
@@ -0,0 +1,66 @@
+"""Tests that known objects, and with them homes, outlive the loss of all hosts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from flamingoladder.platform.object_rows import TABLE
+from flamingoladder.platform.object_rows import ObjectRows
+from flamingoladder.platform.rows import RowStore
+from flamingoladder.platform.standins.state import PlatformState
+from flamingoladder.standins.platform import FaultSettings
+from flamingoladder.steering.homes import HomePlan
+from flamingoladder.timeline.recorder import Recorder
+from tests.platform.access import connected
+from tests.platform.access import served
+from tests.steering.test_homes import OBJECTS
+from tests.steering.test_homes import REGIONS
+from tests.steering.test_homes import homes
+from tests.steering.test_homes import plan
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+@pytest.fixture
+def state() -> PlatformState:
+    return PlatformState()
+
+
+@pytest.fixture
+async def store(state: PlatformState) -> AsyncIterator[RowStore]:
+    async with served(state) as server, connected(server.url) as transport:
+        yield RowStore(transport)
+
+
+async def test_homes_are_the_same_after_the_loss_of_all_hosts(store: RowStore) -> None:
+    before = plan(REGIONS, OBJECTS)
+    shelf = ObjectRows(store, Recorder("h", "i"))
+    for region in set(REGIONS.values()):
+        assert await shelf.write(region, {"s": before.objects_of(region)})
+    found = await ObjectRows(store, Recorder("h", "i2")).read()
+    assert found is not None
+    after = HomePlan()
+    after.set_targets(REGIONS)
+    for region, by_service in found.items():
+        after.add(by_service["s"], region)
+    assert homes(after) == homes(before)
+
+
+async def test_objects_that_can_not_be_read_now_are_asked_for_again(
+    state: PlatformState, store: RowStore
+) -> None:
+    state.faults = FaultSettings(refuse=True)
+    shelf = ObjectRows(store, Recorder("h", "i"))
+    assert await shelf.read() is None
+    assert not await shelf.write("north", {"s": ["a"]})
+    state.faults = FaultSettings()
+    assert await shelf.read() == {}
+
+
+async def test_a_row_of_another_writer_names_no_objects(store: RowStore) -> None:
+    await store.write(TABLE, "north", b"\xff")
+    await store.write(TABLE, "south", b'{"s":["a"]}')
+    assert await ObjectRows(store, Recorder("h", "i")).read() == {"south": {"s": ["a"]}}
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -69,3 +69,13 @@
     book.hear("h1", "1", REPORT, 40.0)
     assert sorted(lost.host for lost in book.lost(50.0)) == ["h2", "h3"]
     assert book.hosts == 4
+
+
+def test_a_larger_fleet_reports_less_often_and_is_heard_for_longer() -> None:
+    found = MemberBook("h0", Recorder("h0", "i"))
+    small = found.report_interval_s
+    for number in range(1, 320):
+        found.put(member(f"h{number}"), 0.0)
+    found.hear("h1", "1", REPORT, 0.0)
+    assert found.hosts / found.report_interval_s <= 32 / small
+    assert found.is_heard("h1", 2 * found.report_interval_s)
--- a/tests/limits/test_rates.py
+++ b/tests/limits/test_rates.py
@@ -44,7 +44,7 @@
             reports = {f"h{number}": host.report(now) for number, host in enumerate(hosts)}
             for number, host in enumerate(hosts):
                 heard = {name: of for name, of in reports.items() if name != f"h{number}"}
-                host.update(len(hosts), {} if silent else heard)
+                host.update(len(hosts), {} if silent else heard, REPORT_S)
         for host, share in zip(hosts, shares, strict=True):
             if random.random() < load * limit.rate_per_s * share * STEP_S:
                 asked += 1
