--- a/src/flamingoladder/entry/reporting.py
+++ b/src/flamingoladder/entry/reporting.py
@@ -10,14 +10,21 @@
     from flamingoladder.entry.chooser import TargetChooser
     from flamingoladder.fleet.members import MemberBook
     from flamingoladder.limits.rates import FleetRates
+    from flamingoladder.limits.rates import RateReport
     from flamingoladder.limits.retries import RetryBudgets
     from flamingoladder.targets.book import TargetBook
 
-OBJECTS_A_REPORT = 12
+REPORTS_TO_A_WHOLE_ONE = 8
+OBJECTS_IN_TURN = 12
+MAX_NEW_OBJECTS = 40
 
 
 class Reporter:
-    """Between the reports and the slices that use them."""
+    """Between the reports and the slices that use them.
+
+    Bytes between regions are dear, so most reports hold only what changed since the one before;
+    one in ``REPORTS_TO_A_WHOLE_ONE`` is whole, which makes up for lost ones.
+    """
 
     __slots__ = (
         "_budgets",
@@ -25,7 +32,10 @@
         "_members",
         "_next_object_by_service",
         "_rates",
+        "_reported",
+        "_reports",
         "_targets",
+        "_told_by_service",
         "leaving",
     )
 
@@ -43,21 +53,35 @@
         self._budgets = budgets
         self._members = members
         self._next_object_by_service: dict[str, int] = {}
+        self._told_by_service: dict[str, int] = {}
+        self._reported: dict[str, RateReport] = {}
+        self._reports = 0
         self.leaving = False
 
     def report(self, now: float) -> HostReport:
         """Return what to tell the other hosts."""
-        targets = self._targets.by_id
-        return HostReport(
-            self.leaving,
-            self._rates.report(now),
-            {name: target.in_flight for name, target in targets.items() if target.in_flight},
-            tuple(name for name, target in targets.items() if target.down),
-            {
-                service: self._some_objects(service, objects)
-                for service, objects in self._chooser.objects().items()
-            },
-        )
+        self._reports += 1
+        whole = self._reports % REPORTS_TO_A_WHOLE_ONE == 1
+        before, self._reported = self._reported, self._rates.report(now)
+        rates = {
+            name: report
+            for name, report in self._reported.items()
+            if whole or report != before.get(name)
+        }
+        in_flight = {
+            name: target.in_flight
+            for name, target in self._targets.by_id.items()
+            if target.in_flight
+        }
+        return HostReport(self.leaving, rates, in_flight, self._objects(whole=whole))
+
+    def receive(self, host: str, report: HostReport) -> None:
+        """Take in the objects of a report as it comes."""
+        member = self._members.members_by_host.get(host)
+        if member is None:
+            return
+        for service, objects in report.objects_by_service.items():
+            self._chooser.plan_of(service).add(objects, member.region)
 
     def take_in(self, now: float) -> None:
         """Let the newest reports of all hosts take effect."""
@@ -66,18 +90,31 @@
         self._rates.update(self._members.hosts, rates, self._members.report_interval_s)
         self._budgets.set_hosts(self._members.hosts)
         elsewhere: dict[str, int] = {}
-        for host, report in reports.items():
-            region = self._members.members_by_host[host].region
+        for report in reports.values():
             for name, count in report.in_flight_by_target.items():
                 elsewhere[name] = elsewhere.get(name, 0) + count
-            for service, objects in report.objects_by_service.items():
-                self._chooser.plan_of(service).add(objects, region)
         for name, target in self._targets.by_id.items():
             target.in_flight_elsewhere = elsewhere.get(name, 0)
 
-    def _some_objects(self, service: str, objects: list[str]) -> tuple[str, ...]:
+    def _objects(self, *, whole: bool) -> dict[str, tuple[str, ...]]:
+        found: dict[str, tuple[str, ...]] = {}
+        for service, objects in self._chooser.objects().items():
+            named = self._new_objects(service, objects)
+            if whole:
+                named += self._objects_in_turn(service, objects)
+            if named:
+                found[service] = tuple(named)
+        return found
+
+    def _new_objects(self, service: str, objects: list[str]) -> list[str]:
+        told = self._told_by_service.get(service, 0)
+        new = objects[told : told + MAX_NEW_OBJECTS]
+        self._told_by_service[service] = told + len(new)
+        return new
+
+    def _objects_in_turn(self, service: str, objects: list[str]) -> list[str]:
         start = self._next_object_by_service.get(service, 0)
         if start >= len(objects):
             start = 0
-        self._next_object_by_service[service] = start + OBJECTS_A_REPORT
-        return tuple(objects[start : start + OBJECTS_A_REPORT])
+        self._next_object_by_service[service] = start + OBJECTS_IN_TURN
+        return objects[start : start + OBJECTS_IN_TURN]
--- a/src/flamingoladder/entry/slices.py
+++ b/src/flamingoladder/entry/slices.py
@@ -82,7 +82,12 @@
         self.reporter = Reporter(self.targets, chooser, rates, budgets, self.members)
         crashes = CrashGuard(lambda report: self.exchange.tell_crash(report))
         self.exchange = ReportExchange(
-            self.links, self.members, self.reporter.report, self.reporter.take_in, crashes.count
+            self.links,
+            self.members,
+            self.reporter.report,
+            self.reporter.receive,
+            self.reporter.take_in,
+            crashes.count,
         )
         self.prober = TargetProber(
             self.targets, self.beliefs, self.wire, crashes.saw_down, self.recorder
--- a/src/flamingoladder/fleet/exchange.py
+++ b/src/flamingoladder/fleet/exchange.py
@@ -19,19 +19,21 @@
 class ReportExchange:
     """Tells all other hosts the same again and again; a lost report is replaced by the next."""
 
-    __slots__ = ("_book", "_heard", "_links", "_make_report")
+    __slots__ = ("_book", "_heard", "_links", "_make_report", "_received")
 
     def __init__(
         self,
         links: PeerLinks,
         book: MemberBook,
         make_report: Callable[[float], HostReport],
+        received: Callable[[str, HostReport], None],
         heard: Callable[[float], None],
         crashed: Callable[[CrashReport, float], None],
     ) -> None:
         self._links = links
         self._book = book
         self._make_report = make_report
+        self._received = received
         self._heard = heard
         links.register(HostReport, self._on_report)
 
@@ -62,3 +64,4 @@
     async def _on_report(self, peer: Peer, report: HostReport) -> None:
         now = asyncio.get_running_loop().time()
         self._book.hear(peer.host, peer.incarnation, report, now)
+        self._received(peer.host, report)
--- a/src/flamingoladder/fleet/members.py
+++ b/src/flamingoladder/fleet/members.py
@@ -74,7 +74,11 @@
             return
         if not self.is_heard(host, now):
             self._recorder.record("host.heard", peer=host)
-        self.heard_by_host[host] = HeardReport(report, incarnation, now)
+        known = self.heard_by_host.get(host)
+        earlier = {} if known is None else known.report.rates_by_workspace
+        rates = {**earlier, **report.rates_by_workspace}
+        whole = msgspec.structs.replace(report, rates_by_workspace=rates)
+        self.heard_by_host[host] = HeardReport(whole, incarnation, now)
         self._silent_since[host] = now
 
     def is_heard(self, host: str, now: float) -> bool:
--- a/src/flamingoladder/fleet/messages.py
+++ b/src/flamingoladder/fleet/messages.py
@@ -7,23 +7,29 @@
 from flamingoladder.limits.rates import RateReport
 from flamingoladder.peers.messages import LinkMessage
 
+SHORT_NAMES = {
+    "leaving": "l",
+    "rates_by_workspace": "w",
+    "in_flight_by_target": "t",
+    "objects_by_service": "o",
+}
 
-class HostReport(msgspec.Struct, frozen=True, tag="report"):
+
+class HostReport(msgspec.Struct, frozen=True, tag="r", rename=SHORT_NAMES, omit_defaults=True):
     """What a host tells all others a few times a second.
 
-    ``rates_by_workspace`` tells what was admitted, ``in_flight_by_target`` counts requests.
-    ``failing`` names targets that this host has taken out of use. ``objects_by_service`` names some
-    of the objects that are asked for from its region; all come round in time.
+    ``rates_by_workspace`` tells what was admitted; workspaces about which nothing changed may be
+    left out. ``in_flight_by_target`` counts requests. ``objects_by_service`` names objects that are
+    asked for from the host's region: new ones at once, all others in turn.
     """
 
-    leaving: bool
-    rates_by_workspace: dict[str, RateReport]
-    in_flight_by_target: dict[str, int]
-    failing: tuple[str, ...]
-    objects_by_service: dict[str, tuple[str, ...]]
+    leaving: bool = False
+    rates_by_workspace: dict[str, RateReport] = {}
+    in_flight_by_target: dict[str, int] = {}
+    objects_by_service: dict[str, tuple[str, ...]] = {}
 
 
-class CrashReport(msgspec.Struct, frozen=True, tag="crash"):
+class CrashReport(msgspec.Struct, frozen=True, tag="c"):
     """A target went down while it ran the request with this ``fingerprint``."""
 
     fingerprint: str
--- a/src/flamingoladder/limits/rates.py
+++ b/src/flamingoladder/limits/rates.py
@@ -32,7 +32,7 @@
 EXTRA_RATE = 1.05
 
 
-class RateReport(msgspec.Struct, frozen=True):
+class RateReport(msgspec.Struct, frozen=True, array_like=True):
     """What a host tells the others of one workspace.
 
     ``admitted`` counts requests since the start of the host, ``demand_per_s`` is what comes in.
@@ -144,7 +144,7 @@
         host that looked at its newest demand would take more than its part while demand rises.
         """
         self._reported = {
-            name: RateReport(account.admitted, round(account.demand(now), 2))
+            name: RateReport(account.admitted, round(account.demand(now), 1))
             for name, account in self._accounts_by_workspace.items()
         }
         return self._reported
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -7,11 +7,12 @@
 from flamingoladder.fleet.lookups import FleetLookup
 from flamingoladder.fleet.members import MemberBook
 from flamingoladder.fleet.messages import HostReport
+from flamingoladder.limits.rates import RateReport
 from flamingoladder.members.state import Member
 from flamingoladder.timeline.recorder import Recorder
 
-REPORT = HostReport(False, {}, {}, (), {})
-LEAVING = HostReport(True, {}, {}, (), {})
+REPORT = HostReport(False, {}, {}, {})
+LEAVING = HostReport(True, {}, {}, {})
 
 
 def member(host: str, region: str = "r1", incarnation: str = "1") -> Member:
@@ -79,3 +80,11 @@
     found.hear("h1", "1", REPORT, 0.0)
     assert found.hosts / found.report_interval_s <= 32 / small
     assert found.is_heard("h1", 2 * found.report_interval_s)
+
+
+def test_a_report_leaves_out_workspaces_about_which_nothing_changed(book: MemberBook) -> None:
+    first = HostReport(False, {"a": RateReport(5, 1.0), "b": RateReport(7, 2.0)}, {}, {})
+    book.hear("h1", "1", first, 0.0)
+    book.hear("h1", "1", HostReport(False, {"b": RateReport(9, 2.0)}, {}, {}), 0.2)
+    found = book.heard(0.3)["h1"].rates_by_workspace
+    assert found == {"a": RateReport(5, 1.0), "b": RateReport(9, 2.0)}
