--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -135,8 +135,7 @@
             self._crashes.saw_answer(request.fingerprint)
             return
         if result.end is SendEnd.NO_CONNECTION:
-            self._prober.found_down(target)
-            self._crashes.saw_down(target.record.target_id, now)
+            self._saw_no_connection(request, target, now)
             return
         if result.end is SendEnd.LOST:
             self._crashes.saw_loss(request.fingerprint, target.record.target_id, now)
@@ -146,6 +145,14 @@
         elif target.saw_failure(now):
             self._recorder.record("target.ejected", target=target.record.target_id)
 
+    def _saw_no_connection(self, request: RoutedRequest, target: TargetState, now: float) -> None:
+        if now >= request.work_until:
+            # The request's own time was too short to tell.
+            self._prober.check(target)
+            return
+        self._prober.found_down(target)
+        self._crashes.saw_down(target.record.target_id, now)
+
     def _record(self, journey: Journey, choice: Choice, result: SendResult, now: float) -> None:
         request, target = journey.request, choice.target
         self._recorder.record(
--- a/src/flamingoladder/entry/settings.py
+++ b/src/flamingoladder/entry/settings.py
@@ -19,13 +19,11 @@
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
     """What is promised; ``_s`` are seconds.
 
-    ``drain_s`` bounds how long a leaving target gets work, ``grace_s`` how long a stop may take.
+    ``grace_s`` bounds how long a stop may take.
     ``retry_ratio`` and ``retry_slack`` bound the repeats in ``retry_window_s``, over all hosts.
     A cold target takes ``ramp_overshoot`` times its declared rate and ``ramp_slack`` in a second.
     """
 
-    settle_s: float
-    drain_s: float
     grace_s: float
     retry_ratio: float
     retry_window_s: float
--- a/src/flamingoladder/platform/configuration.py
+++ b/src/flamingoladder/platform/configuration.py
@@ -14,7 +14,6 @@
 
 VERSION_BASE = 16
 IDEMPOTENT = "idempotent"
-DEFAULT_PRIORITY = 1
 
 
 class _Service(msgspec.Struct):
@@ -34,7 +33,6 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
     rate_per_s: float | None = None
     burst: float | None = None
     allowed_regions: tuple[str, ...] = ()
@@ -51,8 +49,6 @@
     path_prefix: str
     kind: str
     timeout_s: float
-    latency_slo_s: float = 0.0
-    priority: int = DEFAULT_PRIORITY
     service: str | None = None
     traffic_split: tuple[_Weighted, ...] = ()
     max_attempts: int = 1
@@ -114,7 +110,6 @@
 def _workspace(found: _Tenant) -> Workspace:
     return Workspace(
         name=found.name,
-        priority=found.priority,
         rate_per_s=found.rate_per_s or 0.0,
         burst=found.burst or 0.0,
         regions=frozenset(found.allowed_regions),
@@ -128,8 +123,6 @@
         prefix=found.path_prefix,
         idempotent=found.kind == IDEMPOTENT,
         timeout_s=found.timeout_s,
-        objective_s=found.latency_slo_s,
-        priority=found.priority,
         parts=_parts(found),
         max_targets=max(1, found.max_attempts),
         open=found.public,
--- a/src/flamingoladder/platform/settings.py
+++ b/src/flamingoladder/platform/settings.py
@@ -44,8 +44,6 @@
 
 
 class _Bounds(msgspec.Struct):
-    stable_s: float
-    drain_s: float
     grace_s: float
     retry_budget_ratio: float
     budget_window_s: float
@@ -97,8 +95,6 @@
             metrics=Endpoint(found.own.ip, found.network.internal_ports[0] + 1),
             store_url=f"http://{found.provider.provider.address}",
             bounds=Bounds(
-                settle_s=bounds.stable_s,
-                drain_s=bounds.drain_s,
                 grace_s=bounds.grace_s,
                 retry_ratio=bounds.retry_budget_ratio,
                 retry_window_s=bounds.budget_window_s,
--- a/src/flamingoladder/routing/model.py
+++ b/src/flamingoladder/routing/model.py
@@ -18,9 +18,8 @@
 class Route(msgspec.Struct, frozen=True, kw_only=True):
     """A route, chosen by the host name and the longest prefix of the path.
 
-    ``objective_s`` is the time within which an answer has its full worth. ``priority`` 0 is the
-    highest. ``max_targets`` bounds the targets that one request is sent to. ``regions`` names the
-    only regions that may serve it; if it is empty, all may.
+    ``timeout_s`` bounds the wait for an answer, ``max_targets`` the targets that one request is
+    sent to. ``regions`` names the only regions that may serve it; if it is empty, all may.
     """
 
     name: str
@@ -28,8 +27,6 @@
     prefix: str
     idempotent: bool
     timeout_s: float
-    objective_s: float
-    priority: int
     parts: tuple[Part, ...]
     max_targets: int
     open: bool
@@ -51,10 +48,9 @@
 
 
 class Workspace(msgspec.Struct, frozen=True, kw_only=True):
-    """A workspace; a ``rate_per_s`` of 0 sets no limit. ``priority`` goes before a route's."""
+    """A workspace; a ``rate_per_s`` of 0 sets no limit."""
 
     name: str
-    priority: int | None
     rate_per_s: float
     burst: float
     regions: frozenset[str] = frozenset()
--- a/tests/entry/parts.py
+++ b/tests/entry/parts.py
@@ -81,8 +81,6 @@
             "prefix": f"/{name}/",
             "idempotent": True,
             "timeout_s": 1.0,
-            "objective_s": 0.5,
-            "priority": 1,
             "parts": (Part("s", 1.0),),
             "max_targets": 2,
             "open": False,
@@ -92,11 +90,9 @@
         }
         return Route(**fields)  # type: ignore[arg-type]
 
-    turf = Workspace(name="turf", priority=None, rate_per_s=0.0, burst=0.0)
-    small = Workspace(name="small", priority=None, rate_per_s=1.0, burst=1.0)
-    north = Workspace(
-        name="north", priority=None, rate_per_s=0.0, burst=0.0, regions=frozenset({"r1"})
-    )
+    turf = Workspace(name="turf", rate_per_s=0.0, burst=0.0)
+    small = Workspace(name="small", rate_per_s=1.0, burst=1.0)
+    north = Workspace(name="north", rate_per_s=0.0, burst=0.0, regions=frozenset({"r1"}))
     routes = (route("get"), route("book", idempotent=False), route("open", open=True))
     return RoutePlan(
         version=1,
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -172,3 +172,12 @@
     for _ in range(20):
         await handle(path, arrived())
     assert len(set(path.wire.sent)) == 1
+
+
+async def test_a_request_without_time_to_connect_takes_no_target_down() -> None:
+    path = Path(FakeWire(UNREACHED))
+    path.wire.work_s = 0.06
+    await handle(path, arrived(patience_s=0.05))
+    await asyncio.sleep(0.05)
+    assert not any(target.down for target in path.book.by_id.values())
+    path.prober.close()
--- a/tests/limits/test_rates.py
+++ b/tests/limits/test_rates.py
@@ -19,7 +19,7 @@
 
 
 def workspace(rate: float, burst: float) -> Workspace:
-    return Workspace(name="w", priority=None, rate_per_s=rate, burst=burst)
+    return Workspace(name="w", rate_per_s=rate, burst=burst)
 
 
 def play(
--- a/tests/platform/test_target_wire.py
+++ b/tests/platform/test_target_wire.py
@@ -106,7 +106,7 @@
         arrived=arrived,
         route=route("r", "/"),
         service="s",
-        workspace=Workspace(name="turf", priority=None, rate_per_s=0.0, burst=0.0),
+        workspace=Workspace(name="turf", rate_per_s=0.0, burst=0.0),
         regions=None,
         started=now,
         deadline=now + patience_s,
