Do not eject a target that sheds

Cause: three refusals of eight sends by a full target ejected it for 2.5 s and more; its objects then ran cold elsewhere, at three times the work, which filled the next one.

--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -134,6 +134,9 @@
             target.saw_success()
             self._crashes.saw_answer(request.fingerprint)
             return
+        if result.end is SendEnd.NOT_RUN:
+            # A full target is sound; leaving it would make its objects' work cold elsewhere.
+            return
         if result.end is SendEnd.NO_CONNECTION:
             self._saw_no_connection(request, target, now)
             return
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -181,3 +181,11 @@
     await asyncio.sleep(0.05)
     assert not any(target.down for target in path.book.by_id.values())
     path.prober.close()
+
+
+async def test_a_target_that_sheds_is_not_ejected() -> None:
+    path = Path(FakeWire(*[SHED] * 12))
+    for number in range(6):
+        await handle(path, arrived(request_id=str(number)))
+    now = asyncio.get_running_loop().time()
+    assert not any(target.is_ejected(now) for target in path.book.by_id.values())
