--- a/tests/peers/test_zmq_links.py
+++ b/tests/peers/test_zmq_links.py
@@ -27,6 +27,8 @@
 ANSWER_TIMEOUT_S = 5.0
 REFUSED_TIMEOUT_S = 0.4
 POLL_S = 0.02
+FARTHEST_ROUND_TRIP_S = 0.11
+HANDSHAKE_ROUND_TRIPS = 6
 
 
 class Host:
@@ -119,3 +121,18 @@
         await recorded.wait()
     assert await _ask_until_answered(first, "h2") == VouchReply(1, True)
     assert [event.kind for event in second.recorder.since(0)] == ["peer.bad_message"]
+
+
+@pytest.mark.parametrize(
+    ("unanswered_s", "silent"),
+    [(HANDSHAKE_ROUND_TRIPS * FARTHEST_ROUND_TRIP_S, False), (2.0, True)],
+)
+async def test_a_link_to_the_farthest_region_has_time_for_its_handshake(
+    hosts: tuple[Host, Host], unanswered_s: float, silent: bool
+) -> None:
+    first, second = hosts
+    first.links.update_directory([second.member])
+    connection = first.links._connections_by_host["h2"]
+    connection.was_answered = False
+    connection._unanswered_since = 0.0
+    assert connection.is_silent(unanswered_s) is silent
--- a/tests/platform/test_http_transport.py
+++ b/tests/platform/test_http_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from contextlib import asynccontextmanager
 from http import HTTPMethod
 from typing import TYPE_CHECKING
@@ -186,3 +187,22 @@
         for _ in range(3):
             assert (await table.read("", TIMEOUT_S)).revision == 1
             await asyncio.sleep(10 * STRAY_S)
+
+
+async def test_a_connect_that_nobody_answers_is_given_up_long_before_the_call() -> None:
+    """A link that heals must not wait for the kernel's next try, which comes ever later."""
+    with socket.socket() as deaf:
+        deaf.bind((ADDRESS, 0))
+        deaf.listen(0)
+        address = deaf.getsockname()
+        waiting = [socket.socket() for _ in range(3)]
+        for other in waiting:
+            other.setblocking(False)
+            other.connect_ex(address)
+        async with connected(f"http://{ADDRESS}:{address[1]}") as transport:
+            table = StoreTable(RowStore(transport))
+            async with asyncio.timeout(TIMEOUT_S):
+                with pytest.raises(PlatformUnavailableError):
+                    await table.read("", 10 * TIMEOUT_S)
+        for other in waiting:
+            other.close()
