--- a/tests/platform/test_http_transport.py
+++ b/tests/platform/test_http_transport.py
@@ -31,6 +31,7 @@
 TIMEOUT_S = 5.0
 SHORT_TIMEOUT_S = 0.1
 STRAY_S = 0.02
+IN_FORCE_S = 2.5
 CALL = HttpCall(HTTPMethod.POST, "/-/rows-tx", body=b"{}")
 WRITES = [Write("a", b"1")]
 
@@ -201,7 +202,7 @@
             other.connect_ex(address)
         async with connected(f"http://{ADDRESS}:{address[1]}") as transport:
             table = StoreTable(RowStore(transport))
-            async with asyncio.timeout(TIMEOUT_S):
+            async with asyncio.timeout(IN_FORCE_S):
                 with pytest.raises(PlatformUnavailableError):
                     await table.read("", 10 * TIMEOUT_S)
         for other in waiting:
