Refuse the least urgent at once while all targets are busy

Cause: priorities were decoded by nobody, and a request joined the line of a busy target however long that was. Ruled out: uneven homes (each object is asked for from one region; homes per object agree). Now hosts learn how long runs take; while all targets that may serve are busy, a request that is expected to end later than half way between aim and deadline (later for urgent ranks) is refused as not run. Waiting in line ejects no target.

--- a/src/flamingoladder/entry/chooser.py
+++ b/src/flamingoladder/entry/chooser.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from flamingoladder.steering.homes import HomePlan
+from flamingoladder.targets.run_times import RunTimes
 from flamingoladder.targets.state import TargetState
 
 if TYPE_CHECKING:
@@ -33,10 +34,25 @@
     cost: float
 
 
+class Overload(msgspec.Struct, frozen=True):
+    """All targets are busy, and the best would end the request ``late_s`` too late."""
+
+    best: Choice
+    late_s: float
+
+
 class TargetChooser:
     """Weighs path, queue, and whether the target has handled the object of late."""
 
-    __slots__ = ("_beliefs", "_book", "_members", "_plans_by_service", "_ramp", "_region", "_seen")
+    __slots__ = (
+        "_beliefs",
+        "_book",
+        "_members",
+        "_plans_by_service",
+        "_ramp",
+        "_region",
+        "_run_times",
+    )
 
     def __init__(
         self,
@@ -52,10 +68,16 @@
         self._ramp = ramp
         self._region = region
         self._plans_by_service: dict[str, HomePlan] = {}
-        self._seen = -1
+        self._run_times = RunTimes()
 
-    def choose(self, request: RoutedRequest, tried: Collection[str], now: float) -> Choice | None:
-        """Return the target to send to next, or None if none can take the request."""
+    def choose(
+        self, request: RoutedRequest, tried: Collection[str], now: float
+    ) -> Choice | Overload | None:
+        """Return the target to send to next, or None if none can take the request.
+
+        While a target has a free slot the request is sent. While all are busy it is not, if it
+        is expected to end later than it is wanted: targets would work on what comes too late.
+        """
         allowed = [
             target
             for target in self._book.members(request.service)
@@ -65,9 +87,12 @@
         ]
         usable = [target for target in allowed if not target.is_cold(now)]
         sound = [target for target in usable if not target.is_ejected(now)]
-        chosen = self._best(request, sound or usable, now)
+        reachable = sound or usable
+        chosen = self._best(request, reachable, now)
         if chosen is not None:
-            return chosen
+            late_s = now + self._expected_s(request, chosen) - request.wanted_by
+            all_busy = all(target.load(now) >= target.record.slots for target in reachable)
+            return Overload(chosen, late_s) if late_s > 0 and all_busy else chosen
         return self._cold(request, (target for target in allowed if target.is_cold(now)), now)
 
     def sending(self, target: TargetState, now: float) -> None:
@@ -76,6 +101,13 @@
         if target.is_cold(now):
             target.cold_sends.append(now)
 
+    def saw_run(self, request: RoutedRequest, choice: Choice, seconds: float) -> None:
+        """Learn from a run that was answered well how long runs take."""
+        if choice.load >= choice.target.record.slots:
+            return
+        if choice.is_home or request.object_key is None:
+            self._run_times.saw(request.service, request.route.name, seconds)
+
     def plan_of(self, service: str) -> HomePlan:
         """Return the homes of a service's objects."""
         plan = self._plans_by_service.get(service)
@@ -129,6 +161,13 @@
         path = 0.0 if target.region == self._region else AWAY_PART
         return path + (WARM_PART if warm else 1.0) + waiting * WARM_PART / slots
 
+    def _expected_s(self, request: RoutedRequest, choice: Choice) -> float:
+        """Return how long the request is expected to take at the target; 0 while unknown."""
+        usual_s = self._run_times.usual_s(request.service, request.route.name)
+        if usual_s is None:
+            return 0.0
+        return usual_s * choice.cost / (1.0 if request.object_key is None else WARM_PART)
+
     def _cold(
         self, request: RoutedRequest, targets: Iterable[TargetState], now: float
     ) -> Choice | None:
--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -8,13 +8,14 @@
 from expression import Error
 from expression import Ok
 
+from flamingoladder.entry.chooser import Choice
+from flamingoladder.entry.chooser import Overload
 from flamingoladder.entry.outcomes import SendEnd
 from flamingoladder.entry.outcomes import SendResult
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
-    from flamingoladder.entry.chooser import Choice
     from flamingoladder.entry.chooser import TargetChooser
     from flamingoladder.entry.crashes import CrashGuard
     from flamingoladder.entry.probing import TargetProber
@@ -94,7 +95,9 @@
             choice = self._chooser.choose(request, journey.tried, loop.time())
             if choice is None:
                 return self._refused(journey, last)
-            last = await self._send(request, choice.target)
+            if isinstance(choice, Overload):
+                return self._overloaded(journey, choice)
+            last = await self._send(request, choice)
             self._record(journey, choice, last, loop.time())
             if last.end is SendEnd.ANSWERED and last.answer is not None:
                 return Ok(last.answer)
@@ -102,8 +105,8 @@
             if not self._may_go_on(journey, last, loop.time()):
                 return self._refused(journey, last)
 
-    async def _send(self, request: RoutedRequest, target: TargetState) -> SendResult:
-        task = asyncio.create_task(self._run(request, target))
+    async def _send(self, request: RoutedRequest, choice: Choice) -> SendResult:
+        task = asyncio.create_task(self._run(request, choice))
         self._running.add(task)
         task.add_done_callback(self._running.discard)
         try:
@@ -115,26 +118,31 @@
             task.cancel()
             raise
 
-    async def _run(self, request: RoutedRequest, target: TargetState) -> SendResult:
+    async def _run(self, request: RoutedRequest, choice: Choice) -> SendResult:
         loop = asyncio.get_running_loop()
-        self._chooser.sending(target, loop.time())
+        target, started = choice.target, loop.time()
+        self._chooser.sending(target, started)
         try:
             result = await self._wire.send(request, target)
         finally:
             target.in_flight -= 1
-        self._take_in(request, target, result, loop.time())
+        now = loop.time()
+        if result.end is SendEnd.ANSWERED:
+            self._chooser.saw_run(request, choice, now - started)
+        self._take_in(request, choice, result, now)
         return result
 
     def _take_in(
-        self, request: RoutedRequest, target: TargetState, result: SendResult, now: float
+        self, request: RoutedRequest, choice: Choice, result: SendResult, now: float
     ) -> None:
+        target = choice.target
         if result.load is not None:
             target.saw_load(result.load, now)
         if result.end is SendEnd.ANSWERED:
             target.saw_success()
             self._crashes.saw_answer(request.fingerprint)
             return
-        if result.end is SendEnd.NOT_RUN:
+        if result.end is SendEnd.NOT_RUN or _waited_in_line(choice, result):
             # A full target is sound; leaving it would make its objects' work cold elsewhere.
             return
         if result.end is SendEnd.NO_CONNECTION:
@@ -165,6 +173,7 @@
             target=target.record.target_id,
             send=journey.sends + journey.unreached + 1,
             end=result.end.value,
+            object=request.arrived.affinity,
             home=choice.is_home,
             load=choice.load,
             cost=round(choice.cost, 2),
@@ -187,6 +196,17 @@
             return False
         return last.end is SendEnd.NO_CONNECTION or self._budgets.take(request.service, now)
 
+    def _overloaded(self, journey: Journey, overload: Overload) -> Outcome:
+        best = overload.best
+        detail = (
+            f"all targets are busy: {best.target.record.target_id} is the best with"
+            f" {best.load} requests, and would end this one {overload.late_s:.2f} s too late"
+        )
+        if journey.maybe_ran:
+            return Error(Refusal.may_have_run(Reason.NO_CAPACITY, detail))
+        wait_s = max(RETRY_AFTER_S, overload.late_s)
+        return Error(Refusal.not_run(Reason.NO_CAPACITY, detail, wait_s))
+
     def _refused(self, journey: Journey, last: SendResult) -> Outcome:
         if last.answer is not None:
             return Ok(last.answer)
@@ -194,3 +214,7 @@
         if journey.maybe_ran:
             return Error(Refusal.may_have_run(reason, last.detail))
         return Error(Refusal.not_run(reason, last.detail, RETRY_AFTER_S))
+
+
+def _waited_in_line(choice: Choice, result: SendResult) -> bool:
+    return result.end is SendEnd.TIMEOUT and choice.load >= choice.target.record.slots
--- a/src/flamingoladder/entry/handler.py
+++ b/src/flamingoladder/entry/handler.py
@@ -28,6 +28,7 @@
 
 NO_CONFIGURATION_RETRY_S = 0.5
 CRASHING_RETRY_S = 30.0
+LEAST_LATENESS = 0.5
 FAULT_DETAIL = "a fault in this host; its log has the error"
 
 
@@ -117,6 +118,7 @@
             regions=_regions(route, workspace),
             started=started,
             deadline=deadline,
+            wanted_by=_wanted_by(plan, route, workspace, started, deadline),
             work_until=deadline if route.idempotent else started + patience_s,
             fingerprint=fingerprint,
         )
@@ -151,6 +153,15 @@
     return workspace
 
 
+def _wanted_by(
+    plan: RoutePlan, route: Route, workspace: Workspace | None, started: float, deadline: float
+) -> float:
+    """Return a time between aim and deadline: half way, and later for more urgent requests."""
+    aim = min(started + route.aim_s, deadline)
+    lateness = LEAST_LATENESS + (1.0 - LEAST_LATENESS) * plan.urgency(route, workspace)
+    return aim + lateness * (deadline - aim)
+
+
 def _regions(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
     allowed = [route.regions, workspace.regions if workspace is not None else frozenset()]
     bounds = [regions for regions in allowed if regions]
--- a/src/flamingoladder/entry/request.py
+++ b/src/flamingoladder/entry/request.py
@@ -34,7 +34,8 @@
 class RoutedRequest:
     """A request that may be served. Times are monotonic seconds.
 
-    By ``deadline`` the caller is answered. Work that a target has begun may go on until
+    By ``deadline`` the caller is answered. While all targets are busy, the request is sent only if
+    it is expected to end by ``wanted_by``. Work that a target has begun may go on until
     ``work_until``: what is not idempotent is not broken off half way while its caller waits.
     """
 
@@ -47,6 +48,7 @@
         "route",
         "service",
         "started",
+        "wanted_by",
         "work_until",
         "workspace",
     )
@@ -61,6 +63,7 @@
         regions: frozenset[str] | None,
         started: float,
         deadline: float,
+        wanted_by: float,
         work_until: float,
         fingerprint: str,
     ) -> None:
@@ -71,6 +74,7 @@
         self.regions = regions
         self.started = started
         self.deadline = deadline
+        self.wanted_by = wanted_by
         self.work_until = work_until
         self.fingerprint = fingerprint
         self.object_key = _object_key(route, arrived.affinity)
--- a/src/flamingoladder/platform/configuration.py
+++ b/src/flamingoladder/platform/configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import chain
+
 import msgspec
 
 from flamingoladder.platform.exceptions import UnreadableRowError
@@ -11,6 +13,7 @@
 from flamingoladder.routing.model import RoutePlan
 from flamingoladder.routing.model import Service
 from flamingoladder.routing.model import Workspace
+from flamingoladder.routing.model import ranks_of
 
 VERSION_BASE = 16
 IDEMPOTENT = "idempotent"
@@ -35,6 +38,7 @@
     api_keys: tuple[str, ...] = ()
     rate_per_s: float | None = None
     burst: float | None = None
+    priority: int | None = None
     allowed_regions: tuple[str, ...] = ()
 
 
@@ -49,6 +53,8 @@
     path_prefix: str
     kind: str
     timeout_s: float
+    latency_slo_s: float | None = None
+    priority: int = 0
     service: str | None = None
     traffic_split: tuple[_Weighted, ...] = ()
     max_attempts: int = 1
@@ -81,12 +87,13 @@
     except (msgspec.DecodeError, ValueError) as error:
         raise UnreadableRowError(f"configuration: {error}") from error
     workspaces = [(_workspace(tenant), tenant.api_keys) for tenant in document.tenants]
+    routes_by_host = {
+        host.host.lower(): tuple(_route(host.host.lower(), path) for path in host.paths)
+        for host in document.virtual_hosts
+    }
     return RoutePlan(
         version=version,
-        routes_by_host={
-            host.host.lower(): tuple(_route(host.host.lower(), path) for path in host.paths)
-            for host in document.virtual_hosts
-        },
+        routes_by_host=routes_by_host,
         services_by_name={service.name: _service(service) for service in document.services},
         workspaces_by_key={key: workspace for workspace, keys in workspaces for key in keys},
         workspaces_by_name={workspace.name: workspace for workspace, _ in workspaces},
@@ -94,6 +101,10 @@
             max_header_bytes=document.limits.max_header_bytes,
             max_body_bytes=document.limits.max_body_bytes,
         ),
+        ranks=ranks_of(
+            chain.from_iterable(routes_by_host.values()),
+            (workspace for workspace, _ in workspaces),
+        ),
     )
 
 
@@ -112,6 +123,7 @@
         name=found.name,
         rate_per_s=found.rate_per_s or 0.0,
         burst=found.burst or 0.0,
+        rank=found.priority,
         regions=frozenset(found.allowed_regions),
     )
 
@@ -123,6 +135,8 @@
         prefix=found.path_prefix,
         idempotent=found.kind == IDEMPOTENT,
         timeout_s=found.timeout_s,
+        aim_s=found.timeout_s if found.latency_slo_s is None else found.latency_slo_s,
+        rank=found.priority,
         parts=_parts(found),
         max_targets=max(1, found.max_attempts),
         open=found.public,
--- a/src/flamingoladder/routing/model.py
+++ b/src/flamingoladder/routing/model.py
@@ -5,8 +5,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 
 class Part(msgspec.Struct, frozen=True):
     """The share of a route's requests that one service gets; shares add up to 1."""
@@ -20,6 +25,8 @@
 
     ``timeout_s`` bounds the wait for an answer, ``max_targets`` the targets that one request is
     sent to. ``regions`` names the only regions that may serve it; if it is empty, all may.
+    Within ``aim_s`` an answer is in time. ``rank`` orders what is refused when there is too much:
+    the highest number first.
     """
 
     name: str
@@ -27,6 +34,8 @@
     prefix: str
     idempotent: bool
     timeout_s: float
+    aim_s: float
+    rank: int
     parts: tuple[Part, ...]
     max_targets: int
     open: bool
@@ -48,11 +57,12 @@
 
 
 class Workspace(msgspec.Struct, frozen=True, kw_only=True):
-    """A workspace; a ``rate_per_s`` of 0 sets no limit."""
+    """A workspace; a ``rate_per_s`` of 0 sets no limit. A ``rank`` replaces those of routes."""
 
     name: str
     rate_per_s: float
     burst: float
+    rank: int | None = None
     regions: frozenset[str] = frozenset()
 
 
@@ -72,6 +82,7 @@
     workspaces_by_key: dict[str, Workspace]
     workspaces_by_name: dict[str, Workspace]
     limits: Limits
+    ranks: frozenset[int]
 
     def route_of(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``, or None."""
@@ -80,6 +91,23 @@
         ]
         return max(found, key=_prefix_length, default=None)
 
+    def urgency(self, route: Route, workspace: Workspace | None) -> float:
+        """Return the part of all ranks that come after this request's; 0 for the least urgent."""
+        own = _rank(route, workspace)
+        return sum(rank > own for rank in self.ranks) / len(self.ranks)
+
+
+def ranks_of(routes: Iterable[Route], workspaces: Iterable[Workspace]) -> frozenset[int]:
+    """Return all ranks that requests of a configuration may have."""
+    replaced = {workspace.rank for workspace in workspaces if workspace.rank is not None}
+    return frozenset({route.rank for route in routes} | replaced)
+
+
+def _rank(route: Route, workspace: Workspace | None) -> int:
+    if workspace is None or workspace.rank is None:
+        return route.rank
+    return workspace.rank
+
 
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
--- a/tests/entry/parts.py
+++ b/tests/entry/parts.py
@@ -81,6 +81,8 @@
             "prefix": f"/{name}/",
             "idempotent": True,
             "timeout_s": 1.0,
+            "aim_s": 0.5,
+            "rank": 2,
             "parts": (Part("s", 1.0),),
             "max_targets": 2,
             "open": False,
@@ -93,6 +95,7 @@
     turf = Workspace(name="turf", rate_per_s=0.0, burst=0.0)
     small = Workspace(name="small", rate_per_s=1.0, burst=1.0)
     north = Workspace(name="north", rate_per_s=0.0, burst=0.0, regions=frozenset({"r1"}))
+    urgent = Workspace(name="urgent", rate_per_s=0.0, burst=0.0, rank=1)
     routes = (route("get"), route("book", idempotent=False), route("open", open=True))
     return RoutePlan(
         version=1,
@@ -102,9 +105,10 @@
                 name="s", health_path="/healthz", max_connections=100, ramp_s=3.0, ramp_per_s=2.9
             )
         },
-        workspaces_by_key={"k": turf, "k-small": small, "k-north": north},
-        workspaces_by_name={"turf": turf, "small": small, "north": north},
+        workspaces_by_key={"k": turf, "k-small": small, "k-north": north, "k-urgent": urgent},
+        workspaces_by_name={"turf": turf, "small": small, "north": north, "urgent": urgent},
         limits=Limits(),
+        ranks=frozenset({1, 2}),
     )
 
 
@@ -121,7 +125,7 @@
         self.members = MemberBook("h0", recorder)
         self.told: list[object] = []
         self.crashes = CrashGuard(self.told.append)
-        chooser = TargetChooser(
+        self.chooser = chooser = TargetChooser(
             self.book, self.beliefs, self.members, ColdRamp("h0", 1.5, 5.0), "r1"
         )
         self.prober = TargetProber(self.book, self.beliefs, wire, self.crashes.saw_down, recorder)
--- /dev/null
+++ b/tests/entry/test_overload.py
@@ -0,0 +1,75 @@
+"""Tests of what is refused when all targets are busy."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from flamingoladder.targets.state import MIN_FAILURES
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Verdict
+from tests.entry.parts import SILENT
+from tests.entry.parts import FakeWire
+from tests.entry.parts import Path
+from tests.entry.parts import arrived
+
+SLOTS = 3
+RUN_S = 0.02
+RUNS = 10
+
+
+async def path_with_run_times(*, in_line: int) -> Path:
+    """Return a path whose host knows how long runs take, with all targets busy."""
+    path = Path(FakeWire())
+    for _ in range(RUNS):
+        path.chooser._run_times.saw("s", "get", RUN_S)
+    for target in path.book.by_id.values():
+        target.in_flight_elsewhere = SLOTS + in_line
+    return path
+
+
+@pytest.mark.parametrize(
+    ("in_line", "key", "sent"),
+    [
+        (0, "k", True),
+        (1_000, "k", False),
+        (1_000, "k-urgent", False),
+        (118, "k", False),
+        (118, "k-urgent", True),
+    ],
+)
+async def test_the_least_urgent_are_refused_first_when_they_would_be_late(
+    in_line: int, key: str, *, sent: bool
+) -> None:
+    path = await path_with_run_times(in_line=in_line)
+    outcome = await path.handler.handle(arrived(keys=(key,)), asyncio.get_running_loop().time())
+    assert bool(path.wire.sent) is sent
+    assert outcome.is_ok() is sent
+
+
+async def test_a_refusal_comes_at_once_and_tells_when_to_come_back() -> None:
+    path = await path_with_run_times(in_line=1_000)
+    outcome = await path.handler.handle(arrived(), asyncio.get_running_loop().time())
+    assert outcome.error.verdict is Verdict.NOT_RUN
+    assert outcome.error.reason is Reason.NO_CAPACITY
+    assert outcome.error.retry_after_s is not None
+    assert outcome.error.retry_after_s > 1.0
+
+
+async def test_nothing_is_refused_while_a_target_has_a_free_slot() -> None:
+    path = await path_with_run_times(in_line=1_000)
+    path.book.by_id["t1"].in_flight_elsewhere = SLOTS - 1
+    outcome = await path.handler.handle(arrived(), asyncio.get_running_loop().time())
+    assert outcome.is_ok()
+    assert path.wire.sent == ["t1"]
+
+
+async def test_a_wait_in_line_does_not_eject_a_target() -> None:
+    path = Path(FakeWire(*[SILENT] * MIN_FAILURES))
+    for target in path.book.by_id.values():
+        target.in_flight_elsewhere = SLOTS
+    for _ in range(MIN_FAILURES):
+        await path.handler.handle(arrived(), asyncio.get_running_loop().time())
+    now = asyncio.get_running_loop().time()
+    assert not any(target.is_ejected(now) for target in path.book.by_id.values())
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -68,6 +68,7 @@
     assert route is not None
     assert route.parts == (Part("a", 0.9), Part("b", 0.1))
     assert (route.idempotent, route.timeout_s, route.max_targets) == (True, 1.2, 2)
+    assert (route.aim_s, route.rank) == (0.6, 2)
     assert route.regions == {"north"}
     assert plan.workspaces_by_key["k2"].name == "turf"
     assert plan.workspaces_by_key["k3"].rate_per_s == 0
--- a/tests/platform/test_target_wire.py
+++ b/tests/platform/test_target_wire.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from math import inf
 from socket import SO_LINGER
 from socket import SOL_SOCKET
 from struct import pack
@@ -109,6 +110,7 @@
         workspace=Workspace(name="turf", rate_per_s=0.0, burst=0.0),
         regions=None,
         started=now,
+        wanted_by=inf,
         deadline=now + patience_s,
         work_until=now + patience_s,
         fingerprint="f",
--- a/tests/routing/test_model.py
+++ b/tests/routing/test_model.py
@@ -8,6 +8,7 @@
 from flamingoladder.routing.model import Part
 from flamingoladder.routing.model import Route
 from flamingoladder.routing.model import RoutePlan
+from flamingoladder.routing.model import Workspace
 
 
 def route(name: str, prefix: str, host: str = "a.example", *parts: Part) -> Route:
@@ -17,6 +18,8 @@
         prefix=prefix,
         idempotent=True,
         timeout_s=1.0,
+        aim_s=0.5,
+        rank=1,
         parts=parts or (Part("s", 1.0),),
         max_targets=2,
         open=True,
@@ -34,6 +37,7 @@
     workspaces_by_key={},
     workspaces_by_name={},
     limits=Limits(),
+    ranks=frozenset({0, 1, 2}),
 )
 
 
@@ -51,3 +55,13 @@
 def test_the_longest_prefix_of_the_host_is_chosen(host: str, path: str, name: str | None) -> None:
     found = PLAN.route_of(host, path)
     assert (found.name if found else None) == name
+
+
+@pytest.mark.parametrize(
+    ("workspace_rank", "urgency"), [(None, 1 / 3), (0, 2 / 3), (1, 1 / 3), (2, 0.0)]
+)
+def test_the_rank_of_a_workspace_replaces_that_of_the_route(
+    workspace_rank: int | None, urgency: float
+) -> None:
+    workspace = Workspace(name="turf", rate_per_s=0.0, burst=0.0, rank=workspace_rank)
+    assert PLAN.urgency(route("root", "/"), workspace) == pytest.approx(urgency)
--- /dev/null
+++ b/tests/targets/test_run_times.py
@@ -0,0 +1,26 @@
+"""Tests of what is learned of the durations of runs."""
+
+from __future__ import annotations
+
+import pytest
+
+from flamingoladder.targets.run_times import MIN_RUNS
+from flamingoladder.targets.run_times import RunTimes
+
+
+@pytest.mark.parametrize(
+    ("runs", "usual_s"),
+    [
+        ([], None),
+        ([0.3] * (MIN_RUNS - 1), None),
+        ([0.3] * MIN_RUNS, 0.3),
+        ([0.3] * 5 + [0.9] * 5, 0.3),
+        ([0.9] * 40 + [0.3] * 32, 0.3),
+    ],
+)
+def test_the_quicker_of_the_latest_runs_count(runs: list[float], usual_s: float | None) -> None:
+    times = RunTimes()
+    for seconds in runs:
+        times.saw("s", "get", seconds)
+    assert times.usual_s("s", "get") == usual_s
+    assert times.usual_s("s", "book") is None
