Let small workspaces lag by 60 requests in the fair queue

All waits above 0.3 s were at two hosts and of workspaces that had sent a few requests at once: the lag that a workspace may spend, its burst over its rate, was 0.5 s for all, the flooding one too; so four requests within 0.3 s stood behind all of the flood. Ruled out: too few slots at these hosts (other small workspaces waited 0.15 s there at most in the same seconds), late moves of slots.

--- a/src/flamingoladder/steering/fair_queue.py
+++ b/src/flamingoladder/steering/fair_queue.py
@@ -3,7 +3,8 @@
 Each request starts, in virtual time, where the last one of its workspace ended, and lasts one over
 its workspace's rate. The earliest start goes first. So each workspace with requests waiting is
 served in proportion to its rate. One that sent less than its part may lag behind the present by its
-burst, so that a few requests at once of a small workspace hardly wait for those of the others.
+burst, and any by at least ``MIN_LAG`` requests, so that a few requests at once of a small workspace
+hardly wait for those of the others.
 """
 
 from __future__ import annotations
@@ -20,6 +21,9 @@
     from flamingoladder.steering.chooser import Reservation
 
 
+MIN_LAG = 60.0
+
+
 class Weight:
     """A workspace's rate per second and burst, by which it is served."""
 
@@ -108,7 +112,7 @@
     ) -> Waiter:
         """Let a request wait; ``weight`` is its workspace's."""
         workspace = request.workspace or ""
-        earliest = self._now - weight.burst / weight.rate
+        earliest = self._now - max(weight.burst, MIN_LAG) / weight.rate
         start = max(earliest, self._ends_by_workspace.get(workspace, earliest))
         self._ends_by_workspace[workspace] = start + 1 / weight.rate
         self._joined += 1
