--- a/src/flamingoladder/peers/connection.py
+++ b/src/flamingoladder/peers/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from uuid import uuid4
 
 import zmq
 import zmq.asyncio
@@ -68,7 +69,10 @@
         self.member = member
         self._codec = codec
         self._socket = socket
-        self._refusals = socket.get_monitor_socket(zmq.EVENT_HANDSHAKE_FAILED_AUTH)
+        # The default address holds a descriptor, which a socket closed just before may still use.
+        self._refusals = socket.get_monitor_socket(
+            zmq.EVENT_HANDSHAKE_FAILED_AUTH, f"inproc://refusals-{uuid4()}"
+        )
         self._recorder = recorder
         self._questions = 0
         self._unanswered_since: float | None = None
--- a/tests/peers/test_zmq_links.py
+++ b/tests/peers/test_zmq_links.py
@@ -31,6 +31,7 @@
 POLL_S = 0.02
 FARTHEST_ROUND_TRIP_S = 0.11
 HANDSHAKE_ROUND_TRIPS = 6
+DESCRIPTORS = 500
 
 
 class Host:
@@ -108,6 +109,18 @@
     assert await _ask_until_answered(first, "h2") == VouchReply(1, True)
 
 
+async def test_a_link_opens_while_closed_sockets_still_hold_their_monitors(
+    hosts: tuple[Host, Host],
+) -> None:
+    first, second = hosts
+    closed_late = first.links._context.socket(zmq.PAIR)
+    for descriptor in range(DESCRIPTORS):
+        closed_late.bind(f"inproc://monitor.s-{descriptor}")
+    for host in hosts:
+        host.links.update_directory([first.member, second.member])
+    assert await _ask_until_answered(first, "h2") == VouchReply(1, True)
+
+
 async def test_a_claim_to_be_another_host_is_ignored(hosts: tuple[Host, Host]) -> None:
     first, second = hosts
     for host in hosts:
