Keep the baseline chooser with the bench; join what stood twice

The baseline (least in flight) is only measured against, so it moves to bench/ with its test. The phases of a stop, and hashes of targets, slots and hosts, stood twice. The guard wait_is_over was called by nobody: the announcer works the end of the wait out itself.

--- a/bench/steering_fleet.py
+++ b/bench/steering_fleet.py
@@ -12,13 +12,13 @@
 import yaml
 
 from bench.fleet import request as request_from
+from bench.least_in_flight import LeastInFlight
 from flamingoladder.config.agreed import AgreedState
 from flamingoladder.config.reader import validate
 from flamingoladder.members.state import Member
 from flamingoladder.standins.network import Network
 from flamingoladder.standins.state import SettableState
 from flamingoladder.steering.chooser import AttemptEnd
-from flamingoladder.steering.least_in_flight import LeastInFlight
 from flamingoladder.steering.slot_chooser import SlotChooser
 from flamingoladder.timeline.recorder import Recorder
 from flamingoladder.upstreams.health import HealthBoard
--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -13,9 +13,9 @@
 from flamingoladder.entry.metrics import CONTENT_TYPE
 from flamingoladder.entry.metrics import EntryMetrics
 from flamingoladder.entry.server import CallerGate
-from flamingoladder.entry.server import Phase
 from flamingoladder.entry.server import Port
 from flamingoladder.entry.slices import EntrySlices
+from flamingoladder.gateway.phase import Phase
 from flamingoladder.platform import callers
 from flamingoladder.platform import memberships
 from flamingoladder.platform import operators
--- a/src/flamingoladder/entry/server.py
+++ b/src/flamingoladder/entry/server.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import socket
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
 from flamingoladder.gateway.in_progress import InProgress
+from flamingoladder.gateway.phase import Phase
 from flamingoladder.transport.proof_of_life import require_acknowledgements
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
@@ -31,14 +31,6 @@
 LISTEN_TRIES = 25
 
 
-class Phase(Enum):
-    """How far the host has gone towards its stop."""
-
-    SERVING = 1
-    LEAVING = 2
-    STOPPING = 3
-
-
 class Port:
     """One listening port with its handler."""
 
--- a/src/flamingoladder/freshness/guards.py
+++ b/src/flamingoladder/freshness/guards.py
@@ -80,8 +80,3 @@
     it any more.
     """
     return now >= last_removal_at + wait_s
-
-
-def wait_is_over(since: float, wait_s: float, now: float) -> bool:
-    """Return whether every proof whose question was sent before ``since`` has ended."""
-    return now >= since + wait_s
--- a/src/flamingoladder/gateway/server.py
+++ b/src/flamingoladder/gateway/server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -19,6 +18,7 @@
 from flamingoladder.gateway.own_paths import OwnPaths
 from flamingoladder.gateway.own_paths import fate_unknown
 from flamingoladder.gateway.permission import other_hosts
+from flamingoladder.gateway.phase import Phase
 from flamingoladder.gateway.reply import outcome_response
 from flamingoladder.gateway.reply import refusal_response
 from flamingoladder.transport.proof_of_life import require_acknowledgements
@@ -44,14 +44,6 @@
 IDLE_S = 75.0
 
 
-class Phase(Enum):
-    """How far the server has gone towards its stop."""
-
-    SERVING = 1
-    LEAVING = 2
-    STOPPING = 3
-
-
 class GatewayServer:
     """Serves callers on one port.
 
--- a/src/flamingoladder/steering/division.py
+++ b/src/flamingoladder/steering/division.py
@@ -6,8 +6,7 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from xxhash import xxh64_intdigest
-
+from flamingoladder.hashing import stable_hash
 from flamingoladder.peers.link import Peer
 from flamingoladder.steering.messages import Slot
 from flamingoladder.upstreams.targets import declared_targets
@@ -125,4 +124,4 @@
 
 
 def _hash(slot: Slot, host: str) -> int:
-    return xxh64_intdigest(f"{slot.target}\0{slot.index}\0{host}".encode())
+    return stable_hash(slot.target, str(slot.index), host)
--- a/tests/bench/test_least_in_flight.py
+++ b/tests/bench/test_least_in_flight.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import pytest
+from bench.least_in_flight import LeastInFlight
 
 from flamingoladder.config.agreed import Drain
 from flamingoladder.config.agreed import DrainKind
@@ -13,7 +14,6 @@
 from flamingoladder.standins.loop import run_on_injected_time
 from flamingoladder.steering.chooser import AttemptEnd
 from flamingoladder.steering.chooser import Reservation
-from flamingoladder.steering.least_in_flight import LeastInFlight
 from flamingoladder.upstreams.health import HealthBoard
 from flamingoladder.upstreams.probe_messages import ProbeReply
 from flamingoladder.verdict import Reason
--- a/tests/upstreams/parts.py
+++ b/tests/upstreams/parts.py
@@ -7,13 +7,14 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from bench.least_in_flight import LeastInFlight
+
 from flamingoladder.config.model import Route
 from flamingoladder.config.model import Target
 from flamingoladder.gateway.permission import KeyedPermission
 from flamingoladder.gateway.request import CallerRequest
 from flamingoladder.keys.check import GrantedKeys
 from flamingoladder.standins.network import Network
-from flamingoladder.steering.least_in_flight import LeastInFlight
 from flamingoladder.timeline.recorder import Recorder
 from flamingoladder.upstreams.crash_guard import CrashGuard
 from flamingoladder.upstreams.dispatcher import UpstreamDispatcher
