--- a/src/flamingoladder/daemon/application.py
+++ b/src/flamingoladder/daemon/application.py
@@ -13,7 +13,6 @@
 from flamingoladder.daemon.identity import new_incarnation
 from flamingoladder.daemon.peer_messages import PEER_CODEC
 from flamingoladder.daemon.platform_services import PlatformServices
-from flamingoladder.daemon.supervision import supervised
 from flamingoladder.daemon.tls import tls_context
 from flamingoladder.daemon.upstream_side import UpstreamSide
 from flamingoladder.gateway.metrics import RequestMetrics
@@ -23,6 +22,7 @@
 from flamingoladder.peers.keys import LinkKeys
 from flamingoladder.peers.zmq_links import ZmqLinks
 from flamingoladder.platform.http_transport import HttpTransport
+from flamingoladder.supervision import supervised
 from flamingoladder.timeline.logs import log_handler
 from flamingoladder.timeline.merge import TimelineCollector
 from flamingoladder.timeline.metrics import EventMetrics
--- a/src/flamingoladder/daemon/host_slices.py
+++ b/src/flamingoladder/daemon/host_slices.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from flamingoladder.daemon.supervision import supervised
 from flamingoladder.freshness.keeper import StateKeeper
 from flamingoladder.freshness.settings import FreshnessSettings
 from flamingoladder.gateway.permission import KeyedPermission
@@ -14,6 +13,7 @@
 from flamingoladder.ledger.ledger import ClaimLedger
 from flamingoladder.shares.admission import ShareAdmission
 from flamingoladder.steering.lookup import MemberLookup
+from flamingoladder.supervision import supervised
 
 if TYPE_CHECKING:
     from flamingoladder.daemon.platform_services import PlatformServices
--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -24,9 +24,11 @@
 from flamingoladder.platform.registry import RegistryReader
 from flamingoladder.platform.watcher import TableWatcher
 from flamingoladder.routing.model import Limits
+from flamingoladder.supervision import supervised
 from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from flamingoladder.entry.request import ArrivedRequest
@@ -94,12 +96,10 @@
         self._follow(operators.TABLE, OperatorReader(slices.beliefs, slices.recorder))
         self._follow(registry.TABLE, RegistryReader(slices.targets, slices.recorder))
         self._follow(memberships.TABLE, slices.membership)
-        self._tasks += [
-            asyncio.create_task(slices.membership.register()),
-            asyncio.create_task(slices.exchange.run()),
-            asyncio.create_task(slices.objects.run()),
-            asyncio.create_task(self._keep_up()),
-        ]
+        self._run("registration", slices.membership.register)
+        self._run("reports", slices.exchange.run)
+        self._run("objects", slices.objects.run)
+        self._run("upkeep", self._keep_up)
         slices.recorder.record("host.started", address=self._settings.callers)
 
     async def stop(self) -> None:
@@ -144,7 +144,10 @@
 
     def _follow(self, table: str, reader: TableReader) -> None:
         watcher = TableWatcher(self._slices.store, table, reader, self._slices.recorder)
-        self._tasks.append(asyncio.create_task(watcher.run()))
+        self._run(table, watcher.run)
+
+    def _run(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(supervised(name, work, self._slices.recorder)))
 
     async def _keep_up(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/flamingoladder/peers/zmq_links.py
+++ b/src/flamingoladder/peers/zmq_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -20,6 +21,7 @@
 from flamingoladder.peers.link import Peer
 from flamingoladder.peers.link import PeerLinks
 from flamingoladder.peers.messages import Heartbeat
+from flamingoladder.supervision import supervised
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -99,7 +101,7 @@
         self._socket.curve_server = True
         self._socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
         self._socket.bind(endpoint)
-        self._task = asyncio.create_task(self._serve())
+        self._task = asyncio.create_task(supervised("links", self._serve, self._recorder))
 
     def close(self) -> None:
         """Drop all links."""
@@ -122,7 +124,10 @@
         for host, member in self._directory.by_host.items():
             if host not in self._connections_by_host:
                 self._open(member)
-                self._heartbeats_by_host[host] = asyncio.create_task(self._keep_alive(host))
+                keep_alive = supervised(
+                    f"link to {host}", partial(self._keep_alive, host), self._recorder
+                )
+                self._heartbeats_by_host[host] = asyncio.create_task(keep_alive)
 
     def register(self, message_type: type[M], handler: Handler[M]) -> None:
         """Call ``handler`` for each message of ``message_type``."""
--- a/tests/freshness/test_commits.py
+++ b/tests/freshness/test_commits.py
@@ -20,6 +20,7 @@
 from tests.freshness.fleet import WAIT_S
 from tests.freshness.fleet import Fleet
 from tests.freshness.fleet import renamed
+from tests.waiting import eventually
 
 if TYPE_CHECKING:
     from flamingoladder.freshness.changes import Change
@@ -56,8 +57,7 @@
         fleet = await _formed()
         version = fleet.state("h1").version
         commit = asyncio.create_task(fleet.committed(GrantKey(KeyGrant("k3", "camp", "d3")), "h5"))
-        while fleet.state("h5").version == version:
-            await asyncio.sleep(0.001)
+        await eventually(lambda: fleet.state("h5").version > version)
         assert fleet.state("h1").version == version
         newest = await fleet.keepers_by_host["h1"].newest()
         assert newest is not None
--- a/tests/daemon/test_supervision.py
+++ b/tests/test_supervision.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from flamingoladder.daemon.supervision import supervised
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.supervision import supervised
 from flamingoladder.timeline.recorder import Recorder
 
 
