Relieve a busy home at targets that handled the object of late

Now a host remembers the last 16 objects that each target handled for it. What a request is expected to take moved from the chooser to a module of its own.

--- a/src/flamingoladder/entry/chooser.py
+++ b/src/flamingoladder/entry/chooser.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from flamingoladder.entry import costs
 from flamingoladder.steering.homes import HomePlan
 from flamingoladder.targets.run_times import RunTimes
 from flamingoladder.targets.state import TargetState
@@ -20,8 +21,6 @@
     from flamingoladder.targets.book import TargetBook
     from flamingoladder.targets.ramp import ColdRamp
 
-WARM_PART = 0.3
-AWAY_PART = 0.12
 CONSIDERED = 4
 
 
@@ -42,7 +41,7 @@
 
 
 class TargetChooser:
-    """Weighs path, queue, and whether the target has handled the object of late."""
+    """Chooses by path, line, and whether the target has handled the object of late."""
 
     __slots__ = (
         "_beliefs",
@@ -88,12 +87,13 @@
         usable = [target for target in allowed if not target.is_cold(now)]
         sound = [target for target in usable if not target.is_ejected(now)]
         reachable = sound or usable
-        chosen = self._best(request, reachable, now)
-        if chosen is not None:
-            late_s = now + self._expected_s(request, chosen) - request.wanted_by
-            all_busy = all(target.load(now) >= target.record.slots for target in reachable)
-            return Overload(chosen, late_s) if late_s > 0 and all_busy else chosen
-        return self._cold(request, (target for target in allowed if target.is_cold(now)), now)
+        best = self._best(request, reachable, now)
+        if best is None:
+            return self._cold(request, (target for target in allowed if target.is_cold(now)), now)
+        late_s = now + self._expected_s(request, best) - request.wanted_by
+        if late_s > 0 and all(target.load(now) >= target.record.slots for target in reachable):
+            return Overload(best, late_s)
+        return best
 
     def sending(self, target: TargetState, now: float) -> None:
         """Count a send to the target."""
@@ -102,7 +102,9 @@
             target.cold_sends.append(now)
 
     def saw_run(self, request: RoutedRequest, choice: Choice, seconds: float) -> None:
-        """Learn from a run that was answered well how long runs take."""
+        """Learn from a run that was answered well."""
+        if request.object_key is not None:
+            choice.target.handled(request.object_key)
         if choice.load >= choice.target.record.slots:
             return
         if choice.is_home or request.object_key is None:
@@ -126,27 +128,39 @@
         self, request: RoutedRequest, targets: list[TargetState], now: float
     ) -> Choice | None:
         if request.object_key is None:
-            return self._cheapest(targets, None, now)
+            return self._cheapest(targets, None, None, now)
         by_id = {target.record.target_id: target for target in targets}
         plan = self.plan_of(request.service)
         plan.set_targets(self._regions_of_homes(request.service, now))
         plan.add((request.object_key,), self._region)
         order = [by_id[name] for name in plan.order(request.object_key) if name in by_id]
         if not order:
-            return self._cheapest(targets, None, now)
-        return self._cheapest(order[:CONSIDERED], order[0], now)
+            return self._cheapest(targets, None, None, now)
+        return self._cheapest(order[:CONSIDERED], order[0], request.object_key, now)
 
     def _cheapest(
-        self, targets: Iterable[TargetState], home: TargetState | None, now: float
+        self,
+        targets: Iterable[TargetState],
+        home: TargetState | None,
+        object_key: str | None,
+        now: float,
     ) -> Choice | None:
-        choices = [
-            Choice(
-                target, target is home, target.load(now), self._cost(target, target is home, now)
-            )
-            for target in targets
-        ]
+        choices = (self._choice(target, home, object_key, now) for target in targets)
         return min(choices, key=_cost_of, default=None)
 
+    def _choice(
+        self,
+        target: TargetState,
+        home: TargetState | None,
+        object_key: str | None,
+        now: float,
+    ) -> Choice:
+        load = target.load(now)
+        path = costs.path(away=target.region != self._region)
+        work = costs.work(target, home, object_key)
+        line = costs.line(load, target.record.slots)
+        return Choice(target, target is home, load, path + work + line)
+
     def _regions_of_homes(self, service: str, now: float) -> dict[str, str]:
         return {
             target.record.target_id: target.region
@@ -154,19 +168,12 @@
             if not target.is_cold(now)
         }
 
-    def _cost(self, target: TargetState, warm: bool, now: float) -> float:
-        """Return the expected time to completion, in runs of a request that is not warm."""
-        slots = target.record.slots
-        waiting = max(0, target.load(now) + 1 - slots)
-        path = 0.0 if target.region == self._region else AWAY_PART
-        return path + (WARM_PART if warm else 1.0) + waiting * WARM_PART / slots
-
     def _expected_s(self, request: RoutedRequest, choice: Choice) -> float:
         """Return how long the request is expected to take at the target; 0 while unknown."""
         usual_s = self._run_times.usual_s(request.service, request.route.name)
         if usual_s is None:
             return 0.0
-        return usual_s * choice.cost / (1.0 if request.object_key is None else WARM_PART)
+        return costs.seconds(choice.cost, usual_s, warm=request.object_key is not None)
 
     def _cold(
         self, request: RoutedRequest, targets: Iterable[TargetState], now: float
@@ -185,7 +192,7 @@
                 now,
             )
         ]
-        return self._cheapest(fitting, None, now)
+        return self._cheapest(fitting, None, None, now)
 
 
 def _cost_of(choice: Choice) -> float:
--- a/src/flamingoladder/targets/state.py
+++ b/src/flamingoladder/targets/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,7 @@
 MIN_FAILURES = 3
 EJECTION_S = 2.5
 MAX_EJECTION_S = 10.0
+OBJECTS_KEPT = 16
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -35,6 +37,7 @@
         "_ejection_s",
         "_load",
         "_load_at",
+        "_objects",
         "_outcomes",
         "cold_sends",
         "cold_until",
@@ -61,11 +64,13 @@
         self._load: LoadReport | None = None
         self._load_at = now
         self._outcomes: deque[bool] = deque(maxlen=OUTCOMES_KEPT)
+        self._objects: OrderedDict[str, None] = OrderedDict()
 
     def update(self, record: TargetRecord, now: float) -> None:
         """Take in a newer record; a new start forgets what was seen of the one before."""
         if record.started_ms != self.record.started_ms or record.address != self.record.address:
             self._outcomes.clear()
+            self._objects.clear()
             self.down = False
             self.ejected_until = now
             self._load = None
@@ -93,6 +98,17 @@
             return counted
         return max(counted, self._load.running + self._load.waiting)
 
+    def handled(self, object_key: str) -> None:
+        """Note that the target ran a request for the object to its end."""
+        self._objects[object_key] = None
+        self._objects.move_to_end(object_key)
+        if len(self._objects) > OBJECTS_KEPT:
+            self._objects.popitem(last=False)
+
+    def has_handled(self, object_key: str | None) -> bool:
+        """Return whether the object is among the latest that the target handled for this host."""
+        return object_key in self._objects
+
     def saw_success(self) -> None:
         """Count a request that was answered well."""
         self._outcomes.append(True)
--- a/tests/entry/test_overload.py
+++ b/tests/entry/test_overload.py
@@ -73,3 +73,19 @@
         await path.handler.handle(arrived(), asyncio.get_running_loop().time())
     now = asyncio.get_running_loop().time()
     assert not any(target.is_ejected(now) for target in path.book.by_id.values())
+
+
+async def test_a_target_that_handled_the_object_relieves_a_busy_home() -> None:
+    path = Path(FakeWire())
+    request = arrived()
+    now = asyncio.get_running_loop().time
+    await path.handler.handle(request, now())
+    [home] = path.wire.sent
+    path.book.by_id[home].in_flight_elsewhere = SLOTS + 2
+    others = [target for name, target in path.book.by_id.items() if name != home]
+    await path.handler.handle(request, now())
+    for target in others:
+        target.handled("get\00017")
+    await path.handler.handle(request, now())
+    assert path.wire.sent[1] == home
+    assert path.wire.sent[2] != home
