Bound how fast a region's requests move to other regions

The region's few targets fill at the start of traffic, and from seven waiting on every host sent elsewhere at once. Now the part of a host's requests that goes to other regions grows by a tenth of them in 2 s at most; what is beyond stays, or is refused if it would come too late.

--- a/src/flamingoladder/entry/chooser.py
+++ b/src/flamingoladder/entry/chooser.py
@@ -8,6 +8,7 @@
 
 from flamingoladder.entry import costs
 from flamingoladder.steering.homes import HomePlan
+from flamingoladder.steering.overflow import OverflowCap
 from flamingoladder.targets.run_times import RunTimes
 from flamingoladder.targets.state import TargetState
 
@@ -34,7 +35,7 @@
 
 
 class Overload(msgspec.Struct, frozen=True):
-    """All targets are busy, and the best would end the request ``late_s`` too late."""
+    """All targets that the request may go to are busy; the best would end it ``late_s`` too late."""
 
     best: Choice
     late_s: float
@@ -47,6 +48,7 @@
         "_beliefs",
         "_book",
         "_members",
+        "_overflow",
         "_plans_by_service",
         "_ramp",
         "_region",
@@ -68,6 +70,7 @@
         self._region = region
         self._plans_by_service: dict[str, HomePlan] = {}
         self._run_times = RunTimes()
+        self._overflow = OverflowCap()
 
     def choose(
         self, request: RoutedRequest, tried: Collection[str], now: float
@@ -91,13 +94,14 @@
         if best is None:
             return self._cold(request, (target for target in allowed if target.is_cold(now)), now)
         late_s = now + self._expected_s(request, best) - request.wanted_by
-        if late_s > 0 and all(target.load(now) >= target.record.slots for target in reachable):
+        if late_s > 0 and self._all_busy(reachable, best, now):
             return Overload(best, late_s)
         return best
 
     def sending(self, target: TargetState, now: float) -> None:
         """Count a send to the target."""
         target.in_flight += 1
+        self._overflow.count(now, away=target.region != self._region)
         if target.is_cold(now):
             target.cold_sends.append(now)
 
@@ -136,7 +140,26 @@
         order = [by_id[name] for name in plan.order(request.object_key) if name in by_id]
         if not order:
             return self._cheapest(targets, None, None, now)
-        return self._cheapest(order[:CONSIDERED], order[0], request.object_key, now)
+        home = order[0]
+        best = self._cheapest(order[:CONSIDERED], home, request.object_key, now)
+        if best is None or best.is_home or not self._overflows(home, best, now):
+            return best
+        near = [target for target in order if target.region == self._region]
+        return self._cheapest(near[:CONSIDERED], home, request.object_key, now)
+
+    def _all_busy(self, targets: Iterable[TargetState], best: Choice, now: float) -> bool:
+        """Return whether no target has a free slot, of those that the request may go to now."""
+        stays = best.target.region == self._region and not self._overflow.may_leave(now)
+        return all(
+            target.load(now) >= target.record.slots
+            for target in targets
+            if not stays or target.region == self._region
+        )
+
+    def _overflows(self, home: TargetState, best: Choice, now: float) -> bool:
+        """Return whether the request would leave the region of its home beyond the cap."""
+        leaves = home.region == self._region and best.target.region != self._region
+        return leaves and not self._overflow.may_leave(now)
 
     def _cheapest(
         self,
--- /dev/null
+++ b/tests/steering/test_overflow.py
@@ -0,0 +1,42 @@
+"""Tests of the cap on the growth of overflow to other regions."""
+
+from __future__ import annotations
+
+import pytest
+
+from flamingoladder.steering.overflow import LARGEST_STEP
+from flamingoladder.steering.overflow import WINDOW_S
+from flamingoladder.steering.overflow import OverflowCap
+
+REQUESTS = 100
+SPREAD = 37
+
+
+def _window(cap: OverflowCap, start: float, wanted: int) -> float:
+    """Send a window's requests, of which ``wanted`` would leave; return the part that did."""
+    away = 0
+    for number in range(REQUESTS):
+        now = start + WINDOW_S * number / REQUESTS
+        leaves = number * SPREAD % REQUESTS < wanted and cap.may_leave(now)
+        cap.count(now, away=leaves)
+        away += leaves
+    return away / REQUESTS
+
+
+@pytest.mark.parametrize("wanted", [0, 5, 40, 100])
+def test_the_part_away_grows_by_a_step_at_most(wanted: int) -> None:
+    cap = OverflowCap()
+    before = 0.0
+    for window in range(12):
+        part = _window(cap, WINDOW_S * window, wanted)
+        assert part <= before + LARGEST_STEP + 1e-9
+        before = part
+    assert before == pytest.approx(min(1.0, wanted / REQUESTS), abs=0.02)
+
+
+def test_a_few_requests_do_not_set_the_limit() -> None:
+    cap = OverflowCap()
+    assert _window(cap, 0.0, 0) == 0.0
+    cap.count(WINDOW_S, away=True)
+    assert not cap.may_leave(WINDOW_S)
+    assert _window(cap, 2 * WINDOW_S, REQUESTS) <= LARGEST_STEP
