--- a/src/flamingoladder/entry/chooser.py
+++ b/src/flamingoladder/entry/chooser.py
@@ -35,7 +35,7 @@
 
 
 class Overload(msgspec.Struct, frozen=True):
-    """All targets that the request may go to are busy; the best would end it ``late_s`` too late."""
+    """All targets that may be used are busy; the best would end the request ``late_s`` too late."""
 
     best: Choice
     late_s: float
