Keep rates by one mechanism for both ways of running; remove the loans between hosts

Cause: two mechanisms stood side by side for one duty. Loans of conserved units (shares/, 1,435 lines, two models, a hold of up to 300 ms) served the product's own interface, accounts by reports (limits/) the platform. Ruled out as reasons to keep both: wrongful refusals.

limits/admission.py brings the agreed state's workspaces and hosts to the accounts; a refusal that has not run gives its unit back there, too. What else used shares/ has its own: steering/cap_bucket.py (a part of a cap that changes hands, no loans), AgreedState.follows, Places.round_trip_s, steering/demand.py. models/division.py is the model of changing hands without loans, each guard with its mutant; the guard is_member had no effect there and is not listed. The setting hold_ms is gone. Golden files: only the DivisionAdopted messages left (18 lines), checked by diff; the reports that hosts repeat for ever are not written.

Tests that went with what was removed: tests/shares (lending, conservation, admission with loans). Kept in place: bucket (test_cap_bucket), follows (test_agreed), admission over a network (test_admission, new).

--- a/models/__main__.py
+++ b/models/__main__.py
@@ -17,7 +17,7 @@
 MODULES = (
     "models.at_most_once",
     "models.tickets",
-    "models.shares",
+    "models.division",
     "models.freshness",
 )
 
--- a/src/flamingoladder/config/agreed.py
+++ b/src/flamingoladder/config/agreed.py
@@ -79,6 +79,15 @@
     shifts: tuple[Shift, ...] = ()
     previous_division_version: int = 0
 
+    def follows(self, earlier: AgreedState) -> bool:
+        """Return whether no other division was in force between ``earlier`` and this state.
+
+        A host that skipped a division can't know what others own by it.
+        """
+        if self.previous_division_version == earlier.division_version:
+            return True
+        return self.version == earlier.version + 1
+
     @property
     def members_by_host(self) -> dict[str, Member]:
         """Return the registered hosts by name."""
@@ -105,7 +114,7 @@
 
     @abstractmethod
     def has_proof(self, now: float) -> bool:
-        """Return whether keyed work and spending of shares may go on at ``now``.
+        """Return whether keyed work and use of slots may go on at ``now``.
 
         ``now`` is monotonic time in seconds.
         """
--- a/src/flamingoladder/config/checks.py
+++ b/src/flamingoladder/config/checks.py
@@ -20,7 +20,7 @@
 
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 MAX_PORT = 65_535
-MAY_BE_ZERO = frozenset({"ramp_s", "hold_ms", "retry_budget_ratio", "clock_drift"})
+MAY_BE_ZERO = frozenset({"ramp_s", "retry_budget_ratio", "clock_drift"})
 
 
 def content_problems(deployment: Deployment) -> list[Problem]:
--- a/src/flamingoladder/daemon/host_slices.py
+++ b/src/flamingoladder/daemon/host_slices.py
@@ -11,7 +11,7 @@
 from flamingoladder.gateway.stages import GatewayStages
 from flamingoladder.keys.check import GrantedKeys
 from flamingoladder.ledger.ledger import ClaimLedger
-from flamingoladder.shares.admission import ShareAdmission
+from flamingoladder.limits.admission import RateAdmission
 from flamingoladder.steering.lookup import MemberLookup
 from flamingoladder.supervision import supervised
 
@@ -49,9 +49,7 @@
             FreshnessSettings(), own, table, objects, platform.host_list, links, recorder
         )
         self.ledger = ClaimLedger.from_config(table, objects, links, recorder, own, self.keeper)
-        self.admission = ShareAdmission.from_config(
-            links, self.keeper, recorder, own.host, own.incarnation
-        )
+        self.admission = RateAdmission(own, links, self.keeper, recorder)
         self.keys = GrantedKeys(self.keeper)
         self.permission = KeyedPermission(self.keeper, self.keys, own.host)
         self._tasks: list[asyncio.Task[None]] = []
@@ -78,8 +76,11 @@
     def start(self) -> None:
         """Join the other hosts."""
         self.keeper.start()
-        ledger = supervised("ledger", self.ledger.serve, self._recorder)
-        self._tasks = [asyncio.create_task(ledger)]
+        works = {"ledger": self.ledger.serve, "reports": self.admission.run}
+        self._tasks = [
+            asyncio.create_task(supervised(name, work, self._recorder))
+            for name, work in works.items()
+        ]
 
     async def leave(self, now: float) -> None:
         """Write what the ledger still holds, and give up this host's place."""
--- a/src/flamingoladder/demo/scenario.py
+++ b/src/flamingoladder/demo/scenario.py
@@ -70,7 +70,7 @@
             granted = await deployment.grant(workspace)
             granted_by_workspace[workspace] = granted
         await deployment.wait_until_serving(granted.key)
-        print("shares of rates and slots are in use")
+        print("slots are in use")
         for workspace, granted in granted_by_workspace.items():
             rate = deployment.deployment.rate_of(workspace) * LOAD
             self._traffic.add_source(granted.key_id, granted.key, rate)
--- a/src/flamingoladder/gateway/handler.py
+++ b/src/flamingoladder/gateway/handler.py
@@ -12,6 +12,7 @@
 from flamingoladder.gateway.permission import KeyedPermission
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
+from flamingoladder.verdict import Verdict
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -44,7 +45,8 @@
         """
         try:
             checked = await self.checks.check(request, request_id, now)
-            refusal = await self._stages.admission.admit(checked)
+            admission = self._stages.admission
+            refusal = await admission.admit(checked, asyncio.get_running_loop().time())
         except RefusedError as error:
             self._record_refusal(request_id, None, error.refusal)
             return Error(error.refusal)
@@ -52,6 +54,8 @@
             self._record_fault(request_id, error)
             return Error(Refusal.not_run(Reason.INTERNAL_ERROR, FAULT_DETAIL))
         outcome = await self._run(checked) if refusal is None else Error(refusal)
+        if refusal is None and outcome.is_error() and outcome.error.verdict is Verdict.NOT_RUN:
+            self._stages.admission.give_back(checked)
         self._record_outcome(checked, outcome)
         return outcome
 
--- a/src/flamingoladder/gateway/stages.py
+++ b/src/flamingoladder/gateway/stages.py
@@ -26,11 +26,12 @@
     """Holds each workspace to its rate and burst over all hosts together."""
 
     @abstractmethod
-    async def admit(self, request: CallerRequest) -> Refusal | None:
-        """Return None once the request is paid for, or a refusal.
+    async def admit(self, request: CallerRequest, now: float) -> Refusal | None:
+        """Return None once the request is counted at ``now`` (monotonic s), or a refusal."""
 
-        The request may be held inside its deadline while a loan is on its way.
-        """
+    @abstractmethod
+    def give_back(self, request: CallerRequest) -> None:
+        """Count a request no longer that was admitted and certainly has not run."""
 
 
 class Ledger(ABC):
--- a/src/flamingoladder/shares/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""Allowances divided into disjoint shares, and loans between hosts."""
-
-from __future__ import annotations
--- a/src/flamingoladder/standins/deployment.py
+++ b/src/flamingoladder/standins/deployment.py
@@ -186,8 +186,8 @@
     async def wait_until_serving(self, key: str) -> None:
         """Return once every host runs requests of ``key``.
 
-        A host that has just started may use its shares of rates and slots only when no earlier
-        owner can: after the term of a proof and the longest deadline.
+        A host that has just started may use its slots only when no earlier owner can: after the
+        term of a proof and the longest deadline.
 
         :raises TimeoutError: if that takes too long.
         """
--- a/src/flamingoladder/steering/need.py
+++ b/src/flamingoladder/steering/need.py
@@ -5,7 +5,7 @@
 from math import ceil
 from math import sqrt
 
-from flamingoladder.shares.demand import Demand
+from flamingoladder.steering.demand import Demand
 
 FIRST_DURATION_S = 0.05
 DURATION_SMOOTHING = 0.05
--- a/src/flamingoladder/steering/shift_cap.py
+++ b/src/flamingoladder/steering/shift_cap.py
@@ -1,4 +1,4 @@
-"""The cap on a shift of traffic, divided among all hosts in conserved units."""
+"""The cap on a shift of traffic, divided among the hosts that the traffic enters at."""
 
 from __future__ import annotations
 
@@ -8,10 +8,9 @@
 from math import isinf
 from typing import TYPE_CHECKING
 
-from flamingoladder.shares.bucket import NANOS_PER_UNIT
-from flamingoladder.shares.bucket import Bucket
-from flamingoladder.shares.bucket import Part
-from flamingoladder.shares.division import follows
+from flamingoladder.steering.cap_bucket import NOTHING
+from flamingoladder.steering.cap_bucket import CapBucket
+from flamingoladder.steering.cap_bucket import CapPart
 
 if TYPE_CHECKING:
     from random import Random
@@ -35,13 +34,13 @@
     def __init__(self, shift: Shift, now: float) -> None:
         self.shift = shift
         self.division_version = 0
-        self.bucket = Bucket(now)
+        self.bucket = CapBucket(now)
         self.grow_at = inf
 
     def has_token(self, now: float) -> bool:
         """Return whether one more request may move."""
         self.bucket.advance(now)
-        return self.bucket.tokens >= NANOS_PER_UNIT
+        return self.bucket.tokens >= 1
 
 
 class ShiftCaps:
@@ -71,7 +70,7 @@
         grow_at = max(
             now + defaults.proof_s * (1 + defaults.clock_drift), self._state.division_settles_at()
         )
-        known = earlier is not None and follows(earlier, state)
+        known = earlier is not None and state.follows(earlier)
         shifts = {shift.shift_id: shift for shift in state.shifts}
         for gone in self._parts_by_id.keys() - shifts.keys():
             del self._parts_by_id[gone]
@@ -117,15 +116,15 @@
         return [part for part in self._parts_by_id.values() if part.shift.service == service]
 
 
-def _part_of(shift: Shift, state: AgreedState, own: Peer) -> Part:
+def _part_of(shift: Shift, state: AgreedState, own: Peer) -> CapPart:
     """Return this host's part of the cap; a burst that doesn't divide goes to the first hosts."""
     hosts = sorted(m.host for m in state.members if m.region == shift.from_region)
     member = state.members_by_host.get(own.host)
     if member is None or member.incarnation != own.incarnation or own.host not in hosts:
-        return Part(0, 0)
+        return NOTHING
     units = max(1, ceil(shift.cap_per_s * BURST_S))
     whole, left = divmod(units, len(hosts))
     mine = whole + (hosts.index(own.host) < left)
     rate = shift.cap_per_s / (1 + state.deployment.defaults.clock_drift)
     sharing = len(hosts) if whole else left
-    return Part(mine * NANOS_PER_UNIT, int(rate / sharing * NANOS_PER_UNIT) if mine else 0)
+    return CapPart(mine, rate / sharing if mine else 0.0)
--- a/src/flamingoladder/steering/slot_sharing.py
+++ b/src/flamingoladder/steering/slot_sharing.py
@@ -7,8 +7,6 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.peers.link import Peer
-from flamingoladder.shares.asking import round_trip_s
-from flamingoladder.shares.division import follows
 from flamingoladder.steering.book import SETTLE_S
 from flamingoladder.steering.book import SlotBook
 from flamingoladder.steering.conversation import HOLD_S
@@ -146,7 +144,7 @@
         for service in state.deployment.services:
             self.needs_by_service.setdefault(service, Need(now))
         self._running_s = _longest_run_s(earlier or state, state)
-        known = earlier is not None and follows(earlier, state)
+        known = earlier is not None and state.follows(earlier)
         self._divide(now, known=known)
         defaults = state.deployment.defaults
         self._leasing.adopt(state.division_version, longest_deadline_s(state), defaults.clock_drift)
@@ -301,11 +299,11 @@
         self._leasing.far_hosts = frozenset(
             member.host for member in others if member.region != here.region
         )
-        others.sort(key=lambda member: round_trip_s(places, here, member))
+        others.sort(key=lambda member: places.round_trip_s(here.region, member.region))
         for there in others:
             talk = SlotConversation(
                 Peer(there.host, there.incarnation),
-                round_trip_s(places, here, there),
+                places.round_trip_s(here.region, there.region),
                 self._links,
                 self._leasing,
                 self.book,
