Refuse what its home shed instead of running it cold at another busy target

Cause: ladder store-away, log of all hosts: two targets that alone may serve one workspace shed 1,652 of 2,343 sends, and each ran 115 of its 117 objects, so few stayed warm. A target that had shed a request was left out before the home was looked up, so the next in the object's order passed for its home: cost 0.3, home=True. Ruled out: other workspaces' load there (22 of 593 answers at the service's two targets).

Now the home is found among all targets that can take the request, and while all are busy a request that its home shed is refused, not run, unless another target has handled its object. request.sent names the workspace.

Test that failed first: test_what_its_home_shed_makes_no_busy_target_run_it_cold.

--- a/src/flamingoladder/entry/chooser.py
+++ b/src/flamingoladder/entry/chooser.py
@@ -26,16 +26,23 @@
 
 
 class Choice(msgspec.Struct, frozen=True):
-    """A target, and what spoke for it: ``load`` in requests, ``cost`` in runs that are not warm."""
+    """A target, and what spoke for it: ``load`` in requests, ``cost`` in runs that are not warm.
+
+    ``is_warm`` tells that it has handled the object of late, or that there is no object.
+    """
 
     target: TargetState
     is_home: bool
+    is_warm: bool
     load: int
     cost: float
 
 
 class Overload(msgspec.Struct, frozen=True):
-    """All targets that may be used are busy; the best would end the request ``late_s`` too late."""
+    """All targets that may be used are busy, and the best one should not get the request as well.
+
+    It would end it ``late_s`` too late, or, if that is not above 0, its run would not be warm.
+    """
 
     best: Choice
     late_s: float
@@ -78,25 +85,24 @@
         """Return the target to send to next, or None if none can take the request.
 
         While a target has a free slot the request is sent. While all are busy it is not, if it
-        is expected to end later than it is wanted: targets would work on what comes too late.
+        is expected to end later than it is wanted: targets would work on what comes too late. Nor
+        is it, once its home has shed it, sent where its run would take the time of several others.
         """
         allowed = [
             target
             for target in self._book.members(request.service)
-            if target.record.target_id not in tried
-            and not target.down
-            and (request.regions is None or target.region in request.regions)
+            if not target.down and (request.regions is None or target.region in request.regions)
         ]
         usable = [target for target in allowed if not target.is_cold(now)]
-        sound = [target for target in usable if not target.is_ejected(now)]
-        reachable = sound or usable
-        best = self._best(request, reachable, now)
+        reachable = _sound(_untried(usable, tried), now)
+        best = self._best(request, _sound(usable, now), reachable, now)
         if best is None:
-            return self._cold(request, (target for target in allowed if target.is_cold(now)), now)
+            cold = [target for target in _untried(allowed, tried) if target.is_cold(now)]
+            return self._cold(request, cold, now)
         if not self._all_busy(reachable, best, now):
             return best
         late_s = now + self._expected_s(request, best) - request.wanted_by
-        return Overload(best, late_s) if late_s > 0 else best
+        return Overload(best, late_s) if late_s > 0 or not best.is_warm else best
 
     def sending(self, target: TargetState, now: float) -> None:
         """Count a send to the target."""
@@ -129,20 +135,25 @@
         }
 
     def _best(
-        self, request: RoutedRequest, targets: list[TargetState], now: float
+        self,
+        request: RoutedRequest,
+        homes: list[TargetState],
+        reachable: list[TargetState],
+        now: float,
     ) -> Choice | None:
+        """Return the cheapest of the ``reachable`` targets; the first of ``homes`` is home."""
         if request.object_key is None:
-            return self._cheapest(targets, None, None, now)
-        by_id = {target.record.target_id: target for target in targets}
+            return self._cheapest(reachable, None, None, now)
+        home_by_id = {target.record.target_id: target for target in homes}
+        by_id = {target.record.target_id: target for target in reachable}
         plan = self.plan_of(request.service)
         plan.set_targets(self._regions_of_homes(request.service, now))
         plan.add((request.object_key,), self._region)
-        order = [by_id[name] for name in plan.order(request.object_key) if name in by_id]
-        if not order:
-            return self._cheapest(targets, None, None, now)
-        home = order[0]
+        names = plan.order(request.object_key)
+        home = next((home_by_id[name] for name in names if name in home_by_id), None)
+        order = [by_id[name] for name in names if name in by_id]
         best = self._cheapest(order[:CONSIDERED], home, request.object_key, now)
-        if best is None or best.is_home or not self._overflows(home, best, now):
+        if best is None or home is None or not self._overflows(home, best, now):
             return best
         near = [target for target in order if target.region == self._region]
         return self._cheapest(near[:CONSIDERED], home, request.object_key, now)
@@ -182,7 +193,8 @@
         path = costs.path(away=target.region != self._region)
         work = costs.work(target, home, object_key)
         line = costs.line(load, target.record.slots)
-        return Choice(target, target is home, load, path + work + line)
+        is_warm = object_key is None or work < costs.COLD_PART
+        return Choice(target, target is home, is_warm, load, path + work + line)
 
     def _regions_of_homes(self, service: str, now: float) -> dict[str, str]:
         return {
@@ -218,5 +230,14 @@
         return self._cheapest(fitting, None, None, now)
 
 
+def _sound(targets: list[TargetState], now: float) -> list[TargetState]:
+    """Return the targets that are not ejected, or all if there are none."""
+    return [target for target in targets if not target.is_ejected(now)] or targets
+
+
+def _untried(targets: Iterable[TargetState], tried: Collection[str]) -> list[TargetState]:
+    return [target for target in targets if target.record.target_id not in tried]
+
+
 def _cost_of(choice: Choice) -> float:
     return choice.cost
--- a/src/flamingoladder/entry/costs.py
+++ b/src/flamingoladder/entry/costs.py
@@ -9,6 +9,7 @@
 
 WARM_PART = 0.3
 HANDLED_PART = 0.45
+COLD_PART = 1.0
 AWAY_PART = 0.12
 
 
@@ -21,7 +22,7 @@
     """Return what a run takes; away from the object's home warmth is less sure."""
     if target is home:
         return WARM_PART
-    return HANDLED_PART if target.has_handled(object_key) else 1.0
+    return HANDLED_PART if target.has_handled(object_key) else COLD_PART
 
 
 def line(load: int, slots: int) -> float:
--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -175,6 +175,7 @@
         self._recorder.record(
             "request.sent",
             request=request.arrived.request_id,
+            workspace=None if request.workspace is None else request.workspace.name,
             route=request.route.name,
             target=target.record.target_id,
             send=journey.sends + journey.unreached + 1,
@@ -205,12 +206,13 @@
         return last.end is SendEnd.NO_CONNECTION or self._budgets.take(request.service, now)
 
     def _overloaded(self, journey: Journey, overload: Overload) -> Outcome:
-        best = overload.best
+        best, late_s = overload.best, overload.late_s
+        why = f"end this one {late_s:.2f} s too late" if late_s > 0 else "need a cold run for it"
         detail = (
             f"all targets are busy: {best.target.record.target_id} is the best with"
-            f" {best.load} requests, and would end this one {overload.late_s:.2f} s too late"
+            f" {best.load} requests, and would {why}"
         )
-        wait_s = max(RETRY_AFTER_S, overload.late_s)
+        wait_s = max(RETRY_AFTER_S, late_s)
         return Error(journey.refusal(Reason.NO_CAPACITY, detail, wait_s))
 
     def _refused(self, journey: Journey, last: SendResult) -> Outcome:
--- a/tests/entry/test_overload.py
+++ b/tests/entry/test_overload.py
@@ -9,6 +9,7 @@
 from flamingoladder.targets.state import MIN_FAILURES
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
+from tests.entry.parts import SHED
 from tests.entry.parts import SILENT
 from tests.entry.parts import FakeWire
 from tests.entry.parts import Path
@@ -65,6 +66,26 @@
     assert path.wire.sent == ["t1"]
 
 
+@pytest.mark.parametrize(
+    ("load_elsewhere", "handled", "sends"),
+    [(SLOTS - 1, False, 2), (SLOTS, False, 1), (SLOTS, True, 2)],
+)
+async def test_what_its_home_shed_makes_no_busy_target_run_it_cold(
+    load_elsewhere: int, *, handled: bool, sends: int
+) -> None:
+    path = Path(FakeWire(SHED))
+    for target in path.book.by_id.values():
+        target.in_flight_elsewhere = load_elsewhere
+        if handled:
+            target.handled("get\00017")
+    outcome = await path.handler.handle(arrived(), asyncio.get_running_loop().time())
+    assert len(path.wire.sent) == sends
+    assert outcome.is_ok() is (sends == 2)
+    if outcome.is_error():
+        assert outcome.error.reason is Reason.NO_CAPACITY
+        assert outcome.error.verdict is Verdict.NOT_RUN
+
+
 async def test_a_wait_in_line_does_not_eject_a_target() -> None:
     path = Path(FakeWire(*[SILENT] * MIN_FAILURES))
     for target in path.book.by_id.values():
