Open ports by one class; check the settings file on SIGHUP

The gateway and the entry host opened their ports alike, each in its own words; transport/port.py serves both. A port that another process has just left is tried again for some seconds at both (only at the entry host before). SIGHUP only left a line. Now the file is read anew: a file that can't be used is named with its error, and what differs is named as taking effect at the next start. Test: test_reload (failed first: nothing was read).

--- a/src/flamingoladder/console/commands/entry.py
+++ b/src/flamingoladder/console/commands/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import sys
+from functools import partial
 
 import logbook
 
@@ -31,7 +32,8 @@
     try:
         handler = BoundedHandler(sys.stdout.fileno(), logbook.lookup_level(log_level.upper()))
         with handler.applicationbound():
-            asyncio.run(run_host(found, lambda: handler.dropped))
+            read_anew = partial(read_settings_file, path)
+            asyncio.run(run_host(found, lambda: handler.dropped, read_anew))
     except (OSError, LookupError) as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return ExitCode.REFUSED
--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -9,22 +9,23 @@
 
 from aiohttp import web
 
+from flamingoladder.entry.gate import CallerGate
 from flamingoladder.entry.intake import read_body
 from flamingoladder.entry.metrics import CONTENT_TYPE
 from flamingoladder.entry.metrics import EntryMetrics
-from flamingoladder.entry.server import CallerGate
-from flamingoladder.entry.server import Port
 from flamingoladder.entry.slices import EntrySlices
 from flamingoladder.gateway.phase import Phase
 from flamingoladder.platform import callers
 from flamingoladder.platform import memberships
 from flamingoladder.platform import operators
 from flamingoladder.platform import registry
+from flamingoladder.platform.exceptions import SettingsFileError
 from flamingoladder.platform.operators import OperatorReader
 from flamingoladder.platform.registry import RegistryReader
 from flamingoladder.platform.watcher import TableWatcher
 from flamingoladder.routing.model import Limits
 from flamingoladder.supervision import supervised
+from flamingoladder.transport.port import Port
 from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
@@ -34,12 +35,15 @@
     from flamingoladder.entry.request import ArrivedRequest
     from flamingoladder.entry.settings import HostSettings
     from flamingoladder.platform.watcher import TableReader
+    from flamingoladder.transport.port import Handle
 
 LINGER_S = 3.0
 EXIT_MARGIN_S = 0.4
 FAREWELL_S = 0.1
 UPKEEP_INTERVAL_S = 0.25
 NO_ROUTE = "none"
+MAX_FIELD_BYTES = 65_536
+CLOSE_TIMEOUT_S = 0.2
 
 
 def _none_dropped() -> float:
@@ -58,10 +62,10 @@
         self._metrics.follow(self._slices.recorder.events)
         self._gate = CallerGate(self._serve, _refuse)
         self._ports = [
-            (Port(self._gate.handle), settings.callers),
-            (Port(self._ready), settings.health),
-            (Port(self._lookup), settings.lookups),
-            (Port(self._expose), settings.metrics),
+            (_port(self._gate.handle), settings.callers),
+            (_port(self._ready), settings.health),
+            (_port(self._lookup), settings.lookups),
+            (_port(self._expose), settings.metrics),
         ]
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -92,7 +96,7 @@
         slices = self._slices
         slices.links.start(f"tcp://{self._settings.peers}")
         for port, endpoint in self._ports:
-            await port.open(endpoint)
+            await port.open(endpoint.address, endpoint.port)
         self._follow(operators.TABLE, OperatorReader(slices.beliefs, slices.recorder))
         self._follow(registry.TABLE, RegistryReader(slices.targets, slices.recorder))
         self._follow(memberships.TABLE, slices.membership)
@@ -130,9 +134,23 @@
             await port.close()
         await self._slices.close()
 
-    def reload(self) -> None:
-        """Note that the settings file changed; nothing in it changes while a host runs."""
-        self._slices.recorder.record("host.reloaded")
+    def reload(self, read_settings: Callable[[], HostSettings]) -> None:
+        """Check the settings file anew and say what differs; that takes effect at the next start.
+
+        Ports, addresses and the name of a host stay as they are while it runs.
+        """
+        recorder = self._slices.recorder
+        try:
+            found = read_settings()
+        except SettingsFileError as error:
+            recorder.record("host.settings_refused", error=error)
+            return
+        changed = [
+            name
+            for name in found.__struct_fields__
+            if getattr(found, name) != getattr(self._settings, name)
+        ]
+        recorder.record("host.reloaded", changed_for_next_start=",".join(changed))
 
     @property
     def _is_ready(self) -> bool:
@@ -194,9 +212,15 @@
         return web.Response(body=self._metrics.text(), headers={"Content-Type": CONTENT_TYPE})
 
 
-async def run_host(settings: HostSettings, dropped_lines: Callable[[], float]) -> None:
+async def run_host(
+    settings: HostSettings,
+    dropped_lines: Callable[[], float],
+    read_settings: Callable[[], HostSettings],
+) -> None:
     """Run an entry host until SIGTERM or SIGINT, then stop it gracefully.
 
+    ``read_settings`` reads the settings anew on SIGHUP.
+
     :raises OSError: if a port can't be had.
     """
     asked_to_stop = asyncio.Event()
@@ -204,7 +228,7 @@
     host = EntryHost.from_config(settings, dropped_lines)
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, asked_to_stop.set)
-    loop.add_signal_handler(signal.SIGHUP, host.reload)
+    loop.add_signal_handler(signal.SIGHUP, host.reload, read_settings)
     await host.start()
     # What was imported and built lives for good: the collector need not look at it again.
     gc.collect()
@@ -213,5 +237,9 @@
     await host.stop()
 
 
+def _port(handle: Handle) -> Port:
+    return Port.of_handler(handle, MAX_FIELD_BYTES, CLOSE_TIMEOUT_S)
+
+
 def _refuse(refusal: Refusal) -> web.Response:
     return callers.refusal_response(refusal, "")
--- a/src/flamingoladder/gateway/server.py
+++ b/src/flamingoladder/gateway/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -21,7 +20,7 @@
 from flamingoladder.gateway.phase import Phase
 from flamingoladder.gateway.reply import outcome_response
 from flamingoladder.gateway.reply import refusal_response
-from flamingoladder.transport.proof_of_life import require_acknowledgements
+from flamingoladder.transport.port import Port
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
@@ -38,14 +37,11 @@
 
 MAX_FIELD_BYTES = 1_048_576
 MAX_FIELDS = 10_000
-BACKLOG = 1_024
-CALLER_SILENCE_S = 10.0
 CLOSE_TIMEOUT_S = 5.0
-IDLE_S = 75.0
 
 
 class GatewayServer:
-    """Serves callers on one port.
+    """Serves callers on one port; once it is open, ``port`` is the one in use.
 
     A graceful shutdown is ``leave()`` once the look-up no longer names this host, a wait of one
     look-up lifetime, then ``stop()``.
@@ -59,9 +55,9 @@
         "_own",
         "_phase",
         "_port",
-        "_runner",
         "_ssl",
         "_stages",
+        "port",
     )
 
     def __init__(
@@ -69,46 +65,28 @@
     ) -> None:
         self._stages = stages
         self._host = host
-        self._port = port
+        self.port = port
         self._ssl = ssl_context
         self._in_progress = InProgress()
         self._handler = RequestHandler(stages, self._in_progress)
         self._own = OwnPaths(stages, self._handler.checks)
         self._phase = Phase.SERVING
         self._ended: Subject[RequestEnded] = Subject()
-        self._runner: web.AppRunner | None = None
+        self._port = Port.of_application(
+            self._application(), MAX_FIELD_BYTES, MAX_FIELDS, CLOSE_TIMEOUT_S
+        )
 
     @property
     def ended(self) -> Observable[RequestEnded]:
         """Return the stream of requests under ``/services/`` that have their outcome."""
         return self._ended
 
-    @property
-    def port(self) -> int:
-        """Return the port in use; it differs from the one asked for if that was 0."""
-        return self._port
-
     async def start(self) -> None:
         """Listen for callers.
 
         :raises OSError: if the port can't be had.
         """
-        self._runner = web.AppRunner(
-            self._application(),
-            access_log=None,
-            handler_cancellation=True,
-            auto_decompress=False,
-            max_line_size=MAX_FIELD_BYTES,
-            max_field_size=MAX_FIELD_BYTES,
-            max_headers=MAX_FIELDS,
-            shutdown_timeout=CLOSE_TIMEOUT_S,
-            keepalive_timeout=IDLE_S,
-        )
-        await self._runner.setup()
-        listening = socket.create_server((self._host, self._port), backlog=BACKLOG)
-        require_acknowledgements(listening, CALLER_SILENCE_S)
-        await web.SockSite(self._runner, listening, ssl_context=self._ssl).start()
-        self._port = listening.getsockname()[1]
+        self.port = await self._port.open(self._host, self.port, self._ssl)
 
     def leave(self) -> None:
         """Keep serving, but be not ready and close each connection after its next response."""
@@ -124,8 +102,7 @@
         self._own.serving = False
         finished = await self._in_progress.wait_until_idle(grace_s)
         self._stages.recorder.record("gateway.stopped", cut=self._in_progress.count)
-        if self._runner is not None:
-            await self._runner.cleanup()
+        await self._port.close()
         return finished
 
     def _application(self) -> web.Application:
--- /dev/null
+++ b/tests/entry/test_reload.py
@@ -0,0 +1,38 @@
+"""Tests of a settings file that changes while a host runs."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.platform.exceptions import SettingsFileError
+from flamingoladder.platform.standins.deployment import local_platform
+
+if TYPE_CHECKING:
+    from flamingoladder.entry.settings import HostSettings
+    from flamingoladder.timeline.events import Event
+
+
+async def test_a_changed_file_is_checked_and_what_differs_is_named() -> None:
+    async with local_platform(Random(), {"turf": ["k"]}, hosts=1, targets=1) as platform:
+        host, settings = platform.hosts[0], platform.settings(0)
+        events: list[Event] = []
+        host._slices.recorder.events.subscribe(events.append)
+        changed = msgspec.structs.replace(settings, failure_domain="elsewhere", region="south")
+        host.reload(lambda: changed)
+        host.reload(lambda: settings)
+        host.reload(refused)
+    told = [(event.kind, event.fields) for event in events if event.kind.startswith("host.")]
+    assert [kind for kind, _ in told[:3]] == [
+        "host.reloaded",
+        "host.reloaded",
+        "host.settings_refused",
+    ]
+    assert "failure_domain,region" in str(told[0][1])
+    assert "region" in str(told[2][1])
+
+
+def refused() -> HostSettings:
+    raise SettingsFileError("the field region is missing")
