Name no host to callers that knows no configuration

It answered look-ups, knew no other host, and so named itself alone to the callers nearest to it. Ruled out: other hosts naming it (they don't hear a restarted host before its registration).

Now it answers no look-up before it has a configuration, so callers ask the next host, and says in its reports that it is unavailable, in case others hear it first.

Test that failed first: test_a_host_that_knows_no_configuration_is_named_to_no_caller.

--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -204,6 +204,8 @@
         return web.Response(status=200 if self._is_ready else 503)
 
     async def _lookup(self, request: web.BaseRequest) -> web.StreamResponse:
+        if self._slices.beliefs.plan is None:
+            return web.Response(status=503)
         now = asyncio.get_running_loop().time()
         answer = self._slices.lookups.answer(callers.lookup_region(request), now)
         return callers.lookup_response(answer)
--- a/src/flamingoladder/entry/reporting.py
+++ b/src/flamingoladder/entry/reporting.py
@@ -7,6 +7,7 @@
 from flamingoladder.fleet.messages import HostReport
 
 if TYPE_CHECKING:
+    from flamingoladder.entry.beliefs import Beliefs
     from flamingoladder.entry.chooser import TargetChooser
     from flamingoladder.fleet.members import MemberBook
     from flamingoladder.limits.rates import FleetRates
@@ -27,6 +28,7 @@
     """
 
     __slots__ = (
+        "_beliefs",
         "_budgets",
         "_chooser",
         "_members",
@@ -42,12 +44,14 @@
     def __init__(
         self,
         targets: TargetBook,
+        beliefs: Beliefs,
         chooser: TargetChooser,
         rates: FleetRates,
         budgets: RetryBudgets,
         members: MemberBook,
     ) -> None:
         self._targets = targets
+        self._beliefs = beliefs
         self._chooser = chooser
         self._rates = rates
         self._budgets = budgets
@@ -73,7 +77,8 @@
             for name, target in self._targets.by_id.items()
             if target.in_flight
         }
-        return HostReport(self.leaving, rates, in_flight, self._objects(whole=whole))
+        unavailable = self.leaving or self._beliefs.plan is None
+        return HostReport(unavailable, rates, in_flight, self._objects(whole=whole))
 
     def receive(self, host: str, report: HostReport) -> None:
         """Take in the objects of a report as it comes."""
--- a/src/flamingoladder/entry/slices.py
+++ b/src/flamingoladder/entry/slices.py
@@ -80,7 +80,7 @@
         ramp = ColdRamp(settings.host, bounds.ramp_overshoot, bounds.ramp_slack)
         chooser = TargetChooser(self.targets, self.beliefs, self.members, ramp, settings.region)
         self.wire = PlatformTargets(self.targets.removed, self._connections_of)
-        self.reporter = Reporter(self.targets, chooser, rates, budgets, self.members)
+        self.reporter = Reporter(self.targets, self.beliefs, chooser, rates, budgets, self.members)
         news = CrashExchange(self.links)
         crashes = CrashGuard(news.tell)
         news.follow(crashes.count)
--- a/src/flamingoladder/fleet/members.py
+++ b/src/flamingoladder/fleet/members.py
@@ -105,7 +105,7 @@
         return [
             member
             for host, member in self.members_by_host.items()
-            if not member.leaving and host in reports and not reports[host].leaving
+            if not member.leaving and host in reports and not reports[host].unavailable
         ]
 
     def is_first(self, now: float, region: str | None = None) -> bool:
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -9,6 +9,7 @@
 import aiohttp
 import pytest
 
+from flamingoladder.entry.daemon import EntryHost
 from flamingoladder.platform.standins.deployment import LocalPlatform
 from flamingoladder.platform.standins.deployment import local_platform
 from flamingoladder.standins.platform import FaultSettings
@@ -156,6 +157,27 @@
     platform.state.faults = FaultSettings()
 
 
+async def named_by(url: str) -> list[str] | None:
+    """Return the addresses that a host names to callers, or None if it gives no answer."""
+    asked = f"{url}/-/resolve?name=rental.example&region=north&zone=north-a"
+    async with aiohttp.ClientSession() as session, session.get(asked) as response:
+        return (await response.json())["addrs"] if response.status == 200 else None
+
+
+async def test_a_host_that_knows_no_configuration_is_named_to_no_caller(
+    platform: LocalPlatform,
+) -> None:
+    await platform.hosts[0].close()
+    platform.state.faults = FaultSettings(refuse=True)
+    platform.hosts[0] = EntryHost.from_config(platform.settings(0))
+    await platform.hosts[0].start()
+    assert await named_by(platform.lookup_urls[0]) is None
+    platform.state.faults = FaultSettings()
+    await eventually(lambda: platform.hosts[0].serves_with(2))
+    own = platform.caller_urls[0].removeprefix("http://")
+    assert own in (await named_by(platform.lookup_urls[0]) or ())
+
+
 async def test_a_stopping_host_finishes_its_requests_and_is_named_no_more(
     platform: LocalPlatform, caller: Caller
 ) -> None:
@@ -167,13 +189,10 @@
     assert [status for status, _, _ in await asyncio.gather(*under_way)] == [200] * 6
     late = await caller.send("/kit/late", host=0)
     assert late[0] == 200
-    async with aiohttp.ClientSession() as session:
-        for url in platform.lookup_urls:
-            asked = f"{url}/-/resolve?name=rental.example&region=north&zone=north-a"
-            async with session.get(asked) as response:
-                addresses = (await response.json())["addrs"]
-            assert addresses
-            assert platform.caller_urls[0].removeprefix("http://") not in addresses
+    for url in platform.lookup_urls:
+        addresses = await named_by(url)
+        assert addresses
+        assert platform.caller_urls[0].removeprefix("http://") not in addresses
     await stopping
 
 
