--- a/src/flamingoladder/entry/settings.py
+++ b/src/flamingoladder/entry/settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from flamingoladder.limits.rates import RateTolerance
+from flamingoladder.limits.tolerance import RateTolerance
 
 
 class Endpoint(msgspec.Struct, frozen=True):
--- a/src/flamingoladder/limits/admission.py
+++ b/src/flamingoladder/limits/admission.py
@@ -10,7 +10,7 @@
 from flamingoladder.fleet.messages import HostReport
 from flamingoladder.gateway.stages import Admission
 from flamingoladder.limits.rates import FleetRates
-from flamingoladder.limits.rates import RateTolerance
+from flamingoladder.limits.tolerance import RateTolerance
 from flamingoladder.routing.model import Workspace
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
--- a/src/flamingoladder/limits/rates.py
+++ b/src/flamingoladder/limits/rates.py
@@ -12,53 +12,20 @@
 
 import msgspec
 
+from flamingoladder.limits.account import DEMAND_TIME_S
+from flamingoladder.limits.account import Account
+
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Mapping
 
+    from flamingoladder.limits.tolerance import RateTolerance
     from flamingoladder.routing.model import Workspace
 
-DEMAND_TIME_S = 1.5
 DEMAND_FLOOR_PER_S = 0.3
 MIN_DEMAND_PER_S = 0.01
 PATH_DELAY_S = 0.15
 RESTART_UNITS = 8.0
-MAX_DEBT_UNITS = 10.0
-DEBT_SLOWING = 0.7
-OWN_UNITS = 1.0
-SPENDING_TIME_S = 2.0
-
-# Parts of what may pass beyond a limit. They add up to less than all, as reports come late.
-UNSEEN_PART_OF_SLACK = 0.4
-OWN_PART_OF_SLACK = 0.55
-RATE_PART_OF_OVERSHOOT = 0.5
-OWN_PART_OF_OVERSHOOT = 0.2
-
-
-class RateTolerance(msgspec.Struct, frozen=True):
-    """How far all hosts together may pass a limit in any window of ``window_s`` seconds.
-
-    That is by the part ``overshoot`` of the limit, and by ``slack`` requests.
-    """
-
-    overshoot: float = 0.1
-    slack: float = 20.0
-    window_s: float = 5.0
-
-    @property
-    def rate_factor(self) -> float:
-        """Return the rate that is given out, as a multiple of a workspace's rate."""
-        return 1 + self.overshoot * RATE_PART_OF_OVERSHOOT
-
-    @property
-    def unseen_units(self) -> float:
-        """Return the requests that others may admit before their reports tell of them."""
-        return self.slack * UNSEEN_PART_OF_SLACK
-
-    def own_units(self, rate_per_s: float, hosts: int) -> float:
-        """Return the requests that a host may save up of its share of a rate."""
-        of_rate = self.overshoot * OWN_PART_OF_OVERSHOOT * rate_per_s * self.window_s
-        return max(OWN_UNITS, (self.slack * OWN_PART_OF_SLACK + of_rate) / hosts)
 
 
 class RateReport(msgspec.Struct, frozen=True, array_like=True):
@@ -94,47 +61,6 @@
         )
 
 
-class Account:
-    """One workspace. ``left`` is what all hosts may still admit, ``own`` what this host may."""
-
-    __slots__ = ("admitted", "at", "demand_per_s", "left", "own")
-
-    def __init__(self, left: float, now: float) -> None:
-        self.left = left
-        self.own = OWN_UNITS
-        self.at = now
-        self.admitted = 0
-        self.demand_per_s = 0.0
-
-    def demand(self, now: float) -> float:
-        """Return the demand at this host in requests per second, as it faded up to ``now``."""
-        elapsed = max(0.0, now - self.at)
-        return self.demand_per_s * max(0.0, 1 - elapsed / DEMAND_TIME_S)
-
-    def refill(
-        self, rate_per_s: float, burst: float, share: float, own_cap: float, now: float
-    ) -> None:
-        """Let time pass at the rate and burst of the hosts that are heard."""
-        elapsed = max(0.0, now - self.at)
-        gained = elapsed * rate_per_s
-        self.left = min(max(1.0, burst), self.left + gained)
-        slowing = DEBT_SLOWING if self.left < -MAX_DEBT_UNITS else 1.0
-        unspent = elapsed * max(0.0, self.left) / SPENDING_TIME_S
-        self.own = min(own_cap, self.own + (gained * slowing + unspent) * share)
-        self.demand_per_s = self.demand(now)
-        self.at = now
-
-    def take(self) -> None:
-        """Count an admitted request."""
-        self.left -= 1
-        self.admitted += 1
-
-    def give_back(self) -> None:
-        """Count an admitted request no longer."""
-        self.left += 1
-        self.admitted -= 1
-
-
 class FleetRates:
     """The accounts of this host."""
 
--- a/src/flamingoladder/platform/settings.py
+++ b/src/flamingoladder/platform/settings.py
@@ -10,7 +10,7 @@
 from flamingoladder.entry.settings import Bounds
 from flamingoladder.entry.settings import Endpoint
 from flamingoladder.entry.settings import HostSettings
-from flamingoladder.limits.rates import RateTolerance
+from flamingoladder.limits.tolerance import RateTolerance
 from flamingoladder.platform.exceptions import SettingsFileError
 
 PATH_VARIABLE = "FLAMINGOLADDER_CONFIG"
--- a/tests/entry/parts.py
+++ b/tests/entry/parts.py
@@ -18,8 +18,8 @@
 from flamingoladder.entry.wire import TargetWire
 from flamingoladder.fleet.members import MemberBook
 from flamingoladder.limits.rates import FleetRates
-from flamingoladder.limits.rates import RateTolerance
 from flamingoladder.limits.retries import RetryBudgets
+from flamingoladder.limits.tolerance import RateTolerance
 from flamingoladder.routing.model import Limits
 from flamingoladder.routing.model import Part
 from flamingoladder.routing.model import Route
--- a/tests/limits/test_rates.py
+++ b/tests/limits/test_rates.py
@@ -8,7 +8,7 @@
 import pytest
 
 from flamingoladder.limits.rates import FleetRates
-from flamingoladder.limits.rates import RateTolerance
+from flamingoladder.limits.tolerance import RateTolerance
 from flamingoladder.routing.model import Workspace
 
 TOLERANCE = RateTolerance(overshoot=0.1, slack=20.0, window_s=5.0)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -12,7 +12,7 @@
 from flamingoladder.console.commands.entry import entry
 from flamingoladder.console.exit_codes import ExitCode
 from flamingoladder.entry.settings import Endpoint
-from flamingoladder.limits.rates import RateTolerance
+from flamingoladder.limits.tolerance import RateTolerance
 from flamingoladder.platform.exceptions import SettingsFileError
 from flamingoladder.platform.settings import read_settings_file
 
