--- a/src/flamingoladder/entry/reporting.py
+++ b/src/flamingoladder/entry/reporting.py
@@ -5,37 +5,31 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.fleet.messages import HostReport
+from flamingoladder.limits.news import RateNews
 
 if TYPE_CHECKING:
     from flamingoladder.entry.beliefs import Beliefs
     from flamingoladder.entry.chooser import TargetChooser
     from flamingoladder.fleet.members import MemberBook
     from flamingoladder.limits.rates import FleetRates
-    from flamingoladder.limits.rates import RateReport
     from flamingoladder.limits.retries import RetryBudgets
     from flamingoladder.targets.book import TargetBook
 
-REPORTS_TO_A_WHOLE_ONE = 8
 OBJECTS_IN_TURN = 12
 MAX_NEW_OBJECTS = 40
 
 
 class Reporter:
-    """Between the reports and the slices that use them.
-
-    Bytes between regions are dear, so most reports hold only what changed since the one before;
-    one in ``REPORTS_TO_A_WHOLE_ONE`` is whole, which makes up for lost ones.
-    """
+    """Between the reports and the slices that use them."""
 
     __slots__ = (
         "_beliefs",
         "_budgets",
         "_chooser",
         "_members",
+        "_news",
         "_next_object_by_service",
         "_rates",
-        "_reported",
-        "_reports",
         "_targets",
         "_told_by_service",
         "leaving",
@@ -58,27 +52,19 @@
         self._members = members
         self._next_object_by_service: dict[str, int] = {}
         self._told_by_service: dict[str, int] = {}
-        self._reported: dict[str, RateReport] = {}
-        self._reports = 0
+        self._news = RateNews()
         self.leaving = False
 
     def report(self, now: float) -> HostReport:
         """Return what to tell the other hosts."""
-        self._reports += 1
-        whole = self._reports % REPORTS_TO_A_WHOLE_ONE == 1
-        before, self._reported = self._reported, self._rates.report(now)
-        rates = {
-            name: report
-            for name, report in self._reported.items()
-            if whole or report != before.get(name)
-        }
+        rates = self._news.pick(self._rates.report(now))
         in_flight = {
             name: target.in_flight
             for name, target in self._targets.by_id.items()
             if target.in_flight
         }
         unavailable = self.leaving or self._beliefs.plan is None
-        return HostReport(unavailable, rates, in_flight, self._objects(whole=whole))
+        return HostReport(unavailable, rates, in_flight, self._objects(whole=self._news.is_whole))
 
     def receive(self, host: str, report: HostReport) -> None:
         """Take in the objects of a report as it comes."""
--- a/src/flamingoladder/fleet/exchange.py
+++ b/src/flamingoladder/fleet/exchange.py
@@ -16,14 +16,20 @@
     from flamingoladder.peers.link import PeerLinks
 
 
+QUIET_REPORT = HostReport()
+REPORTS_TO_A_QUIET_ONE = 3
+
+
 class ReportExchange:
     """Tells all other hosts the same again and again; a lost report is replaced by the next.
 
+    One that tells nothing new is sent one time in ``REPORTS_TO_A_QUIET_ONE``, as a sign of life.
+
     ``make_report`` returns what to tell, ``heard`` lets all newest reports take effect, and
     ``received`` is given each report as it comes.
     """
 
-    __slots__ = ("_book", "_heard", "_links", "_make_report", "_received")
+    __slots__ = ("_book", "_heard", "_links", "_make_report", "_quiet", "_received")
 
     def __init__(
         self,
@@ -38,6 +44,7 @@
         self._make_report = make_report
         self._heard = heard
         self._received = received
+        self._quiet = 0
         links.register(HostReport, self._on_report)
 
     async def run(self) -> None:
@@ -50,10 +57,15 @@
     def send(self, now: float) -> None:
         """Report once, and let the heard reports take effect."""
         report = self._make_report(now)
-        for host in self._links.hosts:
-            self._links.tell(host, report)
+        if self._is_due(report):
+            for host in self._links.hosts:
+                self._links.tell(host, report)
         self._heard(now)
 
+    def _is_due(self, report: HostReport) -> bool:
+        self._quiet = self._quiet + 1 if report == QUIET_REPORT else 0
+        return self._quiet % REPORTS_TO_A_QUIET_ONE == 0
+
     async def _on_report(self, peer: Peer, report: HostReport) -> None:
         now = asyncio.get_running_loop().time()
         self._book.hear(peer.host, peer.incarnation, report, now)
--- a/src/flamingoladder/limits/admission.py
+++ b/src/flamingoladder/limits/admission.py
@@ -9,6 +9,7 @@
 from flamingoladder.fleet.members import MemberBook
 from flamingoladder.fleet.messages import HostReport
 from flamingoladder.gateway.stages import Admission
+from flamingoladder.limits.news import RateNews
 from flamingoladder.limits.rates import FleetRates
 from flamingoladder.limits.tolerance import RateTolerance
 from flamingoladder.routing.model import Workspace
@@ -28,12 +29,13 @@
 class RateAdmission(Admission):
     """Holds workspaces of the agreed state to their rates and bursts."""
 
-    __slots__ = ("_exchange", "_members", "_rates", "_subscription", "_workspaces_by_name")
+    __slots__ = ("_exchange", "_members", "_news", "_rates", "_subscription", "_workspaces_by_name")
 
     def __init__(
         self, own: Member, links: PeerLinks, state: StateInForce, recorder: Recorder
     ) -> None:
         self._rates = FleetRates(RateTolerance(), start_full=False)
+        self._news = RateNews()
         self._members = MemberBook(own.host, recorder)
         self._exchange = ReportExchange(links, self._members, self._report, self._take_in)
         self._workspaces_by_name: dict[str, Workspace] = {}
@@ -80,7 +82,7 @@
             self._members.put(member, now)
 
     def _report(self, now: float) -> HostReport:
-        return HostReport(rates_by_workspace=self._rates.report(now))
+        return HostReport(rates_by_workspace=self._news.pick(self._rates.report(now)))
 
     def _take_in(self, now: float) -> None:
         reports = self._members.heard(now)
--- /dev/null
+++ b/src/flamingoladder/limits/news.py
@@ -0,0 +1,36 @@
+"""Picks what a host's reports tell of its rates."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from flamingoladder.limits.rates import RateReport
+
+REPORTS_TO_A_WHOLE_ONE = 8
+
+
+class RateNews:
+    """Tells what changed since the report before, and all in one of ``REPORTS_TO_A_WHOLE_ONE``.
+
+    Bytes between regions are dear; whole reports make up for lost ones.
+    """
+
+    __slots__ = ("_reports", "_told")
+
+    def __init__(self) -> None:
+        self._told: dict[str, RateReport] = {}
+        self._reports = 0
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the report picked last was whole."""
+        return self._reports % REPORTS_TO_A_WHOLE_ONE == 1
+
+    def pick(self, rates: dict[str, RateReport]) -> dict[str, RateReport]:
+        """Return what the next report is to tell of ``rates``."""
+        self._reports += 1
+        before, self._told = self._told, rates
+        if self.is_whole:
+            return rates
+        return {name: report for name, report in rates.items() if report != before.get(name)}
--- /dev/null
+++ b/tests/fleet/test_exchange.py
@@ -0,0 +1,45 @@
+"""Tests of the exchange of reports between hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+
+from flamingoladder.fleet.exchange import ReportExchange
+from flamingoladder.fleet.members import HEARD_INTERVALS
+from flamingoladder.fleet.members import MemberBook
+from flamingoladder.fleet.messages import HostReport
+from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.standins.network import Network
+from flamingoladder.timeline.recorder import Recorder
+
+QUIET = HostReport()
+BUSY = HostReport(in_flight_by_target={"t": 1})
+REPORTS = 12
+
+
+@pytest.mark.parametrize(("report", "sent"), [(BUSY, REPORTS), (QUIET, REPORTS // 3)])
+def test_a_quiet_host_reports_less_often_but_often_enough_to_be_heard(
+    report: HostReport, sent: int
+) -> None:
+    async def scenario() -> list[float]:
+        loop = asyncio.get_running_loop()
+        net = Network(Random(1))
+        net.join("h1", "1")
+        told: list[float] = []
+        net.tap = lambda _sender, _receiver, _content: told.append(loop.time())
+        exchange = ReportExchange(
+            net.join("h0", "1"),
+            MemberBook("h0", Recorder("h0", "1")),
+            lambda _now: report,
+            lambda _now: None,
+        )
+        for number in range(REPORTS):
+            exchange.send(float(number))
+        await asyncio.sleep(1.0)
+        return told
+
+    assert len(run_on_injected_time(scenario())) == sent
+    assert REPORTS / sent < HEARD_INTERVALS / 2
