Learn from time-outs how long a line at a busy target may be

Now a line in which a request timed out halves the limit of lines at its target, each good answer adds 0.3; while all targets are busy, what would stand behind the limit is refused, not run.

--- a/src/flamingoladder/entry/chooser.py
+++ b/src/flamingoladder/entry/chooser.py
@@ -41,11 +41,12 @@
 class Overload(msgspec.Struct, frozen=True):
     """All targets that may be used are busy, and the best one should not get the request as well.
 
-    It would end it ``late_s`` too late, or, if that is not above 0, its run would not be warm.
+    ``why`` says what it would do; ``late_s`` is by how much it would end the request too late.
     """
 
     best: Choice
     late_s: float
+    why: str
 
 
 class TargetChooser:
@@ -86,7 +87,8 @@
 
         While a target has a free slot the request is sent. While all are busy it is not, if it
         is expected to end later than it is wanted: targets would work on what comes too late. Nor
-        is it, once its home has shed it, sent where its run would take the time of several others.
+        is it, once its home has shed it, sent where its run would take the time of several others,
+        or to the end of a line that requests waited in vain in of late.
         """
         allowed = [
             target
@@ -101,8 +103,7 @@
             return self._cold(request, cold, now)
         if not self._all_busy(reachable, best, now):
             return best
-        late_s = now + self._expected_s(request, best) - request.wanted_by
-        return Overload(best, late_s) if late_s > 0 or not best.is_warm else best
+        return self._overload(request, best, now) or best
 
     def sending(self, target: TargetState, now: float) -> None:
         """Count a send to the target."""
@@ -158,6 +159,16 @@
         near = [target for target in order if target.region == self._region]
         return self._cheapest(near[:CONSIDERED], home, request.object_key, now)
 
+    def _overload(self, request: RoutedRequest, best: Choice, now: float) -> Overload | None:
+        late_s = now + self._expected_s(request, best) - request.wanted_by
+        if late_s > 0:
+            return Overload(best, late_s, f"end this one {late_s:.2f} s too late")
+        if not best.is_warm:
+            return Overload(best, 0.0, "need a cold run for it")
+        if not best.target.line_limit.allows(best.target.in_line(best.load)):
+            return Overload(best, 0.0, "let it wait in line in vain")
+        return None
+
     def _all_busy(self, targets: Iterable[TargetState], best: Choice, now: float) -> bool:
         """Return whether no target has a free slot, of those that the request may go to now."""
         stays = best.target.region == self._region and not self._overflow.may_leave(now)
@@ -192,7 +203,7 @@
         load = target.load(now)
         path = costs.path(away=target.region != self._region)
         work = costs.work(target, home, object_key)
-        line = costs.line(load, target.record.slots)
+        line = costs.line(target.in_line(load), target.record.slots)
         is_warm = object_key is None or work < costs.COLD_PART
         return Choice(target, target is home, is_warm, load, path + work + line)
 
--- a/src/flamingoladder/entry/costs.py
+++ b/src/flamingoladder/entry/costs.py
@@ -25,9 +25,9 @@
     return HANDLED_PART if target.has_handled(object_key) else COLD_PART
 
 
-def line(load: int, slots: int) -> float:
-    """Return the wait for a slot behind ``load`` requests."""
-    return max(0, load + 1 - slots) * WARM_PART / slots
+def line(in_line: int, slots: int) -> float:
+    """Return the wait for a slot at this place in line."""
+    return in_line * WARM_PART / slots
 
 
 def seconds(cost: float, usual_s: float, *, warm: bool) -> float:
--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -148,7 +148,10 @@
             target.saw_success()
             self._crashes.saw_answer(request.fingerprint)
             return
-        if result.end is SendEnd.NOT_RUN or _waited_in_line(choice, result):
+        if _waited_in_line(choice, result):
+            target.line_limit.waited_in_vain(target.in_line(choice.load))
+            return
+        if result.end is SendEnd.NOT_RUN:
             # A full target is sound; leaving it would make its objects' work cold elsewhere.
             return
         if result.end is SendEnd.NO_CONNECTION:
@@ -206,13 +209,12 @@
         return last.end is SendEnd.NO_CONNECTION or self._budgets.take(request.service, now)
 
     def _overloaded(self, journey: Journey, overload: Overload) -> Outcome:
-        best, late_s = overload.best, overload.late_s
-        why = f"end this one {late_s:.2f} s too late" if late_s > 0 else "need a cold run for it"
+        best = overload.best
         detail = (
             f"all targets are busy: {best.target.record.target_id} is the best with"
-            f" {best.load} requests, and would {why}"
+            f" {best.load} requests, and would {overload.why}"
         )
-        wait_s = max(RETRY_AFTER_S, late_s)
+        wait_s = max(RETRY_AFTER_S, overload.late_s)
         return Error(journey.refusal(Reason.NO_CAPACITY, detail, wait_s))
 
     def _refused(self, journey: Journey, last: SendResult) -> Outcome:
--- a/src/flamingoladder/targets/state.py
+++ b/src/flamingoladder/targets/state.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from flamingoladder.targets.line import LineLimit
+
 if TYPE_CHECKING:
     from flamingoladder.targets.record import TargetRecord
 
@@ -46,6 +48,7 @@
         "gone_at",
         "in_flight",
         "in_flight_elsewhere",
+        "line_limit",
         "record",
         "region",
     )
@@ -57,6 +60,7 @@
         self.cold_sends: deque[float] = deque()
         self.in_flight = 0
         self.in_flight_elsewhere = 0
+        self.line_limit = LineLimit()
         self.down = False
         self.ejected_until = now
         self.gone_at: float | None = None
@@ -73,6 +77,7 @@
             self._objects.clear()
             self.down = False
             self.ejected_until = now
+            self.line_limit = LineLimit()
             self._load = None
         self.cold_until = max(self.cold_until, now + record.cold_s)
         self.record = record
@@ -98,6 +103,13 @@
             return counted
         return max(counted, self._load.running + self._load.waiting)
 
+    def in_line(self, load: int) -> int:
+        """Return the place in line of one more request, where ``load`` are at the target.
+
+        It is 0 if a slot is free.
+        """
+        return max(0, load + 1 - self.record.slots)
+
     def handled(self, object_key: str) -> None:
         """Note that the target ran a request for the object to its end."""
         self._objects[object_key] = None
@@ -111,6 +123,7 @@
 
     def saw_success(self) -> None:
         """Count a request that was answered well."""
+        self.line_limit.saw_answer()
         self._outcomes.append(True)
         self._ejection_s = max(EJECTION_S, self._ejection_s * 0.9)
 
--- a/tests/entry/test_overload.py
+++ b/tests/entry/test_overload.py
@@ -86,6 +86,20 @@
         assert outcome.error.verdict is Verdict.NOT_RUN
 
 
+async def test_no_line_grows_as_long_as_one_in_which_a_request_waited_in_vain() -> None:
+    path = Path(FakeWire(SILENT))
+    for target in path.book.by_id.values():
+        target.in_flight_elsewhere = SLOTS + 3
+    now = asyncio.get_running_loop().time
+    first = await path.handler.handle(arrived(), now())
+    second = await path.handler.handle(arrived(), now())
+    path.book.by_id[path.wire.sent[0]].in_flight_elsewhere = SLOTS - 1
+    third = await path.handler.handle(arrived(), now())
+    assert first.error.verdict is Verdict.MAY_HAVE_RUN
+    assert second.error.reason is Reason.NO_CAPACITY
+    assert third.is_ok()
+
+
 async def test_a_wait_in_line_does_not_eject_a_target() -> None:
     path = Path(FakeWire(*[SILENT] * MIN_FAILURES))
     for target in path.book.by_id.values():
