--- a/src/flamingoladder/steering/demand.py
+++ b/src/flamingoladder/steering/demand.py
@@ -8,7 +8,7 @@
 
 
 class Demand:
-    """The exponentially weighted rate of arrivals of one allowance at one host."""
+    """The exponentially weighted rate of arrivals of one service at one host."""
 
     __slots__ = ("_at", "_per_s")
 
