Say once whether a request stands in line, and look targets over once

A first send, to which no target was tried, built the list of sound targets twice on the path of each request. The name of a request's workspace was worked out alike in two places. No change of behaviour; no test changed.

--- a/src/flamingoladder/entry/chooser.py
+++ b/src/flamingoladder/entry/chooser.py
@@ -37,6 +37,11 @@
     load: int
     cost: float
 
+    @property
+    def in_line(self) -> int:
+        """Return the request's place in line at the target, 0 if a slot is free."""
+        return self.target.in_line(self.load)
+
 
 class Overload(msgspec.Struct, frozen=True):
     """All targets that may be used are busy, and the best one should not get the request as well.
@@ -96,8 +101,9 @@
             if not target.down and (request.regions is None or target.region in request.regions)
         ]
         usable = [target for target in allowed if not target.is_cold(now)]
-        reachable = _sound(_untried(usable, tried), now)
-        best = self._best(request, _sound(usable, now), reachable, now)
+        homes = _sound(usable, now)
+        reachable = _sound(_untried(usable, tried), now) if tried else homes
+        best = self._best(request, homes, reachable, now)
         if best is None:
             cold = [target for target in _untried(allowed, tried) if target.is_cold(now)]
             return self._cold(request, cold, now)
@@ -116,7 +122,7 @@
         """Learn from a run that was answered well."""
         if request.object_key is not None:
             choice.target.handled(request.object_key)
-        if choice.load >= choice.target.record.slots:
+        if choice.in_line:
             return
         if choice.is_home or request.object_key is None:
             self._run_times.saw(request.service, request.route.name, seconds)
@@ -165,7 +171,7 @@
             return Overload(best, late_s, f"end this one {late_s:.2f} s too late")
         if not best.is_warm:
             return Overload(best, 0.0, "need a cold run for it")
-        if not best.target.line_limit.allows(best.target.in_line(best.load)):
+        if not best.target.line_limit.allows(best.in_line):
             return Overload(best, 0.0, "let it wait in line in vain")
         return None
 
@@ -173,7 +179,7 @@
         """Return whether no target has a free slot, of those that the request may go to now."""
         stays = best.target.region == self._region and not self._overflow.may_leave(now)
         return all(
-            target.load(now) >= target.record.slots
+            target.in_line(target.load(now))
             for target in targets
             if not stays or target.region == self._region
         )
--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -148,8 +148,8 @@
             target.saw_success()
             self._crashes.saw_answer(request.fingerprint)
             return
-        if _waited_in_line(choice, result):
-            target.line_limit.waited_in_vain(target.in_line(choice.load))
+        if result.end is SendEnd.TIMEOUT and choice.in_line:
+            target.line_limit.waited_in_vain(choice.in_line)
             return
         if result.end is SendEnd.NOT_RUN:
             # A full target is sound; leaving it would make its objects' work cold elsewhere.
@@ -178,7 +178,7 @@
         self._recorder.record(
             "request.sent",
             request=request.arrived.request_id,
-            workspace=None if request.workspace is None else request.workspace.name,
+            workspace=request.workspace_name,
             route=request.route.name,
             target=target.record.target_id,
             send=journey.sends + journey.unreached + 1,
@@ -222,7 +222,3 @@
             return Ok(last.answer)
         reason = REASONS_BY_END[last.end] if journey.tried else Reason.NO_CAPACITY
         return Error(journey.refusal(reason, last.detail, RETRY_AFTER_S))
-
-
-def _waited_in_line(choice: Choice, result: SendResult) -> bool:
-    return result.end is SendEnd.TIMEOUT and choice.load >= choice.target.record.slots
--- a/src/flamingoladder/entry/handler.py
+++ b/src/flamingoladder/entry/handler.py
@@ -140,7 +140,7 @@
         self._recorder.record(
             "request.refused",
             request=arrived.request_id,
-            workspace=None if routed is None or routed.workspace is None else routed.workspace.name,
+            workspace=None if routed is None else routed.workspace_name,
             route=None if routed is None else routed.route.name,
             service=None if routed is None else routed.service,
             reason=refusal.reason.value,
--- a/src/flamingoladder/entry/request.py
+++ b/src/flamingoladder/entry/request.py
@@ -82,6 +82,11 @@
         self.caller_left = False
         self.object_key = _object_key(route, arrived.affinity)
 
+    @property
+    def workspace_name(self) -> str | None:
+        """Return the workspace's name, or None on a route that is open to all."""
+        return None if self.workspace is None else self.workspace.name
+
 
 def _object_key(route: Route, affinity: str | None) -> str | None:
     return f"{route.name}\0{affinity}" if route.sticky and affinity is not None else None
