Read the rate limit that a target names, and record when it changes

A value that can't be read is recorded and changes nothing. The absence of the field counts only in an answer that is certainly the target's own (signed). No decision uses it yet.

--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -22,6 +22,7 @@
     from flamingoladder.entry.request import RoutedRequest
     from flamingoladder.entry.target_client import TargetClient
     from flamingoladder.limits.retry_budgets import RetryBudgets
+    from flamingoladder.targets.rate_limit import RateLimitNotice
     from flamingoladder.targets.state import TargetState
     from flamingoladder.timeline.recorder import Recorder
     from flamingoladder.verdict import Outcome
@@ -155,6 +156,7 @@
         target = choice.target
         if result.load is not None:
             target.update_load(result.load, now)
+        self._apply_rate_limit(target, result.rate_limit)
         if result.status is SendStatus.ANSWERED:
             target.record_success()
             self._poison_detector.clear(request.fingerprint)
@@ -178,6 +180,23 @@
         elif target.record_failure(now):
             self._recorder.record("target.ejected", target=target.record.target_id)
 
+    def _apply_rate_limit(self, target: TargetState, notice: RateLimitNotice | None) -> None:
+        if notice is None or notice == target.rate_limit:
+            return
+        target_id = target.record.target_id
+        if notice.unreadable:
+            self._recorder.record(
+                "target.rate_limit_unreadable", target=target_id, value=notice.unreadable
+            )
+            return
+        before, target.rate_limit = target.rate_limit, notice
+        self._recorder.record(
+            "target.rate_limit",
+            target=target_id,
+            per_s=notice.per_s,
+            before_per_s=before.per_s,
+        )
+
     def _apply_connect_failure(
         self, request: RoutedRequest, target: TargetState, now: float
     ) -> None:
--- a/src/flamingoladder/entry/results.py
+++ b/src/flamingoladder/entry/results.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from flamingoladder.targets.rate_limit import RateLimitNotice
 from flamingoladder.targets.state import LoadReport
 from flamingoladder.verdict import Answer
 
@@ -32,7 +33,8 @@
     """The result of one attempt.
 
     ``answer`` is the target's own answer, successful or not, if it may be passed on to the caller.
-    ``reused`` is set if the connection had carried an earlier request.
+    ``reused`` is set if the connection had carried an earlier request. ``rate_limit`` is None if
+    the answer does not tell whether the target has a limit.
     """
 
     status: SendStatus
@@ -40,6 +42,7 @@
     answer: Answer | None = None
     load: LoadReport | None = None
     reused: bool = False
+    rate_limit: RateLimitNotice | None = None
 
     @property
     def may_have_run(self) -> bool:
--- a/src/flamingoladder/platform/target_wire.py
+++ b/src/flamingoladder/platform/target_wire.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from http import HTTPStatus
+from math import isfinite
+from math import nan
 from typing import TYPE_CHECKING
 
 from multidict import CIMultiDict
@@ -14,6 +16,8 @@
 from flamingoladder.entry.results import SendStatus
 from flamingoladder.entry.target_client import TargetClient
 from flamingoladder.platform import headers
+from flamingoladder.targets.rate_limit import NO_RATE_LIMIT
+from flamingoladder.targets.rate_limit import RateLimitNotice
 from flamingoladder.targets.state import LoadReport
 from flamingoladder.transport.exchange import Exchange
 from flamingoladder.transport.pool import Pool
@@ -31,6 +35,7 @@
     from flamingoladder.targets.state import TargetState
     from flamingoladder.transport.sending import SendFailure
 
+MAX_LOGGED_CHARACTERS = 40
 MS_PER_S = 1_000
 KEPT_IDLE_S = 6.0
 SILENCE_S = 1.0
@@ -132,17 +137,30 @@
     load = _parse_load(_header(answer, headers.SERVER_LOAD))
     if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
         return SendResult(SendStatus.MISDIRECTED, "another target has the address", None, load)
+    limit = _rate_limit(answer)
     if _header(answer, headers.NOT_EXECUTED) is not None:
         detail = f"the target did not run it (status {answer.status})"
-        return SendResult(SendStatus.NOT_RUN, detail, None, load, reused)
+        return SendResult(SendStatus.NOT_RUN, detail, None, load, reused, limit)
     signed = _header(answer, headers.SIGNATURE) is not None
     if answer.status < HTTPStatus.BAD_REQUEST and signed:
-        return SendResult(SendStatus.ANSWERED, "", answer, load, reused)
+        return SendResult(SendStatus.ANSWERED, "", answer, load, reused, limit)
     if answer.status < HTTPStatus.BAD_REQUEST or answer.status in PROMISED_NOT_RUN_STATUSES:
         detail = f"status {answer.status} that can't be passed on"
-        return SendResult(SendStatus.FAILED, detail, None, load, reused)
+        return SendResult(SendStatus.FAILED, detail, None, load, reused, limit)
     detail = f"the target answered with status {answer.status}"
-    return SendResult(SendStatus.FAILED, detail, answer, load, reused)
+    return SendResult(SendStatus.FAILED, detail, answer, load, reused, limit)
+
+
+def _rate_limit(answer: Answer) -> RateLimitNotice | None:
+    """Return what the answer says of the target's rate limit, or None if that can't be told.
+
+    Only an answer that is certainly the target's own tells by the field's absence that it has none.
+    """
+    texts = [text for name in headers.SERVER_LIMITS if (text := _header(answer, name)) is not None]
+    if texts:
+        return _parse_rate_limit(texts[0])
+    signed = _header(answer, headers.SIGNATURE) is not None
+    return NO_RATE_LIMIT if signed else None
 
 
 def _to_failed_result(failure: SendFailure) -> SendResult:
@@ -165,6 +183,16 @@
         return 0.0
 
 
+def _parse_rate_limit(text: str) -> RateLimitNotice:
+    try:
+        per_s = float(text)
+    except ValueError:
+        per_s = nan
+    if not isfinite(per_s) or per_s < 0:
+        return RateLimitNotice(None, unreadable=text[:MAX_LOGGED_CHARACTERS])
+    return RateLimitNotice(per_s)
+
+
 def _parse_load(text: str | None) -> LoadReport | None:
     parts = (text or "").split(",")
     if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
--- a/src/flamingoladder/targets/state.py
+++ b/src/flamingoladder/targets/state.py
@@ -9,8 +9,10 @@
 import msgspec
 
 from flamingoladder.targets.queue_limit import QueueLimit
+from flamingoladder.targets.rate_limit import NO_RATE_LIMIT
 
 if TYPE_CHECKING:
+    from flamingoladder.targets.rate_limit import RateLimitNotice
     from flamingoladder.targets.record import TargetRecord
 
 LOAD_REPORT_LIFETIME_S = 0.6
@@ -45,6 +47,7 @@
         "ejected_until",
         "in_flight",
         "queue_limit",
+        "rate_limit",
         "record",
         "region",
         "remote_in_flight",
@@ -61,6 +64,7 @@
         self.in_flight = 0
         self.remote_in_flight = 0
         self.queue_limit = QueueLimit()
+        self.rate_limit: RateLimitNotice = NO_RATE_LIMIT
         self.down = False
         self.ejected_until = now
         self.remove_at: float | None = None
@@ -78,6 +82,7 @@
             self.down = False
             self.ejected_until = now
             self.queue_limit = QueueLimit()
+            self.rate_limit = NO_RATE_LIMIT
             self._load = None
         self.slow_start_until = max(self.slow_start_until, now + record.slow_start_s)
         self.record = record
--- a/tests/platform/test_target_wire.py
+++ b/tests/platform/test_target_wire.py
@@ -18,6 +18,8 @@
 from flamingoladder.entry.results import SendStatus
 from flamingoladder.platform.target_wire import PlatformTargets
 from flamingoladder.routing.model import Workspace
+from flamingoladder.targets.rate_limit import NO_RATE_LIMIT
+from flamingoladder.targets.rate_limit import RateLimitNotice
 from flamingoladder.targets.record import TargetRecord
 from flamingoladder.targets.state import LoadReport
 from flamingoladder.targets.state import TargetState
@@ -211,6 +213,38 @@
     assert result.load == LoadReport(3, 2, 8)
 
 
+@pytest.mark.parametrize(
+    ("head", "notice"),
+    [
+        ("Flamingoladder-Server-Limit: 2.9\r\n", RateLimitNotice(2.9)),
+        ("Server-Limit: 2\r\n", RateLimitNotice(2.0)),
+        ("server-limit: 0\r\n", RateLimitNotice(0.0)),
+        ("Server-Limit: -1\r\n", RateLimitNotice(None, unreadable="-1")),
+        ("Server-Limit: nan\r\n", RateLimitNotice(None, unreadable="nan")),
+        ("Server-Limit: soon\r\n", RateLimitNotice(None, unreadable="soon")),
+        ("", NO_RATE_LIMIT),
+    ],
+)
+async def test_the_rate_limit_of_the_target_is_read(head: str, notice: RateLimitNotice) -> None:
+    result = await send_once(RawTarget(reply(SIGNED + head + LENGTH)))
+    assert result.rate_limit == notice
+
+
+@pytest.mark.parametrize(
+    ("head", "status", "notice"),
+    [
+        (ECHO + NOT_RUN + "Server-Limit: 2\r\n", "503 Full", RateLimitNotice(2.0)),
+        (ECHO + NOT_RUN, "503 Full", None),
+        (ECHO + "Server-Limit: 2\r\n", "421 Misdirected", None),
+    ],
+)
+async def test_only_the_targets_own_answer_tells_of_its_rate_limit(
+    head: str, status: str, notice: RateLimitNotice | None
+) -> None:
+    result = await send_once(RawTarget(reply(head + LENGTH, status=status)))
+    assert result.rate_limit == notice
+
+
 @pytest.mark.parametrize(
     ("head", "status", "healthy", "cold_s"),
     [
