--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -8,6 +8,7 @@
 from flamingoladder.entry.active_configuration import ActiveConfiguration
 from flamingoladder.entry.forwarder import Forwarder
 from flamingoladder.entry.handler import RequestHandler
+from flamingoladder.entry.host_reports import HostReporter
 from flamingoladder.entry.load_balancer import LoadBalancer
 from flamingoladder.entry.poison_requests import PoisonRequestDetector
 from flamingoladder.entry.probing import TargetProber
@@ -120,18 +121,24 @@
 class EntryHarness:
     """A request handler with a fake target client and three targets in two regions."""
 
-    def __init__(self, client: FakeTargetClient, routing: RoutingConfig | None = None) -> None:
-        recorder = Recorder("h0", "i")
+    def __init__(
+        self,
+        client: FakeTargetClient,
+        routing: RoutingConfig | None = None,
+        host: str = "h0",
+        region: str = "r1",
+    ) -> None:
+        recorder = Recorder(host, "i")
         self.client = client
         self.targets = TargetRegistry({"d1": "r1", "d2": "r2"}, recorder)
         self.rate_limiter = FleetRateLimiter(RateTolerance(), start_full=True)
         self.budgets = RetryBudgets(0.2, 58.0, 10.0)
         self.configuration = ActiveConfiguration(self.targets, self.rate_limiter, recorder)
-        self.members = MemberRegistry("h0", recorder)
+        self.members = MemberRegistry(host, recorder)
         self.broadcast: list[object] = []
         self.poison_detector = PoisonRequestDetector(self.broadcast.append)
         self.balancer = balancer = LoadBalancer(
-            self.targets, self.configuration, self.members, SlowStartLimit("h0", 1.5, 5.0), "r1"
+            self.targets, self.configuration, self.members, SlowStartLimit(host, 1.5, 5.0), region
         )
         self.prober = TargetProber(
             self.targets,
@@ -151,6 +158,14 @@
             forwarder,
             recorder,
         )
+        self.reporter = HostReporter(
+            self.targets,
+            self.configuration,
+            balancer,
+            self.rate_limiter,
+            self.budgets,
+            self.members,
+        )
         self.configuration.set_routing(routing or routing_config(), 0.0)
         for number, domain in enumerate(["d1", "d2", "d2"]):
             self.add(f"t{number}", domain)
@@ -176,6 +191,7 @@
     host: str = "a.example",
     caller_timeout_s: float = 2.0,
     request_id: str = "r-1",
+    affinity_key: str = "17",
 ) -> IncomingRequest:
     return IncomingRequest(
         request_id=request_id,
@@ -185,6 +201,6 @@
         headers=(),
         body=b"",
         keys=keys,
-        affinity_key="17",
+        affinity_key=affinity_key,
         caller_timeout_s=caller_timeout_s,
     )
