Keep to the rate limit that a target names, by all hosts together

Cause: no host read the field, so no decision knew of the limit; the tests' stand-ins never sent it. It is of the class 'a bound that all hosts must keep together, known to none'.

Change: the limit times the window of 4 s is divided among the hosts by rendezvous hashing, in whole requests, as for targets in slow start, whose division and window are now shared (targets/fleet_share.py). So all hosts together stay within the named limit in every window, whatever they know of each other's sends. Hosts report what they were told, so that hosts without a part learn of a limit before its target tells them, and of its end. An answer that names no limit ends one only if its request was sent after the last naming. A target that takes nothing still gets one request in 4 s of one host, as only answers tell of the end.

Other ways that were weighed: token buckets with reported spending, as for workspaces, whose burst of one request a host breaks the bound at 78 hosts; turns by the clock, which leave most of a limit unused.

--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -107,7 +107,7 @@
             self.relays,
             self.reporter.build_report,
             self.reporter.apply_reports,
-            self.reporter.add_objects,
+            self.reporter.receive_report,
         )
         self.prober = TargetProber(
             self.targets,
--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -147,6 +147,8 @@
         now = loop.time()
         if result.status is SendStatus.ANSWERED:
             self._balancer.record_run(request, choice, now - started)
+        if result.rate_limit is not None:
+            self._apply_rate_limit(target, result.rate_limit, started, now)
         self._apply_result(request, choice, result, now)
         return result
 
@@ -156,7 +158,6 @@
         target = choice.target
         if result.load is not None:
             target.update_load(result.load, now)
-        self._apply_rate_limit(target, result.rate_limit)
         if result.status is SendStatus.ANSWERED:
             target.record_success()
             self._poison_detector.clear(request.fingerprint)
@@ -180,21 +181,16 @@
         elif target.record_failure(now):
             self._recorder.record("target.ejected", target=target.record.target_id)
 
-    def _apply_rate_limit(self, target: TargetState, notice: RateLimitNotice | None) -> None:
-        if notice is None or notice == target.rate_limit:
-            return
-        target_id = target.record.target_id
-        if notice.unreadable:
-            self._recorder.record(
-                "target.rate_limit_unreadable", target=target_id, value=notice.unreadable
-            )
+    def _apply_rate_limit(
+        self, target: TargetState, notice: RateLimitNotice, sent_at: float, now: float
+    ) -> None:
+        if not notice.unreadable:
+            self._balancer.record_rate_limit(target, notice, sent_at, now)
             return
-        before, target.rate_limit = target.rate_limit, notice
         self._recorder.record(
-            "target.rate_limit",
-            target=target_id,
-            per_s=notice.per_s,
-            before_per_s=before.per_s,
+            "target.rate_limit_unreadable",
+            target=target.record.target_id,
+            value=notice.unreadable,
         )
 
     def _apply_connect_failure(
--- a/src/flamingoladder/entry/host_reports.py
+++ b/src/flamingoladder/entry/host_reports.py
@@ -6,6 +6,8 @@
 
 from flamingoladder.fleet.messages import HostReport
 from flamingoladder.limits.rate_deltas import RateDeltas
+from flamingoladder.targets.rate_limit import MS_PER_S
+from flamingoladder.targets.rate_limit import Told
 
 if TYPE_CHECKING:
     from flamingoladder.entry.active_configuration import ActiveConfiguration
@@ -13,6 +15,7 @@
     from flamingoladder.fleet.members import MemberRegistry
     from flamingoladder.limits.rate_limiter import FleetRateLimiter
     from flamingoladder.limits.retry_budgets import RetryBudgets
+    from flamingoladder.targets.rate_limit import RateLimitReport
     from flamingoladder.targets.registry import TargetRegistry
 
 # Known objects are repeated a few at a time, because reports were most of the bytes sent between
@@ -67,16 +70,25 @@
         }
         unavailable = self.leaving or self._configuration.routing is None
         return HostReport(
-            unavailable, rates, in_flight, self._objects(with_repeated=self._rate_deltas.is_full)
+            unavailable,
+            rates,
+            in_flight,
+            self._objects(with_repeated=self._rate_deltas.is_full),
+            self._rate_limits(now),
         )
 
-    def add_objects(self, host: str, report: HostReport) -> None:
-        """Add the objects of a received report at once."""
+    def receive_report(self, host: str, report: HostReport, now: float) -> None:
+        """Apply at once what a received report says of objects and of targets' rate limits."""
         member = self._members.members_by_host.get(host)
         if member is None:
             return
         for service, objects in report.objects_by_service.items():
             self._balancer.homes_of(service).add_objects(objects, member.region)
+        for target_id, limit in report.rate_limits_by_target.items():
+            target = self._targets.by_id.get(target_id)
+            if target is not None:
+                told = Told(limit.per_s, now - limit.age_ms / MS_PER_S)
+                self._targets.learn_rate_limit(target, told, source=host)
 
     def apply_reports(self, now: float) -> None:
         """Apply the newest reports of all hosts."""
@@ -91,6 +103,14 @@
         for name, target in self._targets.by_id.items():
             target.remote_in_flight = remote_in_flight.get(name, 0)
 
+    def _rate_limits(self, now: float) -> dict[str, RateLimitReport]:
+        limits = {
+            target_id: target.rate_limit.report(now)
+            for target_id, target in self._targets.by_id.items()
+            if target.rate_limit is not None
+        }
+        return {target_id: report for target_id, report in limits.items() if report is not None}
+
     def _objects(self, *, with_repeated: bool) -> dict[str, tuple[str, ...]]:
         listed_by_service: dict[str, tuple[str, ...]] = {}
         for service, objects in self._balancer.objects_by_service().items():
--- a/src/flamingoladder/entry/load_balancer.py
+++ b/src/flamingoladder/entry/load_balancer.py
@@ -9,6 +9,8 @@
 from flamingoladder.entry import costs
 from flamingoladder.steering.home_assignment import HomeAssignment
 from flamingoladder.steering.overflow_cap import OverflowCap
+from flamingoladder.targets.fleet_share import fleet_share
+from flamingoladder.targets.rate_limit import Told
 from flamingoladder.targets.run_times import RunTimes
 from flamingoladder.targets.state import TargetState
 
@@ -19,6 +21,7 @@
     from flamingoladder.entry.active_configuration import ActiveConfiguration
     from flamingoladder.entry.request import RoutedRequest
     from flamingoladder.fleet.members import MemberRegistry
+    from flamingoladder.targets.rate_limit import RateLimitNotice
     from flamingoladder.targets.registry import TargetRegistry
     from flamingoladder.targets.slow_start import SlowStartLimit
 
@@ -101,7 +104,9 @@
         allowed = [
             target
             for target in self._targets.eligible_targets(request.service)
-            if not target.down and (request.regions is None or target.region in request.regions)
+            if not target.down
+            and (request.regions is None or target.region in request.regions)
+            and self._is_within_rate_limit(target, now)
         ]
         usable = [target for target in allowed if not target.in_slow_start(now)]
         home_candidates = _not_ejected(usable, now)
@@ -119,7 +124,16 @@
         target.in_flight += 1
         self._overflow.record_send(now, cross_region=target.region != self._region)
         if target.in_slow_start(now):
-            target.slow_start_sends.append(now)
+            target.slow_start_sends.add(now)
+        if target.rate_limit is not None:
+            target.rate_limit.sends.add(now)
+
+    def record_rate_limit(
+        self, target: TargetState, notice: RateLimitNotice, sent_at: float, now: float
+    ) -> None:
+        """Store what an answer that just arrived says of the target's rate limit."""
+        told = Told(notice.per_s, sent_at if notice.per_s is None else now)
+        self._targets.learn_rate_limit(target, told, source=None)
 
     def record_run(self, request: RoutedRequest, choice: Choice, seconds: float) -> None:
         """Record a successful run: its duration, and that the target handled the object."""
@@ -190,6 +204,18 @@
             if not stays_local or target.region == self._region
         )
 
+    def _is_within_rate_limit(self, target: TargetState, now: float) -> bool:
+        limit = target.rate_limit
+        if limit is None or limit.per_s is None:
+            return True
+        share = fleet_share(
+            limit.fleet_requests,
+            target.record.target_id,
+            self._members.own_host,
+            self._members.members_by_host,
+        )
+        return limit.allows_send(share, now)
+
     def _exceeds_overflow_cap(self, home: TargetState, best: Choice, now: float) -> bool:
         """Return whether the request would leave its home's region beyond the overflow cap."""
         leaves_home_region = home.region == self._region and best.target.region != self._region
@@ -244,8 +270,7 @@
         within_limit = [
             target
             for target in targets
-            if self._slow_start_limit.may_send(
-                target,
+            if target.slow_start_sends.allows(
                 self._slow_start_limit.allowance(
                     target.record.target_id, service.slow_start_rate_per_s, hosts
                 ),
--- a/src/flamingoladder/fleet/exchange.py
+++ b/src/flamingoladder/fleet/exchange.py
@@ -55,7 +55,7 @@
         members: MemberRegistry,
         make_report: Callable[[float], HostReport],
         apply_reports: Callable[[float], None],
-        on_report: Callable[[str, HostReport], None] | None = None,
+        on_report: Callable[[str, HostReport, float], None] | None = None,
     ) -> None:
         self._links = links
         self._members = members
@@ -93,9 +93,10 @@
         self._receive(peer.host, peer.incarnation, report)
 
     def _receive(self, host: str, incarnation: str, report: HostReport) -> None:
-        self._members.receive(host, incarnation, report, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._members.receive(host, incarnation, report, now)
         if self._report_callback is not None:
-            self._report_callback(host, report)
+            self._report_callback(host, report, now)
 
 
 class RegionalReportExchange(ReportExchange):
@@ -116,7 +117,7 @@
         relays: RegionRelays,
         make_report: Callable[[float], HostReport],
         apply_reports: Callable[[float], None],
-        on_report: Callable[[str, HostReport], None] | None = None,
+        on_report: Callable[[str, HostReport, float], None] | None = None,
     ) -> None:
         super().__init__(links, members, make_report, apply_reports, on_report)
         self._relays = relays
--- a/src/flamingoladder/fleet/members.py
+++ b/src/flamingoladder/fleet/members.py
@@ -38,6 +38,11 @@
         self.members_by_host: dict[str, Member] = {}
         self.reports_by_host: dict[str, ReceivedReport] = {}
 
+    @property
+    def own_host(self) -> str:
+        """Return the name of this host."""
+        return self._own_host
+
     @property
     def host_count(self) -> int:
         """Return the number of registered hosts, this one included."""
--- a/src/flamingoladder/fleet/messages.py
+++ b/src/flamingoladder/fleet/messages.py
@@ -7,12 +7,14 @@
 from flamingoladder.feed.messages import FeedMessage
 from flamingoladder.limits.rate_limiter import RateReport
 from flamingoladder.peers.messages import LinkMessage
+from flamingoladder.targets.rate_limit import RateLimitReport
 
 SHORT_NAMES = {
     "unavailable": "l",
     "rates_by_workspace": "w",
     "in_flight_by_target": "t",
     "objects_by_service": "o",
+    "rate_limits_by_target": "m",
     "sequence": "n",
 }
 
@@ -23,7 +25,8 @@
     A host is ``unavailable`` to callers while it stops, and before it has a configuration.
     ``rates_by_workspace`` holds admitted requests and demand; unchanged workspaces may be left out.
     ``in_flight_by_target`` counts requests. ``objects_by_service`` lists objects requested from the
-    host's region: new ones at once, all others in turn. ``sequence`` numbers the reports of one
+    host's region: new ones at once, all others in turn. ``rate_limits_by_target`` holds what
+    targets said of their rate limits to this host lately. ``sequence`` numbers the reports of one
     incarnation.
     """
 
@@ -31,6 +34,7 @@
     rates_by_workspace: dict[str, RateReport] = {}
     in_flight_by_target: dict[str, int] = {}
     objects_by_service: dict[str, tuple[str, ...]] = {}
+    rate_limits_by_target: dict[str, RateLimitReport] = {}
     sequence: int = 0
 
 
--- a/src/flamingoladder/targets/registry.py
+++ b/src/flamingoladder/targets/registry.py
@@ -12,6 +12,7 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from flamingoladder.targets.rate_limit import Told
     from flamingoladder.targets.record import TargetRecord
     from flamingoladder.timeline.recorder import Recorder
 
@@ -68,6 +69,20 @@
         self._recorder.record("target.removed", target=target_id, reason=reason)
         self.removed.on_next(target_id)
 
+    def learn_rate_limit(self, target: TargetState, told: Told, *, source: str | None) -> None:
+        """Store what a target said of its rate limit; ``source`` is the host that reported it."""
+        before_per_s = target.rate_limit_per_s
+        target.learn_rate_limit(told, directly=source is None)
+        per_s = target.rate_limit_per_s
+        if per_s != before_per_s:
+            self._recorder.record(
+                "target.rate_limit",
+                target=target.record.target_id,
+                per_s=per_s,
+                before_per_s=before_per_s,
+                source=source,
+            )
+
     def schedule_removal(self, target_id: str, remove_at: float) -> None:
         """Schedule the removal of a lapsed target; registering again cancels it."""
         target = self.by_id.get(target_id)
--- a/src/flamingoladder/targets/state.py
+++ b/src/flamingoladder/targets/state.py
@@ -8,11 +8,13 @@
 
 import msgspec
 
+from flamingoladder.targets.fleet_share import SendWindow
 from flamingoladder.targets.queue_limit import QueueLimit
-from flamingoladder.targets.rate_limit import NO_RATE_LIMIT
+from flamingoladder.targets.rate_limit import TargetRateLimit
+from flamingoladder.targets.slow_start import SEND_WINDOW_S
 
 if TYPE_CHECKING:
-    from flamingoladder.targets.rate_limit import RateLimitNotice
+    from flamingoladder.targets.rate_limit import Told
     from flamingoladder.targets.record import TargetRecord
 
 LOAD_REPORT_LIFETIME_S = 0.6
@@ -34,7 +36,8 @@
 class TargetState:
     """State of one target. Times are monotonic seconds.
 
-    ``down`` is set when the target refuses connections, until a probe succeeds.
+    ``down`` is set when the target refuses connections, until a probe succeeds. ``rate_limit`` is
+    None until the target names one.
     """
 
     __slots__ = (
@@ -60,11 +63,11 @@
         self.record = record
         self.region = region
         self.slow_start_until = now + record.slow_start_s
-        self.slow_start_sends: deque[float] = deque()
+        self.slow_start_sends = SendWindow(SEND_WINDOW_S)
         self.in_flight = 0
         self.remote_in_flight = 0
         self.queue_limit = QueueLimit()
-        self.rate_limit: RateLimitNotice = NO_RATE_LIMIT
+        self.rate_limit: TargetRateLimit | None = None
         self.down = False
         self.ejected_until = now
         self.remove_at: float | None = None
@@ -82,7 +85,7 @@
             self.down = False
             self.ejected_until = now
             self.queue_limit = QueueLimit()
-            self.rate_limit = NO_RATE_LIMIT
+            self.rate_limit = None
             self._load = None
         self.slow_start_until = max(self.slow_start_until, now + record.slow_start_s)
         self.record = record
@@ -96,6 +99,22 @@
         """Return whether the target is ejected because too many recent requests failed."""
         return now < self.ejected_until
 
+    def learn_rate_limit(self, told: Told, *, directly: bool) -> None:
+        """Store what the target said of its rate limit, to this host ``directly`` or to another."""
+        if self.rate_limit is None:
+            if told.per_s is None:
+                return
+            self.rate_limit = TargetRateLimit(told)
+        if directly:
+            self.rate_limit.learn_directly(told)
+        else:
+            self.rate_limit.learn(told)
+
+    @property
+    def rate_limit_per_s(self) -> float | None:
+        """Return the rate limit in requests per second of all hosts, or None."""
+        return None if self.rate_limit is None else self.rate_limit.per_s
+
     def update_load(self, load: LoadReport, now: float) -> None:
         """Store the load that the target reported."""
         self._load = load
--- a/tests/entry/limited_fleet.py
+++ b/tests/entry/limited_fleet.py
@@ -22,6 +22,8 @@
 from tests.entry.harness import incoming
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from flamingoladder.entry.request import RoutedRequest
     from flamingoladder.targets.state import TargetState
     from flamingoladder.verdict import Outcome
@@ -150,12 +152,12 @@
             RegionRelays(member, harness.members),
             harness.reporter.build_report,
             harness.reporter.apply_reports,
-            harness.reporter.add_objects,
+            harness.reporter.receive_report,
         )
         self._start(exchange.run())
         return harness
 
-    def _start(self, work: object) -> None:
-        task = asyncio.ensure_future(work)  # type: ignore[arg-type]
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/tests/entry/test_target_rate_limit.py
+++ b/tests/entry/test_target_rate_limit.py
@@ -7,6 +7,11 @@
 import pytest
 
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.targets.rate_limit import Told
+from flamingoladder.verdict import Verdict
+from tests.entry.harness import EntryHarness
+from tests.entry.harness import FakeTargetClient
+from tests.entry.harness import incoming
 from tests.entry.limited_fleet import SETTLE_S
 from tests.entry.limited_fleet import TOLERATED_FACTOR
 from tests.entry.limited_fleet import TOLERATED_REQUESTS
@@ -32,3 +37,51 @@
 
     most = run_on_injected_time(scenario())
     assert most <= per_s * WINDOW_S * TOLERATED_FACTOR + TOLERATED_REQUESTS
+
+
+@pytest.mark.parametrize(("hosts", "per_s", "least"), [(1, 4.0, 48), (7, 4.0, 32), (78, 10.0, 32)])
+def test_target_is_used_up_to_its_limit(hosts: int, per_s: float, least: int) -> None:
+    async def scenario() -> int:
+        fleet = LimitedFleet(hosts)
+        fleet.targets.per_s_by_target[LIMITED] = per_s
+        await fleet.serve(REQUESTS_PER_S, SETTLE_S)
+        named_at = asyncio.get_running_loop().time()
+        await fleet.serve(REQUESTS_PER_S, 4 * WINDOW_S)
+        return fleet.targets.count(LIMITED, named_at, asyncio.get_running_loop().time())
+
+    assert run_on_injected_time(scenario()) >= least
+
+
+@pytest.mark.parametrize("hosts", [1, 7, 78])
+def test_target_is_used_again_by_all_hosts_when_its_limit_ends(hosts: int) -> None:
+    async def scenario() -> int:
+        fleet = LimitedFleet(hosts)
+        fleet.targets.per_s_by_target[LIMITED] = 2.2
+        await fleet.serve(REQUESTS_PER_S, SETTLE_S + WINDOW_S)
+        del fleet.targets.per_s_by_target[LIMITED]
+        await fleet.serve(REQUESTS_PER_S, 2 * WINDOW_S)
+        limits = [host.targets.by_id[LIMITED].rate_limit_per_s for host in fleet.hosts]
+        return sum(limit is not None for limit in limits)
+
+    assert run_on_injected_time(scenario()) == 0
+
+
+def test_host_that_was_not_told_obeys_the_limit_that_another_one_reports() -> None:
+    async def scenario() -> list[float | None]:
+        fleet = LimitedFleet(7)
+        fleet.targets.per_s_by_target[LIMITED] = 2.2
+        await fleet.serve(REQUESTS_PER_S, SETTLE_S)
+        return [host.targets.by_id[LIMITED].rate_limit_per_s for host in fleet.hosts]
+
+    assert run_on_injected_time(scenario()) == [2.2] * 7
+
+
+async def test_requests_are_refused_as_not_run_when_all_targets_are_at_their_limits() -> None:
+    harness = EntryHarness(FakeTargetClient())
+    now = asyncio.get_running_loop().time
+    for target in harness.targets.by_id.values():
+        target.learn_rate_limit(Told(0.2, now()), directly=True)
+    outcomes = [await harness.handler.handle(incoming(), now()) for _ in range(5)]
+    assert [outcome.is_ok() for outcome in outcomes] == [True] * 3 + [False] * 2
+    assert outcomes[-1].error.verdict is Verdict.NOT_RUN
+    assert outcomes[-1].error.retry_after_s is not None
--- /dev/null
+++ b/tests/targets/test_fleet_share.py
@@ -0,0 +1,20 @@
+"""Tests of the division of requests to a target among all hosts."""
+
+from __future__ import annotations
+
+import pytest
+
+from flamingoladder.targets.fleet_share import fleet_share
+
+
+@pytest.mark.parametrize("total", [0, 1, 8, 100])
+@pytest.mark.parametrize("hosts", [1, 7, 78])
+def test_shares_of_all_hosts_add_up_to_the_total(total: int, hosts: int) -> None:
+    names = [f"h{number}" for number in range(hosts)]
+    shares = [fleet_share(total, "t", name, names) for name in names]
+    assert sum(shares) == total
+    assert max(shares) - min(shares) <= 1
+
+
+def test_share_is_the_same_with_and_without_the_own_host_in_the_list() -> None:
+    assert fleet_share(8, "t", "h1", ["h0", "h1"]) == fleet_share(8, "t", "h1", ["h0"])
--- a/tests/targets/test_slow_start.py
+++ b/tests/targets/test_slow_start.py
@@ -37,13 +37,12 @@
 
 
 def test_sends_per_second_stay_within_the_allowance() -> None:
-    limit = SlowStartLimit("h", OVERSHOOT, SLACK)
     new_target = target()
     sends = []
     for step in range(300):
         now = step / 100
-        if limit.may_send(new_target, 2, now):
-            new_target.slow_start_sends.append(now)
+        if new_target.slow_start_sends.allows(2, now):
+            new_target.slow_start_sends.add(now)
             sends.append(now)
     assert all(sum(start <= at <= start + 1 for at in sends) <= 2 for start in sends)
     assert len(sends) >= 4
