Count a send before the next request chooses its target

What was seen: of 30 requests that arrived at the same moment while only a cold target was left, all 30 went to it (7 were its allowance); 12 of 12 went to targets at their rate limits (6 allowed); 9 of 9 took the same free slots.

Cause: the send was counted in its task, which starts only after the other requests of the same turn have chosen.

--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -124,9 +124,13 @@
                 return self._failure(attempts, last)
 
     async def _send(self, request: RoutedRequest, choice: Choice) -> SendResult:
-        task = asyncio.create_task(self._send_to(request, choice))
+        # Counted before the next request chooses, so not in the task, which starts later.
+        sent_at = asyncio.get_running_loop().time()
+        self._balancer.count_send(choice.target, sent_at)
+        task = asyncio.create_task(self._send_to(request, choice, sent_at))
         self._send_tasks.add(task)
         task.add_done_callback(self._send_tasks.discard)
+        task.add_done_callback(lambda _: self._balancer.count_end(choice.target))
         try:
             async with asyncio.timeout_at(request.deadline):
                 return await asyncio.shield(task)
@@ -136,19 +140,14 @@
             task.cancel()
             raise
 
-    async def _send_to(self, request: RoutedRequest, choice: Choice) -> SendResult:
-        loop = asyncio.get_running_loop()
-        target, started = choice.target, loop.time()
-        self._balancer.count_send(target, started)
-        try:
-            result = await self._client.send(request, target)
-        finally:
-            target.in_flight -= 1
-        now = loop.time()
+    async def _send_to(self, request: RoutedRequest, choice: Choice, sent_at: float) -> SendResult:
+        target = choice.target
+        result = await self._client.send(request, target)
+        now = asyncio.get_running_loop().time()
         if result.status is SendStatus.ANSWERED:
-            self._balancer.record_run(request, choice, now - started)
+            self._balancer.record_run(request, choice, now - sent_at)
         if result.rate_limit is not None:
-            self._apply_rate_limit(target, result.rate_limit, started, now)
+            self._apply_rate_limit(target, result.rate_limit, sent_at, now)
         self._apply_result(request, choice, result, now)
         return result
 
--- a/src/flamingoladder/entry/load_balancer.py
+++ b/src/flamingoladder/entry/load_balancer.py
@@ -128,6 +128,10 @@
         if target.rate_limit is not None:
             target.rate_limit.sends.add(now)
 
+    def count_end(self, target: TargetState) -> None:
+        """Count a request that ended at the target, whatever came of it."""
+        target.in_flight -= 1
+
     def record_rate_limit(
         self, target: TargetState, notice: RateLimitNotice, sent_at: float, now: float
     ) -> None:
--- a/tests/entry/test_overflow.py
+++ b/tests/entry/test_overflow.py
@@ -26,7 +26,7 @@
         choice = harness.balancer.choose(request, (), at)
         assert isinstance(choice, Choice)
         harness.balancer.count_send(choice.target, at)
-        choice.target.in_flight -= 1
+        harness.balancer.count_end(choice.target)
         cross_region += choice.target.region != "r1"
     return cross_region / REQUESTS
 
--- a/tests/entry/test_target_rate_limit.py
+++ b/tests/entry/test_target_rate_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 import pytest
 
@@ -85,3 +86,14 @@
     assert [outcome.is_ok() for outcome in outcomes] == [True] * 3 + [False] * 2
     assert outcomes[-1].error.verdict is Verdict.NOT_RUN
     assert outcomes[-1].error.retry_after_s is not None
+
+
+async def test_requests_that_arrive_together_stay_within_the_limit() -> None:
+    harness = EntryHarness(FakeTargetClient())
+    now = asyncio.get_running_loop().time
+    for target in harness.targets.by_id.values():
+        target.learn_rate_limit(Told(0.5, now()), directly=True)
+    requests = [incoming(request_id=str(number)) for number in range(12)]
+    outcomes = await asyncio.gather(*(harness.handler.handle(one, now()) for one in requests))
+    assert sum(outcome.is_ok() for outcome in outcomes) == 6
+    assert Counter(harness.client.sent) == {"t0": 2, "t1": 2, "t2": 2}
