Let hosts without a part of a rate limit try a target one after the other

What was seen: at 78 hosts and a limit of 0.2 requests a second, when the one host with a part gets no requests for 15 s, all others tried the target at the same moment: 7 requests in 4 s, 6 allowed.

Cause: each host gave itself one request when none had told of the limit for 15 s.

Change: hosts do so in the order of their rank for the target, a second apart, so that they hear of the first one's answer before they try. The test failed before (7 <= 6.2).

--- a/src/flamingoladder/targets/fleet_share.py
+++ b/src/flamingoladder/targets/fleet_share.py
@@ -5,13 +5,22 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from flamingoladder.hashing import stable_hash
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 
-def fleet_share(total: int, target_id: str, own_host: str, hosts: Iterable[str]) -> int:
+class FleetShare(msgspec.Struct, frozen=True):
+    """This host's part of some requests; ``rank`` is its place among the hosts, from 0 on."""
+
+    requests: int
+    rank: int
+
+
+def fleet_share(total: int, target_id: str, own_host: str, hosts: Iterable[str]) -> FleetShare:
     """Return this host's part of ``total``, by rendezvous hashing.
 
     Every host gets the same whole number; the remainder goes to the hosts that rank first for the
@@ -20,8 +29,8 @@
     others = set(hosts) - {own_host}
     per_host, remainder = divmod(total, len(others) + 1)
     own_hash = stable_hash(target_id, own_host)
-    hosts_ahead = sum(stable_hash(target_id, host) > own_hash for host in others)
-    return per_host + (hosts_ahead < remainder)
+    rank = sum(stable_hash(target_id, host) > own_hash for host in others)
+    return FleetShare(per_host + (rank < remainder), rank)
 
 
 class SendWindow:
--- a/src/flamingoladder/targets/rate_limit.py
+++ b/src/flamingoladder/targets/rate_limit.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from flamingoladder.targets.fleet_share import SendWindow
 
+if TYPE_CHECKING:
+    from flamingoladder.targets.fleet_share import FleetShare
+
 WINDOW_S = 4.0
 # Even a target that takes nothing gets a request now and then, as only its answers tell of the end.
 MIN_FLEET_REQUESTS = 1
-# A host without a part tries the target if no host has told of the limit for this long.
+# A host without a part tries the target if no host has told of the limit for this long. The hosts
+# do so one after the other, so that they hear of the first one's answer before they try.
 STALE_S = 15.0
+STALE_STEP_S = 1.0
 REPORTED_S = 2.0
 # All hosts report the end of a limit again for this long, so that no single lost report matters.
 END_REPORTED_S = 10.0
@@ -87,13 +94,12 @@
         if told.per_s is not None or told.at - self._ended_at <= END_REPORTED_S:
             self._own = told
 
-    def allows_send(self, share: int, now: float) -> bool:
+    def allows_send(self, share: FleetShare, now: float) -> bool:
         """Return whether this host may send another request, with its ``share`` of the requests."""
         if self.per_s is None:
             return True
-        if share == 0 and now - self._newest.at >= STALE_S:
-            share = 1
-        return self.sends.allows(share, now)
+        is_stale = now - self._newest.at >= STALE_S + share.rank * STALE_STEP_S
+        return self.sends.allows(max(share.requests, int(is_stale)), now)
 
     def report(self, now: float) -> RateLimitReport | None:
         """Return what to report to the other hosts, or None if the target told nothing lately."""
--- a/src/flamingoladder/targets/slow_start.py
+++ b/src/flamingoladder/targets/slow_start.py
@@ -26,4 +26,4 @@
     def allowance(self, target: str, rate_per_s: float, hosts: Collection[str]) -> int:
         """Return the number of requests per window that this host may send to ``target``."""
         bound = int((rate_per_s * self._overshoot + self._slack) * BOUND_SAFETY_FACTOR)
-        return fleet_share(bound, target, self._host, hosts)
+        return fleet_share(bound, target, self._host, hosts).requests
--- a/tests/entry/limited_fleet.py
+++ b/tests/entry/limited_fleet.py
@@ -14,6 +14,7 @@
 from flamingoladder.fleet.relays import RegionRelays
 from flamingoladder.members.member import Member
 from flamingoladder.standins.network import Network
+from flamingoladder.targets.fleet_share import fleet_share
 from flamingoladder.targets.rate_limit import NO_RATE_LIMIT
 from flamingoladder.targets.rate_limit import RateLimitNotice
 from flamingoladder.verdict import Answer
@@ -123,13 +124,19 @@
         ]
         self.hosts = [self._host(member, members) for member in members]
 
-    async def serve(self, per_s: float, seconds: float) -> None:
-        """Send requests to all hosts in random order."""
+    async def serve(self, per_s: float, seconds: float, unused: EntryHarness | None = None) -> None:
+        """Send requests to all hosts but the ``unused`` one in random order."""
         loop = asyncio.get_running_loop()
+        used = [host for host in self.hosts if host is not unused]
         until = loop.time() + seconds
         while loop.time() < until:
             await asyncio.sleep(self._random.expovariate(per_s))
-            self._start(self._request(self._random.choice(self.hosts)))
+            self._start(self._request(self._random.choice(used)))
+
+    def share_of(self, host: EntryHarness, target_id: str) -> int:
+        """Return the host's part of the one request that a target with a small limit gets."""
+        members = host.members
+        return fleet_share(1, target_id, members.own_host, members.members_by_host).requests
 
     async def _request(self, host: EntryHarness) -> None:
         now = asyncio.get_running_loop().time()
--- a/tests/entry/test_target_rate_limit.py
+++ b/tests/entry/test_target_rate_limit.py
@@ -8,6 +8,7 @@
 import pytest
 
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.targets.rate_limit import STALE_S
 from flamingoladder.targets.rate_limit import Told
 from flamingoladder.verdict import Verdict
 from tests.entry.harness import EntryHarness
@@ -77,6 +78,23 @@
     assert run_on_injected_time(scenario()) == [2.2] * 7
 
 
+def test_target_keeps_its_limit_when_the_only_host_with_a_part_gets_no_requests() -> None:
+    """All other hosts tried the target at the same moment, once none had been told for a while."""
+
+    async def scenario() -> int:
+        fleet = LimitedFleet(78)
+        fleet.targets.per_s_by_target[LIMITED] = 0.2
+        await fleet.serve(REQUESTS_PER_S, SETTLE_S)
+        owner = max(fleet.hosts, key=lambda host: fleet.share_of(host, LIMITED))
+        named_at = asyncio.get_running_loop().time()
+        await fleet.serve(REQUESTS_PER_S, STALE_S - 2.0, unused=owner)
+        await fleet.serve(20 * REQUESTS_PER_S, 2 * WINDOW_S, unused=owner)
+        return fleet.targets.most_in_window(LIMITED, named_at)
+
+    allowed = 0.2 * WINDOW_S * TOLERATED_FACTOR + TOLERATED_REQUESTS
+    assert run_on_injected_time(scenario()) <= allowed
+
+
 async def test_requests_are_refused_as_not_run_when_all_targets_are_at_their_limits() -> None:
     harness = EntryHarness(FakeTargetClient())
     now = asyncio.get_running_loop().time
--- a/tests/targets/test_rate_limit.py
+++ b/tests/targets/test_rate_limit.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from flamingoladder.targets.fleet_share import FleetShare
 from flamingoladder.targets.rate_limit import END_REPORTED_S
 from flamingoladder.targets.rate_limit import REPORTED_S
 from flamingoladder.targets.rate_limit import STALE_S
+from flamingoladder.targets.rate_limit import STALE_STEP_S
 from flamingoladder.targets.rate_limit import WINDOW_S
 from flamingoladder.targets.rate_limit import RateLimitReport
 from flamingoladder.targets.rate_limit import TargetRateLimit
@@ -57,19 +59,24 @@
     for step in range(1_000):
         now = step / 50
         limit.learn(Told(2.2, now))
-        if limit.allows_send(3, now):
+        if limit.allows_send(FleetShare(3, 0), now):
             limit.sends.add(now)
             sends.append(now)
     assert all(sum(start <= at < start + WINDOW_S for at in sends) <= 3 for start in sends)
     assert len(sends) == 15
 
 
-def test_host_without_a_share_tries_once_when_no_host_tells_of_the_limit() -> None:
+@pytest.mark.parametrize("rank", [1, 77])
+def test_hosts_without_a_part_try_one_after_the_other_when_none_tells_of_the_limit(
+    rank: int,
+) -> None:
     limit = TargetRateLimit(Told(2.2, 0.0))
-    assert not limit.allows_send(0, STALE_S - 1)
-    assert limit.allows_send(0, STALE_S)
-    limit.sends.add(STALE_S)
-    assert not limit.allows_send(0, STALE_S)
+    share = FleetShare(0, rank)
+    due = STALE_S + rank * STALE_STEP_S
+    assert not limit.allows_send(share, due - STALE_STEP_S / 2)
+    assert limit.allows_send(share, due)
+    limit.sends.add(due)
+    assert not limit.allows_send(share, due)
 
 
 def test_own_knowledge_is_reported_while_it_is_recent() -> None:
