Never give a late second answer to the next caller, if targets bring back no id

What was seen: on a kept connection to a target whose answers don't bring back X-Request-Id (which docs/upstreams.md leaves to it), a second copy of an answer that comes once the next request has been written is that request's answer: its caller got another one's.

Cause: an answer without an id passed as the answer to whatever was asked last.

Change: a connection whose answer came without the id carries no other request, and on a connection that was used before an answer without the id is refused. The test failed before with the target that does not echo, and passes. The tests' target echoes now, as is asked of targets, so that reuse is still tested; the store's calls and probes carry no id and stay as they were.

Cost: targets that don't echo get a new connection for each idempotent request too.

--- a/src/flamingoladder/transport/connector.py
+++ b/src/flamingoladder/transport/connector.py
@@ -72,6 +72,7 @@
             exchange.transport = connection.transport
             if connection.protocol is not None:
                 exchange.connection_error = connection.protocol.exception
+                exchange.forbid_reuse = connection.protocol.force_close
             exchange.reused = self._is_used(connection)
         if connection.transport is not None:
             self._used.add(connection.transport)
--- a/src/flamingoladder/transport/exchange.py
+++ b/src/flamingoladder/transport/exchange.py
@@ -30,10 +30,12 @@
     __slots__ = (
         "_connect_by",
         "_last_check",
+        "_may_be_kept",
         "_timeout",
         "connected",
         "connection_error",
         "deadline",
+        "forbid_reuse",
         "refusal",
         "response",
         "reused",
@@ -50,9 +52,11 @@
         self.deadline = deadline
         self._connect_by = deadline if connect_by is None else min(deadline, connect_by)
         self._last_check = last_check
+        self._may_be_kept = True
         self.refusal: Refusal | None = None
         self.connected = False
         self.connection_error: Callable[[], BaseException | None] = _unknown
+        self.forbid_reuse: Callable[[], None] = _nothing
         self.silent = False
         self.reused = False
         self.transport: Transport | None = None
@@ -85,6 +89,11 @@
         if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(self.deadline)
 
+    def use_connection_once(self) -> None:
+        """Close the connection after the answer, so that no other request goes over it."""
+        self._may_be_kept = False
+        self.forbid_reuse()
+
     def abandon(self) -> None:
         """End the request now; its connection is closed."""
         if self._timeout is None or self._timeout.expired():
@@ -97,9 +106,14 @@
         No other request can then meet what still comes from that connection.
         """
         self._timeout = None
-        if not whole and self.transport is not None:
+        is_kept = whole and self._may_be_kept
+        if not is_kept and self.transport is not None:
             self.transport.abort()
 
 
 def _unknown() -> BaseException | None:
     return None
+
+
+def _nothing() -> None:
+    pass
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -56,7 +56,9 @@
     """How an answer proves to be the one to a request.
 
     ``field`` brings back the request's id. If it is ``required``, an answer without it is refused;
-    with it an answer may also end with its connection, as long as that is not reset.
+    with it an answer may also end with its connection, as long as that is not reset. If it is not
+    required, a connection whose answer came without it carries no other request, since a late
+    second answer would pass for the answer to that one.
     """
 
     field: str
@@ -122,8 +124,10 @@
         allow_redirects=False,
     )
     exchange.response = response
-    if _is_crossed(response, outgoing):
+    if _is_crossed(response, outgoing, reused=exchange.reused):
         return _lost(exchange, "the answer is to another request")
+    if outgoing.request_id and outgoing.echo.field not in response.headers:
+        exchange.use_connection_once()
     framed = _ends_detectably(response, outgoing.method)
     if not framed and not outgoing.echo.required:
         return _lost(exchange, "the answer has no length and no chunks, so no certain end")
@@ -141,10 +145,10 @@
     return Answer(response.status, headers, body)
 
 
-def _is_crossed(response: aiohttp.ClientResponse, outgoing: Outgoing) -> bool:
+def _is_crossed(response: aiohttp.ClientResponse, outgoing: Outgoing, *, reused: bool) -> bool:
     answered = response.headers.getall(outgoing.echo.field, [])
     if not answered:
-        return outgoing.echo.required
+        return outgoing.echo.required or (reused and bool(outgoing.request_id))
     return bool(outgoing.request_id) and answered != [outgoing.request_id]
 
 
--- a/tests/upstreams/scripted_target.py
+++ b/tests/upstreams/scripted_target.py
@@ -11,6 +11,7 @@
     from collections.abc import AsyncIterator
 
 CONTENT_LENGTH = b"content-length:"
+REQUEST_ID = "x-request-id:"
 
 
 class Behavior(Enum):
@@ -21,6 +22,7 @@
     ANSWER_TWICE = "answers, then while the connection is idle a second time without an id"
     ANSWER_AGAIN_LATE = "answers, then a moment later a second time with the id"
     CLOSE = "reads the whole request and closes"
+    COPY_LATE = "answers, then a second time once the connection's next request has come"
     CROSSED = "answers with another request's id"
     HUGE = "sends more than fits into memory, in chunks without end"
     HALF = "sends half of an answer and closes"
@@ -35,7 +37,10 @@
 
 
 class ScriptedTarget:
-    """A target that applies ``behaviors`` in order, then ``ANSWER``; it always answers probes."""
+    """A target that applies ``behaviors`` in order, then ``ANSWER``; it always answers probes.
+
+    Its answers bring back the request's id if it ``echoes``.
+    """
 
     __slots__ = (
         "_server",
@@ -45,14 +50,16 @@
         "behaviors",
         "closed_by_peer",
         "connections",
+        "echoes",
         "name",
         "reached",
         "received",
         "repeated",
     )
 
-    def __init__(self, name: str, *behaviors: Behavior) -> None:
+    def __init__(self, name: str, *behaviors: Behavior, echoes: bool = True) -> None:
         self.name = name
+        self.echoes = echoes
         self.behaviors = list(behaviors)
         self.accepts_and_closes = False
         self.connections = 0
@@ -109,7 +116,8 @@
         self.received.append(head.decode("latin-1"))
         behavior = self.behaviors.pop(0) if self.behaviors else Behavior.ANSWER
         self.reached.set()
-        return await self._perform(behavior, reader, writer)
+        echo = _echo(head) if self.echoes else ""
+        return await self._perform(behavior, reader, writer, echo)
 
     async def _hang(self, reader: asyncio.StreamReader) -> bool:
         await reader.read()
@@ -117,7 +125,11 @@
         return False
 
     async def _perform(
-        self, behavior: Behavior, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        behavior: Behavior,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        echo: str,
     ) -> bool:
         match behavior:
             case Behavior.CLOSE:
@@ -125,16 +137,16 @@
             case Behavior.SILENT:
                 return await self._hang(reader)
             case Behavior.STALL:
-                writer.write(_answer(self.name * 2)[: -len(self.name)])
+                writer.write(_answer(self.name * 2, extra=echo)[: -len(self.name)])
                 return await self._hang(reader)
             case Behavior.SLOW_CLOSE:
                 await asyncio.sleep(0.15)
                 return False
             case Behavior.SLOW | Behavior.SLOWER:
                 await asyncio.sleep(0.15 if behavior is Behavior.SLOW else 0.3)
-                writer.write(_answer(self.name))
+                writer.write(_answer(self.name, extra=echo))
             case Behavior.HALF:
-                writer.write(_answer(self.name * 2)[: -len(self.name)])
+                writer.write(_answer(self.name * 2, extra=echo)[: -len(self.name)])
                 return False
             case Behavior.HUGE:
                 return await _send_without_end(writer)
@@ -142,25 +154,29 @@
                 writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
                 return False
             case Behavior.SHED:
-                writer.write(_answer("shed", "503 Busy", "Flamingoladder-Shed: 1\r\n"))
+                writer.write(_answer("shed", "503 Busy", f"{echo}Flamingoladder-Shed: 1\r\n"))
             case Behavior.UNMARKED_503:
-                writer.write(_answer("own", "503 Busy"))
+                writer.write(_answer("own", "503 Busy", echo))
             case Behavior.CROSSED:
                 writer.write(_answer("other", extra="X-Request-Id: other\r\n"))
+            case Behavior.COPY_LATE:
+                writer.write(_answer(self.name, extra=echo))
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(_answer("late", extra=echo))
             case Behavior.ANSWER_TWICE:
-                writer.write(_answer(self.name))
+                writer.write(_answer(self.name, extra=echo))
                 await asyncio.sleep(0.005)
                 writer.write(_answer("late"))
                 self.repeated.set()
             case Behavior.ANSWER_AGAIN_LATE:
-                writer.write(_answer(self.name))
+                writer.write(_answer(self.name, extra=echo))
                 await asyncio.sleep(0.01)
                 writer.write(_answer("late", extra="X-Request-Id: 0\r\n"))
             case Behavior.ANSWER_AND_CLOSE:
-                writer.write(_answer(self.name))
+                writer.write(_answer(self.name, extra=echo))
                 return False
             case Behavior.ANSWER:
-                writer.write(_answer(self.name))
+                writer.write(_answer(self.name, extra=echo))
         return True
 
 
@@ -191,6 +207,13 @@
     return 0
 
 
+def _echo(head: bytes) -> str:
+    for line in head.decode("latin-1").split("\r\n"):
+        if line.lower().startswith(REQUEST_ID):
+            return f"{line}\r\n"
+    return ""
+
+
 def _answer(body: str, status: str = "200 OK", extra: str = "") -> bytes:
     head = f"HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nContent-Length: {len(body)}"
     return f"{head}\r\n{extra}\r\n{body}".encode()
--- a/tests/upstreams/test_dispatcher.py
+++ b/tests/upstreams/test_dispatcher.py
@@ -131,6 +131,16 @@
                 await asyncio.sleep(0)
 
 
+@pytest.mark.parametrize("echoes", [True, False])
+async def test_late_second_answer_never_reaches_the_next_caller(echoes: bool) -> None:
+    """It did if the target's answers don't bring back the request's id."""
+    only = ScriptedTarget("only", Behavior.COPY_LATE, echoes=echoes)
+    async with dispatching(only) as fixture:
+        for request_id in ("first", "second", "third"):
+            outcome = await fixture.dispatcher.dispatch(request_for(request_id=request_id))
+            assert outcome.is_error() or outcome.ok.body == b"only"
+
+
 async def test_only_idempotent_request_is_retried_if_its_connection_closes() -> None:
     only = ScriptedTarget("only", Behavior.ANSWER, Behavior.CLOSE, Behavior.ANSWER, Behavior.CLOSE)
     async with dispatching(only) as fixture:
