Ask again, once a request has its connection, whether it may still be sent

What was seen: an entry host that waits for a connection to a target, up to the request's deadline or through a pause of the process, then sent the request whatever had changed meanwhile: to targets that had left, with withdrawn keys, on dropped routes.

Cause: the transport's last check, which the daemon uses, was not used by the entry host.

Change: entry/send_check.py decides from deadline, target, route, service and key, with no wait between it and the write. If the target left, another one is tried, without cost to the retry budget; all else is refused as not run, unless an earlier attempt may have run.

--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -12,6 +12,7 @@
 from flamingoladder.entry.load_balancer import LoadBalancer
 from flamingoladder.entry.poison_requests import PoisonRequestDetector
 from flamingoladder.entry.probing import TargetProber
+from flamingoladder.entry.send_check import SendCheck
 from flamingoladder.feed.contact import StoreContact
 from flamingoladder.feed.exchange import FeedExchange
 from flamingoladder.feed.followers import FollowerSelection
@@ -94,7 +95,11 @@
         balancer = LoadBalancer(
             self.targets, self.configuration, self.members, slow_start_limit, settings.region
         )
-        self.target_client = PlatformTargets(self.targets.removed, self._connections_of)
+        self.target_client = PlatformTargets(
+            self.targets.removed,
+            self._connections_of,
+            SendCheck(self.configuration, self.targets).refusal_of,
+        )
         self.reporter = HostReporter(
             self.targets, self.configuration, balancer, rate_limiter, budgets, self.members
         )
--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -32,10 +32,16 @@
 MAX_CONNECT_FAILURES = 3
 MS_PER_S = 1_000
 
+TARGET_LEFT = Reason.UPSTREAM_UNREACHABLE
+UNSENT_STATUSES = frozenset({SendStatus.NO_CONNECTION, SendStatus.REFUSED})
+# Callers read these as "never run", whatever the verdict.
+NEVER_RUN_REASONS = frozenset({Reason.KEY_UNKNOWN, Reason.UNKNOWN_ROUTE})
+
 REASONS_BY_STATUS = {
     SendStatus.NOT_RUN: Reason.UPSTREAM_SHED,
     SendStatus.MISDIRECTED: Reason.UPSTREAM_SHED,
     SendStatus.NO_CONNECTION: Reason.UPSTREAM_UNREACHABLE,
+    SendStatus.REFUSED: Reason.UPSTREAM_UNREACHABLE,
     SendStatus.FAILED: Reason.UPSTREAM_LOST,
     SendStatus.CONNECTION_LOST: Reason.UPSTREAM_LOST,
     SendStatus.TIMEOUT: Reason.UPSTREAM_SILENT,
@@ -45,7 +51,7 @@
 class Attempts:
     """The attempts to send one request.
 
-    ``sent`` counts attempts that reached a target, ``unconnected`` those that got no connection.
+    ``sent`` counts attempts that reached a target, ``unconnected`` those that were not sent.
     """
 
     __slots__ = ("may_have_run", "request", "sent", "tried", "unconnected")
@@ -60,7 +66,7 @@
     def add(self, target: TargetState, result: SendResult) -> None:
         """Record an attempt that failed."""
         self.tried.append(target.record.target_id)
-        if result.status is SendStatus.NO_CONNECTION:
+        if result.status in UNSENT_STATUSES:
             self.unconnected += 1
         else:
             self.sent += 1
@@ -68,9 +74,14 @@
 
     def refusal(self, reason: Reason, detail: str, retry_after_s: float) -> Refusal:
         """Return a refusal whose verdict covers all attempts so far."""
-        if self.may_have_run:
-            return Refusal.may_have_run(reason, detail)
-        return Refusal.not_run(reason, detail, retry_after_s)
+        return self.refusal_of(Refusal.not_run(reason, detail, retry_after_s))
+
+    def refusal_of(self, last: Refusal) -> Refusal:
+        """Return the refusal of a request whose last attempt was not sent, or did not run."""
+        if not self.may_have_run:
+            return last
+        reason = Reason.UPSTREAM_LOST if last.reason in NEVER_RUN_REASONS else last.reason
+        return Refusal.may_have_run(reason, last.detail)
 
 
 class Forwarder:
@@ -120,6 +131,8 @@
             if last.status is SendStatus.ANSWERED and last.answer is not None:
                 return Ok(last.answer)
             attempts.add(choice.target, last)
+            if last.refusal is not None and last.refusal.reason is not TARGET_LEFT:
+                return Error(attempts.refusal_of(last.refusal))
             if not self._may_retry(attempts, last, loop.time()):
                 return self._failure(attempts, last)
 
@@ -164,6 +177,8 @@
         if result.status is SendStatus.TIMEOUT and choice.queue_position:
             target.queue_limit.record_timeout(choice.queue_position)
             return
+        if result.status is SendStatus.REFUSED:
+            return
         if result.status is SendStatus.NOT_RUN:
             # A full target is healthy; ejecting it would move its objects to cold targets.
             return
@@ -238,7 +253,7 @@
             return False
         if self._poison_detector.is_poison(request.fingerprint, now):
             return False
-        return last.status is SendStatus.NO_CONNECTION or self._budgets.take(request.service, now)
+        return last.status in UNSENT_STATUSES or self._budgets.take(request.service, now)
 
     def _overloaded(self, attempts: Attempts, overload: Overload) -> Outcome:
         best = overload.best
--- a/src/flamingoladder/entry/handler.py
+++ b/src/flamingoladder/entry/handler.py
@@ -146,6 +146,7 @@
             admission_deadline=_admission_deadline(routing, route, workspace, started, deadline),
             target_deadline=deadline if route.idempotent else started + caller_timeout_s,
             fingerprint=fingerprint,
+            routing_version=routing.version,
         )
 
     def _record(
--- a/src/flamingoladder/entry/request.py
+++ b/src/flamingoladder/entry/request.py
@@ -42,6 +42,7 @@
     it is expected to end by ``admission_deadline``. A target may work on it until
     ``target_deadline``, so that a non-idempotent request is not interrupted while its caller waits.
     Once ``caller_disconnected`` is set, the request is not sent to another target.
+    ``routing_version`` is the version of the configuration that admitted it.
     """
 
     __slots__ = (
@@ -53,6 +54,7 @@
         "object_key",
         "regions",
         "route",
+        "routing_version",
         "service",
         "started",
         "target_deadline",
@@ -72,6 +74,7 @@
         admission_deadline: float,
         target_deadline: float,
         fingerprint: str,
+        routing_version: int = 0,
     ) -> None:
         self.incoming = incoming
         self.route = route
@@ -83,6 +86,7 @@
         self.admission_deadline = admission_deadline
         self.target_deadline = target_deadline
         self.fingerprint = fingerprint
+        self.routing_version = routing_version
         self.caller_disconnected = False
         self.object_key = _object_key(route, incoming.affinity_key)
 
--- a/src/flamingoladder/entry/results.py
+++ b/src/flamingoladder/entry/results.py
@@ -9,12 +9,14 @@
 from flamingoladder.targets.rate_limit import RateLimitNotice
 from flamingoladder.targets.state import LoadReport
 from flamingoladder.verdict import Answer
+from flamingoladder.verdict import Refusal
 
 
 class SendStatus(StrEnum):
     """How an attempt to send a request ended.
 
-    ``MISDIRECTED`` is a rejection by another target, which has the address now.
+    ``MISDIRECTED`` is a rejection by another target, which has the address now. ``REFUSED`` is this
+    host's own decision, between the wait for a connection and the send.
     """
 
     ANSWERED = "answered"
@@ -22,11 +24,19 @@
     NOT_RUN = "not_run"
     MISDIRECTED = "other_target"
     NO_CONNECTION = "no_connection"
+    REFUSED = "refused"
     CONNECTION_LOST = "lost"
     TIMEOUT = "timeout"
 
 
-NOT_RUN_STATUSES = frozenset({SendStatus.NOT_RUN, SendStatus.MISDIRECTED, SendStatus.NO_CONNECTION})
+NOT_RUN_STATUSES = frozenset(
+    {
+        SendStatus.NOT_RUN,
+        SendStatus.MISDIRECTED,
+        SendStatus.NO_CONNECTION,
+        SendStatus.REFUSED,
+    }
+)
 
 
 class SendResult(msgspec.Struct, frozen=True):
@@ -34,7 +44,8 @@
 
     ``answer`` is the target's own answer, successful or not, if it may be passed on to the caller.
     ``reused`` is set if the connection had carried an earlier request. ``rate_limit`` is None if
-    the answer does not tell whether the target has a limit.
+    the answer does not tell whether the target has a limit. ``refusal`` says why this host refused
+    the request before the send.
     """
 
     status: SendStatus
@@ -43,6 +54,7 @@
     load: LoadReport | None = None
     reused: bool = False
     rate_limit: RateLimitNotice | None = None
+    refusal: Refusal | None = None
 
     @property
     def may_have_run(self) -> bool:
--- a/src/flamingoladder/platform/target_wire.py
+++ b/src/flamingoladder/platform/target_wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from http import HTTPStatus
 from math import isfinite
 from math import nan
@@ -34,6 +35,7 @@
     from flamingoladder.entry.request import RoutedRequest
     from flamingoladder.targets.state import TargetState
     from flamingoladder.transport.sending import SendFailure
+    from flamingoladder.verdict import Refusal
 
 MAX_LOGGED_CHARACTERS = 40
 MS_PER_S = 1_000
@@ -57,12 +59,19 @@
     """Kept connections to each target.
 
     ``connections_of`` tells this host's part of the connections that a service's target accepts.
+    ``refusal_of`` decides, once a request has its connection, whether it may still be sent.
     """
 
-    __slots__ = ("_connections_of", "_pools_by_target", "_tasks")
+    __slots__ = ("_connections_of", "_pools_by_target", "_refusal_of", "_tasks")
 
-    def __init__(self, removed: Observable[str], connections_of: Callable[[str], int]) -> None:
+    def __init__(
+        self,
+        removed: Observable[str],
+        connections_of: Callable[[str], int],
+        refusal_of: Callable[[RoutedRequest, TargetState, float], Refusal | None],
+    ) -> None:
         self._connections_of = connections_of
+        self._refusal_of = refusal_of
         self._pools_by_target: dict[str, Pool] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         removed.subscribe(self._drop)
@@ -70,14 +79,15 @@
     async def send(self, request: RoutedRequest, target: TargetState) -> SendResult:
         """Send the request once."""
         pool = self._pool(target)
-        exchange = Exchange(request.target_deadline, connect_by=request.connect_by)
+        check = partial(self._refusal_of, request, target)
+        exchange = Exchange(request.target_deadline, check, request.connect_by)
         sent = await pool.send(_outgoing(request, target), exchange)
         if isinstance(sent, Answer):
             return _to_result(sent, reused=exchange.reused)
         if sent.kind is FailureKind.TIMEOUT and sent.reused and exchange.progress == 0:
             # The connection may be silent for good, and the others that were kept with it.
             self._drop(target.record.target_id)
-        return _to_failed_result(sent)
+        return _to_failed_result(sent, exchange.refusal)
 
     async def probe(self, target: TargetState, path: str, timeout_s: float) -> ProbeResult:
         """Ask the target whether it is healthy, over a new connection."""
@@ -163,7 +173,9 @@
     return NO_RATE_LIMIT if signed else None
 
 
-def _to_failed_result(failure: SendFailure) -> SendResult:
+def _to_failed_result(failure: SendFailure, refusal: Refusal | None) -> SendResult:
+    if failure.kind is FailureKind.REFUSED:
+        return SendResult(SendStatus.REFUSED, failure.detail, refusal=refusal)
     if not failure.may_have_run:
         return SendResult(SendStatus.NO_CONNECTION, failure.detail)
     if failure.kind is FailureKind.TIMEOUT:
