Count the time for which the machine was suspended in all leases, proofs and deadlines

What can happen: while a machine is suspended, CLOCK_MONOTONIC stands still (the pages say so too). A host that wakes up then goes on as if no time had passed: leases of slots, proofs of freshness, deadlines and cached look-ups that ran out at all others are valid to it.

Cause: asyncio's loop time is CLOCK_MONOTONIC; everything that decides gets its time from there.

Change: both daemons run on a loop whose time is CLOCK_BOOTTIME; no decision changes.

--- a/src/flamingoladder/console/commands/daemon.py
+++ b/src/flamingoladder/console/commands/daemon.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 import sys
 
+from flamingoladder import event_loop
 from flamingoladder.console.exit_codes import ExitCode
 from flamingoladder.daemon.application import run_daemon
 from flamingoladder.daemon.settings import read_settings
@@ -63,7 +63,7 @@
             print(f"setting {problem}", file=sys.stderr)
         return ExitCode.BAD_INPUT
     try:
-        asyncio.run(run_daemon(result.ok))
+        event_loop.run(run_daemon(result.ok))
     except (OSError, LookupError) as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return ExitCode.REFUSED
--- a/src/flamingoladder/console/commands/entry.py
+++ b/src/flamingoladder/console/commands/entry.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 import sys
 from functools import partial
 
 import logbook
 
+from flamingoladder import event_loop
 from flamingoladder.console.exit_codes import ExitCode
 from flamingoladder.entry.daemon import run_host
 from flamingoladder.platform.exceptions import SettingsFileError
@@ -33,7 +33,7 @@
         handler = BoundedHandler(sys.stdout.fileno(), logbook.lookup_level(log_level.upper()))
         with handler.applicationbound():
             read_anew = partial(read_settings_file, path)
-            asyncio.run(run_host(found, lambda: handler.dropped, read_anew))
+            event_loop.run(run_host(found, lambda: handler.dropped, read_anew))
     except (OSError, LookupError) as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return ExitCode.REFUSED
