Close connections whose bytes are no answer, and bound all answers in memory

Change: a guard between the connection and its parser counts what comes. Over 512 KiB that are no content, or bytes while no request waits, close the connection; the request may have run, the target's failure counts towards its ejection, an idempotent request goes elsewhere. Bodies over 64 KiB share a fifth of the host's memory (settings), counted until the answer is no longer in use. The store's client is bounded alike; probes use the same connections.

Not done: a bound on the time without progress below 512 KiB, bytes of callers.

--- a/src/flamingoladder/client/entry_hosts.py
+++ b/src/flamingoladder/client/entry_hosts.py
@@ -12,6 +12,7 @@
 from yarl import URL
 
 from flamingoladder import fields
+from flamingoladder.transport.answer_memory import AnswerMemory
 from flamingoladder.transport.exchange import Exchange
 from flamingoladder.transport.pool import PoolPair
 from flamingoladder.transport.sending import FailureKind
@@ -34,10 +35,11 @@
 class EntryHosts:
     """The connections to entry hosts, by base URL."""
 
-    __slots__ = ("_pools_by_url", "_settings")
+    __slots__ = ("_memory", "_pools_by_url", "_settings")
 
     def __init__(self, settings: CallerSettings) -> None:
         self._settings = settings
+        self._memory = AnswerMemory()
         self._pools_by_url: dict[str, PoolPair] = {}
 
     async def send(self, url: str, call: Call, deadline: float, give_up: float) -> Outcome:
@@ -74,7 +76,7 @@
     ) -> Outcome:
         pools = self._pools_by_url.get(url)
         if pools is None:
-            pools = self._pools_by_url[url] = PoolPair(self._settings.connections)
+            pools = self._pools_by_url[url] = PoolPair(self._settings.connections, self._memory)
         result = await pools.send(outgoing, Exchange(give_up), idempotent=idempotent)
         if isinstance(result, Answer):
             return _outcome(result)
--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -40,6 +40,7 @@
 from flamingoladder.targets.registry import TargetRegistry
 from flamingoladder.targets.slow_start import SlowStartLimit
 from flamingoladder.timeline.recorder import Recorder
+from flamingoladder.transport.answer_memory import AnswerMemory
 
 if TYPE_CHECKING:
     from flamingoladder.entry.settings import HostSettings
@@ -99,6 +100,7 @@
             self.targets.removed,
             self._connections_of,
             SendCheck(self.configuration, self.targets).refusal_of,
+            AnswerMemory.from_config(settings.memory_mb),
         )
         self.reporter = HostReporter(
             self.targets, self.configuration, balancer, rate_limiter, budgets, self.members
--- a/src/flamingoladder/platform/http_transport.py
+++ b/src/flamingoladder/platform/http_transport.py
@@ -12,6 +12,9 @@
 from flamingoladder.storage.exceptions import OutcomeUnknownError
 from flamingoladder.storage.exceptions import PlatformRefusedError
 from flamingoladder.storage.exceptions import PlatformUnavailableError
+from flamingoladder.transport.answer_memory import AnswerMemory
+from flamingoladder.transport.bodies import MAX_ANSWER_BYTES
+from flamingoladder.transport.bodies import read_body
 from flamingoladder.transport.connector import ExchangeConnector
 from flamingoladder.transport.connector import current_exchange
 from flamingoladder.transport.exchange import Exchange
@@ -47,11 +50,12 @@
     whatever silenced one may have silenced all. The next call opens a new connection.
     """
 
-    __slots__ = ("_headers", "_pool", "_url")
+    __slots__ = ("_headers", "_memory", "_pool", "_url")
 
     def __init__(self, url: str, token: str | None) -> None:
         self._url = url.rstrip("/")
         self._headers = {} if token is None else {"Authorization": f"Bearer {token}"}
+        self._memory = AnswerMemory()
         self._pool: _Pool | None = None
 
     @classmethod
@@ -96,9 +100,12 @@
         pool.calls += 1
         exchange = Exchange(asyncio.get_running_loop().time() + timeout_s)
         token = current_exchange.set(exchange)
+        whole = False
         try:
             async with exchange.open():
-                return await self._send(pool, call)
+                reply = await self._send(pool, call, exchange)
+                whole = True
+                return reply
         except TimeoutError as error:
             if exchange.connected:
                 self._retire(pool)
@@ -107,10 +114,11 @@
             raise _failure(exchange, f"{type(error).__name__}: {error}") from error
         finally:
             current_exchange.reset(token)
+            exchange.end(whole=whole)
             pool.calls -= 1
             await pool.close_if_unused()
 
-    async def _send(self, pool: _Pool, call: HttpCall) -> HttpReply:
+    async def _send(self, pool: _Pool, call: HttpCall, exchange: Exchange) -> HttpReply:
         async with pool.session.request(
             call.method,
             self._url + call.path,
@@ -118,7 +126,10 @@
             headers={**self._headers, **call.headers},
             allow_redirects=False,
         ) as response:
-            body = await response.read()
+            exchange.response = response
+            body = await read_body(response, self._memory)
+            if body is None:
+                raise aiohttp.ClientPayloadError(f"the reply is over {MAX_ANSWER_BYTES} bytes")
             return HttpReply(response.status, body)
 
     def _retire(self, pool: _Pool) -> None:
--- a/src/flamingoladder/platform/settings.py
+++ b/src/flamingoladder/platform/settings.py
@@ -18,6 +18,7 @@
 
 class _Limits(msgspec.Struct):
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
 
 
 class _Own(msgspec.Struct):
@@ -108,6 +109,7 @@
             metrics=Endpoint(found.own.ip, found.network.internal_ports[0] + 1),
             store_url=f"http://{found.provider.provider.address}",
             link_mbps=found.own.limits.link_mbps,
+            memory_mb=found.own.limits.memory_mb,
             bounds=Bounds(
                 grace_s=bounds.grace_s,
                 retry_ratio=bounds.retry_budget_ratio,
--- a/src/flamingoladder/platform/target_wire.py
+++ b/src/flamingoladder/platform/target_wire.py
@@ -34,6 +34,7 @@
 
     from flamingoladder.entry.request import RoutedRequest
     from flamingoladder.targets.state import TargetState
+    from flamingoladder.transport.answer_memory import AnswerMemory
     from flamingoladder.transport.sending import SendFailure
     from flamingoladder.verdict import Refusal
 
@@ -60,16 +61,19 @@
 
     ``connections_of`` tells this host's part of the connections that a service's target accepts.
     ``refusal_of`` decides, once a request has its connection, whether it may still be sent.
+    ``memory`` bounds the answers of all targets.
     """
 
-    __slots__ = ("_connections_of", "_pools_by_target", "_refusal_of", "_tasks")
+    __slots__ = ("_connections_of", "_memory", "_pools_by_target", "_refusal_of", "_tasks")
 
     def __init__(
         self,
         removed: Observable[str],
         connections_of: Callable[[str], int],
         refusal_of: Callable[[RoutedRequest, TargetState, float], Refusal | None],
+        memory: AnswerMemory,
     ) -> None:
+        self._memory = memory
         self._connections_of = connections_of
         self._refusal_of = refusal_of
         self._pools_by_target: dict[str, Pool] = {}
@@ -91,7 +95,7 @@
 
     async def probe(self, target: TargetState, path: str, timeout_s: float) -> ProbeResult:
         """Ask the target whether it is healthy, over a new connection."""
-        pool = Pool(1, keep=False)
+        pool = Pool(1, keep=False, memory=self._memory)
         url = URL(f"http://{target.record.address}{path}", encoded=True)
         exchange = Exchange(asyncio.get_running_loop().time() + timeout_s)
         try:
@@ -116,7 +120,9 @@
         pool = self._pools_by_target.get(target_id)
         if pool is None:
             limit = self._connections_of(target.record.service)
-            pool = Pool(limit, keep=True, keep_s=KEPT_IDLE_S, silence_s=SILENCE_S)
+            pool = Pool(
+                limit, keep=True, memory=self._memory, keep_s=KEPT_IDLE_S, silence_s=SILENCE_S
+            )
             self._pools_by_target[target_id] = pool
         return pool
 
@@ -178,6 +184,8 @@
         return SendResult(SendStatus.REFUSED, failure.detail, refusal=refusal)
     if not failure.may_have_run:
         return SendResult(SendStatus.NO_CONNECTION, failure.detail)
+    if failure.kind in {FailureKind.NO_ANSWER, FailureKind.TOO_LARGE}:
+        return SendResult(SendStatus.FAILED, failure.detail, reused=failure.reused)
     if failure.kind is FailureKind.TIMEOUT:
         return SendResult(SendStatus.TIMEOUT, failure.detail, reused=failure.reused)
     return SendResult(SendStatus.CONNECTION_LOST, failure.detail, reused=failure.reused)
--- a/src/flamingoladder/transport/connector.py
+++ b/src/flamingoladder/transport/connector.py
@@ -13,6 +13,7 @@
 from flamingoladder.transport.exceptions import SecondSendError
 from flamingoladder.transport.exceptions import UnusableConnectionError
 from flamingoladder.transport.proof_of_life import require_acknowledgements
+from flamingoladder.transport.receive_guard import ReceiveGuard
 
 if TYPE_CHECKING:
     from asyncio import Transport
@@ -74,6 +75,7 @@
                 exchange.connection_error = connection.protocol.exception
                 exchange.forbid_reuse = connection.protocol.force_close
             exchange.reused = self._is_used(connection)
+            _put_guard(exchange)
         if connection.transport is not None:
             self._used.add(connection.transport)
         return connection
@@ -94,6 +96,13 @@
         return connection.transport is None or connection.transport in self._used
 
 
+def _put_guard(exchange: Exchange) -> None:
+    if exchange.transport is None:
+        return
+    exchange.guard = ReceiveGuard.of(exchange.transport)
+    exchange.guard.exchange = exchange
+
+
 def _open_socket(address: AddressInfo, silence_s: float) -> socket.socket:
     family, kind, protocol, _, _ = address
     opened = socket.socket(family, kind, protocol)
--- a/src/flamingoladder/transport/exchange.py
+++ b/src/flamingoladder/transport/exchange.py
@@ -11,10 +11,14 @@
 
     from aiohttp import ClientResponse
 
+    from flamingoladder.transport.receive_guard import ReceiveGuard
     from flamingoladder.verdict import Refusal
 
     LastCheck = Callable[[float], Refusal | None]
 
+# A head with its fields, chunk headers and, before the head is known, a first part of the body.
+MAX_OTHER_BYTES = 524_288
+
 
 class Exchange:
     """The progress of one request.
@@ -24,7 +28,8 @@
     answer has come for the check time. ``last_check`` is asked once there is a connection, with no
     wait between its answer and the write; its refusal, if any, is kept as ``refusal``. An exchange
     without a connection ends at ``connect_by``, one with a connection at ``deadline``, both in
-    monotonic seconds.
+    monotonic seconds. ``flooded`` is set once more than ``MAX_OTHER_BYTES`` came that are no
+    content.
     """
 
     __slots__ = (
@@ -35,7 +40,10 @@
         "connected",
         "connection_error",
         "deadline",
+        "flooded",
         "forbid_reuse",
+        "guard",
+        "received_bytes",
         "refusal",
         "response",
         "reused",
@@ -59,6 +67,9 @@
         self.forbid_reuse: Callable[[], None] = _nothing
         self.silent = False
         self.reused = False
+        self.flooded = False
+        self.received_bytes = 0
+        self.guard: ReceiveGuard | None = None
         self.transport: Transport | None = None
         self.response: ClientResponse | None = None
         self._timeout: asyncio.Timeout | None = None
@@ -68,6 +79,13 @@
         """Return a number that grows with each part of the answer; it is 0 before the head."""
         return 0 if self.response is None else 1 + self.response.content.total_bytes
 
+    def accepts(self, more_bytes: int) -> bool:
+        """Count bytes that came, and return whether they may be the answer."""
+        self.received_bytes += more_bytes
+        content_bytes = 0 if self.response is None else self.response.content.total_bytes
+        self.flooded |= self.received_bytes - content_bytes > MAX_OTHER_BYTES
+        return not self.flooded
+
     def was_reset(self) -> bool:
         """Return whether the connection ended with an error instead of its other end's close."""
         return isinstance(self.connection_error(), OSError)
@@ -106,6 +124,8 @@
         No other request can then meet what still comes from that connection.
         """
         self._timeout = None
+        if self.guard is not None and self.guard.exchange is self:
+            self.guard.exchange = None
         is_kept = whole and self._may_be_kept
         if not is_kept and self.transport is not None:
             self.transport.abort()
--- a/src/flamingoladder/transport/pool.py
+++ b/src/flamingoladder/transport/pool.py
@@ -11,6 +11,7 @@
 from flamingoladder.transport.sending import send
 
 if TYPE_CHECKING:
+    from flamingoladder.transport.answer_memory import AnswerMemory
     from flamingoladder.transport.exchange import Exchange
     from flamingoladder.transport.sending import Outgoing
     from flamingoladder.transport.sending import SendFailure
@@ -25,18 +26,23 @@
 
 
 class Pool:
-    """At most ``limit`` connections, kept or new for each request."""
+    """At most ``limit`` connections, kept or new for each request.
 
-    __slots__ = ("_retired", "_users", "session")
+    ``memory`` bounds the answers of all pools that share it.
+    """
+
+    __slots__ = ("_memory", "_retired", "_users", "session")
 
     def __init__(
         self,
         limit: int,
         *,
         keep: bool,
+        memory: AnswerMemory,
         keep_s: float = KEPT_IDLE_S,
         silence_s: float = SILENCE_S,
     ) -> None:
+        self._memory = memory
         kept_s = keep_s if keep else None
         self.session = aiohttp.ClientSession(
             connector=ExchangeConnector(limit, keep_s=kept_s, silence_s=silence_s),
@@ -54,7 +60,7 @@
         """Send the request and return its whole answer, or why there is none."""
         self._users += 1
         try:
-            return await send(self.session, outgoing, exchange)
+            return await send(self.session, outgoing, exchange, self._memory)
         finally:
             self._users -= 1
             await self._close_if_unused()
@@ -76,12 +82,13 @@
     closed, or that has gone silent; its outcome would be unknown for the sake of one round trip.
     """
 
-    __slots__ = ("_limit", "fresh", "kept")
+    __slots__ = ("_limit", "_memory", "fresh", "kept")
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, memory: AnswerMemory) -> None:
         self._limit = max(1, limit // 2)
-        self.kept = Pool(self._limit, keep=True)
-        self.fresh = Pool(self._limit, keep=False)
+        self._memory = memory
+        self.kept = Pool(self._limit, keep=True, memory=memory)
+        self.fresh = Pool(self._limit, keep=False, memory=memory)
 
     async def send(
         self, outgoing: Outgoing, exchange: Exchange, *, idempotent: bool
@@ -93,7 +100,7 @@
     async def renew(self) -> None:
         """Use none of the kept connections for new requests."""
         old = self.kept
-        self.kept = Pool(self._limit, keep=True)
+        self.kept = Pool(self._limit, keep=True, memory=self._memory)
         await old.retire()
 
     async def close(self) -> None:
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -9,7 +9,10 @@
 import msgspec
 
 from flamingoladder import fields
+from flamingoladder.transport.bodies import MAX_ANSWER_BYTES
+from flamingoladder.transport.bodies import read_body
 from flamingoladder.transport.connector import current_exchange
+from flamingoladder.transport.exchange import MAX_OTHER_BYTES
 from flamingoladder.verdict import Answer
 from flamingoladder.verdict import Header
 
@@ -17,18 +20,19 @@
     from multidict import CIMultiDict
     from yarl import URL
 
+    from flamingoladder.transport.answer_memory import AnswerMemory
     from flamingoladder.transport.exchange import Exchange
 
-MAX_ANSWER_BYTES = 16 * 1_024 * 1_024
 NO_CONTENT = 204
 NOT_MODIFIED = 304
 
 
 class FailureKind(StrEnum):
-    """Why there is no whole answer."""
+    """Why there is no whole answer; ``NO_ANSWER`` stands for bytes that are none, without end."""
 
     NO_CONNECTION = "no_connection"
     LOST = "lost"
+    NO_ANSWER = "no_answer"
     REFUSED = "refused"
     SILENT = "silent"
     TIMEOUT = "timeout"
@@ -91,17 +95,17 @@
 
 
 async def send(
-    session: aiohttp.ClientSession, outgoing: Outgoing, exchange: Exchange
+    session: aiohttp.ClientSession, outgoing: Outgoing, exchange: Exchange, memory: AnswerMemory
 ) -> Answer | SendFailure:
     """Send the request, once, and return the whole answer or why there is none.
 
-    The connection is closed if this fails or is cancelled.
+    The connection is closed if this fails or is cancelled. ``memory`` bounds the answer's body.
     """
     token = current_exchange.set(exchange)
     whole = False
     try:
         async with exchange.open():
-            result = await _exchange(session, outgoing, exchange)
+            result = await _exchange(session, outgoing, exchange, memory)
             whole = isinstance(result, Answer)
             return result
     except TimeoutError:
@@ -114,7 +118,7 @@
 
 
 async def _exchange(
-    session: aiohttp.ClientSession, outgoing: Outgoing, exchange: Exchange
+    session: aiohttp.ClientSession, outgoing: Outgoing, exchange: Exchange, memory: AnswerMemory
 ) -> Answer | SendFailure:
     response = await session.request(
         outgoing.method,
@@ -131,18 +135,20 @@
     framed = _ends_detectably(response, outgoing.method)
     if not framed and not outgoing.echo.required:
         return _lost(exchange, "the answer has no length and no chunks, so no certain end")
-    body = await _read_body(response)
+    body = await read_body(response, memory)
     if not framed and exchange.was_reset():
         return _lost(exchange, "the connection was reset before the end of an answer")
     if body is None:
-        detail = f"the answer is over {MAX_ANSWER_BYTES} bytes"
+        detail = f"the answer is over {MAX_ANSWER_BYTES} bytes, or those at work are too many"
         return SendFailure(FailureKind.TOO_LARGE, detail, exchange.reused)
     headers = tuple(
         Header(str(name), value)
         for name, value in response.headers.items()
         if _passes(name.lower(), outgoing.method)
     )
-    return Answer(response.status, headers, body)
+    answer = Answer(response.status, headers, body)
+    memory.hold(answer, len(body))
+    return answer
 
 
 def _is_crossed(response: aiohttp.ClientResponse, outgoing: Outgoing, *, reused: bool) -> bool:
@@ -152,19 +158,6 @@
     return bool(outgoing.request_id) and answered != [outgoing.request_id]
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes | None:
-    """Return the whole body, or None if it is too large to be kept in memory."""
-    length = response.content_length
-    if length is not None:
-        return await response.read() if length <= MAX_ANSWER_BYTES else None
-    body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > MAX_ANSWER_BYTES:
-            return None
-    return bytes(body)
-
-
 def _ends_detectably(response: aiohttp.ClientResponse, method: str) -> bool:
     if method == "HEAD" or response.status in {NO_CONTENT, NOT_MODIFIED}:
         return True
@@ -190,6 +183,9 @@
 
 def _broken(exchange: Exchange, error: Exception) -> SendFailure:
     name = type(error).__name__
+    if exchange.flooded:
+        detail = f"over {MAX_OTHER_BYTES} bytes came that are no content"
+        return SendFailure(FailureKind.NO_ANSWER, detail, exchange.reused)
     if exchange.refusal is not None:
         return SendFailure(FailureKind.REFUSED, exchange.refusal.detail, reused=False)
     if not exchange.connected:
--- a/src/flamingoladder/upstreams/connections.py
+++ b/src/flamingoladder/upstreams/connections.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from flamingoladder.gateway.request import CallerRequest
+    from flamingoladder.transport.answer_memory import AnswerMemory
     from flamingoladder.transport.pool import Pool
     from flamingoladder.transport.sending import SendFailure
 
@@ -27,6 +28,7 @@
 OUTCOME_BY_FAILURE_KIND = {
     FailureKind.NO_CONNECTION: AttemptOutcome.UNREACHABLE,
     FailureKind.LOST: AttemptOutcome.LOST,
+    FailureKind.NO_ANSWER: AttemptOutcome.SILENT,
     FailureKind.REFUSED: AttemptOutcome.CANCELLED,
     FailureKind.SILENT: AttemptOutcome.SILENT,
     FailureKind.TIMEOUT: AttemptOutcome.CANCELLED,
@@ -39,9 +41,9 @@
 
     __slots__ = ("_base_url", "_pools")
 
-    def __init__(self, address: str, limit: int) -> None:
+    def __init__(self, address: str, limit: int, memory: AnswerMemory) -> None:
         self._base_url = f"http://{address}"
-        self._pools = PoolPair(limit)
+        self._pools = PoolPair(limit, memory)
 
     async def send(self, request: CallerRequest, exchange: Exchange) -> Answer | AttemptFailure:
         """Send the request once; return the complete answer or the reason for the failure."""
--- a/src/flamingoladder/upstreams/targets.py
+++ b/src/flamingoladder/upstreams/targets.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from flamingoladder.config.agreed import DrainKind
+from flamingoladder.transport.answer_memory import AnswerMemory
 from flamingoladder.upstreams.connections import TargetConnections
 
 if TYPE_CHECKING:
@@ -65,13 +66,14 @@
 
 
 class TargetPools:
-    """Connection pools by address, created at first use."""
+    """Connection pools by address, created at first use; they share a bound on answers."""
 
-    __slots__ = ("_by_address", "_limits_by_address", "_subscription", "_tasks")
+    __slots__ = ("_by_address", "_limits_by_address", "_memory", "_subscription", "_tasks")
 
     def __init__(self, state: StateInForce) -> None:
         self._by_address: dict[str, TargetConnections] = {}
         self._limits_by_address: dict[str, int] = {}
+        self._memory = AnswerMemory()
         self._tasks: set[asyncio.Task[None]] = set()
         self._subscription = state.changes.subscribe(self._on_state)
 
@@ -79,7 +81,8 @@
         """Return the connections to ``address``."""
         connections = self._by_address.get(address)
         if connections is None:
-            connections = TargetConnections(address, self._limits_by_address.get(address, 1))
+            limit = self._limits_by_address.get(address, 1)
+            connections = TargetConnections(address, limit, self._memory)
             self._by_address[address] = connections
         return connections
 
--- a/src/flamingoladder/verdict.py
+++ b/src/flamingoladder/verdict.py
@@ -59,7 +59,7 @@
     value: str
 
 
-class Answer(msgspec.Struct, frozen=True):
+class Answer(msgspec.Struct, frozen=True, weakref=True):
     """The whole answer of an upstream."""
 
     status: int
--- a/tests/platform/test_target_wire.py
+++ b/tests/platform/test_target_wire.py
@@ -23,6 +23,7 @@
 from flamingoladder.targets.record import TargetRecord
 from flamingoladder.targets.state import LoadReport
 from flamingoladder.targets.state import TargetState
+from flamingoladder.transport.answer_memory import AnswerMemory
 from flamingoladder.verdict import Header
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
@@ -30,6 +31,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from flamingoladder.entry.results import SendResult
 
@@ -126,7 +128,7 @@
 
 
 async def send_once(raw: RawTarget) -> SendResult:
-    wire = PlatformTargets(Subject(), lambda _: 8, _send_always)
+    wire = targets_client()
     async with raw.serving() as target:
         try:
             return await wire.send(request(), target)
@@ -138,6 +140,13 @@
     return None
 
 
+def targets_client(
+    connections: int = 8,
+    refusal_of: Callable[[RoutedRequest, TargetState, float], Refusal | None] = _send_always,
+) -> PlatformTargets:
+    return PlatformTargets(Subject(), lambda _: connections, refusal_of, AnswerMemory())
+
+
 def reply(head: str, body: str = "hello", status: str = "200 OK") -> str:
     return f"HTTP/1.1 {status}\r\n{head}\r\n{body}"
 
@@ -185,7 +194,7 @@
     raw = RawTarget()
     async with raw.serving() as target:
         pass
-    result = await PlatformTargets(Subject(), lambda _: 8, _send_always).send(request(), target)
+    result = await targets_client().send(request(), target)
     assert (result.status, result.may_have_run) == (SendStatus.NO_CONNECTION, False)
 
 
@@ -200,7 +209,7 @@
 
 
 async def test_an_answer_that_nobody_asked_for_reaches_no_request() -> None:
-    wire = PlatformTargets(Subject(), lambda _: 8, _send_always)
+    wire = targets_client()
     raw = RawTarget(
         reply(SIGNED + LENGTH) + reply(SIGNED + LENGTH, "OTHER"), reply(SIGNED + LENGTH)
     )
@@ -269,7 +278,7 @@
 async def test_a_probe_knows_its_target(
     head: str, status: str, healthy: bool, cold_s: float
 ) -> None:
-    wire = PlatformTargets(Subject(), lambda _: 8, _send_always)
+    wire = targets_client()
     async with RawTarget(reply(head + LENGTH, status=status)).serving() as target:
         result = await wire.probe(target, "/healthz", PATIENCE_S)
     assert (result.healthy, result.slow_start_s) == (healthy, cold_s)
@@ -277,7 +286,7 @@
 
 async def test_a_request_without_a_connection_has_not_run_when_its_answer_is_due() -> None:
     """The route's time ends before the caller's; the target's only connection is in use."""
-    wire = PlatformTargets(Subject(), lambda _: 1, _send_always)
+    wire = targets_client(1)
     loop = asyncio.get_running_loop()
     async with RawTarget("").serving() as target:
         holding = asyncio.create_task(wire.send(request(10 * PATIENCE_S), target))
@@ -295,7 +304,7 @@
     """It was sent to targets that had left, and with keys that had been withdrawn."""
     left = Refusal.not_run(Reason.UPSTREAM_UNREACHABLE, "the target left")
     refusals: list[Refusal] = []
-    wire = PlatformTargets(Subject(), lambda _: 1, lambda *_: next(iter(refusals), None))
+    wire = targets_client(1, lambda *_: next(iter(refusals), None))
     raw = RawTarget(reply(SIGNED + LENGTH), reply(SIGNED + LENGTH))
     raw.pause_s = PATIENCE_S / 4
     async with raw.serving() as target:
@@ -314,7 +323,7 @@
 
 async def test_a_request_with_a_connection_runs_on_after_its_answer_was_due() -> None:
     raw = RawTarget(reply(SIGNED + LENGTH))
-    wire = PlatformTargets(Subject(), lambda _: 1, _send_always)
+    wire = targets_client(1)
     loop = asyncio.get_running_loop()
     async with raw.serving() as target:
         sent = request(0.05, target_patience_s=10 * PATIENCE_S)
--- /dev/null
+++ b/tests/transport/test_receive_guard.py
@@ -0,0 +1,194 @@
+"""Tests of servers whose bytes are no answer, and come until the caller closes."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from contextlib import suppress
+from itertools import chain
+from itertools import repeat
+from typing import TYPE_CHECKING
+
+import pytest
+from multidict import CIMultiDict
+from yarl import URL
+
+from flamingoladder.transport.answer_memory import MIB
+from flamingoladder.transport.answer_memory import SMALL_BODY_BYTES
+from flamingoladder.transport.answer_memory import AnswerMemory
+from flamingoladder.transport.bodies import MAX_ANSWER_BYTES
+from flamingoladder.transport.exchange import MAX_OTHER_BYTES
+from flamingoladder.transport.exchange import Exchange
+from flamingoladder.transport.pool import Pool
+from flamingoladder.transport.sending import FailureKind
+from flamingoladder.transport.sending import Outgoing
+from flamingoladder.transport.sending import SendFailure
+from flamingoladder.verdict import Answer
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Iterable
+
+DEADLINE_S = 5.0
+# What the operating system and the event loop hold of a connection besides.
+BUFFERED_BYTES = 8 * MIB
+PART_BYTES = 65_536
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+WHOLE = HEAD + b"Content-Length: 5\r\n\r\nhello"
+
+
+class FloodingServer:
+    """Answers each request with ``start``, then with ``part`` until the caller closes."""
+
+    def __init__(self, start: bytes, part: bytes) -> None:
+        self._start = start
+        self._part = part * max(1, PART_BYTES // len(part))
+        self.sent_bytes = 0
+        self.closed = asyncio.Event()
+
+    @asynccontextmanager
+    async def serving(self) -> AsyncIterator[URL]:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        try:
+            yield URL("http://{}:{}/".format(*server.sockets[0].getsockname()[:2]))
+        finally:
+            server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        try:
+            for part in chain([self._start], repeat(self._part)):
+                writer.write(part)
+                await writer.drain()
+                self.sent_bytes += len(part)
+        except ConnectionError:
+            self.closed.set()
+        writer.close()
+
+
+class FixedServer(FloodingServer):
+    """Answers each request with the same parts, and keeps the connection."""
+
+    def __init__(self, parts: Iterable[bytes]) -> None:
+        super().__init__(b"", b"x")
+        self._parts = list(parts)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.writelines(self._parts)
+                await writer.drain()
+        writer.close()
+
+
+def pool(memory: AnswerMemory | None = None) -> Pool:
+    return Pool(4, keep=True, memory=memory or AnswerMemory())
+
+
+async def get(connections: Pool, url: URL) -> Answer | SendFailure:
+    exchange = Exchange(asyncio.get_running_loop().time() + DEADLINE_S)
+    return await connections.send(Outgoing("GET", url, CIMultiDict(), b"", ""), exchange)
+
+
+@pytest.mark.parametrize(
+    ("start", "part"),
+    [
+        (b"", b"\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"", b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"),
+        (b"", b"no answer"),
+        (b"HTTP/1.1 200 ", b"O"),
+        (HEAD + b"A: ", b"a"),
+        (HEAD, b"A: a\r\n"),
+        (CHUNKED, b"0"),
+        (CHUNKED + b"5;", b"e"),
+        (CHUNKED + b"0\r\n", b"T: t\r\n"),
+        (CHUNKED, b"1;eeeeeeeeeeeeeeee\r\nx\r\n"),
+    ],
+)
+async def test_bytes_that_are_no_content_end_the_request_soon(start: bytes, part: bytes) -> None:
+    """Some were read at full speed until the deadline."""
+    server, connections = FloodingServer(start, part), pool()
+    async with server.serving() as url:
+        started = asyncio.get_running_loop().time()
+        result = await get(connections, url)
+        assert asyncio.get_running_loop().time() - started < DEADLINE_S / 2
+        await asyncio.wait_for(server.closed.wait(), DEADLINE_S)
+        await connections.retire()
+    assert isinstance(result, SendFailure)
+    assert result.kind in {FailureKind.NO_ANSWER, FailureKind.LOST}
+    assert result.may_have_run
+    assert server.sent_bytes <= MAX_OTHER_BYTES + BUFFERED_BYTES
+
+
+@pytest.mark.parametrize(
+    "start", [CHUNKED, HEAD + b"Content-Length: 99999999999\r\n\r\n"], ids=["chunks", "length"]
+)
+async def test_body_without_end_ends_the_request(start: bytes) -> None:
+    server, connections = FloodingServer(start, b"10000\r\n" + bytes(0x10000) + b"\r\n"), pool()
+    async with server.serving() as url:
+        result = await get(connections, url)
+        await asyncio.wait_for(server.closed.wait(), DEADLINE_S)
+        await connections.retire()
+    assert isinstance(result, SendFailure)
+    assert result.kind is FailureKind.TOO_LARGE
+    assert server.sent_bytes <= MAX_ANSWER_BYTES + BUFFERED_BYTES
+
+
+async def test_bytes_after_a_whole_answer_close_the_kept_connection() -> None:
+    server, connections = FloodingServer(WHOLE, b"more"), pool()
+    async with server.serving() as url:
+        await get(connections, url)
+        await asyncio.wait_for(server.closed.wait(), DEADLINE_S)
+        await connections.retire()
+    assert server.sent_bytes <= MAX_OTHER_BYTES + BUFFERED_BYTES
+
+
+@pytest.mark.parametrize("size", [0, 1, 65_536, MIB, MAX_ANSWER_BYTES])
+async def test_large_answers_are_whole_and_keep_their_connection(size: int) -> None:
+    body = bytes(size)
+    server = FixedServer([HEAD, f"Content-Length: {size}\r\n\r\n".encode(), body])
+    connections = pool()
+    async with server.serving() as url:
+        for _ in range(2):
+            result = await get(connections, url)
+            assert isinstance(result, Answer)
+            assert result.body == body
+        await connections.retire()
+
+
+async def test_answers_in_small_chunks_are_whole() -> None:
+    server, connections = FixedServer([CHUNKED, b"1\r\nx\r\n" * 50_000, b"0\r\n\r\n"]), pool()
+    async with server.serving() as url:
+        result = await get(connections, url)
+        await connections.retire()
+    assert isinstance(result, Answer)
+    assert result.body == b"x" * 50_000
+
+
+async def test_all_answers_together_stay_within_the_bound_and_small_ones_are_served() -> None:
+    memory = AnswerMemory(MIB)
+    connections = pool(memory)
+    large = FixedServer([HEAD, f"Content-Length: {MIB}\r\n\r\n".encode(), bytes(MIB)])
+    small = FixedServer([WHOLE])
+    async with large.serving() as large_url, small.serving() as small_url:
+        first = await get(connections, large_url)
+        second = await get(connections, large_url)
+        third = await get(connections, small_url)
+        assert isinstance(first, Answer)
+        assert isinstance(second, SendFailure)
+        assert second.kind is FailureKind.TOO_LARGE
+        assert isinstance(third, Answer)
+        assert memory.held_bytes == MIB
+        del first
+        assert isinstance(await get(connections, large_url), Answer)
+        await connections.retire()
+    assert memory.held_bytes <= SMALL_BODY_BYTES
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "limit_bytes"), [(0.0, 64 * MIB), (300.0, 60 * MIB), (560.0, 112 * MIB)]
+)
+def test_bound_follows_from_the_hosts_memory(memory_mb: float, limit_bytes: int) -> None:
+    assert AnswerMemory.from_config(memory_mb).limit_bytes == limit_bytes
