--- a/src/flamingoladder/freshness/proof_renewer.py
+++ b/src/flamingoladder/freshness/proof_renewer.py
@@ -159,6 +159,7 @@
     ) -> None:
         local_state = self._local_state
         if local_state.installed != version:
+            self._recorder.record("proof.overtaken", version=version)
             return
         members_by_host = local_state.members_by_host
         suspended_keys_by_host = {
@@ -172,6 +173,14 @@
         if local_state.known > version or not guards.has_majority(
             suspended_keys_by_host, members_by_host
         ):
+            self._recorder.record(
+                "proof.unconfirmed",
+                version=version,
+                known=local_state.known,
+                replied=",".join(sorted(replies_by_host)),
+                confirmed=",".join(sorted(suspended_keys_by_host)),
+                members=len(members_by_host),
+            )
             return
         local_state.renew_proof(
             version, asked_at, frozenset().union(*suspended_keys_by_host.values())
--- a/tests/freshness/test_partitions.py
+++ b/tests/freshness/test_partitions.py
@@ -52,6 +52,19 @@
     run_on_injected_time(scenario())
 
 
+def test_timeline_says_which_hosts_confirmed_while_there_is_no_majority() -> None:
+    async def scenario() -> None:
+        fleet = await _bootstrapped()
+        fleet.cut_store(["h7"])
+        fleet.cut_peers("h7")
+        await asyncio.sleep(PROOF_S)
+        event = next(event for event in fleet.events if event.kind == "proof.unconfirmed")
+        assert event.host == "h7"
+        assert (event.fields["confirmed"], event.fields["members"]) == ("h7", "7")
+
+    run_on_injected_time(scenario())
+
+
 @pytest.mark.parametrize("store_reachable", [True, False])
 @pytest.mark.parametrize("peers_reachable", [True, False])
 def test_withdrawal_is_in_force_in_time_with_one_host_cut_off(
