Encode what goes to many hosts once, and compress it if it is large

A relay encoded each gathered report and each change anew for every receiver, 25 of them at 78 hosts, and sent it as it is; a configuration of tens of KB filled the narrow links of hosts. Messages that are dropped on a full queue or by too many handlers leave a line now.

--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -187,4 +187,5 @@
         f"tcp://{settings.peers}",
         keys.public_key,
         link_mbps=settings.link_mbps,
+        takes_compressed=True,
     )
--- a/src/flamingoladder/feed/exchange.py
+++ b/src/flamingoladder/feed/exchange.py
@@ -50,8 +50,7 @@
         if size > MAX_RELAYED_BYTES or not self._followers.is_relay(now):
             return
         named = msgspec.structs.replace(changes, table=table)
-        for host in self._followers.neighbours():
-            self._links.send(host, named)
+        self._links.send_all(self._followers.neighbours(), named)
 
     def prove(self, tables: list[str], now: float) -> None:
         """Send the versions of up-to-date copies, if this host is a follower."""
@@ -59,8 +58,7 @@
             return
         states = {table: self._replicas_by_table[table].state for table in tables}
         message = TableVersions({name: state for name, state in states.items() if state})
-        for host in self._followers.neighbours():
-            self._links.send(host, message)
+        self._links.send_all(self._followers.neighbours(), message)
 
     async def _on_changes(self, _peer: Peer, changes: TableChanges) -> None:
         replica = self._replicas_by_table.get(changes.table)
--- a/src/flamingoladder/fleet/exchange.py
+++ b/src/flamingoladder/fleet/exchange.py
@@ -15,7 +15,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Collection
 
     from flamingoladder.fleet.members import MemberRegistry
     from flamingoladder.fleet.messages import ForwardedReport
@@ -82,8 +81,7 @@
         self._apply_reports(now)
 
     def _distribute(self, report: HostReport, now: float) -> None:
-        for host in self._links.hosts:
-            self._links.send(host, report)
+        self._links.send_all(self._links.hosts, report)
 
     def _is_due(self, report: HostReport) -> bool:
         self._empty_reports = self._empty_reports + 1 if report == EMPTY_REPORT else 0
@@ -135,13 +133,13 @@
         rank = self._relays.own_rank(now)
         if gathered is None or rank >= RELAYS_PER_REGION or not self._relays.in_use:
             return
-        self._send_all(self._relays.remote_relays(rank, now), gathered)
+        self._links.send_all(self._relays.remote_relays(rank, now), gathered)
 
     def _distribute(self, report: HostReport, now: float) -> None:
         own = self._links.own
         self._queue.add(own.host, own.incarnation, report)
         relays = self._relays
-        self._send_all(relays.neighbours() if relays.in_use else relays.others(), report)
+        self._links.send_all(relays.neighbours() if relays.in_use else relays.others(), report)
 
     async def _on_report(self, peer: Peer, report: HostReport) -> None:
         await super()._on_report(peer, report)
@@ -158,7 +156,7 @@
 
     def _distribute_remote(self, reports: RegionReports) -> None:
         if self._relays.own_rank(asyncio.get_running_loop().time()) == 0:
-            self._send_all(self._relays.neighbours(), reports)
+            self._links.send_all(self._relays.neighbours(), reports)
             return
         for forwarded in reports.reports:
             self._held.add(forwarded.host, forwarded.incarnation, forwarded.report)
@@ -170,7 +168,7 @@
             return
         missed = tuple(of for of in due.reports if not self._was_distributed(of))
         if missed:
-            self._send_all(self._relays.neighbours(), RegionReports(missed))
+            self._links.send_all(self._relays.neighbours(), RegionReports(missed))
 
     def _was_distributed(self, forwarded: ForwardedReport) -> bool:
         known = self._distributed_by_host.get(forwarded.host)
@@ -178,10 +176,6 @@
             return False
         return known.report.sequence >= forwarded.report.sequence
 
-    def _send_all(self, hosts: Collection[str], message: msgspec.Struct) -> None:
-        for host in hosts:
-            self._links.send(host, message)
-
 
 class CrashExchange:
     """Broadcasts crashes of targets to all hosts, by relays in a large fleet."""
@@ -200,7 +194,7 @@
 
         async def on_crash(peer: Peer, report: CrashReport) -> None:
             if self._relays.in_use and not self._relays.is_neighbour(peer.host):
-                self._send_all(self._relays.neighbours(), report)
+                self._links.send_all(self._relays.neighbours(), report)
             callback(report, asyncio.get_running_loop().time())
 
         self._links.register(CrashReport, on_crash)
@@ -209,14 +203,10 @@
         """Send a crash to all other hosts."""
         relays = self._relays
         if not relays.in_use:
-            self._send_all(relays.others(), report)
+            self._links.send_all(relays.others(), report)
             return
         now = asyncio.get_running_loop().time()
         remote = {
             host for rank in range(RELAYS_PER_REGION) for host in relays.remote_relays(rank, now)
         }
-        self._send_all((*relays.neighbours(), *remote), report)
-
-    def _send_all(self, hosts: Collection[str], report: CrashReport) -> None:
-        for host in hosts:
-            self._links.send(host, report)
+        self._links.send_all((*relays.neighbours(), *remote), report)
--- a/src/flamingoladder/members/member.py
+++ b/src/flamingoladder/members/member.py
@@ -10,7 +10,8 @@
 
     ``incarnation`` is unique to one run of the daemon. ``caller_url`` is the base URL for callers,
     ``peer_endpoint`` the ZeroMQ endpoint, and ``peer_public_key`` its CURVE public key (Z85).
-    ``link_mbps`` is the bandwidth of its link in Mbit/s, 0 if it is not known.
+    ``link_mbps`` is the bandwidth of its link in Mbit/s, 0 if it is not known. A host that does not
+    say that it ``takes_compressed`` messages is of a version that can't read them.
     """
 
     host: str
@@ -22,3 +23,4 @@
     peer_public_key: str
     leaving: bool = False
     link_mbps: float = 0.0
+    takes_compressed: bool = False
--- a/src/flamingoladder/peers/connection.py
+++ b/src/flamingoladder/peers/connection.py
@@ -134,6 +134,13 @@
         """Send ``message`` without waiting for a reply."""
         self._send(message, 0)
 
+    def send_frame(self, frame: bytes) -> None:
+        """Send an encoded message without waiting; it is dropped while too many are queued."""
+        try:
+            zmq.Socket.send(self._socket, frame, zmq.NOBLOCK)
+        except zmq.Again:
+            self._recorder.record("peer.queue_full", peer=self.member.host, bytes=len(frame))
+
     def close(self) -> None:
         """Close the connection; pending requests time out."""
         self._receive_task.cancel()
@@ -152,10 +159,7 @@
         frame = self._codec.encode(
             Envelope(recorder.host, recorder.incarnation, request_id, clock, message)
         )
-        try:
-            zmq.Socket.send(self._socket, frame, zmq.NOBLOCK)
-        except zmq.Again:
-            return
+        self.send_frame(frame)
 
     async def _receive(self) -> None:
         while True:
--- a/src/flamingoladder/peers/link.py
+++ b/src/flamingoladder/peers/link.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Iterable
 
 M = TypeVar("M", bound=msgspec.Struct)
 
@@ -56,3 +57,8 @@
     @abstractmethod
     def send(self, host: str, message: msgspec.Struct) -> None:
         """Send ``message`` without waiting for a reply; it may be lost."""
+
+    def send_all(self, hosts: Iterable[str], message: msgspec.Struct) -> None:
+        """Send ``message`` to each of the hosts without waiting for replies; it may be lost."""
+        for host in hosts:
+            self.send(host, message)
--- a/src/flamingoladder/peers/zmq_links.py
+++ b/src/flamingoladder/peers/zmq_links.py
@@ -176,6 +176,20 @@
         if connection is not None:
             connection.send(message)
 
+    def send_all(self, hosts: Iterable[str], message: msgspec.Struct) -> None:
+        """Send ``message`` to each of the hosts, encoded once; large ones are compressed."""
+        recorder = self._recorder
+        envelope = Envelope(recorder.host, recorder.incarnation, 0, recorder.clock.tick(), message)
+        frames_by_compression: dict[bool, bytes] = {}
+        for host in hosts:
+            connection = self._connection_to(host)
+            if connection is None:
+                continue
+            compress = connection.member.takes_compressed
+            if compress not in frames_by_compression:
+                frames_by_compression[compress] = self._codec.encode(envelope, compress=compress)
+            connection.send_frame(frames_by_compression[compress])
+
     async def _send_heartbeats(self, host: str) -> None:
         while True:
             reply = await self.request(host, Heartbeat(), HEARTBEAT_TIMEOUT_S)
@@ -218,7 +232,10 @@
         while True:
             frames = await self._socket.recv_multipart(copy=False)
             envelope = self._authenticate(frames)
-            if envelope is None or len(self._handler_tasks) >= MAX_CONCURRENT_HANDLERS:
+            if envelope is None:
+                continue
+            if len(self._handler_tasks) >= MAX_CONCURRENT_HANDLERS:
+                self._recorder.record("peer.overloaded", peer=envelope.host)
                 continue
             task = asyncio.create_task(self._handle(frames[0].bytes, envelope))
             self._handler_tasks.add(task)
--- a/tests/peers/test_zmq_links.py
+++ b/tests/peers/test_zmq_links.py
@@ -6,6 +6,7 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 import zmq
 import zmq.asyncio
@@ -24,8 +25,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    import msgspec
-
 REPLY_TIMEOUT_S = 5.0
 REFUSED_TIMEOUT_S = 0.4
 POLL_INTERVAL_S = 0.02
@@ -76,6 +75,35 @@
     assert await _request_until_reply(first, "h2") == ConfirmReply(1, True)
 
 
+@pytest.mark.parametrize("takes_compressed", [True, False])
+async def test_message_to_all_is_compressed_for_hosts_that_can_read_it(
+    hosts: tuple[Host, Host], monkeypatch: pytest.MonkeyPatch, takes_compressed: bool
+) -> None:
+    first, second = hosts
+    received: asyncio.Queue[ConfirmReply] = asyncio.Queue()
+
+    async def receive(_peer: Peer, message: ConfirmReply) -> None:
+        received.put_nowait(message)
+
+    second.links.register(ConfirmReply, receive)
+    member = msgspec.structs.replace(second.member, takes_compressed=takes_compressed)
+    for host in hosts:
+        host.links.update_directory([first.member, member])
+    await _request_until_reply(first, "h2")
+    frames: list[bytes] = []
+    send_frame = connection.PeerConnection.send_frame
+
+    def recording(link: connection.PeerConnection, frame: bytes) -> None:
+        frames.append(frame)
+        send_frame(link, frame)
+
+    monkeypatch.setattr(connection.PeerConnection, "send_frame", recording)
+    message = ConfirmReply(1, True, "i", ("key",) * 2_000)
+    first.links.send_all(["h2", "unknown"], message)
+    assert await asyncio.wait_for(received.get(), REPLY_TIMEOUT_S) == message
+    assert (max(map(len, frames)) < 1_000) is takes_compressed
+
+
 async def test_link_that_is_not_opened_ahead_is_opened_by_the_first_message() -> None:
     first, second = Host("h1", opens_ahead=False), Host("h2", opens_ahead=False)
     try:
