--- a/src/flamingoladder/console/application.py
+++ b/src/flamingoladder/console/application.py
@@ -27,6 +27,7 @@
     "shift_end",
     "shift_start",
     "show",
+    "soak",
     "standin_platform",
     "standin_upstreams",
     "status",
--- /dev/null
+++ b/src/flamingoladder/console/commands/soak.py
@@ -0,0 +1,42 @@
+"""``flamingoladder soak``."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from pathlib import Path
+from secrets import randbelow
+
+from flamingoladder.console.exit_codes import ExitCode
+from flamingoladder.soak.run import run_soak
+
+MAX_SEED = 1_000_000
+
+
+def soak(
+    *,
+    seed: int | None = None,
+    seconds: float = 20.0,
+    hosts: int = 4,
+    directory: Path | None = None,
+) -> int:
+    """Run entry hosts as processes under random faults, and check their promises.
+
+    If a promise is broken, the time line and the logs of all hosts stay in the directory.
+
+    :param seed: seed of the faults and the load; a new one by default
+    :param seconds: how long faults strike; some seconds more pass before and after
+    :param hosts: number of entry hosts
+    :param directory: where to write; a new temporary directory by default
+    """
+    found = randbelow(MAX_SEED) if seed is None else seed
+    place = directory or Path(tempfile.mkdtemp(prefix="flamingoladder-soak-"))
+    place.mkdir(parents=True, exist_ok=True)
+    print(f"seed {found}, {seconds} s, {hosts} hosts, in {place}")
+    report = asyncio.run(run_soak(found, seconds, place, hosts))
+    lines = [*report.lines, *(f"BROKEN {of.promise}: {of.evidence}" for of in report.broken)]
+    (place / "timeline.txt").write_text("\n".join(lines) + "\n")
+    for line in lines if report.broken else ():
+        print(line)
+    print(f"{report.requests} requests, {len(report.broken)} promises broken")
+    return ExitCode.PROMISE_BROKEN if report.broken else ExitCode.DONE
--- a/src/flamingoladder/platform/standins/deployment.py
+++ b/src/flamingoladder/platform/standins/deployment.py
@@ -24,11 +24,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Mapping
     from random import Random
 
 PORTS_A_HOST = 5
 READY_POLLS = 500
 POLL_S = 0.02
+AMPLE_RATE_PER_S = 1_000.0
 REGIONS_BY_DOMAIN = {"north-a": "north", "south-a": "south", "south-b": "south"}
 BOUNDS = Bounds(
     grace_s=6.0,
@@ -42,8 +44,14 @@
 )
 
 
-def configuration(version: int, keys: dict[str, list[str]]) -> dict[str, Any]:
-    """Return a configuration with two routes; ``keys`` are those of each workspace."""
+def configuration(
+    version: int, keys: dict[str, list[str]], rates_per_s: Mapping[str, float] | None = None
+) -> dict[str, Any]:
+    """Return a configuration with two routes; ``keys`` are those of each workspace.
+
+    ``rates_per_s`` holds the rates of workspaces, which are their bursts too.
+    """
+    rates = rates_per_s or {}
     route = {
         "timeout_s": 1.0,
         "latency_slo_s": 0.5,
@@ -74,7 +82,12 @@
         ],
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536, "idle_timeout_s": 15},
         "tenants": [
-            {"name": name, "api_keys": found, "rate_per_s": 1_000, "burst": 1_000}
+            {
+                "name": name,
+                "api_keys": found,
+                "rate_per_s": rates.get(name, AMPLE_RATE_PER_S),
+                "burst": rates.get(name, AMPLE_RATE_PER_S),
+            }
             for name, found in keys.items()
         ],
         "virtual_hosts": [
@@ -83,6 +96,27 @@
     }
 
 
+def host_settings(
+    number: int, port: int, store_url: str, *, first_start: bool = True
+) -> HostSettings:
+    """Return the settings of a host with ``PORTS_A_HOST`` ports from ``port`` on."""
+    domain = list(REGIONS_BY_DOMAIN)[number % len(REGIONS_BY_DOMAIN)]
+    return HostSettings(
+        host=f"host-{number}",
+        failure_domain=domain,
+        region=REGIONS_BY_DOMAIN[domain],
+        first_start=first_start,
+        regions_by_domain=REGIONS_BY_DOMAIN,
+        callers=Endpoint(LOOPBACK, port),
+        health=Endpoint(LOOPBACK, port + 1),
+        lookups=Endpoint(LOOPBACK, port + 2),
+        peers=Endpoint(LOOPBACK, port + 3),
+        metrics=Endpoint(LOOPBACK, port + 4),
+        store_url=store_url,
+        bounds=BOUNDS,
+    )
+
+
 class LocalPlatform:
     """The parts of a running deployment."""
 
@@ -149,22 +183,7 @@
 
     def settings(self, number: int) -> HostSettings:
         """Return the settings of a host."""
-        port = self._ports[number]
-        domain = list(REGIONS_BY_DOMAIN)[number % len(REGIONS_BY_DOMAIN)]
-        return HostSettings(
-            host=f"host-{number}",
-            failure_domain=domain,
-            region=REGIONS_BY_DOMAIN[domain],
-            first_start=True,
-            regions_by_domain=REGIONS_BY_DOMAIN,
-            callers=Endpoint(LOOPBACK, port),
-            health=Endpoint(LOOPBACK, port + 1),
-            lookups=Endpoint(LOOPBACK, port + 2),
-            peers=Endpoint(LOOPBACK, port + 3),
-            metrics=Endpoint(LOOPBACK, port + 4),
-            store_url=self._server.url,
-            bounds=BOUNDS,
-        )
+        return host_settings(number, self._ports[number], self._server.url)
 
     async def stop(self) -> None:
         """Close everything at once."""
--- a/src/flamingoladder/platform/standins/targets.py
+++ b/src/flamingoladder/platform/standins/targets.py
@@ -36,7 +36,11 @@
 
 
 class StandinTarget:
-    """A target with ``slots``; each request takes ``work_s`` seconds."""
+    """A target with ``slots``; each request takes ``work_s`` seconds.
+
+    It registers ``advertised_address`` if that is set, as of a relay before it. While it has a
+    ``rate_limit_per_s``, its answers name that.
+    """
 
     def __init__(
         self,
@@ -55,6 +59,8 @@
         self.slots = slots
         self.work_s = work_s
         self.state = "ready"
+        self.advertised_address = ""
+        self.rate_limit_per_s: float | None = None
         self.runs: list[TargetRun] = []
         self.running = 0
         self.cancelled = 0
@@ -75,7 +81,7 @@
         """Write the entry."""
         entry = {
             "service": self.service,
-            "address": f"{self.server.address}:{self.server.port}",
+            "address": self.advertised_address or f"{self.server.address}:{self.server.port}",
             "zone": self.failure_domain,
             "version": "v1",
             "slots": self.slots,
@@ -110,6 +116,8 @@
         body = await request.read()
         await self._run(request)
         found[headers.SIGNATURE] = f"signed-by-{self.target_id}"
+        if self.rate_limit_per_s is not None:
+            found[headers.SERVER_LIMITS[0]] = str(self.rate_limit_per_s)
         return web.Response(body=body or request.raw_path.encode(), headers=found)
 
     async def _run(self, request: web.Request) -> None:
--- /dev/null
+++ b/src/flamingoladder/soak/deployment.py
@@ -0,0 +1,202 @@
+"""Entry hosts as real processes, on stand-ins of the store and the targets, with relays between."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.platform.http_transport import HttpTransport
+from flamingoladder.platform.rows import RowStore
+from flamingoladder.platform.standins.deployment import PORTS_A_HOST
+from flamingoladder.platform.standins.deployment import REGIONS_BY_DOMAIN
+from flamingoladder.platform.standins.deployment import configuration
+from flamingoladder.platform.standins.deployment import host_settings
+from flamingoladder.platform.standins.settings_file import settings_file
+from flamingoladder.platform.standins.state import PlatformState
+from flamingoladder.platform.standins.store import platform_application
+from flamingoladder.platform.standins.targets import TABLE as TARGETS_TABLE
+from flamingoladder.platform.standins.targets import StandinTarget
+from flamingoladder.standins.processes import LOOPBACK
+from flamingoladder.standins.processes import Processes
+from flamingoladder.standins.processes import free_ports
+from flamingoladder.standins.relay import Relay
+from flamingoladder.standins.server import ApplicationServer
+
+if TYPE_CHECKING:
+    from pathlib import Path
+    from random import Random
+
+    from flamingoladder.entry.settings import Endpoint
+    from flamingoladder.entry.settings import HostSettings
+    from flamingoladder.platform.standins.targets import TargetRun
+    from flamingoladder.standins.processes import ManagedProcess
+
+SERVICES = ("catalogue", "bookings")
+
+
+class SoakHost:
+    """An entry host: its process, its settings and its relay to the store.
+
+    ``busy`` is held by the one fault of the process that is at work.
+    """
+
+    __slots__ = ("busy", "process", "settings", "store_relay")
+
+    def __init__(self, process: ManagedProcess, settings: HostSettings, store_relay: Relay) -> None:
+        self.process = process
+        self.settings = settings
+        self.store_relay = store_relay
+        self.busy = asyncio.Lock()
+
+    async def wait_until_ready(self) -> None:
+        """Return when the host takes callers.
+
+        :raises ProcessNotReadyError: if that takes too long.
+        """
+        await self.process.wait_until_ready(f"http://{self.settings.health}/-/readyz")
+
+
+class SoakTarget:
+    """A target and the relay through which hosts reach it."""
+
+    __slots__ = ("relay", "target")
+
+    def __init__(self, target: StandinTarget, relay: Relay) -> None:
+        self.target = target
+        self.relay = relay
+
+
+class SoakDeployment:
+    """All parts; leaving the context ends every process that was started."""
+
+    __slots__ = (
+        "_directory",
+        "_gone",
+        "_ports",
+        "_processes",
+        "_server",
+        "_transport",
+        "_version",
+        "hosts",
+        "keys_by_workspace",
+        "rates_per_s",
+        "state",
+        "store",
+        "targets_by_id",
+    )
+
+    def __init__(
+        self,
+        directory: Path,
+        hosts: int,
+        targets: int,
+        keys_by_workspace: dict[str, list[str]],
+        rates_per_s: dict[str, float],
+        random: Random,
+    ) -> None:
+        self._directory = directory
+        self._processes = Processes(directory)
+        self._gone: list[StandinTarget] = []
+        self._version = 0
+        first = free_ports(hosts * PORTS_A_HOST, random)
+        self._ports = [first + number * PORTS_A_HOST for number in range(hosts)]
+        self.state = PlatformState()
+        self._server = ApplicationServer(platform_application(self.state), LOOPBACK, 0)
+        self.keys_by_workspace = keys_by_workspace
+        self.rates_per_s = rates_per_s
+        self.hosts: list[SoakHost] = []
+        self.targets_by_id: dict[str, SoakTarget] = {
+            target.target_id: SoakTarget(target, Relay(LOOPBACK, 0))
+            for service in SERVICES
+            for target in (self._target(service, number) for number in range(targets))
+        }
+        self._transport: HttpTransport
+        self.store: RowStore
+
+    @property
+    def addresses_by_host(self) -> dict[str, Endpoint]:
+        """Return where each host takes callers."""
+        return {host.settings.host: host.settings.callers for host in self.hosts}
+
+    @property
+    def runs(self) -> list[TargetRun]:
+        """Return the runs of all targets, those that left included."""
+        serving = [of.target for of in self.targets_by_id.values()]
+        return [run for target in (*self._gone, *serving) for run in target.runs]
+
+    async def __aenter__(self) -> SoakDeployment:
+        await self._processes.__aenter__()
+        await self._server.start()
+        self._transport = HttpTransport.from_config(self._server.url, None)
+        self.store = RowStore(self._transport)
+        await self.configure()
+        for target in self.targets_by_id.values():
+            await self._start_target(target)
+        for number in range(len(self._ports)):
+            await self._start_host(number)
+        await asyncio.gather(*(host.wait_until_ready() for host in self.hosts))
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        for host in self.hosts:
+            host.process.thaw()
+        await self._processes.__aexit__(None, None, None)
+        for host in self.hosts:
+            await host.store_relay.stop()
+        for target in self.targets_by_id.values():
+            await target.relay.stop()
+            await target.target.server.stop()
+        await self._transport.close()
+        await self._server.stop()
+
+    async def configure(self) -> None:
+        """Write the configuration with the keys that are granted now, as the operator does."""
+        self._version += 1
+        document = configuration(self._version, self.keys_by_workspace, self.rates_per_s)
+        await self.store.write("op", "config", msgspec.json.encode(document))
+
+    async def add_target(self, service: str, number: int) -> str:
+        """Start a target, and return its id."""
+        target = self._target(service, number)
+        added = SoakTarget(target, Relay(LOOPBACK, 0))
+        await self._start_target(added)
+        self.targets_by_id[target.target_id] = added
+        return target.target_id
+
+    async def remove_target(self, target_id: str) -> None:
+        """Delete a target's entry; it serves on."""
+        await self.store.delete(TARGETS_TABLE, target_id)
+
+    async def stop_target(self, target_id: str) -> None:
+        """End a target."""
+        removed = self.targets_by_id.pop(target_id)
+        self._gone.append(removed.target)
+        await removed.relay.stop()
+        await removed.target.server.stop()
+
+    def _target(self, service: str, number: int) -> StandinTarget:
+        domain = list(REGIONS_BY_DOMAIN)[number % len(REGIONS_BY_DOMAIN)]
+        return StandinTarget(f"i-{service}-{number}", service, domain, work_s=0.03)
+
+    async def _start_target(self, added: SoakTarget) -> None:
+        target = added.target
+        await target.server.start()
+        added.relay = Relay(target.server.address, target.server.port)
+        await added.relay.start()
+        target.advertised_address = f"{added.relay.address}:{added.relay.port}"
+        await target.register(self.store)
+
+    async def _start_host(self, number: int) -> None:
+        relay = Relay(self._server.address, self._server.port)
+        await relay.start()
+        settings = host_settings(number, self._ports[number], relay.url)
+        path = self._directory / f"{settings.host}.json"
+        path.write_bytes(settings_file(settings))
+        process = self._processes.start(settings.host, "entry", "--settings", str(path))
+        # A host that starts again is no longer part of the whole system's first start.
+        restarted = msgspec.structs.replace(settings, first_start=False)
+        self.hosts.append(SoakHost(process, settings, relay))
+        await self.hosts[-1].wait_until_ready()
+        path.write_bytes(settings_file(restarted))
--- a/src/flamingoladder/standins/relay.py
+++ b/src/flamingoladder/standins/relay.py
@@ -1,26 +1,44 @@
-"""A small TCP relay for tests, which cuts, stalls and refuses connections."""
+"""A small TCP relay for tests, which cuts, stalls, refuses and spoils connections."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
 import struct
+from enum import Enum
 
 CHUNK_BYTES = 65_536
 LOOPBACK = "127.0.0.1"
 LINGER_ZERO = struct.pack("ii", 1, 0)
+REPEAT_AFTER_S = 0.05
+
+
+class AnswerFault(Enum):
+    """What becomes of answers: a second copy comes late, or the second half never comes."""
+
+    REPEAT = "repeat"
+    HALVE = "halve"
 
 
 class Relay:
     """Forwards connections on a port of its own to ``target_address:target_port``."""
 
-    __slots__ = ("_connections", "_server", "_target_address", "_target_port", "address", "port")
+    __slots__ = (
+        "_connections",
+        "_server",
+        "_target_address",
+        "_target_port",
+        "address",
+        "answer_fault",
+        "port",
+    )
 
     def __init__(self, target_address: str, target_port: int) -> None:
         self.address = LOOPBACK
         self.port = 0
         self._target_address = target_address
         self._target_port = target_port
+        self.answer_fault: AnswerFault | None = None
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
 
@@ -74,7 +92,7 @@
         except OSError:
             _reset(writer)
             return
-        connection = _Connection(writer, far_writer)
+        connection = _Connection(self, writer, far_writer)
         self._connections.add(connection)
         try:
             await connection.forward(reader, far_reader)
@@ -85,9 +103,10 @@
 class _Connection:
     """A caller's connection and its continuation to the target."""
 
-    __slots__ = ("_ended", "_far", "_near", "answers_stalled", "requests_stalled")
+    __slots__ = ("_ended", "_far", "_near", "_relay", "answers_stalled", "requests_stalled")
 
-    def __init__(self, near: asyncio.StreamWriter, far: asyncio.StreamWriter) -> None:
+    def __init__(self, relay: Relay, near: asyncio.StreamWriter, far: asyncio.StreamWriter) -> None:
+        self._relay = relay
         self._near = near
         self._far = far
         self._ended = asyncio.Event()
@@ -127,9 +146,18 @@
         while chunk := await _read(reader):
             if self.answers_stalled:
                 return
+            if self._relay.answer_fault is AnswerFault.HALVE:
+                self._near.write(chunk[: len(chunk) // 2])
+                break
             self._near.write(chunk)
+            if self._relay.answer_fault is AnswerFault.REPEAT:
+                asyncio.get_running_loop().call_later(REPEAT_AFTER_S, self._repeat, chunk)
         self._end(self.answers_stalled)
 
+    def _repeat(self, chunk: bytes) -> None:
+        if not self._near.is_closing():
+            self._near.write(chunk)
+
     def _end(self, stalled: bool) -> None:
         if not stalled:
             self._ended.set()
