--- a/src/flamingoladder/soak/deployment.py
+++ b/src/flamingoladder/soak/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import SystemRandom
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -26,7 +27,6 @@
 
 if TYPE_CHECKING:
     from pathlib import Path
-    from random import Random
 
     from flamingoladder.entry.settings import Endpoint
     from flamingoladder.entry.settings import HostSettings
@@ -94,13 +94,13 @@
         targets: int,
         keys_by_workspace: dict[str, list[str]],
         rates_per_s: dict[str, float],
-        random: Random,
     ) -> None:
         self._directory = directory
         self._processes = Processes(directory)
         self._gone: list[StandinTarget] = []
         self._version = 0
-        first = free_ports(hosts * PORTS_A_HOST, random)
+        # Not seeded, as soaks with the same seed may run beside each other.
+        first = free_ports(hosts * PORTS_A_HOST, SystemRandom())
         self._ports = [first + number * PORTS_A_HOST for number in range(hosts)]
         self.state = PlatformState()
         self._server = ApplicationServer(platform_application(self.state), LOOPBACK, 0)
--- a/src/flamingoladder/soak/run.py
+++ b/src/flamingoladder/soak/run.py
@@ -51,7 +51,7 @@
     """Run a soak; settings and logs of the hosts go to ``directory``."""
     random = Random(seed)
     keys = {"turf": ["k-turf"], "moss": ["k-moss"], "small": ["k-small"]}
-    deployment = SoakDeployment(directory, hosts, TARGETS_PER_SERVICE, keys, RATES_PER_S, random)
+    deployment = SoakDeployment(directory, hosts, TARGETS_PER_SERVICE, keys, RATES_PER_S)
     async with deployment:
         loop = asyncio.get_running_loop()
         history = History(loop.time())
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak."""
