--- a/src/flamingoladder/console/commands/soak.py
+++ b/src/flamingoladder/console/commands/soak.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import tempfile
 from pathlib import Path
 from secrets import randbelow
+from typing import TYPE_CHECKING
 
 from flamingoladder.console.exit_codes import ExitCode
 from flamingoladder.soak.run import run_soak
 
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from flamingoladder.soak.run import SoakReport
+
 MAX_SEED = 1_000_000
 
 
@@ -33,10 +40,17 @@
     place = directory or Path(tempfile.mkdtemp(prefix="flamingoladder-soak-"))
     place.mkdir(parents=True, exist_ok=True)
     print(f"seed {found}, {seconds} s, {hosts} hosts, in {place}")
-    report = asyncio.run(run_soak(found, seconds, place, hosts))
+    report = asyncio.run(_run_until_terminated(run_soak(found, seconds, place, hosts)))
     lines = [*report.lines, *(f"BROKEN {of.promise}: {of.evidence}" for of in report.broken)]
     (place / "timeline.txt").write_text("\n".join(lines) + "\n")
     for line in lines if report.broken else ():
         print(line)
     print(f"{report.requests} requests, {len(report.broken)} promises broken")
     return ExitCode.PROMISE_BROKEN if report.broken else ExitCode.DONE
+
+
+async def _run_until_terminated(run: Coroutine[None, None, SoakReport]) -> SoakReport:
+    """Run a soak; SIGTERM cancels it, so that it ends the processes that it started."""
+    task = asyncio.ensure_future(run)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
