--- a/src/flamingoladder/soak/deployment.py
+++ b/src/flamingoladder/soak/deployment.py
@@ -34,6 +34,8 @@
     from flamingoladder.standins.processes import ManagedProcess
 
 SERVICES = ("catalogue", "bookings")
+# Long enough that stops, kills and cuts meet requests at work.
+WORK_S = 0.2
 
 
 class SoakHost:
@@ -178,7 +180,7 @@
 
     def _target(self, service: str, number: int) -> StandinTarget:
         domain = list(REGIONS_BY_DOMAIN)[number % len(REGIONS_BY_DOMAIN)]
-        return StandinTarget(f"i-{service}-{number}", service, domain, work_s=0.03)
+        return StandinTarget(f"i-{service}-{number}", service, domain, work_s=WORK_S)
 
     async def _start_target(self, added: SoakTarget) -> None:
         target = added.target
--- a/src/flamingoladder/soak/run.py
+++ b/src/flamingoladder/soak/run.py
@@ -23,7 +23,7 @@
     from flamingoladder.soak.faults import Fault
 
 TARGETS_PER_SERVICE = 5
-CALLERS = 12
+CALLERS = 20
 # Faults come in this many series, which overlap.
 SERIES = 3
 MAX_PAUSE_S = 1.5
