Parse what may be no answer in small parts, one in each turn of the event loop

A read of 256 KiB of 1xx responses or one-byte chunks was parsed at once, and 512 KiB a request.

Change: the guard parses parts of 4 KiB while they bring no content, one a turn of the loop; parts grow while they do. 128 KiB that are no content, beside as many as there is content, end the request. What is unparsed when an answer is whole closes the connection.

--- a/src/flamingoladder/transport/connector.py
+++ b/src/flamingoladder/transport/connector.py
@@ -100,7 +100,7 @@
     if exchange.transport is None:
         return
     exchange.guard = ReceiveGuard.of(exchange.transport)
-    exchange.guard.exchange = exchange
+    exchange.guard.use_for(exchange)
 
 
 def _open_socket(address: AddressInfo, silence_s: float) -> socket.socket:
--- a/src/flamingoladder/transport/exchange.py
+++ b/src/flamingoladder/transport/exchange.py
@@ -16,8 +16,8 @@
 
     LastCheck = Callable[[float], Refusal | None]
 
-# A head with its fields, chunk headers and, before the head is known, a first part of the body.
-MAX_OTHER_BYTES = 524_288
+# A head with its fields, and chunk headers beyond the size of the content.
+MAX_OTHER_BYTES = 131_072
 
 
 class Exchange:
@@ -28,8 +28,8 @@
     answer has come for the check time. ``last_check`` is asked once there is a connection, with no
     wait between its answer and the write; its refusal, if any, is kept as ``refusal``. An exchange
     without a connection ends at ``connect_by``, one with a connection at ``deadline``, both in
-    monotonic seconds. ``flooded`` is set once more than ``MAX_OTHER_BYTES`` came that are no
-    content.
+    monotonic seconds. ``flooded`` is set once over ``MAX_OTHER_BYTES`` came that are no
+    content, beside as many as the content has.
     """
 
     __slots__ = (
@@ -74,16 +74,21 @@
         self.response: ClientResponse | None = None
         self._timeout: asyncio.Timeout | None = None
 
+    @property
+    def content_bytes(self) -> int:
+        """Return how many bytes of the answer's body came, without chunk headers."""
+        return 0 if self.response is None else self.response.content.total_bytes
+
     @property
     def progress(self) -> int:
         """Return a number that grows with each part of the answer; it is 0 before the head."""
-        return 0 if self.response is None else 1 + self.response.content.total_bytes
+        return 0 if self.response is None else 1 + self.content_bytes
 
     def accepts(self, more_bytes: int) -> bool:
         """Count bytes that came, and return whether they may be the answer."""
         self.received_bytes += more_bytes
-        content_bytes = 0 if self.response is None else self.response.content.total_bytes
-        self.flooded |= self.received_bytes - content_bytes > MAX_OTHER_BYTES
+        other_bytes = self.received_bytes - 2 * self.content_bytes
+        self.flooded |= other_bytes > MAX_OTHER_BYTES
         return not self.flooded
 
     def was_reset(self) -> bool:
@@ -124,9 +129,10 @@
         No other request can then meet what still comes from that connection.
         """
         self._timeout = None
+        is_kept = whole and self._may_be_kept
         if self.guard is not None and self.guard.exchange is self:
             self.guard.exchange = None
-        is_kept = whole and self._may_be_kept
+            is_kept = is_kept and not self.guard.has_unparsed
         if not is_kept and self.transport is not None:
             self.transport.abort()
 
--- a/src/flamingoladder/transport/receive_guard.py
+++ b/src/flamingoladder/transport/receive_guard.py
@@ -8,19 +8,31 @@
 if TYPE_CHECKING:
     from flamingoladder.transport.exchange import Exchange
 
+# What is parsed at once while nothing tells that it is content. 1xx responses and chunks of one
+# byte take the longest.
+FIRST_PART_BYTES = 4_096
+MAX_PART_BYTES = 262_144
+# The event loop reads up to 256 KiB at once, and a second time before the head is known.
+MAX_UNPARSED_BYTES = 524_288
+
 
 class ReceiveGuard(asyncio.Protocol):
     """Stands between a connection and the protocol that parses its answers.
 
     It closes the connection when bytes come while no request waits for an answer, or when too many
-    come that are no content, as in a head or in chunk extensions without end.
+    come that are no content, as in a head or in chunk extensions without end. What may be no
+    content is parsed in small parts, one in each turn of the event loop, so that other requests are
+    served meanwhile.
     """
 
-    __slots__ = ("_parser", "_transport", "exchange")
+    __slots__ = ("_is_scheduled", "_parser", "_part_bytes", "_transport", "_unparsed", "exchange")
 
     def __init__(self, parser: asyncio.Protocol, transport: asyncio.Transport) -> None:
         self._parser = parser
         self._transport = transport
+        self._unparsed = bytearray()
+        self._part_bytes = FIRST_PART_BYTES
+        self._is_scheduled = False
         self.exchange: Exchange | None = None
 
     @classmethod
@@ -34,19 +46,36 @@
         transport.set_protocol(guard)
         return guard
 
+    @property
+    def has_unparsed(self) -> bool:
+        """Return whether bytes came that were not parsed, so that the connection is of no use."""
+        return bool(self._unparsed)
+
+    def use_for(self, exchange: Exchange) -> None:
+        """Expect the answer to this request from now on."""
+        self.exchange = exchange
+        self._part_bytes = FIRST_PART_BYTES
+
     def data_received(self, data: bytes) -> None:
         """Pass on what was received, unless it is too much."""
-        if self.exchange is None or not self.exchange.accepts(len(data)):
-            self._transport.abort()
+        if self.exchange is None or len(self._unparsed) + len(data) > MAX_UNPARSED_BYTES:
+            self._refuse()
             return
-        self._parser.data_received(data)
+        if not self._unparsed and len(data) <= FIRST_PART_BYTES:
+            self._parse(data)
+            return
+        self._unparsed += data
+        if not self._is_scheduled:
+            self._parse_parts()
 
     def eof_received(self) -> bool | None:
         """Pass on the end of what is received."""
+        self._parse_rest()
         return self._parser.eof_received()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Pass on the end of the connection."""
+        self._parse_rest()
         self._parser.connection_lost(exc)
 
     def pause_writing(self) -> None:
@@ -56,3 +85,44 @@
     def resume_writing(self) -> None:
         """Pass on that the connection takes more again."""
         self._parser.resume_writing()
+
+    def _parse_parts(self) -> None:
+        """Parse while that brings content, and else go on in the loop's next turn."""
+        self._is_scheduled = False
+        while self._unparsed:
+            if self._parse_part():
+                self._part_bytes = min(MAX_PART_BYTES, 2 * self._part_bytes)
+                continue
+            self._part_bytes = FIRST_PART_BYTES
+            if self._unparsed:
+                self._is_scheduled = True
+                asyncio.get_running_loop().call_soon(self._parse_parts)
+            return
+
+    def _parse_rest(self) -> None:
+        while self._unparsed:
+            self._parse_part()
+
+    def _parse_part(self) -> bool:
+        """Parse one part and return whether most of it was content."""
+        part = bytes(self._unparsed[: self._part_bytes])
+        del self._unparsed[: self._part_bytes]
+        return self._parse(part)
+
+    def _parse(self, part: bytes) -> bool:
+        exchange = self.exchange
+        if exchange is None:
+            self._refuse()
+            return False
+        content_before = exchange.content_bytes
+        if not exchange.accepts(len(part)):
+            self._refuse()
+            return False
+        self._parser.data_received(part)
+        return 2 * (exchange.content_bytes - content_before) >= len(part)
+
+    def _refuse(self) -> None:
+        if self.exchange is not None:
+            self.exchange.flooded = True
+        self._unparsed.clear()
+        self._transport.abort()
