Soak the product's own daemons too, with the checks of the demo

Evidence takes any number of withdrawn keys, drained targets and stopped hosts; the demo and the soak of daemons share it.

--- a/src/flamingoladder/console/commands/soak.py
+++ b/src/flamingoladder/console/commands/soak.py
@@ -10,12 +10,13 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.console.exit_codes import ExitCode
+from flamingoladder.soak.daemons import run_daemon_soak
 from flamingoladder.soak.run import run_soak
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
-    from flamingoladder.soak.run import SoakReport
+    from flamingoladder.soak.report import SoakReport
 
 MAX_SEED = 1_000_000
 
@@ -26,8 +27,9 @@
     seconds: float = 20.0,
     hosts: int = 4,
     directory: Path | None = None,
+    daemons: Path | None = None,
 ) -> int:
-    """Run entry hosts as processes under random faults, and check their promises.
+    """Run hosts as processes under random faults, and check their promises.
 
     If a promise is broken, the time line and the logs of all hosts stay in the directory.
 
@@ -35,12 +37,17 @@
     :param seconds: how long faults strike; some seconds more pass before and after
     :param hosts: number of entry hosts
     :param directory: where to write; a new temporary directory by default
+    :param daemons: configuration file; runs daemons of the product's own interface, not entry hosts
     """
     found = randbelow(MAX_SEED) if seed is None else seed
     place = directory or Path(tempfile.mkdtemp(prefix="flamingoladder-soak-"))
     place.mkdir(parents=True, exist_ok=True)
-    print(f"seed {found}, {seconds} s, {hosts} hosts, in {place}")
-    report = asyncio.run(_run_until_terminated(run_soak(found, seconds, place, hosts)))
+    print(f"seed {found}, {seconds} s, in {place}")
+    if daemons is None:
+        run = run_soak(found, seconds, place, hosts)
+    else:
+        run = run_daemon_soak(found, seconds, place, daemons)
+    report = asyncio.run(_run_until_terminated(run))
     lines = [*report.lines, *(f"BROKEN {of.promise}: {of.evidence}" for of in report.broken)]
     (place / "timeline.txt").write_text("\n".join(lines) + "\n")
     for line in lines if report.broken else ():
--- a/src/flamingoladder/demo/promises.py
+++ b/src/flamingoladder/demo/promises.py
@@ -1,8 +1,9 @@
-"""Checks of the promises that the demo looks at."""
+"""Checks of the promises of the product's own interface, for the demo and the soak."""
 
 from __future__ import annotations
 
 from collections import Counter
+from math import inf
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -25,14 +26,14 @@
 
 
 class Marks(msgspec.Struct, frozen=True):
-    """What was done during the demo; times are monotonic seconds."""
+    """What was done meanwhile; times are monotonic seconds, from which nothing more may run.
 
-    withdrawn_key_id: str
-    withdrawn_at: float
-    drained_target: str
-    drained_at: float
-    stopped_url: str
-    stopped_exit_status: int
+    ``exit_status_by_stopped_url`` holds the hosts that were stopped gracefully and not killed.
+    """
+
+    withdrawn_at_by_key_id: dict[str, float] = {}
+    drained_at_by_target: dict[str, float] = {}
+    exit_status_by_stopped_url: dict[str, int] = {}
 
 
 class Evidence:
@@ -84,32 +85,29 @@
         return tuple("authorization" for report in self._reports if report.authorization_seen)
 
     def _run_after_withdrawal(self) -> tuple[str, ...]:
-        marks = self._marks
+        withdrawn_at = self._marks.withdrawn_at_by_key_id
         key_ids = {sent.call.request_id: sent.key_id for sent in self._sent}
         return tuple(
             run.request_id
             for run in self._runs
-            if key_ids.get(run.request_id) == marks.withdrawn_key_id
-            and run.started > marks.withdrawn_at
+            if run.started > withdrawn_at.get(key_ids.get(run.request_id, ""), inf)
         )
 
     def _run_after_drain(self) -> tuple[str, ...]:
-        marks = self._marks
+        drained_at = self._marks.drained_at_by_target
         return tuple(
-            run.request_id
-            for run in self._runs
-            if run.target == marks.drained_target and run.started > marks.drained_at
+            run.request_id for run in self._runs if run.started > drained_at.get(run.target, inf)
         )
 
     def _cut_by_stop(self) -> tuple[str, ...]:
-        marks = self._marks
+        statuses = self._marks.exit_status_by_stopped_url
         cut = tuple(
             sent.call.request_id
             for sent in self._sent
-            if sent.call.host == marks.stopped_url and _reason(sent) is Reason.HOST_LOST
+            if sent.call.host in statuses and _reason(sent) is Reason.HOST_LOST
         )
-        status = marks.stopped_exit_status
-        return (*cut, f"exit status {status}") if status else cut
+        wrong = tuple(f"{url} ended with {status}" for url, status in statuses.items() if status)
+        return (*cut, *wrong)
 
 
 def _verdict(sent: Sent) -> Verdict:
--- a/src/flamingoladder/demo/scenario.py
+++ b/src/flamingoladder/demo/scenario.py
@@ -102,12 +102,9 @@
         print(f"killed {killed.name}")
         await asyncio.sleep(2 * STEP_S)
         return Marks(
-            withdrawn_key_id=second.key_id,
-            withdrawn_at=withdrawn_at,
-            drained_target=self._drained_target.name,
-            drained_at=drained_at,
-            stopped_url=stopped.caller_url,
-            stopped_exit_status=exit_status,
+            withdrawn_at_by_key_id={second.key_id: withdrawn_at},
+            drained_at_by_target={self._drained_target.name: drained_at},
+            exit_status_by_stopped_url={stopped.caller_url: exit_status},
         )
 
     async def _drain(self) -> float:
--- a/src/flamingoladder/soak/run.py
+++ b/src/flamingoladder/soak/run.py
@@ -6,15 +6,13 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from flamingoladder.soak.callers import Callers
 from flamingoladder.soak.deployment import SoakDeployment
 from flamingoladder.soak.faults import ALL_FAULTS
 from flamingoladder.soak.faults import Scene
 from flamingoladder.soak.history import History
-from flamingoladder.soak.promises import Broken
 from flamingoladder.soak.promises import Checks
+from flamingoladder.soak.report import SoakReport
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -33,14 +31,6 @@
 RATES_PER_S = {"small": 10.0}
 
 
-class SoakReport(msgspec.Struct, frozen=True):
-    """What a soak found, with its time line and the number of requests that callers sent."""
-
-    broken: tuple[Broken, ...]
-    lines: tuple[str, ...]
-    requests: int
-
-
 async def run_soak(
     seed: int,
     duration_s: float,
