--- a/src/flamingoladder/soak/faults.py
+++ b/src/flamingoladder/soak/faults.py
@@ -232,8 +232,8 @@
             if leaving is None:
                 return
             target = leaving.target
-            added = await deployment.add_target(target.service, scene.next_number())
             async with scene.store_busy:
+                added = await deployment.add_target(target.service, scene.next_number())
                 if scene.random.random() < 0.5:
                     await target.drain(deployment.store)
                     scene.note(f"{target.target_id} drains, {added} is new")
