--- a/src/flamingoladder/client/call.py
+++ b/src/flamingoladder/client/call.py
@@ -1,4 +1,4 @@
-"""One call of a service, with what its repeats have in common."""
+"""One call of a service, with what its retries have in common."""
 
 from __future__ import annotations
 
@@ -12,13 +12,13 @@
 
 
 class Call:
-    """A call; all its repeats carry the same request id and idempotency key.
+    """A call; all its retries carry the same request id and idempotency key.
 
-    ``host`` is the base URL of the entry host that it was sent to last. ``ticket`` is the ticket in
-    use as idempotency key, if that host gave one; once its outcome is in doubt it is the only key
-    of the call, for good. ``idempotent`` must be False unless the route is declared idempotent.
-    ``fresh_key`` says that no earlier request with the key is in doubt; for a key that the call did
-    not make itself that is not known.
+    ``host`` is the base URL of the entry host that it was sent to last. ``ticket`` replaces the
+    idempotency key if that host issued one; once its outcome is unknown, the call uses no other key
+    again. ``idempotent`` must be False unless the route is declared idempotent. ``fresh_key`` is
+    set while no earlier request with the key has an unknown outcome, which holds only for a key
+    that the call generated.
     """
 
     __slots__ = (
@@ -61,5 +61,5 @@
 
     @property
     def key_in_use(self) -> str:
-        """Return the idempotency key under which the outcome can be asked for."""
+        """Return the idempotency key under which the outcome is recorded."""
         return self.ticket or self.idempotency_key
--- a/src/flamingoladder/client/caller.py
+++ b/src/flamingoladder/client/caller.py
@@ -23,7 +23,7 @@
     from flamingoladder.client.settings import CallerSettings
     from flamingoladder.verdict import Outcome
 
-WORTH_ANOTHER_HOST = frozenset(
+RETRY_ELSEWHERE_REASONS = frozenset(
     {
         Reason.CLAIM_OWNER_UNREACHABLE,
         Reason.CLAIM_STORE_UNAVAILABLE,
@@ -44,8 +44,8 @@
 class Caller:
     """Calls services through the entry hosts that the system names.
 
-    A non-idempotent call is sent again only after ``NOT_RUN``; after ``MAY_HAVE_RUN``, ask with
-    ``outcome_of`` what became of it.
+    A non-idempotent call is retried only after ``NOT_RUN``; after ``MAY_HAVE_RUN``, ``outcome_of``
+    returns its outcome.
     """
 
     __slots__ = ("_hosts", "_lookups", "_settings")
@@ -68,7 +68,7 @@
         await self._hosts.close()
 
     async def call(self, call: Call) -> Outcome:
-        """Send the call, to other entry hosts too if that helps, and return its outcome."""
+        """Send the call, with retries at other entry hosts where that is safe."""
         deadline = self._now() + self._settings.deadline_ms / MS_PER_S
         urls = await self._lookups.urls_for(call.service, deadline)
         if call.ticket_in_doubt and call.host is not None:
@@ -84,13 +84,13 @@
                 return outcome
             last = outcome.error
             may_have_run |= last.verdict is not Verdict.NOT_RUN
-            if not _is_worth_another_host(call, last):
+            if not _is_retryable_elsewhere(call, last):
                 break
             urls += [other for other in last.hosts if other not in urls]
         return Error(_with_verdict(last, may_have_run))
 
     async def outcome_of(self, call: Call) -> Outcome:
-        """Return what the system knows of an earlier non-idempotent call.
+        """Return the recorded outcome of an earlier non-idempotent call.
 
         ``NOT_RUN`` promises that it has not run and that its idempotency key cannot run it.
         """
@@ -100,38 +100,38 @@
         urls += [
             url for url in await self._lookups.urls_for(call.service, deadline) if url not in urls
         ]
-        outcome: Outcome = Error(Refusal.may_have_run(Reason.HOST_UNREACHABLE, "no host answered"))
+        outcome: Outcome = Error(Refusal.may_have_run(Reason.HOST_UNREACHABLE, "no host reply"))
         for url in urls:
-            answered = await self._hosts.get(url, path, uuid4().hex, self._half(deadline))
-            if answered.is_ok() or answered.error.reason not in WORTH_ANOTHER_HOST:
-                return answered
-            outcome = Error(Refusal.may_have_run(answered.error.reason, answered.error.detail))
+            reply = await self._hosts.get(url, path, uuid4().hex, self._midpoint_until(deadline))
+            if reply.is_ok() or reply.error.reason not in RETRY_ELSEWHERE_REASONS:
+                return reply
+            outcome = Error(Refusal.may_have_run(reply.error.reason, reply.error.detail))
         return outcome
 
     async def _send(self, url: str, call: Call, deadline: float, *, is_last: bool) -> Outcome:
-        give_up = self._half(deadline) if call.idempotent and not is_last else deadline
+        abort_at = self._midpoint_until(deadline) if call.idempotent and not is_last else deadline
         call.host = url
         if call.ticket_in_doubt:
-            return await self._send_once(url, call, deadline, give_up)
+            return await self._send_once(url, call, deadline, abort_at)
         call.ticket = None
-        outcome = await self._send_once(url, call, deadline, give_up)
+        outcome = await self._send_once(url, call, deadline, abort_at)
         if outcome.is_ok() or not _offers_ticket(call, outcome.error):
             return outcome
         call.ticket = outcome.error.ticket
-        return await self._send_once(url, call, deadline, give_up)
+        return await self._send_once(url, call, deadline, abort_at)
 
-    async def _send_once(self, url: str, call: Call, deadline: float, give_up: float) -> Outcome:
+    async def _send_once(self, url: str, call: Call, deadline: float, abort_at: float) -> Outcome:
         was_fresh = call.fresh_key
         outcome: Outcome | None = None
         try:
-            outcome = await self._hosts.send(url, call, deadline, give_up)
+            outcome = await self._hosts.send(url, call, deadline, abort_at)
             return outcome
         finally:
             not_run = _has_not_run(outcome)
             call.fresh_key = was_fresh and not_run
             call.ticket_in_doubt |= call.ticket is not None and not not_run
 
-    def _half(self, deadline: float) -> float:
+    def _midpoint_until(self, deadline: float) -> float:
         return (self._now() + deadline) / 2
 
     def _now(self) -> float:
@@ -139,7 +139,7 @@
 
 
 def _has_not_run(outcome: Outcome | None) -> bool:
-    """Return whether a request with this outcome has certainly not run; None is no outcome."""
+    """Return whether a call with this outcome has certainly not run; None means no outcome."""
     if outcome is None or outcome.is_ok():
         return False
     return outcome.error.verdict is Verdict.NOT_RUN
@@ -151,12 +151,12 @@
     return refusal.reason is Reason.CLAIM_STORE_UNAVAILABLE and refusal.ticket is not None
 
 
-def _is_worth_another_host(call: Call, refusal: Refusal) -> bool:
+def _is_retryable_elsewhere(call: Call, refusal: Refusal) -> bool:
     if refusal.verdict is not Verdict.NOT_RUN and not call.idempotent:
         return False
     if refusal.reason is Reason.DEADLINE_PASSED:
         return call.idempotent
-    return refusal.reason in WORTH_ANOTHER_HOST
+    return refusal.reason in RETRY_ELSEWHERE_REASONS
 
 
 def _with_verdict(refusal: Refusal, may_have_run: bool) -> Refusal:
--- a/src/flamingoladder/client/entry_hosts.py
+++ b/src/flamingoladder/client/entry_hosts.py
@@ -42,10 +42,10 @@
         self._memory = AnswerMemory()
         self._pools_by_url: dict[str, PoolPair] = {}
 
-    async def send(self, url: str, call: Call, deadline: float, give_up: float) -> Outcome:
+    async def send(self, url: str, call: Call, deadline: float, abort_at: float) -> Outcome:
         """Send the call to the host at ``url``; both times are monotonic seconds.
 
-        ``deadline`` is told to the host; at ``give_up`` the connection is closed.
+        The host gets ``deadline`` in a header; at ``abort_at`` the connection is closed.
         """
         headers = self._headers(call.request_id)
         for header in call.headers:
@@ -57,13 +57,13 @@
                 headers[fields.FRESH_KEY] = "1"
         target = URL(f"{url}/services/{call.service}{call.path}", encoded=True)
         outgoing = Outgoing(call.method, target, headers, call.body, call.request_id)
-        return await self._send(url, outgoing, give_up, idempotent=call.idempotent)
+        return await self._send(url, outgoing, abort_at, idempotent=call.idempotent)
 
-    async def get(self, url: str, path: str, request_id: str, give_up: float) -> Outcome:
-        """Return what the host at ``url`` answers on one of the system's own paths."""
+    async def get(self, url: str, path: str, request_id: str, abort_at: float) -> Outcome:
+        """Return the answer of the host at ``url`` to a GET of one of the system's own paths."""
         target = URL(url + path, encoded=True)
         outgoing = Outgoing("GET", target, self._headers(request_id), b"", request_id)
-        return await self._send(url, outgoing, give_up, idempotent=True)
+        return await self._send(url, outgoing, abort_at, idempotent=True)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -72,12 +72,12 @@
         self._pools_by_url.clear()
 
     async def _send(
-        self, url: str, outgoing: Outgoing, give_up: float, *, idempotent: bool
+        self, url: str, outgoing: Outgoing, abort_at: float, *, idempotent: bool
     ) -> Outcome:
         pools = self._pools_by_url.get(url)
         if pools is None:
             pools = self._pools_by_url[url] = PoolPair(self._settings.connections, self._memory)
-        result = await pools.send(outgoing, Exchange(give_up), idempotent=idempotent)
+        result = await pools.send(outgoing, Exchange(abort_at), idempotent=idempotent)
         if isinstance(result, Answer):
             return _outcome(result)
         if result.kind is FailureKind.TIMEOUT and result.reused:
@@ -93,13 +93,16 @@
 
 def _deadline_ms(deadline: float) -> int:
     left_s = deadline - asyncio.get_running_loop().time()
-    # The host answers a little before the caller gives up, so that its verdict arrives.
+    # The host's deadline is a little earlier than the caller's, so that its verdict arrives.
     margin_s = min(ANSWER_MARGIN_S, left_s / 10)
     return max(1, int((left_s - margin_s) * MS_PER_S))
 
 
 def _outcome(answer: Answer) -> Outcome:
-    """Return the answer, or the refusal in it; what is neither may have run."""
+    """Return the answer, or the refusal that it contains.
+
+    If it can't be read as either, the call may have run.
+    """
     headers = {header.name.lower(): header.value for header in answer.headers}
     verdict = headers.get(fields.VERDICT.lower())
     if verdict == Verdict.RAN and fields.REASON.lower() not in headers:
--- a/src/flamingoladder/client/lookups.py
+++ b/src/flamingoladder/client/lookups.py
@@ -1,4 +1,4 @@
-"""Look-up answers, cached for their lifetime, and the order in which their hosts are used."""
+"""Look-up answers, cached for their lifetime, and the order in which their hosts are tried."""
 
 from __future__ import annotations
 
@@ -21,17 +21,17 @@
 
 
 class CachedLookup:
-    """A look-up answer and the monotonic time, in seconds, at which its lifetime ends."""
+    """A look-up answer and when it expires, in monotonic seconds."""
 
-    __slots__ = ("answer", "ends")
+    __slots__ = ("answer", "expires_at")
 
-    def __init__(self, answer: LookupAnswer, asked: float) -> None:
+    def __init__(self, answer: LookupAnswer, requested_at: float) -> None:
         self.answer = answer
-        self.ends = asked + answer.lifetime_s
+        self.expires_at = requested_at + answer.lifetime_s
 
 
 class Lookups:
-    """The answers by service; calls that need the same new answer wait for one look-up."""
+    """Cached look-up answers by service; concurrent calls for a service share one look-up."""
 
     __slots__ = ("_cached_by_service", "_entry_urls", "_hosts", "_locks_by_service", "_random")
 
@@ -43,10 +43,13 @@
         self._locks_by_service: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
 
     async def urls_for(self, service: str, deadline: float) -> list[str]:
-        """Return the hosts to use: of a live answer, else of an old one, else the settings'."""
+        """Return the base URLs of the hosts to try.
+
+        They are those of an unexpired answer, else of an expired one, else the configured ones.
+        """
         async with self._locks_by_service[service]:
             cached = self._cached_by_service.get(service)
-            if cached is None or _now() >= cached.ends:
+            if cached is None or _now() >= cached.expires_at:
                 cached = await self._look_up(service, deadline) or cached
         if cached is None:
             return list(self._entry_urls)
@@ -54,25 +57,25 @@
 
     async def _look_up(self, service: str, deadline: float) -> CachedLookup | None:
         path = f"/v1/lookup?service={quote(service, safe='')}"
-        for url in self._urls_to_ask(service):
-            asked = _now()
-            give_up = min(asked + LOOKUP_TIMEOUT_S, (asked + deadline) / 2)
-            outcome = await self._hosts.get(url, path, uuid4().hex, give_up)
+        for url in self._lookup_urls(service):
+            requested_at = _now()
+            abort_at = min(requested_at + LOOKUP_TIMEOUT_S, (requested_at + deadline) / 2)
+            outcome = await self._hosts.get(url, path, uuid4().hex, abort_at)
             if outcome.is_error():
                 continue
             answer = msgspec.json.decode(outcome.ok.body, type=LookupAnswer)
-            self._cached_by_service[service] = CachedLookup(answer, asked)
+            self._cached_by_service[service] = CachedLookup(answer, requested_at)
             return self._cached_by_service[service]
         return None
 
-    def _urls_to_ask(self, service: str) -> list[str]:
+    def _lookup_urls(self, service: str) -> list[str]:
         cached = self._cached_by_service.get(service)
-        named = [host.url for host in cached.answer.hosts] if cached else []
-        return [*self._entry_urls, *(url for url in named if url not in self._entry_urls)]
+        listed = [host.url for host in cached.answer.hosts] if cached else []
+        return [*self._entry_urls, *(url for url in listed if url not in self._entry_urls)]
 
 
 def ordered_urls(answer: LookupAnswer, random: Random) -> list[str]:
-    """Return the hosts' base URLs: one drawn by weight, then the others in the answer's order."""
+    """Return the hosts' base URLs: a weighted random choice first, the others in their order."""
     urls = [host.url for host in answer.hosts]
     weights = [host.weight for host in answer.hosts]
     if sum(weights) <= 0:
--- a/src/flamingoladder/client/settings.py
+++ b/src/flamingoladder/client/settings.py
@@ -6,10 +6,11 @@
 
 
 class CallerSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """``entry_urls`` are base URLs of entry hosts, nearest first, to ask for look-ups.
+    """Settings of a caller.
 
-    ``deadline_ms`` bounds each call with all its repeats. ``connections`` bounds the connections to
-    each entry host.
+    ``entry_urls`` are the base URLs of the entry hosts to send look-ups to, nearest first.
+    ``deadline_ms`` bounds each call including its retries, ``connections`` the connections to each
+    entry host. ``key`` is the workspace's API key.
     """
 
     entry_urls: tuple[str, ...]
