--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,7 +8,7 @@
 
 import defopt
 
-NAMES = ("rates", "freshness", "ledger", "steering", "gateway", "platform", "capacity")
+NAMES = ("rates", "freshness", "ledger", "steering", "gateway", "platform", "floods", "capacity")
 
 
 def bench(names: list[str] | None = None, *, quick: bool = False) -> int:
--- a/tests/transport/test_receive_guard.py
+++ b/tests/transport/test_receive_guard.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import asynccontextmanager
 from contextlib import suppress
-from itertools import chain
-from itertools import repeat
 from math import inf
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
 import pytest
 from multidict import CIMultiDict
-from yarl import URL
 
+from flamingoladder.standins.flooding import BODY_FLOODS
+from flamingoladder.standins.flooding import CHUNKED_HEAD
+from flamingoladder.standins.flooding import HEAD
+from flamingoladder.standins.flooding import OTHER_FLOODS
+from flamingoladder.standins.flooding import Flood
+from flamingoladder.standins.flooding import FloodingServer
 from flamingoladder.transport.answer_memory import MIB
 from flamingoladder.transport.answer_memory import SMALL_BODY_BYTES
 from flamingoladder.transport.answer_memory import AnswerMemory
@@ -30,52 +32,21 @@
 from flamingoladder.verdict import Answer
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
     from collections.abc import Iterable
 
+    from yarl import URL
+
 DEADLINE_S = 5.0
 # What the operating system and the event loop hold of a connection besides.
 BUFFERED_BYTES = 8 * MIB
-PART_BYTES = 65_536
-HEAD = b"HTTP/1.1 200 OK\r\n"
-CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 WHOLE = HEAD + b"Content-Length: 5\r\n\r\nhello"
 
 
-class FloodingServer:
-    """Answers each request with ``start``, then with ``part`` until the caller closes."""
-
-    def __init__(self, start: bytes, part: bytes) -> None:
-        self._start = start
-        self._part = part * max(1, PART_BYTES // len(part))
-        self.sent_bytes = 0
-        self.closed = asyncio.Event()
-
-    @asynccontextmanager
-    async def serving(self) -> AsyncIterator[URL]:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        try:
-            yield URL("http://{}:{}/".format(*server.sockets[0].getsockname()[:2]))
-        finally:
-            server.close()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        try:
-            for part in chain([self._start], repeat(self._part)):
-                writer.write(part)
-                await writer.drain()
-                self.sent_bytes += len(part)
-        except ConnectionError:
-            self.closed.set()
-        writer.close()
-
-
 class FixedServer(FloodingServer):
     """Answers each request with the same parts, and keeps the connection."""
 
     def __init__(self, parts: Iterable[bytes]) -> None:
-        super().__init__(b"", b"x")
+        super().__init__(Flood(b"", b"x"))
         self._parts = list(parts)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -95,26 +66,10 @@
     return await connections.send(Outgoing("GET", url, CIMultiDict(), b"", ""), exchange)
 
 
-@pytest.mark.parametrize(
-    ("start", "part"),
-    [
-        (b"", b"\r\n"),
-        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
-        (b"", b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"),
-        (b"", b"no answer"),
-        (b"HTTP/1.1 200 ", b"O"),
-        (HEAD + b"A: ", b"a"),
-        (HEAD, b"A: a\r\n"),
-        (CHUNKED, b"0"),
-        (CHUNKED + b"5;", b"e"),
-        (CHUNKED + b"0\r\n", b"T: t\r\n"),
-        (CHUNKED, b"1;eeeeeeeeeeeeeeee\r\nx\r\n"),
-        (CHUNKED, b"1\r\nx\r\n"),
-    ],
-)
-async def test_bytes_that_are_no_content_end_the_request_soon(start: bytes, part: bytes) -> None:
+@pytest.mark.parametrize("flood", OTHER_FLOODS)
+async def test_bytes_that_are_no_content_end_the_request_soon(flood: Flood) -> None:
     """Some were read at full speed until the deadline."""
-    server, connections = FloodingServer(start, part), pool()
+    server, connections = FloodingServer(flood), pool()
     async with server.serving() as url:
         started = asyncio.get_running_loop().time()
         result = await get(connections, url)
@@ -127,11 +82,9 @@
     assert server.sent_bytes <= MAX_OTHER_BYTES + BUFFERED_BYTES
 
 
-@pytest.mark.parametrize(
-    "start", [CHUNKED, HEAD + b"Content-Length: 99999999999\r\n\r\n"], ids=["chunks", "length"]
-)
-async def test_body_without_end_ends_the_request(start: bytes) -> None:
-    server, connections = FloodingServer(start, b"10000\r\n" + bytes(0x10000) + b"\r\n"), pool()
+@pytest.mark.parametrize("flood", BODY_FLOODS, ids=["chunks", "length"])
+async def test_body_without_end_ends_the_request(flood: Flood) -> None:
+    server, connections = FloodingServer(flood), pool()
     async with server.serving() as url:
         result = await get(connections, url)
         await asyncio.wait_for(server.closed.wait(), DEADLINE_S)
@@ -142,7 +95,7 @@
 
 
 async def test_bytes_after_a_whole_answer_close_the_kept_connection() -> None:
-    server, connections = FloodingServer(WHOLE, b"more"), pool()
+    server, connections = FloodingServer(Flood(WHOLE, b"more")), pool()
     async with server.serving() as url:
         await get(connections, url)
         await asyncio.wait_for(server.closed.wait(), DEADLINE_S)
@@ -164,7 +117,7 @@
 
 
 async def test_answers_in_small_chunks_are_whole() -> None:
-    server, connections = FixedServer([CHUNKED, b"1\r\nx\r\n" * 20_000, b"0\r\n\r\n"]), pool()
+    server, connections = FixedServer([CHUNKED_HEAD, b"1\r\nx\r\n" * 20_000, b"0\r\n\r\n"]), pool()
     async with server.serving() as url:
         result = await get(connections, url)
         await connections.retire()
