--- a/tests/feed/test_watcher.py
+++ b/tests/feed/test_watcher.py
@@ -99,6 +99,34 @@
     assert run_on_injected_time(scenario()) < PROPAGATION_S
 
 
+@pytest.mark.parametrize("table", TABLES)
+@pytest.mark.parametrize("refused", [False, True])
+@pytest.mark.parametrize("how", ["killed", "cut"])
+def test_followers_lost_while_the_store_is_lost_to_the_others(
+    table: str, refused: bool, how: str
+) -> None:
+    """Nobody is left who could prove anything, until the store takes the others' calls again."""
+
+    async def scenario() -> float:
+        fleet = fleet_of()
+        await fleet.start()
+        others = fleet.others()
+        lost_to = fleet.store.refused_hosts if refused else fleet.store.silent_hosts
+        lost_to.update(host.member.host for host in others)
+        for host in fleet.followers():
+            if how == "cut":
+                fleet.network.cuts.update((host.member.host, name) for name in fleet.names)
+            else:
+                host.kill()
+                fleet.network.freeze(host.member.host)
+        fleet.store.write(table, "k", b"1")
+        await asyncio.sleep(SILENCE_S)
+        lost_to.clear()
+        return await fleet.in_force_after_s(table, "k", b"1", others, LIMIT_S)
+
+    assert run_on_injected_time(scenario()) < CALM_S + PROPAGATION_S
+
+
 def test_a_late_answer_to_a_cancelled_poll_changes_nothing() -> None:
     async def scenario() -> tuple[list[tuple[str, bytes | None]], int]:
         fleet = fleet_of(("r1",))
