--- a/src/flamingoladder/soak/promises.py
+++ b/src/flamingoladder/soak/promises.py
@@ -113,7 +113,7 @@
             withdrawn_at = None if sent is None else self._withdrawn_at(sent)
             if sent is None or withdrawn_at is None:
                 continue
-            due = withdrawn_at + BOUNDS.propagation_s
+            due = self._acknowledged_at(withdrawn_at) + BOUNDS.propagation_s
             if sent.sent_at > due and self._in_touch(sent, run.at):
                 yield Broken("a withdrawn key runs nothing", f"{sent}, withdrawn {withdrawn_at}")
 
@@ -124,7 +124,7 @@
             is_granted = withdrawn_at is None or sent.ended_at < withdrawn_at
             if sent.status != UNAUTHORIZED or not is_granted:
                 continue
-            due = granted_at + BOUNDS.propagation_s
+            due = self._acknowledged_at(granted_at) + BOUNDS.propagation_s
             if sent.sent_at > due and self._in_touch(sent, sent.ended_at):
                 yield Broken("a granted key works", f"{sent}, granted {granted_at}")
 
@@ -137,7 +137,8 @@
             left_at = self._history.left_at_by_target.get(run.target_id)
             if sent is None or left_at is None:
                 continue
-            if sent.sent_at > left_at + BOUNDS.propagation_s and self._in_touch(sent, run.at):
+            due = self._acknowledged_at(left_at) + BOUNDS.propagation_s
+            if sent.sent_at > due and self._in_touch(sent, run.at):
                 yield Broken("a target that left gets no new work", f"{run}, left {left_at}")
 
     def _cut(self) -> Iterable[Broken]:
@@ -185,6 +186,18 @@
                     f"{limit}: {most} in {LIMIT_WINDOW_S} s, {allowed} allowed",
                 )
 
+    def _acknowledged_at(self, written_at: float) -> float:
+        """Return from when a bound counts after a write that the store acknowledged.
+
+        It counts only once the store is stable, as entries that expired in an outage come back
+        after it, and hosts wait for that.
+        """
+        spans = self._history.faults_by_name.get(self._history.STORE, [])
+        ended_at = [
+            span.until for span in spans if span.overlaps(written_at - STABLE_S, written_at)
+        ]
+        return max(written_at, max(ended_at) + STABLE_S) if ended_at else written_at
+
     def _is_undisturbed(self, run: TargetRun) -> bool:
         sent = self._sent_by_id.get(run.request_id)
         if sent is None:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -120,6 +120,22 @@
     assert (broken(history=history) == ["a target that left gets no new work"]) is found
 
 
+@pytest.mark.parametrize(
+    ("outage_until", "sent_at", "found"),
+    [(0.9, 6.8, True), (1.5, 6.8, False), (1.5, 7.1, True), (4.0, 9.4, False), (4.0, 9.6, True)],
+)
+def test_runs_at_a_target_that_left_after_an_outage(
+    outage_until: float, sent_at: float, found: bool
+) -> None:
+    history = History(0.0)
+    history.left_at_by_target["t"] = 4.2
+    history.begin_fault(History.STORE, 0.5)
+    history.end_fault(History.STORE, outage_until)
+    run = run_with(at=sent_at + 0.05)
+    names = broken(sent_with(sent_at=sent_at, ended_at=sent_at + 0.1), [run], history)
+    assert (names == ["a target that left gets no new work"]) is found
+
+
 @pytest.mark.parametrize(("granted_at", "found"), [(7.0, True), (8.0, False)])
 def test_refusals_of_a_granted_key(granted_at: float, found: bool) -> None:
     history = History(0.0)
