--- a/src/flamingoladder/soak/daemons.py
+++ b/src/flamingoladder/soak/daemons.py
@@ -27,6 +27,7 @@
     from collections.abc import Callable
     from pathlib import Path
 
+    from flamingoladder.operators.messages import KeyReply
     from flamingoladder.standins.deployment import LocalHost
 
 SERIES = 2
@@ -36,6 +37,8 @@
 SETTLE_S = 8.0
 RECOVERED_S = 2.0
 EXTRA_KEY_RATE_PER_S = 4.0
+GRANT_ATTEMPTS = 5
+GRANT_PAUSE_S = 0.5
 
 
 class DaemonSoak:
@@ -68,7 +71,7 @@
         deployment = self._deployment
         await deployment.start()
         for workspace in deployment.deployment.workspaces:
-            granted = await deployment.grant(workspace)
+            granted = await self._first_key(workspace)
             rate = deployment.deployment.rate_of(workspace) * LOAD
             self._traffic.add_source(granted.key_id, granted.key, rate)
         await deployment.wait_until_serving(granted.key)
@@ -89,6 +92,16 @@
     def _faults(self) -> tuple[Callable[[], Awaitable[None]], ...]:
         return (self._kill, self._stop, self._freeze, self._trouble_platform, self._withdraw)
 
+    async def _first_key(self, workspace: str) -> KeyReply:
+        """Grant a key; hosts that have just started may refuse a few times, without a majority."""
+        for _ in range(GRANT_ATTEMPTS):
+            try:
+                return await self._deployment.grant(workspace)
+            except CallFailedError as error:
+                self._note(f"grant refused: {error}")
+                await asyncio.sleep(GRANT_PAUSE_S)
+        return await self._deployment.grant(workspace)
+
     async def _strike_until(self, until: float) -> None:
         while self._now < until:
             await self._random.choice(self._faults)()
