--- a/src/flamingoladder/soak/promises.py
+++ b/src/flamingoladder/soak/promises.py
@@ -192,11 +192,11 @@
         It counts only once the store is stable, as entries that expired in an outage come back
         after it, and hosts wait for that.
         """
-        spans = self._history.faults_by_name.get(self._history.STORE, [])
-        ended_at = [
-            span.until for span in spans if span.overlaps(written_at - STABLE_S, written_at)
-        ]
-        return max(written_at, max(ended_at) + STABLE_S) if ended_at else written_at
+        stable_at = written_at
+        for span in self._history.faults_by_name.get(self._history.STORE, []):
+            if span.overlaps(stable_at - STABLE_S, stable_at):
+                stable_at = max(stable_at, span.until + STABLE_S)
+        return stable_at
 
     def _is_undisturbed(self, run: TargetRun) -> bool:
         sent = self._sent_by_id.get(run.request_id)
