--- a/src/flamingoladder/console/commands/soak.py
+++ b/src/flamingoladder/console/commands/soak.py
@@ -34,7 +34,7 @@
     If a promise is broken, the time line and the logs of all hosts stay in the directory.
 
     :param seed: seed of the faults and the load; a new one by default
-    :param seconds: how long faults strike; some seconds more pass before and after
+    :param seconds: how long faults are injected; some seconds more pass before and after
     :param hosts: number of entry hosts
     :param directory: where to write; a new temporary directory by default
     :param daemons: configuration file; runs daemons of the product's own interface, not entry hosts
--- a/src/flamingoladder/soak/daemons.py
+++ b/src/flamingoladder/soak/daemons.py
@@ -42,7 +42,7 @@
 
 
 class DaemonSoak:
-    """A deployment under traffic and the faults that strike it."""
+    """A deployment under traffic, and the faults that are injected into it."""
 
     __slots__ = (
         "_changing",
@@ -67,7 +67,7 @@
         self._changing = asyncio.Lock()
 
     async def run(self, duration_s: float) -> SoakReport:
-        """Strike for some seconds, and return what was found."""
+        """Inject faults for some seconds, and return what was found."""
         deployment = self._deployment
         await deployment.start()
         for workspace in deployment.deployment.workspaces:
@@ -76,7 +76,7 @@
             self._traffic.add_source(granted.key_id, granted.key, rate)
         await deployment.wait_until_serving(granted.key)
         until = self._now + duration_s
-        await asyncio.gather(*(self._strike_until(until) for _ in range(SERIES)))
+        await asyncio.gather(*(self._inject_until(until) for _ in range(SERIES)))
         await asyncio.sleep(SETTLE_S)
         recovered_at = self._now
         await asyncio.sleep(RECOVERED_S)
@@ -102,7 +102,7 @@
                 await asyncio.sleep(GRANT_PAUSE_S)
         return await self._deployment.grant(workspace)
 
-    async def _strike_until(self, until: float) -> None:
+    async def _inject_until(self, until: float) -> None:
         while self._now < until:
             await self._random.choice(self._faults)()
             await asyncio.sleep(self._random.uniform(0.0, MAX_PAUSE_S))
--- a/src/flamingoladder/soak/faults.py
+++ b/src/flamingoladder/soak/faults.py
@@ -1,4 +1,4 @@
-"""Faults and planned work that a soak strikes with; each marks what it disturbs in the history."""
+"""Faults and planned work of a soak; each records in the history what it disturbs."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 STOP_TIMEOUT_S = 8.0
 
 
-class Scene:
+class FaultContext:
     """What faults act on; ``store_busy`` and ``targets_busy`` keep them from undoing each other.
 
     Callers use the keys in ``caller_keys``, by workspace: the newest and the one before it.
@@ -101,79 +101,79 @@
     """One kind of fault or planned work."""
 
     @abstractmethod
-    async def strike(self, scene: Scene) -> None:
+    async def inject(self, context: FaultContext) -> None:
         """Cause the fault and return when it is over."""
 
 
 class KillHost(Fault):
     """A host's process is killed and starts again."""
 
-    async def strike(self, scene: Scene) -> None:
+    async def inject(self, context: FaultContext) -> None:
         """Kill, wait, start."""
-        async with scene.disturbed_host() as host:
+        async with context.disturbed_host() as host:
             host.process.kill()
-            scene.note(f"{host.settings.host} killed")
+            context.note(f"{host.settings.host} killed")
             await host.process.wait()
-            await asyncio.sleep(scene.random.uniform(0.1, 1.5))
+            await asyncio.sleep(context.random.uniform(0.1, 1.5))
             host.process.start()
             await host.wait_until_ready()
-            scene.note(f"{host.settings.host} is back")
+            context.note(f"{host.settings.host} is back")
 
 
 class StopHost(Fault):
     """A planned stop of a host, which then starts again; until its end it is undisturbed."""
 
-    async def strike(self, scene: Scene) -> None:
+    async def inject(self, context: FaultContext) -> None:
         """Stop, wait for the end, start."""
-        host = scene.random.choice(scene.deployment.hosts)
+        host = context.random.choice(context.deployment.hosts)
         async with host.busy:
-            name, asked_at = host.settings.host, scene.now
+            name, asked_at = host.settings.host, context.now
             host.process.terminate()
-            scene.note(f"{name} asked to stop")
+            context.note(f"{name} asked to stop")
             status = await host.process.wait(STOP_TIMEOUT_S)
-            scene.history.stops_by_host.setdefault(name, []).append(Span(asked_at, scene.now))
-            scene.note(f"{name} ended with status {status}")
-            scene.history.begin_fault(name, scene.now)
+            context.history.stops_by_host.setdefault(name, []).append(Span(asked_at, context.now))
+            context.note(f"{name} ended with status {status}")
+            context.history.begin_fault(name, context.now)
             host.process.start()
             await host.wait_until_ready()
-            scene.history.end_fault(name, scene.now)
+            context.history.end_fault(name, context.now)
 
 
 class FreezeHost(Fault):
     """A host's process stands still for some seconds."""
 
-    async def strike(self, scene: Scene) -> None:
+    async def inject(self, context: FaultContext) -> None:
         """Freeze, wait, thaw."""
-        async with scene.disturbed_host() as host:
+        async with context.disturbed_host() as host:
             host.process.freeze()
-            scene.note(f"{host.settings.host} frozen")
-            await asyncio.sleep(scene.random.uniform(0.3, 5.0))
+            context.note(f"{host.settings.host} frozen")
+            await asyncio.sleep(context.random.uniform(0.3, 5.0))
             host.process.thaw()
-            scene.note(f"{host.settings.host} thawed")
+            context.note(f"{host.settings.host} thawed")
 
 
 class CutHostFromStore(Fault):
     """A host's connections to the store go silent, and new ones are refused."""
 
-    async def strike(self, scene: Scene) -> None:
+    async def inject(self, context: FaultContext) -> None:
         """Cut, wait, mend."""
-        async with scene.disturbed_host() as host:
+        async with context.disturbed_host() as host:
             host.store_relay.stall()
             await host.store_relay.refuse()
-            scene.note(f"{host.settings.host} cut from the store")
-            await asyncio.sleep(scene.random.uniform(1.0, 5.0))
+            context.note(f"{host.settings.host} cut from the store")
+            await asyncio.sleep(context.random.uniform(1.0, 5.0))
             host.store_relay.cut()
             await host.store_relay.start()
-            scene.note(f"{host.settings.host} reaches the store again")
+            context.note(f"{host.settings.host} reaches the store again")
 
 
 class StoreTrouble(Fault):
     """The store is down, refuses calls, is slow, or loses answers to writes."""
 
-    async def strike(self, scene: Scene) -> None:
+    async def inject(self, context: FaultContext) -> None:
         """Set a fault, wait, end it."""
-        async with scene.store_busy:
-            faults = scene.random.choice(
+        async with context.store_busy:
+            faults = context.random.choice(
                 [
                     FaultSettings(down=True),
                     FaultSettings(refuse=True),
@@ -181,108 +181,108 @@
                     FaultSettings(lost_answers=3),
                 ]
             )
-            scene.history.begin_fault(scene.history.STORE, scene.now)
-            scene.deployment.state.faults = faults
-            scene.note(f"store: {faults}")
-            await asyncio.sleep(scene.random.uniform(0.5, 4.0))
-            scene.deployment.state.faults = FaultSettings()
-            scene.history.end_fault(scene.history.STORE, scene.now)
-            scene.note("store: no fault")
+            context.history.begin_fault(context.history.STORE, context.now)
+            context.deployment.state.faults = faults
+            context.note(f"store: {faults}")
+            await asyncio.sleep(context.random.uniform(0.5, 4.0))
+            context.deployment.state.faults = FaultSettings()
+            context.history.end_fault(context.history.STORE, context.now)
+            context.note("store: no fault")
 
 
 class TargetConnections(Fault):
     """A target's open connections are reset or go silent for good."""
 
-    async def strike(self, scene: Scene) -> None:
+    async def inject(self, context: FaultContext) -> None:
         """Reset or silence them."""
-        async with scene.busy_target() as target:
+        async with context.busy_target() as target:
             if target is None:
                 return
-            is_reset = scene.random.random() < 0.5
+            is_reset = context.random.random() < 0.5
             what = "reset" if is_reset else "silent"
-            scene.note(f"{target.target.target_id}: connections {what}")
+            context.note(f"{target.target.target_id}: connections {what}")
             if is_reset:
                 target.relay.cut()
             else:
                 target.relay.stall()
 
 
-class SpoiledAnswers(Fault):
+class FaultyAnswers(Fault):
     """A target's answers come twice, the second time late, or break off halfway."""
 
-    async def strike(self, scene: Scene) -> None:
+    async def inject(self, context: FaultContext) -> None:
         """Spoil answers for a while."""
-        async with scene.busy_target() as target:
+        async with context.busy_target() as target:
             if target is None:
                 return
-            target.relay.answer_fault = scene.random.choice(list(AnswerFault))
-            scene.note(f"{target.target.target_id}: answers {target.relay.answer_fault}")
-            await asyncio.sleep(scene.random.uniform(0.5, 3.0))
+            target.relay.answer_fault = context.random.choice(list(AnswerFault))
+            context.note(f"{target.target.target_id}: answers {target.relay.answer_fault}")
+            await asyncio.sleep(context.random.uniform(0.5, 3.0))
             target.relay.answer_fault = None
-            scene.note(f"{target.target.target_id}: answers as they are")
+            context.note(f"{target.target.target_id}: answers as they are")
 
 
 class ReplaceTarget(Fault):
     """A target drains, or loses its entry at once, serves on for a while and ends."""
 
-    async def strike(self, scene: Scene) -> None:
+    async def inject(self, context: FaultContext) -> None:
         """Start the next one, then let the old one leave."""
-        deployment = scene.deployment
-        async with scene.busy_target() as leaving:
+        deployment = context.deployment
+        async with context.busy_target() as leaving:
             if leaving is None:
                 return
             target = leaving.target
-            async with scene.store_busy:
-                added = await deployment.add_target(target.service, scene.next_number())
-                if scene.random.random() < 0.5:
+            async with context.store_busy:
+                added = await deployment.add_target(target.service, context.next_number())
+                if context.random.random() < 0.5:
                     await target.drain(deployment.store)
-                    scene.note(f"{target.target_id} drains, {added} is new")
+                    context.note(f"{target.target_id} drains, {added} is new")
                 else:
                     await deployment.remove_target(target.target_id)
-                    scene.note(f"{target.target_id} has no entry any more, {added} is new")
-                scene.history.left_at_by_target[target.target_id] = scene.now
-            await asyncio.sleep(scene.random.uniform(4.0, 7.0))
-            async with scene.store_busy:
+                    context.note(f"{target.target_id} has no entry any more, {added} is new")
+                context.history.left_at_by_target[target.target_id] = context.now
+            await asyncio.sleep(context.random.uniform(4.0, 7.0))
+            async with context.store_busy:
                 await deployment.remove_target(target.target_id)
             await deployment.stop_target(target.target_id)
-            scene.note(f"{target.target_id} ended")
+            context.note(f"{target.target_id} ended")
 
 
 class WithdrawKey(Fault):
     """A workspace's key is withdrawn and another one granted; callers go on with both."""
 
-    async def strike(self, scene: Scene) -> None:
+    async def inject(self, context: FaultContext) -> None:
         """Write the configuration."""
-        deployment = scene.deployment
-        async with scene.store_busy:
-            workspace = scene.random.choice(sorted(deployment.keys_by_workspace))
+        deployment = context.deployment
+        async with context.store_busy:
+            workspace = context.random.choice(sorted(deployment.keys_by_workspace))
             old = deployment.keys_by_workspace[workspace][0]
-            new = f"k-{workspace}-{scene.next_number()}"
+            new = f"k-{workspace}-{context.next_number()}"
             deployment.keys_by_workspace[workspace] = [new]
             await deployment.configure()
-            scene.caller_keys[workspace] = [old, new]
-            scene.history.withdrawn_at_by_key[old] = scene.now
-            scene.history.granted_at_by_key[new] = scene.now
-            scene.note(f"{old} withdrawn, {new} granted")
+            context.caller_keys[workspace] = [old, new]
+            context.history.withdrawn_at_by_key[old] = context.now
+            context.history.granted_at_by_key[new] = context.now
+            context.note(f"{old} withdrawn, {new} granted")
 
 
 class NameRateLimit(Fault):
     """A target names a limit of the requests that it takes from all hosts."""
 
-    async def strike(self, scene: Scene) -> None:
+    async def inject(self, context: FaultContext) -> None:
         """Name it for some seconds."""
-        async with scene.busy_target() as limited:
+        async with context.busy_target() as limited:
             if limited is None:
                 return
-            target, since = limited.target, scene.now
-            per_s = round(scene.random.uniform(0.0, 4.0), 1)
+            target, since = limited.target, context.now
+            per_s = round(context.random.uniform(0.0, 4.0), 1)
             target.rate_limit_per_s = per_s
-            scene.note(f"{target.target_id} names a limit of {per_s}/s")
-            await asyncio.sleep(scene.random.uniform(6.0, 9.0))
+            context.note(f"{target.target_id} names a limit of {per_s}/s")
+            await asyncio.sleep(context.random.uniform(6.0, 9.0))
             target.rate_limit_per_s = None
-            span = Span(since, scene.now)
-            scene.history.limits.append(RateLimitSpan(target.target_id, per_s, span))
-            scene.note(f"{target.target_id} names no limit any more")
+            span = Span(since, context.now)
+            context.history.limits.append(RateLimitSpan(target.target_id, per_s, span))
+            context.note(f"{target.target_id} names no limit any more")
 
 
 ALL_FAULTS: tuple[Fault, ...] = (
@@ -293,7 +293,7 @@
     CutHostFromStore(),
     StoreTrouble(),
     TargetConnections(),
-    SpoiledAnswers(),
+    FaultyAnswers(),
     ReplaceTarget(),
     WithdrawKey(),
     NameRateLimit(),
--- a/src/flamingoladder/soak/run.py
+++ b/src/flamingoladder/soak/run.py
@@ -9,7 +9,7 @@
 from flamingoladder.soak.callers import Callers
 from flamingoladder.soak.deployment import SoakDeployment
 from flamingoladder.soak.faults import ALL_FAULTS
-from flamingoladder.soak.faults import Scene
+from flamingoladder.soak.faults import FaultContext
 from flamingoladder.soak.history import History
 from flamingoladder.soak.promises import Checks
 from flamingoladder.soak.report import SoakReport
@@ -51,7 +51,9 @@
         )
         calling = [asyncio.create_task(callers.run()) for _ in range(CALLERS)]
         await asyncio.sleep(WARM_UP_S)
-        await _strike(Scene(deployment, caller_keys, history, random), faults, duration_s)
+        await _inject_faults(
+            FaultContext(deployment, caller_keys, history, random), faults, duration_s
+        )
         await asyncio.sleep(SETTLE_S)
         recovered_at = loop.time()
         await asyncio.sleep(RECOVERED_S)
@@ -61,15 +63,15 @@
     return SoakReport(broken, tuple(history.lines), len(history.sent))
 
 
-async def _strike(scene: Scene, faults: Sequence[Fault], duration_s: float) -> None:
-    until = scene.now + duration_s
+async def _inject_faults(context: FaultContext, faults: Sequence[Fault], duration_s: float) -> None:
+    until = context.now + duration_s
 
     async def series(random: Random) -> None:
-        while scene.now < until:
-            await random.choice(faults).strike(scene)
+        while context.now < until:
+            await random.choice(faults).inject(context)
             await asyncio.sleep(random.uniform(0.0, MAX_PAUSE_S))
 
-    await asyncio.gather(*(series(Random(scene.random.random())) for _ in range(SERIES)))
+    await asyncio.gather(*(series(Random(context.random.random())) for _ in range(SERIES)))
 
 
 async def _cancel(tasks: Sequence[asyncio.Task[None]]) -> None:
--- a/tests/standins/test_relay.py
+++ b/tests/standins/test_relay.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from flamingoladder.standins.relay import AnswerFault
 from flamingoladder.standins.relay import Relay
 
 if TYPE_CHECKING:
@@ -109,3 +110,15 @@
         assert await caller.ask(b"2") == b"2"
         await relay.start()
         assert await (await Caller.connect(relay)).ask(b"3") == b"3"
+
+
+@pytest.mark.parametrize(
+    ("fault", "first", "second"),
+    [(AnswerFault.REPEAT, b"answer", b"answer"), (AnswerFault.HALVE, b"ans", b"")],
+)
+async def test_answers_come_twice_or_half(fault: AnswerFault, first: bytes, second: bytes) -> None:
+    async with _relayed() as (relay, _):
+        relay.answer_fault = fault
+        caller = await Caller.connect(relay)
+        assert await caller.ask(b"answer") == first
+        assert await caller.ask(b"") == second
