--- a/src/flamingoladder/soak/daemons.py
+++ b/src/flamingoladder/soak/daemons.py
@@ -13,6 +13,7 @@
 from flamingoladder.demo.traffic import Traffic
 from flamingoladder.demo.traffic import kinds_of
 from flamingoladder.freshness.commit_results import CommitReport
+from flamingoladder.soak.faults import STORE_FAULTS
 from flamingoladder.soak.history import History
 from flamingoladder.soak.promises import MIN_RECOVERED_FRACTION
 from flamingoladder.soak.promises import Broken
@@ -142,14 +143,7 @@
 
     async def _trouble_platform(self) -> None:
         async with self._platform_busy:
-            faults = self._random.choice(
-                [
-                    FaultSettings(down=True),
-                    FaultSettings(refuse=True),
-                    FaultSettings(delay_s=0.1),
-                    FaultSettings(lost_answers=2),
-                ]
-            )
+            faults = self._random.choice(STORE_FAULTS)
             await self._deployment.set_faults(faults)
             self._note(f"platform: {faults}")
             await asyncio.sleep(self._random.uniform(0.5, 4.0))
--- a/src/flamingoladder/soak/faults.py
+++ b/src/flamingoladder/soak/faults.py
@@ -24,6 +24,12 @@
 
 # Longer than the longest bound of a planned stop and what a process takes to end.
 STOP_TIMEOUT_S = 8.0
+STORE_FAULTS = (
+    FaultSettings(down=True),
+    FaultSettings(refuse=True),
+    FaultSettings(delay_s=0.2),
+    FaultSettings(lost_answers=3),
+)
 
 
 class FaultContext:
@@ -173,14 +179,7 @@
     async def inject(self, context: FaultContext) -> None:
         """Set a fault, wait, end it."""
         async with context.store_busy:
-            faults = context.random.choice(
-                [
-                    FaultSettings(down=True),
-                    FaultSettings(refuse=True),
-                    FaultSettings(delay_s=0.2),
-                    FaultSettings(lost_answers=3),
-                ]
-            )
+            faults = context.random.choice(STORE_FAULTS)
             context.history.begin_fault(context.history.STORE, context.now)
             context.deployment.state.faults = faults
             context.note(f"store: {faults}")
