--- a/src/flamingoladder/soak/daemons.py
+++ b/src/flamingoladder/soak/daemons.py
@@ -77,7 +77,9 @@
             self._traffic.add_source(granted.key_id, granted.key, rate)
         await deployment.wait_until_serving(granted.key)
         until = self._now + duration_s
-        await asyncio.gather(*(self._inject_until(until) for _ in range(SERIES)))
+        async with asyncio.TaskGroup() as group:
+            for _ in range(SERIES):
+                group.create_task(self._inject_until(until))
         await asyncio.sleep(SETTLE_S)
         recovered_at = self._now
         await asyncio.sleep(RECOVERED_S)
--- a/src/flamingoladder/soak/run.py
+++ b/src/flamingoladder/soak/run.py
@@ -71,7 +71,10 @@
             await random.choice(faults).inject(context)
             await asyncio.sleep(random.uniform(0.0, MAX_PAUSE_S))
 
-    await asyncio.gather(*(series(Random(context.random.random())) for _ in range(SERIES)))
+    # A series that fails ends the others, so that none starts a process after the end.
+    async with asyncio.TaskGroup() as group:
+        for _ in range(SERIES):
+            group.create_task(series(Random(context.random.random())))
 
 
 async def _cancel(tasks: Sequence[asyncio.Task[None]]) -> None:
