End a soak's processes also if its start fails, and start its hosts together

Hosts were waited for one by one and then all together again; targets were made with a relay that was thrown away at their start.

--- a/src/flamingoladder/soak/deployment.py
+++ b/src/flamingoladder/soak/deployment.py
@@ -79,6 +79,7 @@
         "_ports",
         "_processes",
         "_server",
+        "_targets_per_service",
         "_transport",
         "_version",
         "hosts",
@@ -109,11 +110,8 @@
         self.keys_by_workspace = keys_by_workspace
         self.rates_per_s = rates_per_s
         self.hosts: list[SoakHost] = []
-        self.targets_by_id: dict[str, SoakTarget] = {
-            target.target_id: SoakTarget(target, Relay(LOOPBACK, 0))
-            for service in SERVICES
-            for target in (self._target(service, number) for number in range(targets))
-        }
+        self._targets_per_service = targets
+        self.targets_by_id: dict[str, SoakTarget] = {}
         self._transport: HttpTransport
         self.store: RowStore
 
@@ -133,17 +131,14 @@
         await self._server.start()
         self._transport = HttpTransport.from_config(self._server.url, None)
         self.store = RowStore(self._transport)
-        await self.configure()
-        for target in self.targets_by_id.values():
-            await self._start_target(target)
-        for number in range(len(self._ports)):
-            await self._start_host(number)
-        await asyncio.gather(*(host.wait_until_ready() for host in self.hosts))
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *error: object) -> None:
-        for host in self.hosts:
-            host.process.thaw()
         await self._processes.__aexit__(None, None, None)
         for host in self.hosts:
             await host.store_relay.stop()
@@ -160,11 +155,15 @@
         await self.store.write("op", "config", msgspec.json.encode(document))
 
     async def add_target(self, service: str, number: int) -> str:
-        """Start a target, and return its id."""
-        target = self._target(service, number)
-        added = SoakTarget(target, Relay(LOOPBACK, 0))
-        await self._start_target(added)
-        self.targets_by_id[target.target_id] = added
+        """Start a target behind a relay, register it, and return its id."""
+        domain = list(REGIONS_BY_DOMAIN)[number % len(REGIONS_BY_DOMAIN)]
+        target = StandinTarget(f"i-{service}-{number}", service, domain, work_s=WORK_S)
+        await target.server.start()
+        relay = Relay(target.server.address, target.server.port)
+        await relay.start()
+        self.targets_by_id[target.target_id] = SoakTarget(target, relay)
+        target.advertised_address = f"{relay.address}:{relay.port}"
+        await target.register(self.store)
         return target.target_id
 
     async def remove_target(self, target_id: str) -> None:
@@ -178,27 +177,27 @@
         await removed.relay.stop()
         await removed.target.server.stop()
 
-    def _target(self, service: str, number: int) -> StandinTarget:
-        domain = list(REGIONS_BY_DOMAIN)[number % len(REGIONS_BY_DOMAIN)]
-        return StandinTarget(f"i-{service}-{number}", service, domain, work_s=WORK_S)
-
-    async def _start_target(self, added: SoakTarget) -> None:
-        target = added.target
-        await target.server.start()
-        added.relay = Relay(target.server.address, target.server.port)
-        await added.relay.start()
-        target.advertised_address = f"{added.relay.address}:{added.relay.port}"
-        await target.register(self.store)
+    async def _start(self) -> None:
+        await self.configure()
+        for service in SERVICES:
+            for number in range(self._targets_per_service):
+                await self.add_target(service, number)
+        for number, port in enumerate(self._ports):
+            await self._start_host(number, port)
+        await asyncio.gather(*(host.wait_until_ready() for host in self.hosts))
+        for host in self.hosts:
+            # A host that starts again is no longer part of the whole system's first start.
+            self._write_settings(msgspec.structs.replace(host.settings, first_start=False))
 
-    async def _start_host(self, number: int) -> None:
+    async def _start_host(self, number: int, port: int) -> None:
         relay = Relay(self._server.address, self._server.port)
         await relay.start()
-        settings = host_settings(number, self._ports[number], relay.url)
-        path = self._directory / f"{settings.host}.json"
-        path.write_bytes(settings_file(settings))
+        settings = host_settings(number, port, relay.url)
+        path = self._write_settings(settings)
         process = self._processes.start(settings.host, "entry", "--settings", str(path))
-        # A host that starts again is no longer part of the whole system's first start.
-        restarted = msgspec.structs.replace(settings, first_start=False)
         self.hosts.append(SoakHost(process, settings, relay))
-        await self.hosts[-1].wait_until_ready()
-        path.write_bytes(settings_file(restarted))
+
+    def _write_settings(self, settings: HostSettings) -> Path:
+        path = self._directory / f"{settings.host}.json"
+        path.write_bytes(settings_file(settings))
+        return path
