Read the store's era, and record when it changes

Answers' positions now are an era and a version, decoded in platform/ from Store-Era (0 of a store that names none), and hosts record store.went_back. No decision uses the era yet.

--- a/src/flamingoladder/feed/replica.py
+++ b/src/flamingoladder/feed/replica.py
@@ -67,22 +67,22 @@
 
         :raises PlatformUnavailableError: if it is older than what was taken in before.
         """
-        if found.version < self._least_version:
+        if found.position.version < self._least_version:
             raise PlatformUnavailableError(
-                f"whole table of version {found.version}, had {self._least_version}"
+                f"whole table of version {found.position.version}, had {self._least_version}"
             )
         self._reader.replace(found.rows, now)
         self._versions_by_key = {row.key: row.version for row in found.rows}
-        self.version = self._least_version = found.version
-        self._newest_change = max([found.version, *self._versions_by_key.values()])
+        self.version = self._least_version = found.position.version
+        self._newest_change = max([found.position.version, *self._versions_by_key.values()])
 
     def take(self, found: StoredRows, now: float) -> TableChanges | None:
         """Take in the store's answer to a poll; return what it changed, for other hosts."""
         after = self._newest_change
-        rows = self._take(found.rows, found.version, now)
+        rows = self._take(found.rows, found.position.version, now)
         if not rows:
             return None
-        return TableChanges("", after, found.version, rows)
+        return TableChanges("", after, found.position.version, rows)
 
     def take_relayed(self, changes: TableChanges, now: float) -> bool:
         """Take in changes from another host; return False if changes before them are missing."""
--- a/src/flamingoladder/feed/watcher.py
+++ b/src/flamingoladder/feed/watcher.py
@@ -57,6 +57,7 @@
 
     __slots__ = (
         "_asked_claim",
+        "_era",
         "_interruptible",
         "_lost",
         "_pause_s",
@@ -72,6 +73,7 @@
         self._reader = reader
         self._services = services
         self._asked_claim = 0
+        self._era: int | None = None
         self._interruptible: asyncio.Timeout | None = None
         self._lost = False
         self._pause_s = 0.0
@@ -134,6 +136,7 @@
         found = await self._services.store.read_all(self.table)
         now = asyncio.get_running_loop().time()
         self._note_return(now)
+        self._note_era(found.position.era)
         self.replica.replace(found, now)
         self._after_answer(now)
 
@@ -144,6 +147,7 @@
             return
         now = asyncio.get_running_loop().time()
         self._note_return(now)
+        self._note_era(found.position.era)
         changes = self.replica.take(found, now)
         self.replica.settle(claim)
         if changes is not None:
@@ -195,6 +199,11 @@
         self._lost = False
         self._pause_s = 0.0
 
+    def _note_era(self, era: int) -> None:
+        if self._era is not None and era != self._era:
+            self._record("store.went_back", era=era, era_before=self._era)
+        self._era = era
+
     async def _retry_later(self, error: PlatformError) -> None:
         self._note_loss()
         self._after_failure()
--- a/src/flamingoladder/platform/headers.py
+++ b/src/flamingoladder/platform/headers.py
@@ -13,5 +13,6 @@
 SERVER_LIMITS = ("Flamingoladder-Server-Limit", "Server-Limit")
 SERVER_LOAD = "Flamingoladder-Server-Load"
 SIGNATURE = "Flamingoladder-Response-Signature"
+STORE_ERA = "Store-Era"
 TENANT_ID = "Flamingoladder-Tenant-Id"
 WARMUP_MS = "Flamingoladder-Warmup-Ms"
--- a/src/flamingoladder/platform/http_transport.py
+++ b/src/flamingoladder/platform/http_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from http import HTTPMethod
 from http import HTTPStatus
 
@@ -41,6 +42,7 @@
 
     status: int
     body: bytes
+    headers: Mapping[str, str]
 
 
 class HttpTransport:
@@ -130,7 +132,7 @@
             body = await read_body(response, self._memory)
             if body is None:
                 raise aiohttp.ClientPayloadError(f"the reply is over {MAX_ANSWER_BYTES} bytes")
-            return HttpReply(response.status, body)
+            return HttpReply(response.status, body, response.headers)
 
     def _retire(self, pool: _Pool) -> None:
         pool.retired = True
--- a/src/flamingoladder/platform/rows.py
+++ b/src/flamingoladder/platform/rows.py
@@ -11,12 +11,14 @@
 
 import msgspec
 
+from flamingoladder.platform.headers import STORE_ERA
 from flamingoladder.platform.http_transport import HttpCall
 from flamingoladder.storage.exceptions import HistoryLostError
 from flamingoladder.storage.exceptions import OutcomeUnknownError
 from flamingoladder.storage.exceptions import PlatformUnavailableError
 from flamingoladder.storage.feed import StoredRow
 from flamingoladder.storage.feed import StoredRows
+from flamingoladder.storage.feed import StorePosition
 from flamingoladder.storage.feed import TableFeed
 
 if TYPE_CHECKING:
@@ -81,19 +83,20 @@
     ) -> StoredRows:
         """Return the rows from key ``start`` up to ``end``, which is not included.
 
-        Changes after ``version`` may already be in them. ``timeout_s`` bounds each call (seconds).
+        Changes after ``position`` may already be in them. ``timeout_s`` bounds each call (seconds).
 
         :raises PlatformUnavailableError: if no whole answer came.
         """
         rows: list[StoredRow] = []
-        version: int | None = None
+        position: StorePosition | None = None
         while True:
             reply = await self._page(table, start, end, timeout_s)
-            version = reply.ver if version is None else version
-            rows += map(_to_stored_row, reply.rows)
-            if not reply.has_more or not reply.rows:
-                return StoredRows(tuple(rows), version)
-            start = reply.rows[-1].key + "\0"
+            found = _decode_reply(reply)
+            position = position or StorePosition(_era_of(reply), found.ver)
+            rows += map(_to_stored_row, found.rows)
+            if not found.has_more or not found.rows:
+                return StoredRows(tuple(rows), position)
+            start = found.rows[-1].key + "\0"
 
     async def follow(self, table: str, after: int, wait_s: float) -> StoredRows:
         """Return the rows that changed after version ``after``, waiting ``wait_s`` for the first.
@@ -105,10 +108,10 @@
         query = {"table": table, "after": str(after), "wait_ms": wait_ms}
         reply = await self._read("rows-feed", query, wait_s + CALL_TIMEOUT_S)
         if reply.status == HTTPStatus.GONE:
-            raise HistoryLostError(f"changes of {table} after {after}")
+            raise HistoryLostError(f"changes of {table} after {after}, era {_era_of(reply)}")
         found = _decode_reply(reply)
         rows = tuple(_to_stored_row(row) for row in found.rows if not row.part)
-        return StoredRows(rows, found.ver)
+        return StoredRows(rows, StorePosition(_era_of(reply), found.ver))
 
     async def write(self, table: str, key: str, value: bytes) -> None:
         """Set a row, whatever it held.
@@ -160,13 +163,13 @@
             raise OutcomeUnknownError(f"malformed answer of the store: {error}") from error
         return TransactionResult(reply.status == HTTPStatus.OK, found.ver)
 
-    async def _page(self, table: str, start: str, end: str | None, timeout_s: float) -> _Reply:
+    async def _page(self, table: str, start: str, end: str | None, timeout_s: float) -> HttpReply:
         query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
         if start:
             query["from"] = start
         if end is not None:
             query["to"] = end
-        return _decode_reply(await self._read("rows-get", query, timeout_s))
+        return await self._read("rows-get", query, timeout_s)
 
     async def _read(self, name: str, query: dict[str, str], timeout_s: float) -> HttpReply:
         call = HttpCall(HTTPMethod.GET, f"/-/{name}?{urlencode(query)}", READ_STATUSES)
@@ -180,6 +183,14 @@
         raise PlatformUnavailableError(f"malformed answer of the store: {error}") from error
 
 
+def _era_of(reply: HttpReply) -> int:
+    """Return the era that the answer names, or 0 of a store that names none."""
+    named = reply.headers.get(STORE_ERA, "0")
+    if not named.isdecimal():
+        raise PlatformUnavailableError(f"malformed {STORE_ERA} of the store: {named!r}")
+    return int(named)
+
+
 def _to_stored_row(row: _Row) -> StoredRow:
     if row.deleted:
         return StoredRow(row.key, None, row.ver)
--- a/src/flamingoladder/platform/services.py
+++ b/src/flamingoladder/platform/services.py
@@ -48,7 +48,7 @@
         end = prefix + LAST_CHARACTER if prefix else None
         found = await self._store.read_all(STATE_TABLE, prefix, end, timeout_s)
         rows = tuple(Row(row.key, row.value or b"", row.version) for row in found.rows)
-        return Rows(rows, found.version)
+        return Rows(rows, found.position.version)
 
     async def get(self, key: str, timeout_s: float) -> Row | None:
         """Return the row of ``key``, or None."""
--- a/src/flamingoladder/storage/feed.py
+++ b/src/flamingoladder/storage/feed.py
@@ -8,6 +8,17 @@
 import msgspec
 
 
+class StorePosition(msgspec.Struct, frozen=True, array_like=True):
+    """A moment of the store: its era, and the version that its counter had.
+
+    The era rises when the store comes back from an older copy. Versions then go back and are
+    given out again for other content, so those of different eras do not compare.
+    """
+
+    era: int
+    version: int
+
+
 class StoredRow(msgspec.Struct, frozen=True, array_like=True):
     """A row of a table; ``value`` is None if the row was deleted."""
 
@@ -17,10 +28,10 @@
 
 
 class StoredRows(msgspec.Struct, frozen=True):
-    """Rows, and the store's version from which their changes are to be followed."""
+    """Rows, and the position in the store from which their changes are to be followed."""
 
     rows: tuple[StoredRow, ...]
-    version: int
+    position: StorePosition
 
 
 class TableFeed(ABC):
@@ -28,7 +39,7 @@
 
     @abstractmethod
     async def read_all(self, table: str) -> StoredRows:
-        """Return all rows of a table; changes after ``version`` may already be in them.
+        """Return all rows of a table; changes after ``position`` may already be in them.
 
         :raises PlatformUnavailableError: if no whole answer came.
         """
--- a/tests/feed/harness.py
+++ b/tests/feed/harness.py
@@ -28,6 +28,7 @@
 from flamingoladder.storage.exceptions import PlatformUnavailableError
 from flamingoladder.storage.feed import StoredRow
 from flamingoladder.storage.feed import StoredRows
+from flamingoladder.storage.feed import StorePosition
 from flamingoladder.storage.feed import TableFeed
 from flamingoladder.timeline.recorder import Recorder
 
@@ -77,7 +78,7 @@
         async with self._call(table, 0.0):
             tables = self._store.tables
             rows = tuple(_stored(row) for row in tables.rows(table, "", "", None))
-            return StoredRows(rows, tables.version)
+            return StoredRows(rows, StorePosition(0, tables.version))
 
     async def follow(self, table: str, after: int, wait_s: float) -> StoredRows:
         """Return the changes, or none after ``wait_s``."""
@@ -90,7 +91,9 @@
                     raise HistoryLostError
                 left_s = ends_at - asyncio.get_running_loop().time()
                 if rows or left_s <= CLOCK_STEP_S:
-                    return StoredRows(tuple(_stored(row) for row in rows), tables.version)
+                    return StoredRows(
+                        tuple(_stored(row) for row in rows), StorePosition(0, tables.version)
+                    )
                 try:
                     await asyncio.wait_for(tables.wait_for_change(), left_s)
                 except TimeoutError:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -78,7 +78,7 @@
     state.tables.apply([(("other", "", "k"), value)], [])
     found = await store.read_all("t")
     assert len(found.rows) == PAGE_ROWS + 7
-    assert found.version == state.tables.version
+    assert found.position.version == state.tables.version
 
 
 async def test_a_write_is_read_back_and_deleted(store: RowStore) -> None:
