--- a/src/flamingoladder/platform/standins/tables.py
+++ b/src/flamingoladder/platform/standins/tables.py
@@ -26,13 +26,21 @@
     version: int
 
 
+class TablesCopy(msgspec.Struct, frozen=True):
+    """All rows as they were at a version."""
+
+    by_key: dict[RowKey, KeptRow]
+    version: int
+
+
 class Tables:
     """All tables. One counter numbers the transactions of all of them."""
 
-    __slots__ = ("_changed", "_history", "_oldest", "by_key", "version")
+    __slots__ = ("_changed", "_history", "_oldest", "by_key", "era", "version")
 
     def __init__(self) -> None:
         self.by_key: dict[RowKey, KeptRow] = {}
+        self.era = 1
         self.version = 0
         self._history: deque[KeptRow] = deque(maxlen=HISTORY_CHANGES)
         self._oldest = 0
@@ -51,8 +59,7 @@
         for key in remove:
             if self.by_key.pop(key, None) is not None:
                 self._history.append(KeptRow(*key, None, self.version))
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._notify()
 
     def rows(self, table: str, part: str, start: str, end: str | None) -> list[KeptRow]:
         """Return the rows with keys from ``start`` up to ``end``, which is not included."""
@@ -63,8 +70,8 @@
         ]
 
     def changes(self, table: str, after: int) -> list[KeptRow] | None:
-        """Return the changes after a version, or None if they are forgotten."""
-        if after < self._oldest:
+        """Return the changes after a version, or None if they are forgotten or to come."""
+        if not self._oldest <= after <= self.version:
             return None
         return [row for row in self._history if row.table == table and row.version > after]
 
@@ -73,10 +80,27 @@
         self._oldest = self.version
         self._history.clear()
 
+    def copy(self) -> TablesCopy:
+        """Return a copy of all rows."""
+        return TablesCopy(dict(self.by_key), self.version)
+
+    def restore(self, copy: TablesCopy) -> None:
+        """Come back from a copy: what was written since is gone, and a new era begins."""
+        self.by_key = dict(copy.by_key)
+        self.version = copy.version
+        self.era += 1
+        kept = [row for row in self._history if row.version <= copy.version]
+        self._history = deque(kept, maxlen=HISTORY_CHANGES)
+        self._notify()
+
     async def wait_for_change(self) -> None:
-        """Return after the next transaction."""
+        """Return after the next transaction, or when a new era begins."""
         await self._changed.wait()
 
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _version_of(self, key: RowKey) -> int:
         row = self.by_key.get(key)
         return 0 if row is None else row.version
--- a/tests/feed/harness.py
+++ b/tests/feed/harness.py
@@ -78,7 +78,7 @@
         async with self._call(table, 0.0):
             tables = self._store.tables
             rows = tuple(_stored(row) for row in tables.rows(table, "", "", None))
-            return StoredRows(rows, StorePosition(0, tables.version))
+            return StoredRows(rows, StorePosition(tables.era, tables.version))
 
     async def follow(self, table: str, after: int, wait_s: float) -> StoredRows:
         """Return the changes, or none after ``wait_s``."""
@@ -92,7 +92,8 @@
                 left_s = ends_at - asyncio.get_running_loop().time()
                 if rows or left_s <= CLOCK_STEP_S:
                     return StoredRows(
-                        tuple(_stored(row) for row in rows), StorePosition(0, tables.version)
+                        tuple(_stored(row) for row in rows),
+                        StorePosition(tables.era, tables.version),
                     )
                 try:
                     await asyncio.wait_for(tables.wait_for_change(), left_s)
