Follow a store that comes back from an older copy, by era and version

Cause: a host's place in the store was a version alone, while versions go back and are given out again when the store comes back from an older copy. The guard against old tables refused the copy until the counter had caught up; and where it had caught up, changes below the old version were never asked for. So positions now are an era and a version, everywhere they are kept or told: polls, whole tables, relays' changes, proofs and claims. An answer of an earlier era is dropped, a poll answered in a later one has the table read whole.

What is read then may be older than what the host has: an evacuation, a target that drains or left would come back as before. A row that differs from the host's is withheld until it is written again, or its writer had 2.1 s for that; a configuration decides by its own version. Reads that come from behind in the same era are repeated at growing intervals (every 0.1 s before).

--- a/src/flamingoladder/feed/exchange.py
+++ b/src/flamingoladder/feed/exchange.py
@@ -74,6 +74,9 @@
             replica = self._replicas_by_table.get(table)
             if replica is None:
                 continue
+            if state.era < (replica.era or 0):
+                continue
             replica.note_state(state, now)
-            self._followers.note_proof(table, now)
+            if state.era == replica.era:
+                self._followers.note_proof(table, now)
             self._on_news_by_table[table](now)
--- a/src/flamingoladder/feed/messages.py
+++ b/src/flamingoladder/feed/messages.py
@@ -8,19 +8,21 @@
 
 
 class TableChanges(msgspec.Struct, frozen=True, tag="tc"):
-    """All changes of a table after version ``after`` and up to ``version``."""
+    """All changes of a table after version ``after`` and up to ``version`` of a store's era."""
 
     table: str
     after: int
     version: int
     rows: tuple[StoredRow, ...]
+    era: int = 0
 
 
 class TableVersion(msgspec.Struct, frozen=True, array_like=True):
-    """The version up to which a copy is complete, and that of the newest change in it."""
+    """The version up to which a copy is complete, that of its newest change, and their era."""
 
     complete: int
     newest_change: int
+    era: int = 0
 
 
 class TableVersions(msgspec.Struct, frozen=True, tag="tv"):
--- a/src/flamingoladder/feed/reader.py
+++ b/src/flamingoladder/feed/reader.py
@@ -23,6 +23,13 @@
     def change(self, rows: Sequence[StoredRow], now: float) -> None:
         """Take in the rows that changed, in the order of their changes."""
 
+    @abstractmethod
+    def went_back(self, rows: Sequence[StoredRow], now: float) -> None:
+        """Note that the store came back from an older copy, in which there are just ``rows``.
+
+        What is certain to be news follows by ``change``.
+        """
+
     @abstractmethod
     def regained(self, now: float) -> None:
         """Note that the store answers again after it could not be reached."""
--- a/src/flamingoladder/feed/replica.py
+++ b/src/flamingoladder/feed/replica.py
@@ -1,4 +1,4 @@
-"""A host's copy of one table: up to which version it is complete, and what it lacks."""
+"""A host's copy of one table: up to which position it is complete, and what it lacks."""
 
 from __future__ import annotations
 
@@ -6,7 +6,10 @@
 
 from flamingoladder.feed.messages import TableChanges
 from flamingoladder.feed.messages import TableVersion
+from flamingoladder.feed.table_rows import TableRows
+from flamingoladder.feed.table_rows import version_of
 from flamingoladder.storage.exceptions import PlatformUnavailableError
+from flamingoladder.storage.feed import StorePosition
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -15,118 +18,126 @@
     from flamingoladder.storage.feed import StoredRow
     from flamingoladder.storage.feed import StoredRows
 
+START = StorePosition(0, 0)
+
 
 class TableReplica:
     """Takes in rows from the store and from other hosts; nothing older follows something newer.
 
-    ``version`` is that up to which the copy is complete, or None before the table was read whole.
+    ``position`` is that up to which the copy is complete, or None before the table was read whole.
     """
 
     __slots__ = (
         "_claim",
         "_claimed_at",
-        "_least_version",
+        "_last_position",
         "_newest_change",
-        "_reader",
         "_settled_claim",
-        "_versions_by_key",
-        "version",
+        "position",
+        "rows",
     )
 
-    def __init__(self, reader: TableReader) -> None:
-        self._reader = reader
-        self.version: int | None = None
-        self._least_version = 0
+    def __init__(self, reader: TableReader, rewrite_grace_s: float) -> None:
+        self.rows = TableRows(reader, rewrite_grace_s)
+        self.position: StorePosition | None = None
+        self._last_position: StorePosition | None = None
         self._newest_change = 0
-        self._versions_by_key: dict[str, int] = {}
-        self._claim = 0
+        self._claim = START
         self._claimed_at = 0.0
-        self._settled_claim = 0
+        self._settled_claim = START
+
+    @property
+    def era(self) -> int | None:
+        """Return the newest era from which this copy has rows, or None before the first."""
+        return None if self._last_position is None else self._last_position.era
 
     @property
     def state(self) -> TableVersion | None:
         """Return the versions of this copy, or None before the table was read whole."""
-        return None if self.version is None else TableVersion(self.version, self._newest_change)
+        if self.position is None:
+            return None
+        return TableVersion(self.position.version, self._newest_change, self.position.era)
 
     @property
-    def claim(self) -> int:
-        """Return the newest change that another host has and this one lacks, or 0."""
-        lacks = self.version is not None and self._claim > max(self.version, self._settled_claim)
-        return self._claim if lacks else 0
+    def claim(self) -> StorePosition | None:
+        """Return the newest change that another host has and this one lacks."""
+        if self.position is None or self._claim <= max(self.position, self._settled_claim):
+            return None
+        return self._claim
 
     def is_overdue(self, now: float, grace_s: float) -> bool:
         """Return whether another host has had a change for ``grace_s`` that this one lacks."""
-        return self.claim > 0 and now - self._claimed_at >= grace_s
+        return self.claim is not None and now - self._claimed_at >= grace_s
 
     def forget(self) -> None:
         """Require that the table is read whole, as its history is lost."""
-        self.version = None
+        self.position = None
 
-    def replace(self, found: StoredRows, now: float) -> None:
-        """Take in the whole table.
+    def require_recent(self, position: StorePosition) -> None:
+        """Check that a whole table of ``position`` may be taken in.
 
         :raises PlatformUnavailableError: if it is older than what was taken in before.
         """
-        if found.position.version < self._least_version:
-            raise PlatformUnavailableError(
-                f"whole table of version {found.position.version}, had {self._least_version}"
-            )
-        self._reader.replace(found.rows, now)
-        self._versions_by_key = {row.key: row.version for row in found.rows}
-        self.version = self._least_version = found.position.version
-        self._newest_change = max([found.position.version, *self._versions_by_key.values()])
+        if self._last_position is not None and position < self._last_position:
+            raise PlatformUnavailableError(f"whole table of {position}, had {self._last_position}")
+
+    def replace(self, found: StoredRows, now: float) -> None:
+        """Take in the whole table, which is as recent as ``require_recent`` demands."""
+        position, last = found.position, self._last_position
+        if last is not None and position.era > last.era:
+            self.rows.replace_by_older(found.rows, position.version, now)
+        else:
+            self.rows.replace(found.rows, now)
+        self.position = self._last_position = position
+        self._newest_change = max([position.version, *map(version_of, found.rows)])
 
     def take(self, found: StoredRows, now: float) -> TableChanges | None:
         """Take in the store's answer to a poll; return what it changed, for other hosts."""
-        after = self._newest_change
-        rows = self._take(found.rows, found.position.version, now)
+        after, position = self._newest_change, found.position
+        rows = self._take(found.rows, position.version, now)
         if not rows:
             return None
-        return TableChanges("", after, found.position.version, rows)
+        return TableChanges("", after, position.version, rows, position.era)
 
     def take_relayed(self, changes: TableChanges, now: float) -> bool:
         """Take in changes from another host; return False if changes before them are missing."""
-        if self.version is None or self.version < changes.after:
+        if self.position is None or changes.era != self.position.era:
+            return False
+        if self.position.version < changes.after:
             return False
         self._take(changes.rows, changes.version, now)
         return True
 
     def note_state(self, state: TableVersion, now: float) -> None:
         """Compare with another host's copy: this one is as complete, or lacks its newest change."""
-        if self.version is None:
+        if self.position is None:
             return
-        if self.version >= state.newest_change:
+        change = StorePosition(state.era, state.newest_change)
+        if self.position.era == state.era and self.position >= change:
             self._advance(state.complete)
             return
-        if not self.claim:
+        if self.claim is None:
             self._claimed_at = now
-        self._claim = max(self._claim, state.newest_change)
+        self._claim = max(self._claim, change)
 
-    def settle(self, claim: int) -> None:
+    def settle(self, claim: StorePosition | None) -> None:
         """Note that the store was asked after ``claim`` was known: it has nothing more."""
-        self._settled_claim = max(self._settled_claim, claim)
+        self._settled_claim = max(self._settled_claim, claim or START)
 
     def _take(self, rows: Iterable[StoredRow], version: int, now: float) -> tuple[StoredRow, ...]:
         newest_by_key = {row.key: row for row in rows if self._is_newer(row)}
-        fresh = tuple(sorted(newest_by_key.values(), key=_version_of))
-        for row in fresh:
-            self._versions_by_key[row.key] = row.version
-            if row.value is None:
-                del self._versions_by_key[row.key]
+        fresh = tuple(sorted(newest_by_key.values(), key=version_of))
         if fresh:
-            self._newest_change = max(self._newest_change, *(row.version for row in fresh))
-            self._reader.change(fresh, now)
+            self._newest_change = max(self._newest_change, *map(version_of, fresh))
+            self.rows.change(fresh, now)
         self._advance(version)
         return fresh
 
     def _is_newer(self, row: StoredRow) -> bool:
-        known = max(self.version or 0, self._versions_by_key.get(row.key, 0))
-        return row.version > known
+        complete = 0 if self.position is None else self.position.version
+        return row.version > max(complete, self.rows.version_of(row.key))
 
     def _advance(self, version: int) -> None:
-        self.version = max(self.version or 0, version)
-        self._least_version = max(self._least_version, self.version)
-
-
-def _version_of(row: StoredRow) -> int:
-    return row.version
+        if self.position is None or version <= self.position.version:
+            return
+        self.position = self._last_position = StorePosition(self.position.era, version)
--- a/src/flamingoladder/feed/timing.py
+++ b/src/flamingoladder/feed/timing.py
@@ -14,6 +14,8 @@
 MAX_RETRY_PAUSE = 0.26
 # A poll whose answer is lost alone, while the proof's polls are answered, is noticed this late.
 QUIET_WAITS = 10
+# Targets and operators write again within about two seconds what the store lost.
+REWRITE_GRACE_S = 2.1
 
 
 class FeedTiming(msgspec.Struct, frozen=True):
@@ -23,7 +25,8 @@
     of the other tables' polls. A host polls for itself once it had no proof of another host for
     ``proof_lifetime_s``. Polls pause for ``gather_pause_s`` after an answer, so that changes in
     quick succession cost one call. A change that another host has is fetched if it isn't relayed
-    within ``relay_grace_s``. ``max_retry_pause_s`` is the longest pause after failures.
+    within ``relay_grace_s``. ``max_retry_pause_s`` is the longest pause after failures. Writers
+    have ``rewrite_grace_s`` to write again what a store that went back has lost.
     """
 
     proof_wait_s: float
@@ -32,6 +35,7 @@
     gather_pause_s: float
     relay_grace_s: float
     max_retry_pause_s: float
+    rewrite_grace_s: float = REWRITE_GRACE_S
 
     @classmethod
     def from_bound(cls, propagation_s: float) -> FeedTiming:
--- a/src/flamingoladder/feed/watcher.py
+++ b/src/flamingoladder/feed/watcher.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
+from flamingoladder.feed.replica import START
 from flamingoladder.feed.replica import TableReplica
 from flamingoladder.storage.exceptions import HistoryLostError
 from flamingoladder.storage.exceptions import PlatformError
@@ -21,11 +22,14 @@
     from flamingoladder.feed.reader import TableReader
     from flamingoladder.feed.timing import FeedTiming
     from flamingoladder.storage.feed import StoredRows
+    from flamingoladder.storage.feed import StorePosition
     from flamingoladder.storage.feed import TableFeed
     from flamingoladder.timeline.recorder import Recorder
 
 FIRST_PAUSE_S = 0.1
 MIN_SLEEP_S = 0.001
+# Rows that an event names at most.
+MAX_NAMED_ROWS = 8
 
 T = TypeVar("T")
 
@@ -57,7 +61,6 @@
 
     __slots__ = (
         "_asked_claim",
-        "_era",
         "_interruptible",
         "_lost",
         "_pause_s",
@@ -69,26 +72,25 @@
 
     def __init__(self, table: str, reader: TableReader, services: FeedServices) -> None:
         self.table = table
-        self.replica = TableReplica(reader)
+        self.replica = TableReplica(reader, services.timing.rewrite_grace_s)
         self._reader = reader
         self._services = services
-        self._asked_claim = 0
-        self._era: int | None = None
+        self._asked_claim: StorePosition | None = None
         self._interruptible: asyncio.Timeout | None = None
         self._lost = False
-        self._pause_s = 0.0
         services.exchange.attach(table, self.replica, self._on_news)
 
     @property
     def is_proven(self) -> bool:
         """Return whether the copy is up to date as long as the store answers this host."""
-        return not self._lost and self.replica.version is not None
+        return not self._lost and self.replica.position is not None
 
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
         while True:
             try:
                 await self._step(asyncio.get_running_loop().time())
+                self._pause_s = 0.0
             except HistoryLostError as error:
                 self._record("store.history_lost", error=error)
                 self.replica.forget()
@@ -120,7 +122,7 @@
         return self._services.followers.must_poll(self.table, now)
 
     async def _step(self, now: float) -> None:
-        if self.replica.version is None:
+        if self.replica.position is None:
             await self._read_all()
         elif self.replica.is_overdue(now, self._services.timing.relay_grace_s):
             await self._poll(0.0)
@@ -134,10 +136,13 @@
     async def _read_all(self) -> None:
         await self._before_call()
         found = await self._services.store.read_all(self.table)
+        self.replica.require_recent(found.position)
         now = asyncio.get_running_loop().time()
         self._note_return(now)
-        self._note_era(found.position.era)
+        era_before = self.replica.era
         self.replica.replace(found, now)
+        if era_before is not None and era_before < found.position.era:
+            self._after_going_back(era_before)
         self._after_answer(now)
 
     async def _poll(self, wait_s: float) -> None:
@@ -147,7 +152,6 @@
             return
         now = asyncio.get_running_loop().time()
         self._note_return(now)
-        self._note_era(found.position.era)
         changes = self.replica.take(found, now)
         self.replica.settle(claim)
         if changes is not None:
@@ -158,7 +162,7 @@
 
     async def _changes(self, wait_s: float) -> StoredRows:
         await self._before_call()
-        return await self._services.store.follow(self.table, self.replica.version or 0, wait_s)
+        return await self._services.store.follow(self.table, self.replica.position or START, wait_s)
 
     async def _interrupted(self, work: Awaitable[T]) -> T | None:
         """Return the result of ``work``, or None if ``_interrupt`` cancelled it."""
@@ -176,12 +180,13 @@
 
     def _on_news(self, now: float) -> None:
         """React to another host's changes or proof, at ``now`` in monotonic seconds."""
-        if self.replica.claim:
+        if self.replica.claim is not None:
             grace_s = self._services.timing.relay_grace_s
             asyncio.get_running_loop().call_later(grace_s, self._interrupt_if_overdue)
 
     def _interrupt_if_overdue(self) -> None:
-        if self.replica.claim <= self._asked_claim:
+        claim = self.replica.claim
+        if claim is None or claim <= (self._asked_claim or START):
             return
         now = asyncio.get_running_loop().time()
         if self.replica.is_overdue(now, self._services.timing.relay_grace_s):
@@ -197,12 +202,21 @@
             self._record("store.regained")
             self._reader.regained(now)
         self._lost = False
-        self._pause_s = 0.0
 
-    def _note_era(self, era: int) -> None:
-        if self._era is not None and era != self._era:
-            self._record("store.went_back", era=era, era_before=self._era)
-        self._era = era
+    def _after_going_back(self, era_before: int) -> None:
+        rows = self.replica.rows
+        withheld = ",".join(sorted(rows.withheld_by_key)[:MAX_NAMED_ROWS])
+        self._record("store.went_back", era_before=era_before, withheld=withheld)
+        loop = asyncio.get_running_loop()
+        loop.call_at(rows.withheld_until, self._release, rows.withheld_until)
+
+    def _release(self, withheld_until: float) -> None:
+        rows = self.replica.rows
+        if rows.withheld_until > withheld_until or not rows.withheld_by_key:
+            return
+        taken = ",".join(sorted(rows.withheld_by_key)[:MAX_NAMED_ROWS])
+        self._record("store.not_rewritten", taken=taken)
+        rows.release(withheld_until)
 
     async def _retry_later(self, error: PlatformError) -> None:
         self._note_loss()
@@ -213,6 +227,7 @@
         await asyncio.sleep(self._pause_s)
 
     def _record(self, kind: str, **fields: object) -> None:
+        version = None if self.replica.position is None else self.replica.position.version
         self._services.recorder.record(
-            kind, table=self.table, version=self.replica.version, **fields
+            kind, table=self.table, version=version, era=self.replica.era, **fields
         )
--- a/src/flamingoladder/platform/memberships.py
+++ b/src/flamingoladder/platform/memberships.py
@@ -66,6 +66,9 @@
             self._members.put(member, now)
         self._on_change()
 
+    def went_back(self, rows: Sequence[StoredRow], now: float) -> None:
+        """Need nothing: other hosts' registrations follow as changes."""
+
     def regained(self, now: float) -> None:
         """Need nothing: registrations do not lapse."""
 
--- a/src/flamingoladder/platform/operators.py
+++ b/src/flamingoladder/platform/operators.py
@@ -44,6 +44,12 @@
                 self._apply_configuration(row.value, now)
         self._configuration.set_evacuated(self._evacuated, now)
 
+    def went_back(self, rows: Sequence[StoredRow], now: float) -> None:
+        """Take in the configuration, which has a version of its own."""
+        for row in rows:
+            if row.key == CONFIGURATION_KEY and row.value is not None:
+                self._apply_configuration(row.value, now)
+
     def regained(self, now: float) -> None:
         """Need nothing: what the operator wrote stays until it is changed."""
 
--- a/src/flamingoladder/platform/registry.py
+++ b/src/flamingoladder/platform/registry.py
@@ -67,6 +67,9 @@
                 continue
             self._targets.put(record, now)
 
+    def went_back(self, rows: Sequence[StoredRow], now: float) -> None:
+        """Need nothing: targets write their entries again."""
+
     def regained(self, now: float) -> None:
         """Note the end of an outage."""
         self._regained_at = now
--- a/src/flamingoladder/platform/rows.py
+++ b/src/flamingoladder/platform/rows.py
@@ -16,6 +16,7 @@
 from flamingoladder.storage.exceptions import HistoryLostError
 from flamingoladder.storage.exceptions import OutcomeUnknownError
 from flamingoladder.storage.exceptions import PlatformUnavailableError
+from flamingoladder.storage.exceptions import StoreWentBackError
 from flamingoladder.storage.feed import StoredRow
 from flamingoladder.storage.feed import StoredRows
 from flamingoladder.storage.feed import StorePosition
@@ -67,12 +68,16 @@
 
 
 class RowStore(TableFeed):
-    """The tables of the platform's store, all rows with an empty part."""
+    """The tables of the platform's store, all rows with an empty part.
 
-    __slots__ = ("_transport",)
+    ``era`` is the newest one that a read's answer named; answers of an earlier one are dropped.
+    """
+
+    __slots__ = ("_transport", "era")
 
     def __init__(self, transport: HttpTransport) -> None:
         self._transport = transport
+        self.era = 0
 
     async def read_all(
         self,
@@ -91,27 +96,33 @@
         position: StorePosition | None = None
         while True:
             reply = await self._page(table, start, end, timeout_s)
-            found = _decode_reply(reply)
-            position = position or StorePosition(_era_of(reply), found.ver)
+            era, found = self._era_of(reply), _decode_reply(reply)
+            position = position or StorePosition(era, found.ver)
+            if era != position.era:
+                raise PlatformUnavailableError(f"the store went back between pages of {table}")
             rows += map(_to_stored_row, found.rows)
             if not found.has_more or not found.rows:
                 return StoredRows(tuple(rows), position)
             start = found.rows[-1].key + "\0"
 
-    async def follow(self, table: str, after: int, wait_s: float) -> StoredRows:
-        """Return the rows that changed after version ``after``, waiting ``wait_s`` for the first.
+    async def follow(self, table: str, after: StorePosition, wait_s: float) -> StoredRows:
+        """Return the rows that changed after position ``after``, waiting ``wait_s`` for the first.
 
         :raises HistoryLostError: if the store has dropped these changes.
+        :raises StoreWentBackError: if the store is in a later era.
         :raises PlatformUnavailableError: if no whole answer came.
         """
         wait_ms = str(int(wait_s * MS_PER_S))
-        query = {"table": table, "after": str(after), "wait_ms": wait_ms}
+        query = {"table": table, "after": str(after.version), "wait_ms": wait_ms}
         reply = await self._read("rows-feed", query, wait_s + CALL_TIMEOUT_S)
+        era = self._era_of(reply)
+        if era != after.era:
+            raise StoreWentBackError(f"era {era} of the store, {table} is followed in {after.era}")
         if reply.status == HTTPStatus.GONE:
-            raise HistoryLostError(f"changes of {table} after {after}, era {_era_of(reply)}")
+            raise HistoryLostError(f"changes of {table} after {after.version}")
         found = _decode_reply(reply)
         rows = tuple(_to_stored_row(row) for row in found.rows if not row.part)
-        return StoredRows(rows, StorePosition(_era_of(reply), found.ver))
+        return StoredRows(rows, StorePosition(era, found.ver))
 
     async def write(self, table: str, key: str, value: bytes) -> None:
         """Set a row, whatever it held.
@@ -171,6 +182,16 @@
             query["to"] = end
         return await self._read("rows-get", query, timeout_s)
 
+    def _era_of(self, reply: HttpReply) -> int:
+        """Return the era that an answer names, or 0 of a store that names none."""
+        named = reply.headers.get(STORE_ERA, "0")
+        if not named.isdecimal():
+            raise PlatformUnavailableError(f"malformed {STORE_ERA} of the store: {named!r}")
+        if int(named) < self.era:
+            raise PlatformUnavailableError(f"answer of the store's era {named}, now {self.era}")
+        self.era = int(named)
+        return self.era
+
     async def _read(self, name: str, query: dict[str, str], timeout_s: float) -> HttpReply:
         call = HttpCall(HTTPMethod.GET, f"/-/{name}?{urlencode(query)}", READ_STATUSES)
         return await self._transport.read(call, timeout_s)
@@ -183,14 +204,6 @@
         raise PlatformUnavailableError(f"malformed answer of the store: {error}") from error
 
 
-def _era_of(reply: HttpReply) -> int:
-    """Return the era that the answer names, or 0 of a store that names none."""
-    named = reply.headers.get(STORE_ERA, "0")
-    if not named.isdecimal():
-        raise PlatformUnavailableError(f"malformed {STORE_ERA} of the store: {named!r}")
-    return int(named)
-
-
 def _to_stored_row(row: _Row) -> StoredRow:
     if row.deleted:
         return StoredRow(row.key, None, row.ver)
--- a/src/flamingoladder/platform/standins/store.py
+++ b/src/flamingoladder/platform/standins/store.py
@@ -15,6 +15,7 @@
 import msgspec
 from aiohttp import web
 
+from flamingoladder.platform.headers import STORE_ERA
 from flamingoladder.standins.platform import FaultSettings
 from flamingoladder.standins.platform import HostSettings
 
@@ -119,9 +120,10 @@
             await self._travel()
             if self._state.faults.refuse:
                 self._state.refused += 1
-                headers = {"Retry-After": str(RETRY_AFTER_S)}
+                headers = {"Retry-After": str(RETRY_AFTER_S), **self._era()}
                 return web.Response(status=self._state.faults.refuse_status, headers=headers)
             response = await handler(request)
+            response.headers.update(self._era())
             if request.method in ("POST", "PUT") and self._state.take_lost_answer():
                 await _hang()
             await self._travel()
@@ -129,6 +131,9 @@
 
         return middleware
 
+    def _era(self) -> dict[str, str]:
+        return {STORE_ERA: str(self._state.tables.era)}
+
     async def _travel(self) -> None:
         if self._state.faults.down:
             await _hang()
--- a/src/flamingoladder/storage/exceptions.py
+++ b/src/flamingoladder/storage/exceptions.py
@@ -21,3 +21,7 @@
 
 class HistoryLostError(PlatformUnavailableError):
     """The store no longer has the changes after the version that was asked for."""
+
+
+class StoreWentBackError(HistoryLostError):
+    """The store came back from an older copy, in which versions are given out again."""
--- a/src/flamingoladder/storage/feed.py
+++ b/src/flamingoladder/storage/feed.py
@@ -8,11 +8,12 @@
 import msgspec
 
 
-class StorePosition(msgspec.Struct, frozen=True, array_like=True):
+class StorePosition(msgspec.Struct, frozen=True, array_like=True, order=True):
     """A moment of the store: its era, and the version that its counter had.
 
     The era rises when the store comes back from an older copy. Versions then go back and are
-    given out again for other content, so those of different eras do not compare.
+    given out again for other content, so those of different eras do not compare: a later era comes
+    after all of an earlier one, without all that was written in it.
     """
 
     era: int
@@ -45,9 +46,10 @@
         """
 
     @abstractmethod
-    async def follow(self, table: str, after: int, wait_s: float) -> StoredRows:
-        """Return the rows that changed after version ``after``, waiting ``wait_s`` for the first.
+    async def follow(self, table: str, after: StorePosition, wait_s: float) -> StoredRows:
+        """Return the rows that changed after position ``after``, waiting ``wait_s`` for the first.
 
         :raises HistoryLostError: if the store has dropped these changes.
+        :raises StoreWentBackError: if the store is in a later era.
         :raises PlatformUnavailableError: if no whole answer came.
         """
--- a/tests/feed/harness.py
+++ b/tests/feed/harness.py
@@ -26,6 +26,7 @@
 from flamingoladder.standins.network import Network
 from flamingoladder.storage.exceptions import HistoryLostError
 from flamingoladder.storage.exceptions import PlatformUnavailableError
+from flamingoladder.storage.exceptions import StoreWentBackError
 from flamingoladder.storage.feed import StoredRow
 from flamingoladder.storage.feed import StoredRows
 from flamingoladder.storage.feed import StorePosition
@@ -80,13 +81,15 @@
             rows = tuple(_stored(row) for row in tables.rows(table, "", "", None))
             return StoredRows(rows, StorePosition(tables.era, tables.version))
 
-    async def follow(self, table: str, after: int, wait_s: float) -> StoredRows:
+    async def follow(self, table: str, after: StorePosition, wait_s: float) -> StoredRows:
         """Return the changes, or none after ``wait_s``."""
         tables = self._store.tables
         ends_at = asyncio.get_running_loop().time() + wait_s
         async with self._call(table, wait_s):
             while True:
-                rows = tables.changes(table, after)
+                if tables.era != after.era:
+                    raise StoreWentBackError
+                rows = tables.changes(table, after.version)
                 if rows is None:
                     raise HistoryLostError
                 left_s = ends_at - asyncio.get_running_loop().time()
@@ -133,6 +136,7 @@
         self.by_key: dict[str, bytes] = {}
         self.changed_at = 0.0
         self.regained_times = 0
+        self.went_back_times = 0
         self.regained_at = 0.0
         self.history: list[tuple[str, bytes | None]] = []
 
@@ -151,6 +155,10 @@
             else:
                 self.by_key[row.key] = row.value
 
+    def went_back(self, rows: Sequence[StoredRow], now: float) -> None:
+        """Count the store's old copies."""
+        self.went_back_times += 1
+
     def regained(self, now: float) -> None:
         """Count the returns, and keep the time of the last."""
         self.regained_times += 1
--- a/tests/feed/test_watcher.py
+++ b/tests/feed/test_watcher.py
@@ -20,6 +20,8 @@
 ONE_REGION = ("r1",) * 6
 SILENCE_S = 6.0
 LIMIT_S = 30.0
+# That of a store that never went back.
+ERA = 1
 # What the pages allow after the store's return: its answers count once it was calm for this long.
 CALM_S = 3.0
 
@@ -160,7 +162,7 @@
         await asyncio.sleep(PROPAGATION_S)
         old = (StoredRow("k", b"1", 1), StoredRow("gone", b"1", 2))
         links = fleet.network.links_by_host["h0" if host.member.host != "h0" else "h1"]
-        links.send(host.member.host, TableChanges("servers", 0, 2, old))
+        links.send(host.member.host, TableChanges("servers", 0, 2, old, ERA))
         await asyncio.sleep(PROPAGATION_S)
         return host.seen_by_table["servers"].by_key
 
@@ -181,14 +183,15 @@
     assert run_on_injected_time(scenario()) < CALM_S + PROPAGATION_S
 
 
-def test_a_version_that_the_store_never_had_costs_one_call() -> None:
+@pytest.mark.parametrize("era", [ERA, ERA + 1])
+def test_a_version_that_the_store_never_had_costs_one_call(era: int) -> None:
     async def scenario() -> int:
         fleet = fleet_of()
         await fleet.start()
         host = fleet.others()[0]
         calls_before = fleet.store.calls_by_host[host.member.host]
         links = fleet.network.links_by_host[fleet.relay().member.host]
-        claimed = TableVersions({"servers": TableVersion(10**9, 10**9)})
+        claimed = TableVersions({"servers": TableVersion(10**9, 10**9, era)})
         for _ in range(20):
             links.send(host.member.host, claimed)
             await asyncio.sleep(0.5)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,9 +4,11 @@
 
 import asyncio
 from base64 import b64encode
+from http import HTTPStatus
 from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 
 from flamingoladder.feed.contact import StoreContact
@@ -18,6 +20,10 @@
 from flamingoladder.fleet.members import MemberRegistry
 from flamingoladder.fleet.relays import RegionRelays
 from flamingoladder.members.member import Member
+from flamingoladder.platform.headers import STORE_ERA
+from flamingoladder.platform.http_transport import HttpCall
+from flamingoladder.platform.http_transport import HttpReply
+from flamingoladder.platform.http_transport import HttpTransport
 from flamingoladder.platform.rows import PAGE_ROWS
 from flamingoladder.platform.rows import RowStore
 from flamingoladder.platform.standins.state import PlatformState
@@ -26,6 +32,8 @@
 from flamingoladder.storage.exceptions import HistoryLostError
 from flamingoladder.storage.exceptions import OutcomeUnknownError
 from flamingoladder.storage.exceptions import PlatformUnavailableError
+from flamingoladder.storage.exceptions import StoreWentBackError
+from flamingoladder.storage.feed import StorePosition
 from flamingoladder.timeline.recorder import Recorder
 from tests.feed.harness import Seen
 from tests.platform.access import connected
@@ -108,7 +116,72 @@
     await store.write("t", "k", b"v")
     state.tables.forget_history()
     with pytest.raises(HistoryLostError):
-        await store.follow("t", 0, 1.0)
+        await store.follow("t", StorePosition(state.tables.era, 0), 1.0)
+
+
+async def test_a_poll_across_eras_is_told_also_if_its_version_was_given_out_again(
+    state: PlatformState, store: RowStore
+) -> None:
+    copy = state.tables.copy()
+    await store.write("t", "k", b"lost")
+    found = await store.read_all("t")
+    state.tables.restore(copy)
+    await store.write("t", "k", b"new")
+    assert state.tables.version == found.position.version
+    with pytest.raises(StoreWentBackError):
+        await store.follow("t", found.position, 1.0)
+
+
+async def test_a_waiting_poll_ends_when_the_store_goes_back(
+    state: PlatformState, store: RowStore
+) -> None:
+    copy = state.tables.copy()
+    await store.write("t", "k", b"lost")
+    found = await store.read_all("t")
+    poll = asyncio.create_task(store.follow("t", found.position, 30.0))
+    await asyncio.sleep(0.1)
+    state.tables.restore(copy)
+    with pytest.raises(StoreWentBackError):
+        await poll
+
+
+class PagesOfTwoEras(HttpTransport):
+    """Answers each page in the era after that of the page before."""
+
+    def __init__(self) -> None:
+        super().__init__("http://store", None)
+        self._pages = 0
+
+    async def read(self, call: HttpCall, timeout_s: float) -> HttpReply:
+        """Return a page that is not the last."""
+        self._pages += 1
+        body = {"ver": 7, "rows": [{"key": f"k{self._pages}", "ver": 1}], "has_more": True}
+        return HttpReply(HTTPStatus.OK, msgspec.json.encode(body), {STORE_ERA: str(self._pages)})
+
+
+async def test_pages_of_two_eras_make_no_table() -> None:
+    with pytest.raises(PlatformUnavailableError, match="between pages"):
+        await RowStore(PagesOfTwoEras()).read_all("t")
+
+
+@pytest.mark.parametrize("named", ["", "-1", "x", "1.5"])
+async def test_an_era_that_cannot_be_read_is_no_answer(named: str) -> None:
+    class Unreadable(HttpTransport):
+        async def read(self, call: HttpCall, timeout_s: float) -> HttpReply:
+            return HttpReply(HTTPStatus.OK, b'{"ver":1}', {STORE_ERA: named})
+
+    with pytest.raises(PlatformUnavailableError, match=STORE_ERA):
+        await RowStore(Unreadable("http://store", None)).read_all("t")
+
+
+async def test_an_answer_of_an_earlier_era_is_dropped(
+    state: PlatformState, store: RowStore
+) -> None:
+    state.tables.restore(state.tables.copy())
+    await store.read_all("t")
+    state.tables.era -= 1
+    with pytest.raises(PlatformUnavailableError, match="era"):
+        await store.read_all("t")
 
 
 async def test_changes_are_followed(store: RowStore, seen: Seen) -> None:
