Register a host again if the store lost its registration

A host that had started in the seconds that the store lost had no row after its return, or that of its earlier incarnation with another link key, so hosts that started later could not reach it; it repeated its registration only on a deletion that it saw. Now it compares the rows of a store that came back, and of its first read if it had registered before. The tests fail without.

--- a/src/flamingoladder/platform/memberships.py
+++ b/src/flamingoladder/platform/memberships.py
@@ -29,7 +29,16 @@
 class MembershipReader(TableReader):
     """Brings registrations to the registry of members, and repeats this host's if it is lost."""
 
-    __slots__ = ("_members", "_on_change", "_own", "_recorder", "_store", "_tasks")
+    __slots__ = (
+        "_members",
+        "_on_change",
+        "_own",
+        "_own_value",
+        "_recorder",
+        "_registered",
+        "_store",
+        "_tasks",
+    )
 
     def __init__(
         self,
@@ -40,10 +49,12 @@
         recorder: Recorder,
     ) -> None:
         self._own = own
+        self._own_value = msgspec.json.encode(own)
         self._members = members
         self._store = store
         self._on_change = on_change
         self._recorder = recorder
+        self._registered = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     def replace(self, rows: Sequence[StoredRow], now: float) -> None:
@@ -51,6 +62,8 @@
         for host in self._members.members_by_host.keys() - {row.key for row in rows}:
             self._members.remove(host)
         self.change(rows, now)
+        if self._registered:
+            self._restore_registration(rows)
 
     def change(self, rows: Sequence[StoredRow], now: float) -> None:
         """Take in changed registrations."""
@@ -67,21 +80,22 @@
         self._on_change()
 
     def went_back(self, rows: Sequence[StoredRow], now: float) -> None:
-        """Need nothing: other hosts' registrations follow as changes."""
+        """Repeat this host's registration if it was lost."""
+        self._restore_registration(rows)
 
     def regained(self, now: float) -> None:
         """Need nothing: registrations do not lapse."""
 
     async def register(self) -> None:
         """Write this host's registration, however often that takes."""
-        value = msgspec.json.encode(self._own)
         while True:
             try:
-                await self._store.write(TABLE, self._own.host, value)
+                await self._store.write(TABLE, self._own.host, self._own_value)
             except PlatformError as error:
                 self._recorder.record("member.not_registered", error=error)
                 await asyncio.sleep(RETRY_PAUSE_S)
             else:
+                self._registered = True
                 return
 
     async def leave(self) -> None:
@@ -96,9 +110,16 @@
             self._recorder.record("member.not_deleted", peer=host, error=error)
 
     def _handle_removal(self, host: str) -> None:
-        if host != self._own.host:
+        if host == self._own.host:
+            self._register_again()
+        else:
             self._members.remove(host)
-            return
+
+    def _restore_registration(self, rows: Sequence[StoredRow]) -> None:
+        if not any(row.key == self._own.host and row.value == self._own_value for row in rows):
+            self._register_again()
+
+    def _register_again(self) -> None:
         task = asyncio.create_task(self.register())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
