--- a/src/flamingoladder/fleet/object_snapshots.py
+++ b/src/flamingoladder/fleet/object_snapshots.py
@@ -20,6 +20,11 @@
 class ObjectSnapshotStore(ABC):
     """Store of one snapshot of known objects per region."""
 
+    @property
+    @abstractmethod
+    def era(self) -> int:
+        """Return a number that rises when the store comes back from an older copy."""
+
     @abstractmethod
     async def read(self) -> dict[str, ObjectsByService] | None:
         """Return the objects by region, or None if the store can't be read."""
@@ -32,7 +37,7 @@
 class ObjectSnapshotter:
     """Restores the snapshots at start; one host per region then writes new ones."""
 
-    __slots__ = ("_balancer", "_members", "_own", "_saved", "_store")
+    __slots__ = ("_balancer", "_members", "_own", "_saved", "_saved_in_era", "_store")
 
     def __init__(
         self,
@@ -46,6 +51,7 @@
         self._balancer = balancer
         self._store = store
         self._saved: ObjectsByService = {}
+        self._saved_in_era = 0
 
     async def run(self) -> None:
         """Restore the snapshots, then write them periodically until cancelled."""
@@ -63,10 +69,13 @@
             for service, objects in objects_by_service.items():
                 self._balancer.homes_of(service).add_objects(objects, region)
         self._saved = found.get(self._own.region, {})
+        self._saved_in_era = self._store.era
 
     async def _save(self, now: float) -> None:
         if not self._members.has_lowest_name(now, self._own.region):
             return
+        if self._saved_in_era != self._store.era:
+            self._saved, self._saved_in_era = {}, self._store.era
         objects = self._balancer.objects_by_service()
         if _count(objects) <= _count(self._saved):
             return
--- a/src/flamingoladder/platform/object_rows.py
+++ b/src/flamingoladder/platform/object_rows.py
@@ -27,6 +27,11 @@
         self._store = store
         self._recorder = recorder
 
+    @property
+    def era(self) -> int:
+        """Return the store's era."""
+        return self._store.era
+
     async def read(self) -> dict[str, ObjectsByService] | None:
         """Return the objects by region, or None if the store can't be read."""
         try:
--- a/tests/entry/test_object_snapshots.py
+++ b/tests/entry/test_object_snapshots.py
@@ -2,16 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import pytest
 
+from flamingoladder.entry.active_configuration import ActiveConfiguration
+from flamingoladder.entry.load_balancer import LoadBalancer
+from flamingoladder.fleet.members import MemberRegistry
+from flamingoladder.fleet.object_snapshots import ObjectSnapshotter
+from flamingoladder.limits.rate_limiter import FleetRateLimiter
+from flamingoladder.members.member import Member
 from flamingoladder.platform.object_rows import TABLE
 from flamingoladder.platform.object_rows import ObjectRows
 from flamingoladder.platform.rows import RowStore
+from flamingoladder.platform.standins.deployment import BOUNDS
 from flamingoladder.platform.standins.state import PlatformState
 from flamingoladder.standins.platform import FaultSettings
 from flamingoladder.steering.home_assignment import HomeAssignment
+from flamingoladder.targets.registry import TargetRegistry
+from flamingoladder.targets.slow_start import SlowStartLimit
 from flamingoladder.timeline.recorder import Recorder
 from tests.platform.access import connected
 from tests.platform.access import served
@@ -19,6 +29,7 @@
 from tests.steering.test_home_assignment import REGIONS
 from tests.steering.test_home_assignment import assignment_of
 from tests.steering.test_home_assignment import homes
+from tests.waiting import eventually
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -64,3 +75,24 @@
     await store.write(TABLE, "north", b"\xff")
     await store.write(TABLE, "south", b'{"s":["a"]}')
     assert await ObjectRows(store, Recorder("h", "i")).read() == {"south": {"s": ["a"]}}
+
+
+async def test_a_snapshot_that_the_store_lost_is_written_again(
+    state: PlatformState, store: RowStore
+) -> None:
+    recorder = Recorder("h", "i")
+    own = Member("h", "north", "north-a", "i", "h:80", "tcp://h", "k")
+    members, targets = MemberRegistry("h", recorder), TargetRegistry({}, recorder)
+    rates = FleetRateLimiter(BOUNDS.rate_tolerance, start_full=True)
+    configuration = ActiveConfiguration(targets, rates, recorder)
+    slow_start_limit = SlowStartLimit("h", 1.0, 1.0)
+    balancer = LoadBalancer(targets, configuration, members, slow_start_limit, "north")
+    balancer.homes_of("s").add_objects(["a"], "north")
+    snapshotter = ObjectSnapshotter(own, members, balancer, ObjectRows(store, recorder))
+    copy = state.tables.copy()
+    task = asyncio.create_task(snapshotter.run())
+    await eventually(lambda: (TABLE, "", "north") in state.tables.by_key)
+    state.tables.restore(copy)
+    await store.read_all(TABLE)
+    await eventually(lambda: (TABLE, "", "north") in state.tables.by_key)
+    task.cancel()
