--- a/src/flamingoladder/platform/standins/state.py
+++ b/src/flamingoladder/platform/standins/state.py
@@ -9,6 +9,7 @@
 
 from flamingoladder.platform.services import HOSTS_TABLE
 from flamingoladder.platform.standins.tables import Tables
+from flamingoladder.platform.standins.tables import TablesCopy
 from flamingoladder.standins.platform import Counts
 from flamingoladder.standins.platform import FaultSettings
 
@@ -16,10 +17,17 @@
     from flamingoladder.storage.hostlist import ListedHost
 
 
+class PlatformCopy(msgspec.Struct, frozen=True):
+    """The tables and objects as they were at one moment."""
+
+    tables: TablesCopy
+    content_by_name: dict[str, bytes]
+
+
 class PlatformState:
     """Everything that the stand-in holds."""
 
-    __slots__ = ("content_by_name", "faults", "reads", "refused", "tables", "writes")
+    __slots__ = ("_copy", "content_by_name", "faults", "reads", "refused", "tables", "writes")
 
     def __init__(self) -> None:
         self.tables = Tables()
@@ -28,6 +36,7 @@
         self.reads = 0
         self.refused = 0
         self.writes = 0
+        self._copy = self.copy()
 
     @property
     def revision(self) -> int:
@@ -42,6 +51,23 @@
         self.faults = msgspec.structs.replace(self.faults, lost_answers=lost - 1)
         return True
 
+    def copy(self) -> PlatformCopy:
+        """Return a copy of the tables and objects."""
+        return PlatformCopy(self.tables.copy(), dict(self.content_by_name))
+
+    def restore(self, copy: PlatformCopy) -> None:
+        """Come back from a copy, in a new era."""
+        self.tables.restore(copy.tables)
+        self.content_by_name = dict(copy.content_by_name)
+
+    def keep_copy(self) -> None:
+        """Keep a copy to come back from."""
+        self._copy = self.copy()
+
+    def restore_kept_copy(self) -> None:
+        """Come back from the kept copy, which is empty if none was kept."""
+        self.restore(self._copy)
+
     def list_hosts(self, hosts: tuple[ListedHost, ...]) -> None:
         """Let the list hold just these hosts."""
         listed = [
--- a/src/flamingoladder/platform/standins/store.py
+++ b/src/flamingoladder/platform/standins/store.py
@@ -1,7 +1,7 @@
 """The platform's store over HTTP: its calls for rows and objects.
 
 Control, which also works while the stand-in is down: ``PUT /faults``, ``PUT /hosts``,
-``GET /counts``.
+``GET /counts``; ``PUT /copy`` keeps a copy, and ``PUT /restored`` comes back from it in a new era.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 MAX_ENTRIES = 100
 MAX_REQUEST_BYTES = 16 * 1024 * 1024
 RETRY_AFTER_S = 1
-CONTROL_PATHS = frozenset({"/faults", "/hosts", "/counts"})
+CONTROL_PATHS = frozenset({"/faults", "/hosts", "/counts", "/copy", "/restored"})
 
 M = TypeVar("M", bound=msgspec.Struct)
 
@@ -93,6 +93,8 @@
             web.get("/-/blob-get/{name}", self._get_object, allow_head=False),
             web.put("/hosts", self._put_hosts),
             web.put("/faults", self._put_faults),
+            web.put("/copy", self._keep_copy),
+            web.put("/restored", self._restore),
             web.get("/counts", self._get_counts, allow_head=False),
         ]
 
@@ -201,6 +203,14 @@
         self._state.faults = await _decoded(request, FaultSettings)
         return web.Response(status=HTTPStatus.NO_CONTENT)
 
+    async def _keep_copy(self, _request: web.Request) -> web.Response:
+        self._state.keep_copy()
+        return web.Response(status=HTTPStatus.NO_CONTENT)
+
+    async def _restore(self, _request: web.Request) -> web.Response:
+        self._state.restore_kept_copy()
+        return web.Response(status=HTTPStatus.NO_CONTENT)
+
     async def _get_counts(self, _request: web.Request) -> web.Response:
         return _json(msgspec.json.encode(self._state.counts()))
 
--- a/src/flamingoladder/soak/deployment.py
+++ b/src/flamingoladder/soak/deployment.py
@@ -27,6 +27,7 @@
 
 if TYPE_CHECKING:
     from pathlib import Path
+    from random import Random
 
     from flamingoladder.entry.settings import Endpoint
     from flamingoladder.entry.settings import HostSettings
@@ -36,6 +37,8 @@
 SERVICES = ("catalogue", "bookings")
 # Long enough that stops, kills and cuts meet requests at work.
 WORK_S = 0.2
+# Targets write their entries again within a heartbeat.
+REWRITE_S = 1.5
 
 
 class SoakHost:
@@ -82,6 +85,7 @@
         "_targets_per_service",
         "_transport",
         "_version",
+        "_without_entry",
         "hosts",
         "keys_by_workspace",
         "rates_per_s",
@@ -102,6 +106,7 @@
         self._processes = Processes(directory)
         self._gone: list[StandinTarget] = []
         self._version = 0
+        self._without_entry: set[str] = set()
         # Not seeded, as soaks with the same seed may run beside each other.
         first = free_ports(hosts * PORTS_A_HOST, SystemRandom())
         self._ports = [first + number * PORTS_A_HOST for number in range(hosts)]
@@ -154,6 +159,29 @@
         document = configuration(self._version, self.keys_by_workspace, self.rates_per_s)
         await self.store.write("op", "config", msgspec.json.encode(document))
 
+    async def write_again(self, random: Random) -> None:
+        """Write what a store that came back from an older copy lost, as its writers do.
+
+        The operator does so at once, and each target within ``REWRITE_S``.
+        """
+        await self.configure()
+        gone = self._without_entry | {target.target_id for target in self._gone}
+        registered = [
+            of.target for name, of in self.targets_by_id.items() if name not in self._without_entry
+        ]
+        await asyncio.gather(
+            *(
+                self._write_entry_again(target, random.uniform(0, REWRITE_S))
+                for target in registered
+            ),
+            *(self.store.delete(TARGETS_TABLE, target_id) for target_id in sorted(gone)),
+        )
+
+    async def _write_entry_again(self, target: StandinTarget, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        if target.target_id not in self._without_entry:
+            await target.register(self.store)
+
     async def add_target(self, service: str, number: int) -> str:
         """Start a target behind a relay, register it, and return its id."""
         domain = list(REGIONS_BY_DOMAIN)[number % len(REGIONS_BY_DOMAIN)]
@@ -168,6 +196,7 @@
 
     async def remove_target(self, target_id: str) -> None:
         """Delete a target's entry; it serves on."""
+        self._without_entry.add(target_id)
         await self.store.delete(TARGETS_TABLE, target_id)
 
     async def stop_target(self, target_id: str) -> None:
--- a/src/flamingoladder/soak/faults.py
+++ b/src/flamingoladder/soak/faults.py
@@ -24,9 +24,9 @@
 
 # Longer than the longest bound of a planned stop and what a process takes to end.
 STOP_TIMEOUT_S = 8.0
+STORE_OUTAGES = (FaultSettings(down=True), FaultSettings(refuse=True))
 STORE_FAULTS = (
-    FaultSettings(down=True),
-    FaultSettings(refuse=True),
+    *STORE_OUTAGES,
     FaultSettings(delay_s=0.2),
     FaultSettings(lost_answers=3),
 )
@@ -188,6 +188,25 @@
             context.note("store: no fault")
 
 
+class StoreGoesBack(Fault):
+    """The store is away and comes back from an older copy; its writers write again."""
+
+    async def inject(self, context: FaultContext) -> None:
+        """Keep a copy, let others change things, and come back from it."""
+        deployment, random = context.deployment, context.random
+        copy = deployment.state.copy()
+        await asyncio.sleep(random.uniform(1.0, 8.0))
+        async with context.store_busy:
+            context.history.begin_fault(context.history.STORE, context.now)
+            deployment.state.faults = random.choice(STORE_OUTAGES)
+            await asyncio.sleep(random.uniform(0.0, 2.0))
+            deployment.state.restore(copy)
+            deployment.state.faults = FaultSettings()
+            context.history.end_fault(context.history.STORE, context.now)
+            context.note(f"store: back in era {deployment.state.tables.era}")
+            await deployment.write_again(random)
+
+
 class TargetConnections(Fault):
     """A target's open connections are reset or go silent for good."""
 
@@ -290,6 +309,7 @@
     FreezeHost(),
     CutHostFromStore(),
     StoreTrouble(),
+    StoreGoesBack(),
     TargetConnections(),
     FaultyAnswers(),
     ReplaceTarget(),
