Count an answer's progress apart from its exchange, without an import circle

An exchange and the guard of its connection imported each other, as the guard counted bytes in the exchange. What came of an answer is a class of its own now, which both use.

--- a/src/flamingoladder/platform/http_transport.py
+++ b/src/flamingoladder/platform/http_transport.py
@@ -128,7 +128,7 @@
             headers={**self._headers, **call.headers},
             allow_redirects=False,
         ) as response:
-            exchange.response = response
+            exchange.answer.response = response
             body = await read_body(response, self._memory)
             if body is None:
                 raise aiohttp.ClientPayloadError(f"the reply is over {MAX_ANSWER_BYTES} bytes")
--- a/src/flamingoladder/platform/target_wire.py
+++ b/src/flamingoladder/platform/target_wire.py
@@ -88,7 +88,7 @@
         sent = await pool.send(_outgoing(request, target), exchange)
         if isinstance(sent, Answer):
             return _to_result(sent, reused=exchange.reused)
-        if sent.kind is FailureKind.TIMEOUT and sent.reused and exchange.progress == 0:
+        if sent.kind is FailureKind.TIMEOUT and sent.reused and exchange.answer.steps == 0:
             # The connection may be silent for good, and the others that were kept with it.
             self._drop(target.record.target_id)
         return _to_failed_result(sent, exchange.refusal)
--- /dev/null
+++ b/src/flamingoladder/transport/answer_progress.py
@@ -0,0 +1,43 @@
+"""How much of the answer to a request has come."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from aiohttp import ClientResponse
+
+# A head with its fields, and chunk headers beyond the size of the content.
+MAX_OTHER_BYTES = 131_072
+
+
+class AnswerProgress:
+    """Counts what came of an answer; ``response`` is None before its head.
+
+    ``flooded`` is set once over ``MAX_OTHER_BYTES`` came that are no content, beside as many as the
+    content has.
+    """
+
+    __slots__ = ("_received_bytes", "flooded", "response")
+
+    def __init__(self) -> None:
+        self._received_bytes = 0
+        self.flooded = False
+        self.response: ClientResponse | None = None
+
+    @property
+    def content_bytes(self) -> int:
+        """Return how many bytes of the answer's body came, without chunk headers."""
+        return 0 if self.response is None else self.response.content.total_bytes
+
+    @property
+    def steps(self) -> int:
+        """Return a number that grows with each part of the answer; it is 0 before the head."""
+        return 0 if self.response is None else 1 + self.content_bytes
+
+    def accepts(self, more_bytes: int) -> bool:
+        """Count bytes that came, and return whether they may be the answer."""
+        self._received_bytes += more_bytes
+        other_bytes = self._received_bytes - 2 * self.content_bytes
+        self.flooded |= other_bytes > MAX_OTHER_BYTES
+        return not self.flooded
--- a/src/flamingoladder/transport/connector.py
+++ b/src/flamingoladder/transport/connector.py
@@ -100,7 +100,7 @@
     if exchange.transport is None:
         return
     exchange.guard = ReceiveGuard.of(exchange.transport)
-    exchange.guard.use_for(exchange)
+    exchange.guard.use_for(exchange.answer)
 
 
 def _open_socket(address: AddressInfo, silence_s: float) -> socket.socket:
--- a/src/flamingoladder/transport/exchange.py
+++ b/src/flamingoladder/transport/exchange.py
@@ -5,20 +5,17 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from flamingoladder.transport.answer_progress import AnswerProgress
+
 if TYPE_CHECKING:
     from asyncio import Transport
     from collections.abc import Callable
 
-    from aiohttp import ClientResponse
-
     from flamingoladder.transport.receive_guard import ReceiveGuard
     from flamingoladder.verdict import Refusal
 
     LastCheck = Callable[[float], Refusal | None]
 
-# A head with its fields, and chunk headers beyond the size of the content.
-MAX_OTHER_BYTES = 131_072
-
 
 class Exchange:
     """The progress of one request.
@@ -28,8 +25,7 @@
     answer has come for the check time. ``last_check`` is asked once there is a connection, with no
     wait between its answer and the write; its refusal, if any, is kept as ``refusal``. An exchange
     without a connection ends at ``connect_by``, one with a connection at ``deadline``, both in
-    monotonic seconds. ``flooded`` is set once over ``MAX_OTHER_BYTES`` came that are no
-    content, beside as many as the content has.
+    monotonic seconds. ``answer`` counts what came of the answer.
     """
 
     __slots__ = (
@@ -37,15 +33,13 @@
         "_last_check",
         "_may_be_kept",
         "_timeout",
+        "answer",
         "connected",
         "connection_error",
         "deadline",
-        "flooded",
         "forbid_reuse",
         "guard",
-        "received_bytes",
         "refusal",
-        "response",
         "reused",
         "silent",
         "transport",
@@ -67,30 +61,11 @@
         self.forbid_reuse: Callable[[], None] = _nothing
         self.silent = False
         self.reused = False
-        self.flooded = False
-        self.received_bytes = 0
+        self.answer = AnswerProgress()
         self.guard: ReceiveGuard | None = None
         self.transport: Transport | None = None
-        self.response: ClientResponse | None = None
         self._timeout: asyncio.Timeout | None = None
 
-    @property
-    def content_bytes(self) -> int:
-        """Return how many bytes of the answer's body came, without chunk headers."""
-        return 0 if self.response is None else self.response.content.total_bytes
-
-    @property
-    def progress(self) -> int:
-        """Return a number that grows with each part of the answer; it is 0 before the head."""
-        return 0 if self.response is None else 1 + self.content_bytes
-
-    def accepts(self, more_bytes: int) -> bool:
-        """Count bytes that came, and return whether they may be the answer."""
-        self.received_bytes += more_bytes
-        other_bytes = self.received_bytes - 2 * self.content_bytes
-        self.flooded |= other_bytes > MAX_OTHER_BYTES
-        return not self.flooded
-
     def was_reset(self) -> bool:
         """Return whether the connection ended with an error instead of its other end's close."""
         return isinstance(self.connection_error(), OSError)
@@ -130,8 +105,8 @@
         """
         self._timeout = None
         is_kept = whole and self._may_be_kept
-        if self.guard is not None and self.guard.exchange is self:
-            self.guard.exchange = None
+        if self.guard is not None and self.guard.answer is self.answer:
+            self.guard.answer = None
             is_kept = is_kept and not self.guard.has_unparsed
         if not is_kept and self.transport is not None:
             self.transport.abort()
--- a/src/flamingoladder/transport/receive_guard.py
+++ b/src/flamingoladder/transport/receive_guard.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from flamingoladder.transport.exchange import Exchange
+    from flamingoladder.transport.answer_progress import AnswerProgress
 
 # What is parsed at once while nothing tells that it is content. 1xx responses and chunks of one
 # byte take the longest.
@@ -25,7 +25,7 @@
     served meanwhile.
     """
 
-    __slots__ = ("_is_scheduled", "_parser", "_part_bytes", "_transport", "_unparsed", "exchange")
+    __slots__ = ("_is_scheduled", "_parser", "_part_bytes", "_transport", "_unparsed", "answer")
 
     def __init__(self, parser: asyncio.Protocol, transport: asyncio.Transport) -> None:
         self._parser = parser
@@ -33,7 +33,7 @@
         self._unparsed = bytearray()
         self._part_bytes = FIRST_PART_BYTES
         self._is_scheduled = False
-        self.exchange: Exchange | None = None
+        self.answer: AnswerProgress | None = None
 
     @classmethod
     def of(cls, transport: asyncio.Transport) -> ReceiveGuard:
@@ -51,14 +51,14 @@
         """Return whether bytes came that were not parsed, so that the connection is of no use."""
         return bool(self._unparsed)
 
-    def use_for(self, exchange: Exchange) -> None:
-        """Expect the answer to this request from now on."""
-        self.exchange = exchange
+    def use_for(self, answer: AnswerProgress) -> None:
+        """Expect this answer from now on."""
+        self.answer = answer
         self._part_bytes = FIRST_PART_BYTES
 
     def data_received(self, data: bytes) -> None:
         """Pass on what was received, unless it is too much."""
-        if self.exchange is None or len(self._unparsed) + len(data) > MAX_UNPARSED_BYTES:
+        if self.answer is None or len(self._unparsed) + len(data) > MAX_UNPARSED_BYTES:
             self._refuse()
             return
         if not self._unparsed and len(data) <= FIRST_PART_BYTES:
@@ -110,19 +110,19 @@
         return self._parse(part)
 
     def _parse(self, part: bytes) -> bool:
-        exchange = self.exchange
-        if exchange is None:
+        answer = self.answer
+        if answer is None:
             self._refuse()
             return False
-        content_before = exchange.content_bytes
-        if not exchange.accepts(len(part)):
+        content_before = answer.content_bytes
+        if not answer.accepts(len(part)):
             self._refuse()
             return False
         self._parser.data_received(part)
-        return 2 * (exchange.content_bytes - content_before) >= len(part)
+        return 2 * (answer.content_bytes - content_before) >= len(part)
 
     def _refuse(self) -> None:
-        if self.exchange is not None:
-            self.exchange.flooded = True
+        if self.answer is not None:
+            self.answer.flooded = True
         self._unparsed.clear()
         self._transport.abort()
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -9,10 +9,10 @@
 import msgspec
 
 from flamingoladder import fields
+from flamingoladder.transport.answer_progress import MAX_OTHER_BYTES
 from flamingoladder.transport.bodies import MAX_ANSWER_BYTES
 from flamingoladder.transport.bodies import read_body
 from flamingoladder.transport.connector import current_exchange
-from flamingoladder.transport.exchange import MAX_OTHER_BYTES
 from flamingoladder.verdict import Answer
 from flamingoladder.verdict import Header
 
@@ -127,7 +127,7 @@
         headers=outgoing.headers,
         allow_redirects=False,
     )
-    exchange.response = response
+    exchange.answer.response = response
     if _is_crossed(response, outgoing, reused=exchange.reused):
         return _lost(exchange, "the answer is to another request")
     if outgoing.request_id and outgoing.echo.field not in response.headers:
@@ -183,7 +183,7 @@
 
 def _broken(exchange: Exchange, error: Exception) -> SendFailure:
     name = type(error).__name__
-    if exchange.flooded:
+    if exchange.answer.flooded:
         detail = f"over {MAX_OTHER_BYTES} bytes came that are no content"
         return SendFailure(FailureKind.NO_ANSWER, detail, exchange.reused)
     if exchange.refusal is not None:
--- a/src/flamingoladder/upstreams/stall_watchdog.py
+++ b/src/flamingoladder/upstreams/stall_watchdog.py
@@ -85,8 +85,8 @@
         self._timer = loop.call_later(self._stall_timeout_s, self._check_progress)
 
     def _check_progress(self) -> None:
-        if self._exchange.progress != self._last_progress:
-            self._last_progress = self._exchange.progress
+        if self._exchange.answer.steps != self._last_progress:
+            self._last_progress = self._exchange.answer.steps
             self._start_timer()
             return
         self._exchange.silent = True
@@ -96,7 +96,7 @@
         health_answer = await self._connections.get_over_new_connection(
             HEALTH_PATH, self._stall_timeout_s
         )
-        if self._exchange.progress != self._last_progress:
+        if self._exchange.answer.steps != self._last_progress:
             self._exchange.silent = False
             self._start_timer()
             return None
--- a/tests/transport/test_receive_guard.py
+++ b/tests/transport/test_receive_guard.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from contextlib import suppress
-from math import inf
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
@@ -20,8 +19,9 @@
 from flamingoladder.transport.answer_memory import MIB
 from flamingoladder.transport.answer_memory import SMALL_BODY_BYTES
 from flamingoladder.transport.answer_memory import AnswerMemory
+from flamingoladder.transport.answer_progress import MAX_OTHER_BYTES
+from flamingoladder.transport.answer_progress import AnswerProgress
 from flamingoladder.transport.bodies import MAX_ANSWER_BYTES
-from flamingoladder.transport.exchange import MAX_OTHER_BYTES
 from flamingoladder.transport.exchange import Exchange
 from flamingoladder.transport.pool import Pool
 from flamingoladder.transport.receive_guard import FIRST_PART_BYTES
@@ -155,11 +155,11 @@
 class CountingParser(asyncio.Protocol):
     """Counts what it is given; a ``content_fraction`` of it is content."""
 
-    def __init__(self, exchange: Exchange, content_fraction: float) -> None:
+    def __init__(self, answer: AnswerProgress, content_fraction: float) -> None:
         self.parts: list[int] = []
         self._content_fraction = content_fraction
         self._content = SimpleNamespace(total_bytes=0)
-        exchange.response = SimpleNamespace(content=self._content)  # type: ignore[assignment]
+        answer.response = SimpleNamespace(content=self._content)  # type: ignore[assignment]
 
     def data_received(self, data: bytes) -> None:
         self.parts.append(len(data))
@@ -183,25 +183,25 @@
     content_fraction: float, first_turn_bytes: int, aborted: bool
 ) -> None:
     """A turn of the event loop took up to 0.9 s with 50 flooding targets."""
-    exchange, transport = Exchange(inf), FakeTransport()
-    parser = CountingParser(exchange, content_fraction)
+    answer, transport = AnswerProgress(), FakeTransport()
+    parser = CountingParser(answer, content_fraction)
     guard = ReceiveGuard(parser, transport)
-    guard.use_for(exchange)
+    guard.use_for(answer)
     guard.data_received(bytes(250_000))
     assert sum(parser.parts) == first_turn_bytes
     for _ in range(100):
         turn = len(parser.parts)
         await asyncio.sleep(0)
         assert len(parser.parts) <= turn + 1
-    assert (transport.aborted, exchange.flooded) == (aborted, aborted)
+    assert (transport.aborted, answer.flooded) == (aborted, aborted)
     assert guard.has_unparsed is False
 
 
 async def test_what_is_left_when_the_connection_ends_is_parsed_before_the_end() -> None:
-    exchange, transport = Exchange(inf), FakeTransport()
-    parser = CountingParser(exchange, 0.2)
+    answer, transport = AnswerProgress(), FakeTransport()
+    parser = CountingParser(answer, 0.2)
     guard = ReceiveGuard(parser, transport)
-    guard.use_for(exchange)
+    guard.use_for(answer)
     guard.data_received(bytes(50_000))
     guard.eof_received()
     assert sum(parser.parts) == 50_000
