Heed targets that say in their answers that they leave or want a pause

Callers were told 503 while other targets served, a target that left by its answers alone went on getting requests after drain_s, and one that asked for a pause got them all through it: neither field was read. What a target says of itself in one answer is one notice now (load, rate limit, pause, leaving), decoded in platform/target_notices.py and taken in by one class; four methods that passed a limit on are gone, and so is the load of another target in a 421.

A leaving holds for this start of the target, also if its entry is removed and comes back; other hosts hear of it by reports. In a pause nothing is sent, and a request that waits for its connection chooses again; the longest of several ends counts. Afterwards hosts come back one after the other within 0.75 s, each with a request in 0.25 s until one is answered. While all targets rest callers are refused at once as not run, with the time until the first takes work.

--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -37,6 +37,7 @@
 from flamingoladder.platform.rows import RowStore
 from flamingoladder.platform.target_wire import PlatformTargets
 from flamingoladder.routing.traffic_split import TrafficSplitter
+from flamingoladder.targets.notice_learner import NoticeLearner
 from flamingoladder.targets.registry import TargetRegistry
 from flamingoladder.targets.slow_start import SlowStartLimit
 from flamingoladder.timeline.recorder import Recorder
@@ -102,8 +103,9 @@
             SendCheck(self.configuration, self.targets).refusal_of,
             AnswerMemory.from_config(settings.memory_mb),
         )
+        notices = NoticeLearner(self.targets, self.members, self.recorder)
         self.reporter = HostReporter(
-            self.targets, self.configuration, balancer, rate_limiter, budgets, self.members
+            self.targets, self.configuration, balancer, rate_limiter, budgets, self.members, notices
         )
         crash_exchange = CrashExchange(self.peer_links, self.relays)
         poison_detector = PoisonRequestDetector(crash_exchange.broadcast)
@@ -121,10 +123,17 @@
             self.configuration,
             self.target_client,
             poison_detector.record_target_down,
+            notices,
             self.recorder,
         )
         forwarder = Forwarder(
-            balancer, self.target_client, budgets, poison_detector, self.prober, self.recorder
+            balancer,
+            self.target_client,
+            budgets,
+            poison_detector,
+            self.prober,
+            notices,
+            self.recorder,
         )
         self.handler = RequestHandler(
             self.configuration,
--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -22,7 +22,7 @@
     from flamingoladder.entry.request import RoutedRequest
     from flamingoladder.entry.target_client import TargetClient
     from flamingoladder.limits.retry_budgets import RetryBudgets
-    from flamingoladder.targets.rate_limit import RateLimitNotice
+    from flamingoladder.targets.notice_learner import NoticeLearner
     from flamingoladder.targets.state import TargetState
     from flamingoladder.timeline.recorder import Recorder
     from flamingoladder.verdict import Outcome
@@ -91,6 +91,7 @@
         "_balancer",
         "_budgets",
         "_client",
+        "_notices",
         "_poison_detector",
         "_prober",
         "_recorder",
@@ -104,6 +105,7 @@
         budgets: RetryBudgets,
         poison_detector: PoisonRequestDetector,
         prober: TargetProber,
+        notices: NoticeLearner,
         recorder: Recorder,
     ) -> None:
         self._balancer = balancer
@@ -111,6 +113,7 @@
         self._budgets = budgets
         self._poison_detector = poison_detector
         self._prober = prober
+        self._notices = notices
         self._recorder = recorder
         self._send_tasks: set[asyncio.Task[SendResult]] = set()
 
@@ -123,7 +126,8 @@
         while True:
             choice = self._balancer.choose(request, attempts.tried, loop.time())
             if choice is None:
-                return self._failure(attempts, last)
+                wait_s = self._balancer.rest_s(request, loop.time())
+                return self._failure(attempts, last, wait_s)
             if isinstance(choice, Overload):
                 return self._overloaded(attempts, choice)
             last = await self._send(request, choice)
@@ -159,8 +163,8 @@
         now = asyncio.get_running_loop().time()
         if result.status is SendStatus.ANSWERED:
             self._balancer.record_run(request, choice, now - sent_at)
-        if result.rate_limit is not None:
-            self._apply_rate_limit(target, result.rate_limit, sent_at, now)
+        if result.notice is not None:
+            self._notices.learn(target, result.notice, sent_at, now)
         self._apply_result(request, choice, result, now)
         return result
 
@@ -168,8 +172,6 @@
         self, request: RoutedRequest, choice: Choice, result: SendResult, now: float
     ) -> None:
         target = choice.target
-        if result.load is not None:
-            target.update_load(result.load, now)
         if result.status is SendStatus.ANSWERED:
             target.record_success()
             self._poison_detector.clear(request.fingerprint)
@@ -195,18 +197,6 @@
         elif target.record_failure(now):
             self._recorder.record("target.ejected", target=target.record.target_id)
 
-    def _apply_rate_limit(
-        self, target: TargetState, notice: RateLimitNotice, sent_at: float, now: float
-    ) -> None:
-        if not notice.unreadable:
-            self._balancer.record_rate_limit(target, notice, sent_at, now)
-            return
-        self._recorder.record(
-            "target.rate_limit_unreadable",
-            target=target.record.target_id,
-            value=notice.unreadable,
-        )
-
     def _apply_connect_failure(
         self, request: RoutedRequest, target: TargetState, now: float
     ) -> None:
@@ -264,8 +254,8 @@
         wait_s = max(RETRY_AFTER_S, overload.late_s)
         return Error(attempts.refusal(Reason.NO_CAPACITY, detail, wait_s))
 
-    def _failure(self, attempts: Attempts, last: SendResult) -> Outcome:
+    def _failure(self, attempts: Attempts, last: SendResult, wait_s: float = 0.0) -> Outcome:
         if last.answer is not None:
             return Ok(last.answer)
         reason = REASONS_BY_STATUS[last.status] if attempts.tried else Reason.NO_CAPACITY
-        return Error(attempts.refusal(reason, last.detail, RETRY_AFTER_S))
+        return Error(attempts.refusal(reason, last.detail, max(RETRY_AFTER_S, wait_s)))
--- a/src/flamingoladder/entry/host_reports.py
+++ b/src/flamingoladder/entry/host_reports.py
@@ -15,6 +15,7 @@
     from flamingoladder.fleet.members import MemberRegistry
     from flamingoladder.limits.rate_limiter import FleetRateLimiter
     from flamingoladder.limits.retry_budgets import RetryBudgets
+    from flamingoladder.targets.notice_learner import NoticeLearner
     from flamingoladder.targets.rate_limit import RateLimitReport
     from flamingoladder.targets.registry import TargetRegistry
 
@@ -33,6 +34,7 @@
         "_configuration",
         "_members",
         "_next_object_by_service",
+        "_notices",
         "_rate_deltas",
         "_rate_limiter",
         "_reported_count_by_service",
@@ -48,6 +50,7 @@
         rate_limiter: FleetRateLimiter,
         budgets: RetryBudgets,
         members: MemberRegistry,
+        notices: NoticeLearner,
     ) -> None:
         self._targets = targets
         self._configuration = configuration
@@ -55,6 +58,7 @@
         self._rate_limiter = rate_limiter
         self._budgets = budgets
         self._members = members
+        self._notices = notices
         self._next_object_by_service: dict[str, int] = {}
         self._reported_count_by_service: dict[str, int] = {}
         self._rate_deltas = RateDeltas()
@@ -75,6 +79,7 @@
             in_flight,
             self._objects(with_repeated=self._rate_deltas.is_full),
             self._rate_limits(now),
+            self._notices.leaving_targets(now),
         )
 
     def receive_report(self, host: str, report: HostReport, now: float) -> None:
@@ -85,10 +90,10 @@
         for service, objects in report.objects_by_service.items():
             self._balancer.homes_of(service).add_objects(objects, member.region)
         for target_id, limit in report.rate_limits_by_target.items():
-            target = self._targets.by_id.get(target_id)
-            if target is not None:
-                told = Told(limit.per_s, now - limit.age_ms / MS_PER_S)
-                self._targets.learn_rate_limit(target, told, source=host)
+            told = Told(limit.per_s, now - limit.age_ms / MS_PER_S)
+            self._notices.learn_reported_rate_limit(target_id, told, host)
+        for target_id, started_ms in report.leaving_targets.items():
+            self._notices.learn_reported_leaving(target_id, started_ms, host, now)
 
     def apply_reports(self, now: float) -> None:
         """Apply the newest reports of all hosts."""
@@ -105,9 +110,9 @@
 
     def _rate_limits(self, now: float) -> dict[str, RateLimitReport]:
         limits = {
-            target_id: target.rate_limit.report(now)
+            target_id: target.notices.rate_limit.report(now)
             for target_id, target in self._targets.by_id.items()
-            if target.rate_limit is not None
+            if target.notices is not None and target.notices.rate_limit is not None
         }
         return {target_id: report for target_id, report in limits.items() if report is not None}
 
--- a/src/flamingoladder/entry/load_balancer.py
+++ b/src/flamingoladder/entry/load_balancer.py
@@ -10,7 +10,6 @@
 from flamingoladder.steering.home_assignment import HomeAssignment
 from flamingoladder.steering.overflow_cap import OverflowCap
 from flamingoladder.targets.fleet_share import fleet_share
-from flamingoladder.targets.rate_limit import Told
 from flamingoladder.targets.run_times import RunTimes
 from flamingoladder.targets.state import TargetState
 
@@ -21,7 +20,7 @@
     from flamingoladder.entry.active_configuration import ActiveConfiguration
     from flamingoladder.entry.request import RoutedRequest
     from flamingoladder.fleet.members import MemberRegistry
-    from flamingoladder.targets.rate_limit import RateLimitNotice
+    from flamingoladder.targets.notices import TargetNotices
     from flamingoladder.targets.registry import TargetRegistry
     from flamingoladder.targets.slow_start import SlowStartLimit
 
@@ -106,7 +105,7 @@
             for target in self._targets.eligible_targets(request.service)
             if not target.down
             and (request.regions is None or target.region in request.regions)
-            and self._is_within_rate_limit(target, now)
+            and (target.notices is None or self._allows_send(target, target.notices, now))
         ]
         usable = [target for target in allowed if not target.in_slow_start(now)]
         home_candidates = _not_ejected(usable, now)
@@ -125,19 +124,28 @@
         self._overflow.record_send(now, cross_region=target.region != self._region)
         if target.in_slow_start(now):
             target.slow_start_sends.add(now)
-        if target.rate_limit is not None:
-            target.rate_limit.sends.add(now)
+        if target.notices is not None:
+            target.notices.count_send(now)
 
     def count_end(self, target: TargetState) -> None:
         """Count a request that ended at the target, whatever came of it."""
         target.in_flight -= 1
 
-    def record_rate_limit(
-        self, target: TargetState, notice: RateLimitNotice, sent_at: float, now: float
-    ) -> None:
-        """Store what an answer that just arrived says of the target's rate limit."""
-        told = Told(notice.per_s, sent_at if notice.per_s is None else now)
-        self._targets.learn_rate_limit(target, told, source=None)
+    def rest_s(self, request: RoutedRequest, now: float) -> float:
+        """Return the seconds until a target takes requests, or 0 if not all of them rest."""
+        targets = [
+            target
+            for target in self._targets.eligible_targets(request.service)
+            if request.regions is None or target.region in request.regions
+        ]
+        resume_times = [
+            target.notices.pause.resume_at
+            for target in targets
+            if target.notices is not None and target.notices.pause is not None
+        ]
+        if len(resume_times) < len(targets):
+            return 0.0
+        return max(0.0, min(resume_times, default=now) - now)
 
     def record_run(self, request: RoutedRequest, choice: Choice, seconds: float) -> None:
         """Record a successful run: its duration, and that the target handled the object."""
@@ -208,8 +216,10 @@
             if not stays_local or target.region == self._region
         )
 
-    def _is_within_rate_limit(self, target: TargetState, now: float) -> bool:
-        limit = target.rate_limit
+    def _allows_send(self, target: TargetState, notices: TargetNotices, now: float) -> bool:
+        if notices.pause is not None and not notices.pause.allows_send(now):
+            return False
+        limit = notices.rate_limit
         if limit is None or limit.per_s is None:
             return True
         share = fleet_share(
--- a/src/flamingoladder/entry/probing.py
+++ b/src/flamingoladder/entry/probing.py
@@ -10,6 +10,7 @@
 
     from flamingoladder.entry.active_configuration import ActiveConfiguration
     from flamingoladder.entry.target_client import TargetClient
+    from flamingoladder.targets.notice_learner import NoticeLearner
     from flamingoladder.targets.registry import TargetRegistry
     from flamingoladder.targets.state import TargetState
     from flamingoladder.timeline.recorder import Recorder
@@ -24,6 +25,7 @@
     __slots__ = (
         "_client",
         "_configuration",
+        "_notices",
         "_on_down",
         "_recorder",
         "_targets",
@@ -36,12 +38,14 @@
         configuration: ActiveConfiguration,
         client: TargetClient,
         on_down: Callable[[str, float], None],
+        notices: NoticeLearner,
         recorder: Recorder,
     ) -> None:
         self._targets = targets
         self._configuration = configuration
         self._client = client
         self._on_down = on_down
+        self._notices = notices
         self._recorder = recorder
         self._tasks_by_target: dict[str, asyncio.Task[None]] = {}
 
@@ -68,7 +72,13 @@
     async def _probe_until_healthy(self, target: TargetState) -> None:
         loop = asyncio.get_running_loop()
         while self._targets.by_id.get(target.record.target_id) is target:
+            sent_at = loop.time()
+            if target.notices is not None and target.notices.rests(sent_at):
+                await asyncio.sleep(PROBE_INTERVAL_S)
+                continue
             result = await self._client.probe(target, self._health_path(target), PROBE_TIMEOUT_S)
+            if result.notice is not None:
+                self._notices.learn(target, result.notice, sent_at, loop.time())
             if result.healthy:
                 self._mark_up(target, result.slow_start_s, loop.time())
                 return
--- a/src/flamingoladder/entry/results.py
+++ b/src/flamingoladder/entry/results.py
@@ -6,8 +6,7 @@
 
 import msgspec
 
-from flamingoladder.targets.rate_limit import RateLimitNotice
-from flamingoladder.targets.state import LoadReport
+from flamingoladder.targets.notices import TargetNotice
 from flamingoladder.verdict import Answer
 from flamingoladder.verdict import Refusal
 
@@ -43,17 +42,16 @@
     """The result of one attempt.
 
     ``answer`` is the target's own answer, successful or not, if it may be passed on to the caller.
-    ``reused`` is set if the connection had carried an earlier request. ``rate_limit`` is None if
-    the answer does not tell whether the target has a limit. ``refusal`` says why this host refused
+    ``reused`` is set if the connection had carried an earlier request. ``notice`` is what the
+    target's own answer says of it, None if there was none. ``refusal`` says why this host refused
     the request before the send.
     """
 
     status: SendStatus
     detail: str
     answer: Answer | None = None
-    load: LoadReport | None = None
     reused: bool = False
-    rate_limit: RateLimitNotice | None = None
+    notice: TargetNotice | None = None
     refusal: Refusal | None = None
 
     @property
@@ -63,7 +61,11 @@
 
 
 class ProbeResult(msgspec.Struct, frozen=True):
-    """The result of a health probe; ``slow_start_s`` is the remaining slow start in seconds."""
+    """The result of a health probe; ``slow_start_s`` is the remaining slow start in seconds.
+
+    ``notice`` is what the target's own answer says of it, None if there was none.
+    """
 
     healthy: bool
     slow_start_s: float
+    notice: TargetNotice | None = None
--- a/src/flamingoladder/entry/send_check.py
+++ b/src/flamingoladder/entry/send_check.py
@@ -37,6 +37,8 @@
         registered = self._targets.by_id.get(target.record.target_id)
         if registered is not target or not self._targets.is_eligible(target):
             return Refusal.not_run(Reason.UPSTREAM_UNREACHABLE, "the target left before the send")
+        if target.notices is not None and target.notices.rests(now):
+            return Refusal.not_run(Reason.UPSTREAM_UNREACHABLE, "the target rests since the choice")
         routing = self._configuration.routing
         if routing is None or routing.version == request.routing_version:
             return None
--- a/src/flamingoladder/fleet/messages.py
+++ b/src/flamingoladder/fleet/messages.py
@@ -15,6 +15,7 @@
     "in_flight_by_target": "t",
     "objects_by_service": "o",
     "rate_limits_by_target": "m",
+    "leaving_targets": "q",
     "sequence": "n",
 }
 
@@ -26,7 +27,8 @@
     ``rates_by_workspace`` holds admitted requests and demand; unchanged workspaces may be left out.
     ``in_flight_by_target`` counts requests. ``objects_by_service`` lists objects requested from the
     host's region: new ones at once, all others in turn. ``rate_limits_by_target`` holds what
-    targets said of their rate limits to this host lately. ``sequence`` numbers the reports of one
+    targets said of their rate limits to this host lately, ``leaving_targets`` the starts (Unix ms)
+    of targets that said lately that they leave. ``sequence`` numbers the reports of one
     incarnation.
     """
 
@@ -35,6 +37,7 @@
     in_flight_by_target: dict[str, int] = {}
     objects_by_service: dict[str, tuple[str, ...]] = {}
     rate_limits_by_target: dict[str, RateLimitReport] = {}
+    leaving_targets: dict[str, int | None] = {}
     sequence: int = 0
 
 
--- a/src/flamingoladder/fleet/region_reports.py
+++ b/src/flamingoladder/fleet/region_reports.py
@@ -35,7 +35,7 @@
 
 
 def joined(earlier: HostReport, later: HostReport) -> HostReport:
-    """Return ``later`` with the rates, objects and limits that only ``earlier`` has."""
+    """Return ``later`` with the rates, objects and notices that only ``earlier`` has."""
     objects = dict(earlier.objects_by_service)
     for service, names in later.objects_by_service.items():
         objects[service] = tuple(dict.fromkeys((*objects.get(service, ()), *names)))
@@ -44,4 +44,5 @@
         rates_by_workspace={**earlier.rates_by_workspace, **later.rates_by_workspace},
         objects_by_service=objects,
         rate_limits_by_target={**earlier.rate_limits_by_target, **later.rate_limits_by_target},
+        leaving_targets={**earlier.leaving_targets, **later.leaving_targets},
     )
--- a/src/flamingoladder/platform/headers.py
+++ b/src/flamingoladder/platform/headers.py
@@ -10,6 +10,7 @@
 NOT_EXECUTED = "Flamingoladder-Not-Executed"
 REQUEST_ID = "Flamingoladder-Request-Id"
 RETRY_AFTER = "Retry-After"
+SERVER_LEAVING = ("Flamingoladder-Server-Leaving", "Server-Leaving")
 SERVER_LIMITS = ("Flamingoladder-Server-Limit", "Server-Limit")
 SERVER_LOAD = "Flamingoladder-Server-Load"
 SIGNATURE = "Flamingoladder-Response-Signature"
--- a/src/flamingoladder/platform/standins/targets.py
+++ b/src/flamingoladder/platform/standins/targets.py
@@ -22,6 +22,14 @@
 QUEUE = 9
 
 
+class TargetArrival(msgspec.Struct, frozen=True):
+    """A request that reached a target, whether it ran or not."""
+
+    request_id: str
+    target_id: str
+    at: float
+
+
 class TargetRun(msgspec.Struct, frozen=True):
     """One request that a target began to run."""
 
@@ -39,7 +47,8 @@
     """A target with ``slots``; each request takes ``work_s`` seconds.
 
     It registers ``advertised_address`` if that is set, as of a relay before it. While it has a
-    ``rate_limit_per_s``, its answers name that.
+    ``rate_limit_per_s``, its answers name that; while ``says_leaving``, they say so. Until
+    ``pause_until`` it turns requests away and names the time that is left.
     """
 
     def __init__(
@@ -61,6 +70,9 @@
         self.state = "ready"
         self.advertised_address = ""
         self.rate_limit_per_s: float | None = None
+        self.says_leaving = False
+        self.pause_until = 0.0
+        self.arrivals: list[TargetArrival] = []
         self.runs: list[TargetRun] = []
         self.running = 0
         self.cancelled = 0
@@ -98,27 +110,39 @@
         await self.register(store)
 
     async def _health(self, _request: web.Request) -> web.Response:
-        found = {headers.INSTANCE_ID: self.target_id, headers.SERVER_LOAD: self._load()}
-        return web.Response(status=200 if self.state == "ready" else 503, headers=found)
+        found = {headers.INSTANCE_ID: self.target_id, **self._says()}
+        leaves = self.says_leaving or self.state != "ready"
+        return web.Response(status=503 if leaves else 200, headers=found)
 
     async def _work(self, request: web.Request) -> web.Response:
         found = {
             headers.REQUEST_ID: request.headers.get(headers.REQUEST_ID, ""),
-            headers.SERVER_LOAD: self._load(),
+            **self._says(),
         }
         expected = request.headers.get(headers.EXPECT_INSTANCE)
         if expected not in (None, self.target_id):
             found[headers.INSTANCE_ID] = self.target_id
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST, headers=found)
-        if self._waiting >= QUEUE:
+        now = asyncio.get_running_loop().time()
+        request_id = found[headers.REQUEST_ID]
+        self.arrivals.append(TargetArrival(request_id, self.target_id, now))
+        if now < self.pause_until:
+            found[headers.RETRY_AFTER] = f"{self.pause_until - now:.3f}"
+        if now < self.pause_until or self._waiting >= QUEUE:
             found[headers.NOT_EXECUTED] = "1"
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=found)
         body = await request.read()
         await self._run(request)
         found[headers.SIGNATURE] = f"signed-by-{self.target_id}"
+        return web.Response(body=body or request.raw_path.encode(), headers=found)
+
+    def _says(self) -> dict[str, str]:
+        found = {headers.SERVER_LOAD: self._load()}
         if self.rate_limit_per_s is not None:
             found[headers.SERVER_LIMITS[0]] = str(self.rate_limit_per_s)
-        return web.Response(body=body or request.raw_path.encode(), headers=found)
+        if self.says_leaving:
+            found[headers.SERVER_LEAVING[1]] = "1"
+        return found
 
     async def _run(self, request: web.Request) -> None:
         self._waiting += 1
--- a/src/flamingoladder/platform/target_wire.py
+++ b/src/flamingoladder/platform/target_wire.py
@@ -5,8 +5,6 @@
 import asyncio
 from functools import partial
 from http import HTTPStatus
-from math import isfinite
-from math import nan
 from typing import TYPE_CHECKING
 
 from multidict import CIMultiDict
@@ -17,9 +15,9 @@
 from flamingoladder.entry.results import SendStatus
 from flamingoladder.entry.target_client import TargetClient
 from flamingoladder.platform import headers
-from flamingoladder.targets.rate_limit import NO_RATE_LIMIT
-from flamingoladder.targets.rate_limit import RateLimitNotice
-from flamingoladder.targets.state import LoadReport
+from flamingoladder.platform.target_notices import header
+from flamingoladder.platform.target_notices import notice_of
+from flamingoladder.platform.target_notices import slow_start_s_of
 from flamingoladder.transport.exchange import Exchange
 from flamingoladder.transport.pool import Pool
 from flamingoladder.transport.sending import EchoRule
@@ -38,7 +36,6 @@
     from flamingoladder.transport.sending import SendFailure
     from flamingoladder.verdict import Refusal
 
-MAX_LOGGED_CHARACTERS = 40
 MS_PER_S = 1_000
 KEPT_IDLE_S = 6.0
 SILENCE_S = 1.0
@@ -104,11 +101,14 @@
             )
         finally:
             await pool.retire()
-        if not isinstance(sent, Answer) or sent.status != HTTPStatus.OK:
+        if not isinstance(sent, Answer):
             return ProbeResult(False, 0.0)
-        if _header(sent, headers.INSTANCE_ID) != target.record.target_id:
+        if header(sent, headers.INSTANCE_ID) != target.record.target_id:
             return ProbeResult(False, 0.0)
-        return ProbeResult(True, _parse_number(_header(sent, headers.WARMUP_MS)) / MS_PER_S)
+        notice = notice_of(sent)
+        if sent.status != HTTPStatus.OK:
+            return ProbeResult(False, 0.0, notice)
+        return ProbeResult(True, slow_start_s_of(sent), notice)
 
     async def close(self) -> None:
         """Close all connections as their requests end."""
@@ -138,8 +138,8 @@
 def _outgoing(request: RoutedRequest, target: TargetState) -> Outgoing:
     incoming = request.incoming
     fields: CIMultiDict[str] = CIMultiDict()
-    for header in incoming.headers:
-        fields.add(header.name, header.value)
+    for passed in incoming.headers:
+        fields.add(passed.name, passed.value)
     left_s = request.target_deadline - asyncio.get_running_loop().time()
     fields[headers.DEADLINE_MS] = str(max(1, int(left_s * MS_PER_S)))
     fields[headers.EXPECT_INSTANCE] = target.record.target_id
@@ -150,33 +150,20 @@
 
 
 def _to_result(answer: Answer, *, reused: bool) -> SendResult:
-    load = _parse_load(_header(answer, headers.SERVER_LOAD))
     if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
-        return SendResult(SendStatus.MISDIRECTED, "another target has the address", None, load)
-    limit = _rate_limit(answer)
-    if _header(answer, headers.NOT_EXECUTED) is not None:
+        return SendResult(SendStatus.MISDIRECTED, "another target has the address")
+    notice = notice_of(answer)
+    if header(answer, headers.NOT_EXECUTED) is not None:
         detail = f"the target did not run it (status {answer.status})"
-        return SendResult(SendStatus.NOT_RUN, detail, None, load, reused, limit)
-    signed = _header(answer, headers.SIGNATURE) is not None
+        return SendResult(SendStatus.NOT_RUN, detail, None, reused, notice)
+    signed = header(answer, headers.SIGNATURE) is not None
     if answer.status < HTTPStatus.BAD_REQUEST and signed:
-        return SendResult(SendStatus.ANSWERED, "", answer, load, reused, limit)
+        return SendResult(SendStatus.ANSWERED, "", answer, reused, notice)
     if answer.status < HTTPStatus.BAD_REQUEST or answer.status in PROMISED_NOT_RUN_STATUSES:
         detail = f"status {answer.status} that can't be passed on"
-        return SendResult(SendStatus.FAILED, detail, None, load, reused, limit)
+        return SendResult(SendStatus.FAILED, detail, None, reused, notice)
     detail = f"the target answered with status {answer.status}"
-    return SendResult(SendStatus.FAILED, detail, answer, load, reused, limit)
-
-
-def _rate_limit(answer: Answer) -> RateLimitNotice | None:
-    """Return what the answer says of the target's rate limit, or None if that can't be told.
-
-    Only an answer that is certainly the target's own tells by the field's absence that it has none.
-    """
-    texts = [text for name in headers.SERVER_LIMITS if (text := _header(answer, name)) is not None]
-    if texts:
-        return _parse_rate_limit(texts[0])
-    signed = _header(answer, headers.SIGNATURE) is not None
-    return NO_RATE_LIMIT if signed else None
+    return SendResult(SendStatus.FAILED, detail, answer, reused, notice)
 
 
 def _to_failed_result(failure: SendFailure, refusal: Refusal | None) -> SendResult:
@@ -189,33 +176,3 @@
     if failure.kind is FailureKind.TIMEOUT:
         return SendResult(SendStatus.TIMEOUT, failure.detail, reused=failure.reused)
     return SendResult(SendStatus.CONNECTION_LOST, failure.detail, reused=failure.reused)
-
-
-def _header(answer: Answer, name: str) -> str | None:
-    wanted = name.lower()
-    return next((h.value for h in answer.headers if h.name.lower() == wanted), None)
-
-
-def _parse_number(text: str | None) -> float:
-    try:
-        return max(0.0, float(text or 0))
-    except ValueError:
-        return 0.0
-
-
-def _parse_rate_limit(text: str) -> RateLimitNotice:
-    try:
-        per_s = float(text)
-    except ValueError:
-        per_s = nan
-    if not isfinite(per_s) or per_s < 0:
-        return RateLimitNotice(None, unreadable=text[:MAX_LOGGED_CHARACTERS])
-    return RateLimitNotice(per_s)
-
-
-def _parse_load(text: str | None) -> LoadReport | None:
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return LoadReport(running, waiting, slots)
--- /dev/null
+++ b/src/flamingoladder/targets/notices.py
@@ -0,0 +1,69 @@
+"""What a target says of itself in its answers, and what of that holds beyond the answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.targets.rate_limit import RateLimitNotice
+
+if TYPE_CHECKING:
+    from flamingoladder.targets.pause import TargetPause
+    from flamingoladder.targets.rate_limit import TargetRateLimit
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """Numbers of running and waiting requests and of slots, as reported by a target."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class PauseNotice(msgspec.Struct, frozen=True):
+    """For how many seconds the target wants no request of this host.
+
+    ``unreadable`` is the start of a value that is no number from 0 on; nothing follows from it.
+    """
+
+    seconds: float
+    unreadable: str = ""
+
+
+class TargetNotice(msgspec.Struct, frozen=True):
+    """What a target says of itself in one answer that is certainly its own.
+
+    ``load`` and ``rate_limit`` are None if the answer does not tell them. ``leaving`` is set if the
+    target says that it takes no new work until its next start.
+    """
+
+    load: LoadReport | None = None
+    rate_limit: RateLimitNotice | None = None
+    pause: PauseNotice | None = None
+    leaving: bool = False
+
+
+class TargetNotices:
+    """What one start of a target said that still holds. Times are monotonic seconds.
+
+    ``leaving_since`` is None unless the target leaves; nothing ends that but its next start.
+    """
+
+    __slots__ = ("leaving_since", "pause", "rate_limit")
+
+    def __init__(self) -> None:
+        self.leaving_since: float | None = None
+        self.pause: TargetPause | None = None
+        self.rate_limit: TargetRateLimit | None = None
+
+    def rests(self, now: float) -> bool:
+        """Return whether the target wants nothing from this host now."""
+        return self.pause is not None and self.pause.rests(now)
+
+    def count_send(self, now: float) -> None:
+        """Count a request that is being sent to the target."""
+        if self.pause is not None:
+            self.pause.count_send(now)
+        if self.rate_limit is not None:
+            self.rate_limit.sends.add(now)
--- a/src/flamingoladder/targets/registry.py
+++ b/src/flamingoladder/targets/registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from reactivex import Subject
@@ -12,11 +13,15 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
-    from flamingoladder.targets.rate_limit import Told
+    from flamingoladder.targets.notices import TargetNotices
     from flamingoladder.targets.record import TargetRecord
     from flamingoladder.timeline.recorder import Recorder
 
 
+# Far more than the targets that are removed while the store is in trouble, and then come back.
+MAX_KEPT_NOTICES = 1_000
+
+
 class TargetRegistry:
     """Targets by id and by service, and the failure domains that are evacuated.
 
@@ -24,6 +29,7 @@
     """
 
     __slots__ = (
+        "_notices_by_start",
         "_recorder",
         "_regions_by_domain",
         "by_id",
@@ -41,6 +47,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.eligibility_changes = 0
         self.removed: Subject[str] = Subject()
+        self._notices_by_start: OrderedDict[tuple[str, int | None], TargetNotices] = OrderedDict()
 
     def put(self, record: TargetRecord, now: float) -> None:
         """Add a target, or update it from a newer registration."""
@@ -65,24 +72,11 @@
         if target is None:
             return
         self.by_service[target.record.service].remove(target)
+        self._keep_notices(target)
         self.eligibility_changes += 1
         self._recorder.record("target.removed", target=target_id, reason=reason)
         self.removed.on_next(target_id)
 
-    def learn_rate_limit(self, target: TargetState, told: Told, *, source: str | None) -> None:
-        """Store what a target said of its rate limit; ``source`` is the host that reported it."""
-        before_per_s = target.rate_limit_per_s
-        target.learn_rate_limit(told, directly=source is None)
-        per_s = target.rate_limit_per_s
-        if per_s != before_per_s:
-            self._recorder.record(
-                "target.rate_limit",
-                target=target.record.target_id,
-                per_s=per_s,
-                before_per_s=before_per_s,
-                source=source,
-            )
-
     def schedule_removal(self, target_id: str, remove_at: float) -> None:
         """Schedule the removal of a lapsed target; registering again cancels it."""
         target = self.by_id.get(target_id)
@@ -110,8 +104,7 @@
 
     def is_eligible(self, target: TargetState) -> bool:
         """Return whether the target may be a home of objects, regardless of ejection or outage."""
-        record = target.record
-        return not record.draining and record.failure_domain not in self.evacuated
+        return not target.is_leaving and target.record.failure_domain not in self.evacuated
 
     def eligible_targets(self, service: str) -> list[TargetState]:
         """Return the targets of a service that may be homes of objects."""
@@ -121,5 +114,17 @@
         self.remove(record.target_id, "moved")
         region = self._regions_by_domain.get(record.failure_domain, "")
         added = TargetState(record, region, now)
+        added.notices = self._kept_notices(record)
         self.by_id[record.target_id] = added
         self.by_service.setdefault(record.service, []).append(added)
+
+    def _keep_notices(self, target: TargetState) -> None:
+        """Keep what a removed target said, which holds if the same start registers again."""
+        if target.notices is None:
+            return
+        self._notices_by_start[target.record.target_id, target.record.started_ms] = target.notices
+        if len(self._notices_by_start) > MAX_KEPT_NOTICES:
+            self._notices_by_start.popitem(last=False)
+
+    def _kept_notices(self, record: TargetRecord) -> TargetNotices | None:
+        return self._notices_by_start.pop((record.target_id, record.started_ms), None)
--- a/src/flamingoladder/targets/state.py
+++ b/src/flamingoladder/targets/state.py
@@ -6,14 +6,14 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from flamingoladder.targets.fleet_share import SendWindow
+from flamingoladder.targets.notices import TargetNotices
 from flamingoladder.targets.queue_limit import QueueLimit
 from flamingoladder.targets.rate_limit import TargetRateLimit
 from flamingoladder.targets.slow_start import SEND_WINDOW_S
 
 if TYPE_CHECKING:
+    from flamingoladder.targets.notices import LoadReport
     from flamingoladder.targets.rate_limit import Told
     from flamingoladder.targets.record import TargetRecord
 
@@ -25,19 +25,11 @@
 RECENT_OBJECTS_KEPT = 16
 
 
-class LoadReport(msgspec.Struct, frozen=True):
-    """Numbers of running and waiting requests and of slots, as reported by a target."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class TargetState:
     """State of one target. Times are monotonic seconds.
 
-    ``down`` is set when the target refuses connections, until a probe succeeds. ``rate_limit`` is
-    None until the target names one.
+    ``down`` is set when the target refuses connections, until a probe succeeds. ``notices`` is what
+    the target said of itself, None if that is nothing beyond its load.
     """
 
     __slots__ = (
@@ -49,8 +41,8 @@
         "down",
         "ejected_until",
         "in_flight",
+        "notices",
         "queue_limit",
-        "rate_limit",
         "record",
         "region",
         "remote_in_flight",
@@ -67,7 +59,7 @@
         self.in_flight = 0
         self.remote_in_flight = 0
         self.queue_limit = QueueLimit()
-        self.rate_limit: TargetRateLimit | None = None
+        self.notices: TargetNotices | None = None
         self.down = False
         self.ejected_until = now
         self.remove_at: float | None = None
@@ -85,7 +77,7 @@
             self.down = False
             self.ejected_until = now
             self.queue_limit = QueueLimit()
-            self.rate_limit = None
+            self.notices = None
             self._load = None
         self.slow_start_until = max(self.slow_start_until, now + record.slow_start_s)
         self.record = record
@@ -101,19 +93,34 @@
 
     def learn_rate_limit(self, told: Told, *, directly: bool) -> None:
         """Store what the target said of its rate limit, to this host ``directly`` or to another."""
-        if self.rate_limit is None:
+        limit = None if self.notices is None else self.notices.rate_limit
+        if limit is None:
             if told.per_s is None:
                 return
-            self.rate_limit = TargetRateLimit(told)
+            limit = self.get_notices().rate_limit = TargetRateLimit(told)
         if directly:
-            self.rate_limit.learn_directly(told)
+            limit.learn_directly(told)
         else:
-            self.rate_limit.learn(told)
+            limit.learn(told)
 
     @property
     def rate_limit_per_s(self) -> float | None:
         """Return the rate limit in requests per second of all hosts, or None."""
-        return None if self.rate_limit is None else self.rate_limit.per_s
+        limit = None if self.notices is None else self.notices.rate_limit
+        return None if limit is None else limit.per_s
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the target leaves, by its registration or by its answers."""
+        if self.record.draining:
+            return True
+        return self.notices is not None and self.notices.leaving_since is not None
+
+    def get_notices(self) -> TargetNotices:
+        """Return what the target said of itself, to add to it."""
+        if self.notices is None:
+            self.notices = TargetNotices()
+        return self.notices
 
     def update_load(self, load: LoadReport, now: float) -> None:
         """Store the load that the target reported."""
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -28,6 +28,7 @@
 from flamingoladder.routing.model import ServiceShare
 from flamingoladder.routing.model import Workspace
 from flamingoladder.routing.traffic_split import TrafficSplitter
+from flamingoladder.targets.notice_learner import NoticeLearner
 from flamingoladder.targets.record import TargetRecord
 from flamingoladder.targets.registry import TargetRegistry
 from flamingoladder.targets.slow_start import SlowStartLimit
@@ -140,15 +141,23 @@
         self.balancer = balancer = LoadBalancer(
             self.targets, self.configuration, self.members, SlowStartLimit(host, 1.5, 5.0), region
         )
+        self.notices = NoticeLearner(self.targets, self.members, recorder)
         self.prober = TargetProber(
             self.targets,
             self.configuration,
             client,
             self.poison_detector.record_target_down,
+            self.notices,
             recorder,
         )
         forwarder = Forwarder(
-            balancer, client, self.budgets, self.poison_detector, self.prober, recorder
+            balancer,
+            client,
+            self.budgets,
+            self.poison_detector,
+            self.prober,
+            self.notices,
+            recorder,
         )
         self.handler = RequestHandler(
             self.configuration,
@@ -165,6 +174,7 @@
             self.rate_limiter,
             self.budgets,
             self.members,
+            self.notices,
         )
         self.configuration.set_routing(routing or routing_config(), 0.0)
         for number, domain in enumerate(["d1", "d2", "d2"]):
--- a/tests/entry/test_end_to_end.py
+++ b/tests/entry/test_end_to_end.py
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+DRAIN_S = 2.5
+PAUSE_S = 4.0
 KEYS = {"turf": ["k-turf"], "moss": ["k-moss", "k-moss-2"]}
 
 
@@ -231,3 +233,50 @@
     await eventually(lambda: bool(platform.runs))
     task.cancel()
     await eventually(lambda: sum(target.running for target in platform.targets) == 0)
+
+
+async def serve_for(caller: Caller, seconds: float) -> list[int]:
+    """Send requests without a pause from nine callers; return the statuses."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    statuses: list[int] = []
+
+    async def call(number: int) -> None:
+        while loop.time() < until:
+            path, method = (f"/bookings/{number}", "POST") if number % 3 == 0 else ("/kit/1", "GET")
+            status, _, _ = await caller.send(path, method=method)
+            statuses.append(status)
+            await asyncio.sleep(0.05)
+
+    await asyncio.gather(*(call(number) for number in range(9)))
+    return statuses
+
+
+async def test_a_target_that_says_that_it_leaves_gets_nothing_while_its_row_is_ready(
+    platform: LocalPlatform, caller: Caller
+) -> None:
+    target = platform.targets[0]
+    await serve_for(caller, 1.0)
+    target.says_leaving = True
+    statuses = await serve_for(caller, DRAIN_S)
+    arrived = len(target.arrivals)
+    statuses += await serve_for(caller, 1.5)
+    assert arrived > 0
+    assert len(target.arrivals) == arrived
+    assert set(statuses) == {200}
+
+
+async def test_a_target_gets_nothing_in_the_pause_that_it_named_and_callers_notice_nothing(
+    platform: LocalPlatform, caller: Caller
+) -> None:
+    target = platform.targets[0]
+    await serve_for(caller, 1.0)
+    target.pause_until = asyncio.get_running_loop().time() + PAUSE_S
+    statuses = await serve_for(caller, PAUSE_S / 4)
+    arrived = len(target.arrivals)
+    statuses += await serve_for(caller, PAUSE_S / 2)
+    assert arrived > 0
+    assert len(target.arrivals) == arrived
+    assert set(statuses) == {200}
+    await serve_for(caller, PAUSE_S / 4 + 1.0)
+    assert len(target.arrivals) > arrived
--- a/tests/entry/test_send_check.py
+++ b/tests/entry/test_send_check.py
@@ -14,6 +14,8 @@
 from flamingoladder.entry.send_check import SendCheck
 from flamingoladder.routing.model import ServiceShare
 from flamingoladder.routing.model import Workspace
+from flamingoladder.targets.notices import PauseNotice
+from flamingoladder.targets.notices import TargetNotice
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
@@ -42,6 +44,14 @@
     harness.targets.put(drained, 0.0)
 
 
+def _say(**said: object) -> Callable[[EntryHarness], None]:
+    def learn(harness: EntryHarness) -> None:
+        target, now = harness.targets.by_id["t0"], asyncio.get_running_loop().time()
+        harness.notices.learn(target, TargetNotice(**said), now, now)  # type: ignore[arg-type]
+
+    return learn
+
+
 def _move_route(harness: EntryHarness) -> None:
     moved = routing_config(shares=(ServiceShare("elsewhere", 1.0),))
     _reconfigure(harness, routes_by_host=moved.routes_by_host)
@@ -58,6 +68,9 @@
             lambda harness: harness.targets.set_evacuated(["d1"], 0.0, 0.0),
             Reason.UPSTREAM_UNREACHABLE,
         ),
+        (_say(leaving=True), Reason.UPSTREAM_UNREACHABLE),
+        (_say(pause=PauseNotice(5.0)), Reason.UPSTREAM_UNREACHABLE),
+        (_say(pause=PauseNotice(0.0, unreadable="soon")), None),
         (lambda harness: _reconfigure(harness, workspaces_by_key={}), Reason.KEY_UNKNOWN),
         (lambda harness: _reconfigure(harness, workspaces_by_key={"k": OTHER}), Reason.KEY_UNKNOWN),
         (lambda harness: _reconfigure(harness, routes_by_host={}), Reason.UNKNOWN_ROUTE),
--- a/tests/platform/test_target_wire.py
+++ b/tests/platform/test_target_wire.py
@@ -18,10 +18,11 @@
 from flamingoladder.entry.results import SendStatus
 from flamingoladder.platform.target_wire import PlatformTargets
 from flamingoladder.routing.model import Workspace
+from flamingoladder.targets.notices import LoadReport
+from flamingoladder.targets.notices import PauseNotice
 from flamingoladder.targets.rate_limit import NO_RATE_LIMIT
 from flamingoladder.targets.rate_limit import RateLimitNotice
 from flamingoladder.targets.record import TargetRecord
-from flamingoladder.targets.state import LoadReport
 from flamingoladder.targets.state import TargetState
 from flamingoladder.transport.answer_memory import AnswerMemory
 from flamingoladder.verdict import Header
@@ -40,6 +41,7 @@
 SIGNED = ECHO + "Flamingoladder-Response-Signature: 3e1b\r\n"
 LENGTH = "Content-Length: 5\r\n"
 NOT_RUN = "Flamingoladder-Not-Executed: 1\r\n"
+DATE = "Wed, 21 Oct 2026 07:28:00 GMT"
 PATIENCE_S = 0.4
 RESET_ON_CLOSE = pack("ii", 1, 0)
 
@@ -225,7 +227,8 @@
 async def test_the_load_of_the_target_is_read() -> None:
     load = "Flamingoladder-Server-Load: 3,2,8\r\n"
     result = await send_once(RawTarget(reply(SIGNED + load + LENGTH)))
-    assert result.load == LoadReport(3, 2, 8)
+    assert result.notice is not None
+    assert result.notice.load == LoadReport(3, 2, 8)
 
 
 @pytest.mark.parametrize(
@@ -242,7 +245,8 @@
 )
 async def test_the_rate_limit_of_the_target_is_read(head: str, notice: RateLimitNotice) -> None:
     result = await send_once(RawTarget(reply(SIGNED + head + LENGTH)))
-    assert result.rate_limit == notice
+    assert result.notice is not None
+    assert result.notice.rate_limit == notice
 
 
 @pytest.mark.parametrize(
@@ -257,7 +261,60 @@
     head: str, status: str, notice: RateLimitNotice | None
 ) -> None:
     result = await send_once(RawTarget(reply(head + LENGTH, status=status)))
-    assert result.rate_limit == notice
+    found = None if result.notice is None else result.notice.rate_limit
+    assert found == notice
+
+
+@pytest.mark.parametrize(
+    ("status", "named", "leaving"),
+    [
+        ("200 OK", "Server-Leaving: 1\r\n", True),
+        ("200 OK", "Flamingoladder-Server-Leaving: 1\r\n", True),
+        ("200 OK", "", False),
+        ("200 OK", "Server-Leaving: 0\r\n", False),
+        ("500 Oops", "Server-Leaving: 1\r\n", True),
+        ("404 Gone", "server-leaving: 1\r\n", True),
+        ("503 Busy", "Server-Leaving: 1\r\n", True),
+        ("421 Misdirected", "Server-Leaving: 1\r\n", False),
+    ],
+)
+async def test_a_target_that_leaves_is_read_from_its_own_answers(
+    status: str, named: str, *, leaving: bool
+) -> None:
+    result = await send_once(RawTarget(reply(SIGNED + named + LENGTH, status=status)))
+    assert (result.notice is not None and result.notice.leaving) == leaving
+
+
+async def test_an_answer_to_another_request_tells_nothing() -> None:
+    crossed = f"Flamingoladder-Request-Id: other\r\nServer-Leaving: 1\r\n{LENGTH}"
+    result = await send_once(RawTarget(reply(crossed)))
+    assert result.notice is None
+
+
+@pytest.mark.parametrize(
+    ("status", "named", "pause"),
+    [
+        ("503 Busy", "Retry-After: 5\r\n", PauseNotice(5.0)),
+        ("503 Busy", "Retry-After: 0.75\r\n", PauseNotice(0.75)),
+        ("503 Busy", "Retry-After: 0\r\n", PauseNotice(0.0)),
+        ("503 Busy", "Retry-After: 1e9\r\n", PauseNotice(1e9)),
+        ("503 Busy", "Retry-After: -1\r\n", PauseNotice(0.0, unreadable="-1")),
+        ("503 Busy", "Retry-After: nan\r\n", PauseNotice(0.0, unreadable="nan")),
+        ("503 Busy", "Retry-After: inf\r\n", PauseNotice(0.0, unreadable="inf")),
+        ("503 Busy", f"Retry-After: {DATE}\r\n", PauseNotice(0.0, unreadable=DATE[:40])),
+        ("503 Busy", "", None),
+        ("429 Slow", "Retry-After: 5\r\n", None),
+        ("200 OK", "Retry-After: 5\r\n", None),
+    ],
+)
+@pytest.mark.parametrize("marker", ["", NOT_RUN])
+async def test_a_pause_is_read_from_a_503(
+    status: str, named: str, pause: PauseNotice | None, marker: str
+) -> None:
+    result = await send_once(RawTarget(reply(ECHO + marker + named + LENGTH, status=status)))
+    assert result.notice is not None
+    assert result.notice.pause == pause
+    assert result.may_have_run == (marker == "")
 
 
 @pytest.mark.parametrize(
