--- a/src/flamingoladder/targets/notice_learner.py
+++ b/src/flamingoladder/targets/notice_learner.py
@@ -72,10 +72,9 @@
         }
 
     def _learn_leaving(self, target: TargetState, now: float, *, source: str | None) -> None:
-        notices = target.get_notices()
-        if notices.leaving_since is not None:
+        if target.notices is not None and target.notices.leaving_since is not None:
             return
-        notices.leaving_since = now
+        target.note_leaving(now)
         self._targets.eligibility_changes += 1
         self._recorder.record("target.leaving", target=target.record.target_id, source=source)
 
--- a/src/flamingoladder/targets/registry.py
+++ b/src/flamingoladder/targets/registry.py
@@ -104,7 +104,7 @@
 
     def is_eligible(self, target: TargetState) -> bool:
         """Return whether the target may be a home of objects, regardless of ejection or outage."""
-        return not target.is_leaving and target.record.failure_domain not in self.evacuated
+        return not target.leaving and target.record.failure_domain not in self.evacuated
 
     def eligible_targets(self, service: str) -> list[TargetState]:
         """Return the targets of a service that may be homes of objects."""
@@ -114,7 +114,9 @@
         self.remove(record.target_id, "moved")
         region = self._regions_by_domain.get(record.failure_domain, "")
         added = TargetState(record, region, now)
-        added.notices = self._kept_notices(record)
+        notices = self._notices_by_start.pop((record.target_id, record.started_ms), None)
+        if notices is not None:
+            added.adopt_notices(notices)
         self.by_id[record.target_id] = added
         self.by_service.setdefault(record.service, []).append(added)
 
@@ -125,6 +127,3 @@
         self._notices_by_start[target.record.target_id, target.record.started_ms] = target.notices
         if len(self._notices_by_start) > MAX_KEPT_NOTICES:
             self._notices_by_start.popitem(last=False)
-
-    def _kept_notices(self, record: TargetRecord) -> TargetNotices | None:
-        return self._notices_by_start.pop((record.target_id, record.started_ms), None)
--- a/src/flamingoladder/targets/state.py
+++ b/src/flamingoladder/targets/state.py
@@ -28,7 +28,8 @@
 class TargetState:
     """State of one target. Times are monotonic seconds.
 
-    ``down`` is set when the target refuses connections, until a probe succeeds. ``notices`` is what
+    ``down`` is set when the target refuses connections, until a probe succeeds, and
+    ``leaving`` when its registration or its answers say that it leaves. ``notices`` is what
     the target said of itself, None if that is nothing beyond its load.
     """
 
@@ -41,6 +42,7 @@
         "down",
         "ejected_until",
         "in_flight",
+        "leaving",
         "notices",
         "queue_limit",
         "record",
@@ -54,6 +56,7 @@
     def __init__(self, record: TargetRecord, region: str, now: float) -> None:
         self.record = record
         self.region = region
+        self.leaving = record.draining
         self.slow_start_until = now + record.slow_start_s
         self.slow_start_sends = SendWindow(SEND_WINDOW_S)
         self.in_flight = 0
@@ -80,6 +83,8 @@
             self.notices = None
             self._load = None
         self.slow_start_until = max(self.slow_start_until, now + record.slow_start_s)
+        says_leaving = self.notices is not None and self.notices.leaving_since is not None
+        self.leaving = record.draining or says_leaving
         self.record = record
         self.remove_at = None
 
@@ -109,12 +114,15 @@
         limit = None if self.notices is None else self.notices.rate_limit
         return None if limit is None else limit.per_s
 
-    @property
-    def is_leaving(self) -> bool:
-        """Return whether the target leaves, by its registration or by its answers."""
-        if self.record.draining:
-            return True
-        return self.notices is not None and self.notices.leaving_since is not None
+    def note_leaving(self, now: float) -> None:
+        """Store that the target says that it leaves."""
+        self.get_notices().leaving_since = now
+        self.leaving = True
+
+    def adopt_notices(self, notices: TargetNotices) -> None:
+        """Take over what the same start of the target said under an earlier registration."""
+        self.notices = notices
+        self.leaving = self.leaving or notices.leaving_since is not None
 
     def get_notices(self) -> TargetNotices:
         """Return what the target said of itself, to add to it."""
