--- a/src/flamingoladder/platform/standins/targets.py
+++ b/src/flamingoladder/platform/standins/targets.py
@@ -23,11 +23,16 @@
 
 
 class TargetArrival(msgspec.Struct, frozen=True):
-    """A request that reached a target, whether it ran or not."""
+    """A request that reached a target, whether it ran or not, and what its answer says.
+
+    ``paused_until`` is the end of the pause that the answer names, 0 if it names none.
+    """
 
     request_id: str
     target_id: str
     at: float
+    paused_until: float = 0.0
+    says_leaving: bool = False
 
 
 class TargetRun(msgspec.Struct, frozen=True):
@@ -125,10 +130,13 @@
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST, headers=found)
         now = asyncio.get_running_loop().time()
         request_id = found[headers.REQUEST_ID]
-        self.arrivals.append(TargetArrival(request_id, self.target_id, now))
-        if now < self.pause_until:
+        paused_until = self.pause_until if now < self.pause_until else 0.0
+        self.arrivals.append(
+            TargetArrival(request_id, self.target_id, now, paused_until, self.says_leaving)
+        )
+        if paused_until:
             found[headers.RETRY_AFTER] = f"{self.pause_until - now:.3f}"
-        if now < self.pause_until or self._waiting >= QUEUE:
+        if paused_until or self._waiting >= QUEUE:
             found[headers.NOT_EXECUTED] = "1"
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=found)
         body = await request.read()
--- a/src/flamingoladder/soak/deployment.py
+++ b/src/flamingoladder/soak/deployment.py
@@ -31,6 +31,7 @@
 
     from flamingoladder.entry.settings import Endpoint
     from flamingoladder.entry.settings import HostSettings
+    from flamingoladder.platform.standins.targets import TargetArrival
     from flamingoladder.platform.standins.targets import TargetRun
     from flamingoladder.standins.processes import ManagedProcess
 
@@ -128,8 +129,16 @@
     @property
     def runs(self) -> list[TargetRun]:
         """Return the runs of all targets, those that left included."""
-        serving = [of.target for of in self.targets_by_id.values()]
-        return [run for target in (*self._gone, *serving) for run in target.runs]
+        return [run for target in self._all_targets for run in target.runs]
+
+    @property
+    def arrivals(self) -> list[TargetArrival]:
+        """Return the requests that reached any target, those that left included."""
+        return [arrival for target in self._all_targets for arrival in target.arrivals]
+
+    @property
+    def _all_targets(self) -> list[StandinTarget]:
+        return [*self._gone, *(of.target for of in self.targets_by_id.values())]
 
     async def __aenter__(self) -> SoakDeployment:
         await self._processes.__aenter__()
--- a/src/flamingoladder/soak/faults.py
+++ b/src/flamingoladder/soak/faults.py
@@ -17,6 +17,7 @@
     from collections.abc import AsyncIterator
     from random import Random
 
+    from flamingoladder.platform.standins.targets import StandinTarget
     from flamingoladder.soak.deployment import SoakDeployment
     from flamingoladder.soak.deployment import SoakHost
     from flamingoladder.soak.deployment import SoakTarget
@@ -240,7 +241,7 @@
 
 
 class ReplaceTarget(Fault):
-    """A target drains, or loses its entry at once, serves on for a while and ends."""
+    """A target drains, loses its entry or says that it leaves, serves on for a while and ends."""
 
     async def inject(self, context: FaultContext) -> None:
         """Start the next one, then let the old one leave."""
@@ -251,19 +252,43 @@
             target = leaving.target
             async with context.store_busy:
                 added = await deployment.add_target(target.service, context.next_number())
-                if context.random.random() < 0.5:
-                    await target.drain(deployment.store)
-                    context.note(f"{target.target_id} drains, {added} is new")
-                else:
-                    await deployment.remove_target(target.target_id)
-                    context.note(f"{target.target_id} has no entry any more, {added} is new")
-                context.history.left_at_by_target[target.target_id] = context.now
+                await self._leave(context, target)
+                context.note(f"{added} is new")
             await asyncio.sleep(context.random.uniform(4.0, 7.0))
             async with context.store_busy:
                 await deployment.remove_target(target.target_id)
             await deployment.stop_target(target.target_id)
             context.note(f"{target.target_id} ended")
 
+    async def _leave(self, context: FaultContext, target: StandinTarget) -> None:
+        name = target.target_id
+        how = context.random.choice(("drain", "remove", "say"))
+        if how == "say":
+            target.says_leaving = True
+            context.note(f"{name} says in its answers that it leaves")
+            return
+        if how == "drain":
+            await target.drain(context.deployment.store)
+            context.note(f"{name} drains")
+        else:
+            await context.deployment.remove_target(name)
+            context.note(f"{name} has no entry any more")
+        context.history.left_at_by_target[name] = context.now
+
+
+class NamePause(Fault):
+    """A target turns all requests away and names the time for which it wants none."""
+
+    async def inject(self, context: FaultContext) -> None:
+        """Turn away for some seconds."""
+        async with context.busy_target() as resting:
+            if resting is None:
+                return
+            pause_s = context.random.uniform(1.0, 5.0)
+            resting.target.pause_until = context.now + pause_s
+            context.note(f"{resting.target.target_id} wants a pause of {pause_s:.3f} s")
+            await asyncio.sleep(pause_s)
+
 
 class WithdrawKey(Fault):
     """A workspace's key is withdrawn and another one granted; callers go on with both."""
@@ -315,4 +340,5 @@
     ReplaceTarget(),
     WithdrawKey(),
     NameRateLimit(),
+    NamePause(),
 )
--- a/src/flamingoladder/soak/run.py
+++ b/src/flamingoladder/soak/run.py
@@ -58,7 +58,7 @@
         recovered_at = loop.time()
         await asyncio.sleep(RECOVERED_S)
         await _cancel(calling)
-        checks = Checks(history, deployment.runs, RATES_PER_S)
+        checks = Checks(history, deployment.runs, RATES_PER_S, deployment.arrivals)
         broken = (*checks.broken(), *checks.recovered(recovered_at))
     return SoakReport(broken, tuple(history.lines), len(history.sent))
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from flamingoladder.platform.standins.targets import TargetArrival
 from flamingoladder.platform.standins.targets import TargetRun
 from flamingoladder.soak.history import End
 from flamingoladder.soak.history import History
@@ -173,3 +174,48 @@
         history.sent.append(sent_with(request_id=f"r-{number}", sent_at=20.0, status=status))
     assert bool(Checks(history, [], {}).recovered(since=15.0)) is found
     assert Checks(history, [], {}).recovered(since=25.0) != []
+
+
+def arrivals(*times: float, **said: object) -> list[TargetArrival]:
+    """Return an arrival at 10.0 that says something, and others at ``times``."""
+    first = TargetArrival("r-1", "t", 10.05, **said)  # type: ignore[arg-type]
+    return [first, *(TargetArrival(f"r-{at}", "t", at) for at in times)]
+
+
+def broken_by_arrivals(found: list[TargetArrival], disturbed_at: float | None) -> list[str]:
+    history = History(0.0)
+    if disturbed_at is not None:
+        history.begin_fault("h", disturbed_at)
+        history.end_fault("h", disturbed_at)
+    history.sent.append(SENT)
+    for arrival in found[1:]:
+        sent = sent_with(request_id=arrival.request_id, is_booking=False, sent_at=arrival.at)
+        history.sent.append(msgspec.structs.replace(sent, ended_at=arrival.at + 0.1))
+    return [of.promise for of in Checks(history, [RUN], {}, found).broken()]
+
+
+@pytest.mark.parametrize(
+    ("times", "disturbed_at", "found"),
+    [
+        ([10.6, 11.0, 12.0], None, True),
+        ([10.1, 10.2, 10.3, 10.6, 11.0], None, False),
+        ([10.6, 11.0, 13.1], None, False),
+        ([10.6, 11.0, 12.0], 10.3, False),
+    ],
+)
+def test_sends_in_a_pause(times: list[float], disturbed_at: float | None, found: bool) -> None:
+    promise = "a target gets nothing in the pause that it named"
+    named = arrivals(*times, paused_until=13.0)
+    assert (promise in broken_by_arrivals(named, disturbed_at)) is found
+
+
+@pytest.mark.parametrize(
+    ("times", "disturbed_at", "found"),
+    [([12.7], None, True), ([12.5], None, False), ([12.7], 11.0, False)],
+)
+def test_sends_to_a_target_that_said_it_leaves(
+    times: list[float], disturbed_at: float | None, found: bool
+) -> None:
+    promise = "a target that says it leaves gets no new work"
+    named = arrivals(*times, says_leaving=True)
+    assert (promise in broken_by_arrivals(named, disturbed_at)) is found
