Heed leaving and pauses that the daemon's own upstreams name

As on the users' platform, neither field was read. Both ways of running share the class of a pause, with its longest end, its bound and the gentle return. A probe's reply now tells whether there was any answer, as a target that was unreachable and answers again has started anew. Requests that wait for a slot while all targets leave or rest are refused at once instead of at their deadline, with the time until the first takes work.

--- a/src/flamingoladder/daemon/upstream_side.py
+++ b/src/flamingoladder/daemon/upstream_side.py
@@ -9,6 +9,7 @@
 from flamingoladder.upstreams.crash_guard import CrashGuard
 from flamingoladder.upstreams.dispatcher import UpstreamDispatcher
 from flamingoladder.upstreams.health import HealthBoard
+from flamingoladder.upstreams.notices import UpstreamNotices
 from flamingoladder.upstreams.probes import TargetProbes
 from flamingoladder.upstreams.targets import TargetPools
 
@@ -56,6 +57,7 @@
             chooser=chooser,
             pools=pools,
             guard=CrashGuard(links),
+            notices=UpstreamNotices(board, state, recorder),
             permission=permission,
             recorder=recorder,
         )
--- a/src/flamingoladder/platform/target_notices.py
+++ b/src/flamingoladder/platform/target_notices.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from http import HTTPStatus
-from math import isfinite
-from math import nan
 from typing import TYPE_CHECKING
 
+from flamingoladder.header_values import MAX_LOGGED_CHARACTERS
+from flamingoladder.header_values import header
+from flamingoladder.header_values import number_from_zero
 from flamingoladder.platform import headers
 from flamingoladder.targets.notices import LoadReport
 from flamingoladder.targets.notices import PauseNotice
@@ -17,7 +18,6 @@
 if TYPE_CHECKING:
     from flamingoladder.verdict import Answer
 
-MAX_LOGGED_CHARACTERS = 40
 MS_PER_S = 1_000
 LEAVING = "1"
 
@@ -37,12 +37,6 @@
     return _parse_number(header(answer, headers.WARMUP_MS)) / MS_PER_S
 
 
-def header(answer: Answer, name: str) -> str | None:
-    """Return the value of a header field, or None."""
-    wanted = name.lower()
-    return next((h.value for h in answer.headers if h.name.lower() == wanted), None)
-
-
 def _first(answer: Answer, names: tuple[str, ...]) -> str | None:
     return next((text for name in names if (text := header(answer, name)) is not None), None)
 
@@ -51,10 +45,7 @@
     text = header(answer, headers.RETRY_AFTER)
     if answer.status != HTTPStatus.SERVICE_UNAVAILABLE or text is None:
         return None
-    seconds = _parse_from_zero(text)
-    if seconds is None:
-        return PauseNotice(0.0, unreadable=text[:MAX_LOGGED_CHARACTERS])
-    return PauseNotice(seconds)
+    return PauseNotice.from_text(text)
 
 
 def _rate_limit(answer: Answer) -> RateLimitNotice | None:
@@ -77,21 +68,12 @@
 
 
 def _parse_rate_limit(text: str) -> RateLimitNotice:
-    per_s = _parse_from_zero(text)
+    per_s = number_from_zero(text)
     if per_s is None:
         return RateLimitNotice(None, unreadable=text[:MAX_LOGGED_CHARACTERS])
     return RateLimitNotice(per_s)
 
 
-def _parse_from_zero(text: str) -> float | None:
-    """Return a finite number from 0 on, or None if the text is none."""
-    try:
-        number = float(text)
-    except ValueError:
-        number = nan
-    return number if isfinite(number) and number >= 0 else None
-
-
 def _parse_load(text: str | None) -> LoadReport | None:
     parts = (text or "").split(",")
     if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
--- a/src/flamingoladder/platform/target_wire.py
+++ b/src/flamingoladder/platform/target_wire.py
@@ -14,8 +14,8 @@
 from flamingoladder.entry.results import SendResult
 from flamingoladder.entry.results import SendStatus
 from flamingoladder.entry.target_client import TargetClient
+from flamingoladder.header_values import header
 from flamingoladder.platform import headers
-from flamingoladder.platform.target_notices import header
 from flamingoladder.platform.target_notices import notice_of
 from flamingoladder.platform.target_notices import slow_start_s_of
 from flamingoladder.transport.exchange import Exchange
--- a/src/flamingoladder/steering/candidates.py
+++ b/src/flamingoladder/steering/candidates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -24,7 +25,7 @@
     healthy = []
     for target in targets:
         health = health_board.of(target.name)
-        if target.drained or health.draining or health.ejected(now) or target.name in tried:
+        if target.drained or target.name in tried or not health.takes_work(now):
             continue
         usable.append(target)
         if health.usable(now):
@@ -33,6 +34,20 @@
     return healthy or usable
 
 
+def rest_s(
+    targets: Iterable[DeclaredTarget], health_board: HealthBoard, tried: Collection[str], now: float
+) -> float:
+    """Return the seconds until a target wants requests: 0 if one does, infinite if all leave."""
+    return min(
+        (
+            inf if target.drained else health_board.of(target.name).rest_s(now)
+            for target in targets
+            if target.name not in tried
+        ),
+        default=inf,
+    )
+
+
 class TargetStats:
     """This host's statistics of one target: in-flight requests, latency, last shed request."""
 
--- a/src/flamingoladder/steering/fair_queue.py
+++ b/src/flamingoladder/steering/fair_queue.py
@@ -19,6 +19,7 @@
 
     from flamingoladder.gateway.request import CallerRequest
     from flamingoladder.steering.chooser import Reservation
+    from flamingoladder.verdict import Refusal
 
 
 # With the configured bursts alone, a few requests of a small workspace waited for a whole flood
@@ -66,7 +67,9 @@
         self.workspace = request.workspace or ""
         self.queued_at = queued_at
         self.shift_to_region: str | None = None
-        self.reservation: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
+        self.reservation: asyncio.Future[Reservation | Refusal] = (
+            asyncio.get_running_loop().create_future()
+        )
         self._virtual_start = virtual_start
         self._number = number
 
@@ -146,7 +149,7 @@
                 if not queued.reservation.done():
                     heapq.heappush(self._heap, queued)
 
-    def grant(self, queued: QueuedRequest, reservation: Reservation) -> None:
+    def grant(self, queued: QueuedRequest, reservation: Reservation | Refusal) -> None:
         """Remove a request from the queue and resolve its future with ``reservation``."""
         self._virtual_now = max(self._virtual_now, queued.virtual_start)
         self._length -= 1
--- a/src/flamingoladder/steering/slot_chooser.py
+++ b/src/flamingoladder/steering/slot_chooser.py
@@ -5,9 +5,11 @@
 import asyncio
 from collections import Counter
 from math import inf
+from math import isfinite
 from typing import TYPE_CHECKING
 
 from flamingoladder.peers.link import Peer
+from flamingoladder.steering.candidates import rest_s
 from flamingoladder.steering.chooser import AttemptOutcome
 from flamingoladder.steering.chooser import Reservation
 from flamingoladder.steering.chooser import TargetChooser
@@ -107,10 +109,11 @@
     ) -> Reservation | Refusal:
         """Return a reservation of a target not in ``tried``, or a refusal ``NOT_RUN``."""
         service_queue = self._queues_by_service.get(request.service)
-        if service_queue is None or not any(
-            target.name not in tried for target in service_queue.targets
-        ):
+        if service_queue is None:
             return _no_capacity("no target takes work", None)
+        untried_rest_s = self._rest_s(service_queue, tried, now)
+        if untried_rest_s > 0:
+            return _no_capacity("no target takes work", untried_rest_s)
         if not self._state.has_proof(now):
             return _no_proof()
         weight = self._weight_of(request.workspace or "")
@@ -162,9 +165,7 @@
             self._cancel(service_queue, queued, weight)
             return _no_capacity("all slots were in use until the deadline", None)
         except asyncio.CancelledError:
-            if queued.reservation.done() and not queued.reservation.cancelled():
-                now = asyncio.get_running_loop().time()
-                queued.reservation.result().release(AttemptOutcome.CANCELLED, now)
+            _release_unused(queued.reservation, asyncio.get_running_loop().time())
             self._cancel(service_queue, queued, weight)
             raise
 
@@ -207,7 +208,15 @@
             if held.is_free(now, now)
         ]
         skipped = 0
+        all_rest_s = self._rest_s(service_queue, (), now)
         for queued in service_queue.requests.in_order():
+            untried_rest_s = all_rest_s
+            if queued.tried:
+                untried_rest_s = self._rest_s(service_queue, queued.tried, now)
+            if untried_rest_s > 0:
+                refusal = _no_capacity("no target takes work any more", untried_rest_s)
+                service_queue.requests.grant(queued, refusal)
+                continue
             if not free or skipped >= MAX_SKIPPED_REQUESTS:
                 return
             local_wait_s = self._local_wait_s(service_queue, skipped + 1, now)
@@ -222,6 +231,9 @@
             free.remove(selected[0])
             service_queue.requests.grant(queued, self._reserve_slot(*selected, now))
 
+    def _rest_s(self, service_queue: ServiceQueue, tried: Collection[str], now: float) -> float:
+        return rest_s(service_queue.targets, self._health_board, tried, now)
+
     def _borrow_for_shifts(self, service_queue: ServiceQueue, now: float) -> None:
         counts = Counter(
             queued.shift_to_region or "" for queued in service_queue.requests.shifted()
@@ -232,6 +244,7 @@
     def _reserve_slot(self, held: HeldSlot, target: DeclaredTarget, now: float) -> Reservation:
         held.busy = True
         self._selector.stats_of(target.name).in_flight += 1
+        self._health_board.of(target.name).pause.count_send(now)
         return SlotReservation(self, held, target, now)
 
     def _local_wait_s(self, service_queue: ServiceQueue, position: int, now: float) -> float:
@@ -301,8 +314,18 @@
         self._chooser.release(self._held, self._target, self._reserved_at, outcome, now)
 
 
+def _release_unused(granted: asyncio.Future[Reservation | Refusal], now: float) -> None:
+    """Release the slot of a request that went away while it was granted."""
+    if not granted.done() or granted.cancelled():
+        return
+    result = granted.result()
+    if not isinstance(result, Refusal):
+        result.release(AttemptOutcome.CANCELLED, now)
+
+
 def _no_capacity(detail: str, wait_s: float | None) -> Refusal:
-    retry_after_s = MIN_RETRY_AFTER_S if wait_s is None else max(wait_s, MIN_RETRY_AFTER_S)
+    is_known = wait_s is not None and isfinite(wait_s)
+    retry_after_s = max(wait_s or 0.0, MIN_RETRY_AFTER_S) if is_known else MIN_RETRY_AFTER_S
     return Refusal.not_run(Reason.NO_CAPACITY, detail, retry_after_s)
 
 
--- a/src/flamingoladder/targets/notices.py
+++ b/src/flamingoladder/targets/notices.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from flamingoladder.header_values import MAX_LOGGED_CHARACTERS
+from flamingoladder.header_values import number_from_zero
 from flamingoladder.targets.rate_limit import RateLimitNotice
 
 if TYPE_CHECKING:
@@ -30,6 +32,14 @@
     seconds: float
     unreadable: str = ""
 
+    @classmethod
+    def from_text(cls, text: str) -> PauseNotice:
+        """Return what the value of a Retry-After field says."""
+        seconds = number_from_zero(text)
+        if seconds is None:
+            return cls(0.0, unreadable=text[:MAX_LOGGED_CHARACTERS])
+        return cls(seconds)
+
 
 class TargetNotice(msgspec.Struct, frozen=True):
     """What a target says of itself in one answer that is certainly its own.
--- a/src/flamingoladder/upstreams/dispatcher.py
+++ b/src/flamingoladder/upstreams/dispatcher.py
@@ -29,6 +29,7 @@
     from flamingoladder.steering.chooser import TargetChooser
     from flamingoladder.timeline.recorder import Recorder
     from flamingoladder.upstreams.crash_guard import CrashGuard
+    from flamingoladder.upstreams.notices import UpstreamNotices
     from flamingoladder.upstreams.targets import TargetPools
     from flamingoladder.verdict import Outcome
 
@@ -46,6 +47,7 @@
     __slots__ = (
         "_chooser",
         "_crash_guard",
+        "_notices",
         "_permission",
         "_pools",
         "_recorder",
@@ -60,6 +62,7 @@
         chooser: TargetChooser,
         pools: TargetPools,
         guard: CrashGuard,
+        notices: UpstreamNotices,
         permission: DispatchCheck,
         recorder: Recorder,
     ) -> None:
@@ -67,6 +70,7 @@
         self._chooser = chooser
         self._pools = pools
         self._crash_guard = guard
+        self._notices = notices
         self._permission = permission
         self._recorder = recorder
         self._retry_budget = RetryBudget()
@@ -120,6 +124,8 @@
         try:
             with StallWatchdog(exchange, connections, stall_timeout_s, hedge) as watchdog:
                 response = await connections.send(dispatch.request, exchange)
+                if isinstance(response, Answer):
+                    self._notices.learn(reservation.target, response, started, loop.time())
                 result = _shed_as_failure(response, idempotent=dispatch.request.route.idempotent)
                 outcome = AttemptOutcome.ANSWERED if isinstance(result, Answer) else result.outcome
                 if isinstance(result, Answer):
--- a/src/flamingoladder/upstreams/health.py
+++ b/src/flamingoladder/upstreams/health.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 from math import ceil
+from math import inf
 from typing import TYPE_CHECKING
 
 from flamingoladder.steering.chooser import AttemptOutcome
+from flamingoladder.targets.pause import TargetPause
 
 if TYPE_CHECKING:
     from flamingoladder.upstreams.probe_messages import ProbeReply
@@ -26,7 +28,10 @@
 
 
 class TargetHealth:
-    """The health of one target; all times are in monotonic seconds."""
+    """The health of one target; all times are in monotonic seconds.
+
+    ``leaving`` is set once the target says in an answer that it leaves, until it starts again.
+    """
 
     __slots__ = (
         "_ejected_until",
@@ -34,7 +39,10 @@
         "_failures",
         "_last_success",
         "_slow_start_since",
+        "_was_silent",
         "draining",
+        "leaving",
+        "pause",
         "probe_ok",
         "reported_load",
     )
@@ -42,6 +50,9 @@
     def __init__(self, slow_start_since: float = NEVER) -> None:
         self.probe_ok = True
         self.draining = False
+        self.leaving = False
+        self.pause = TargetPause()
+        self._was_silent = False
         self.reported_load: float | None = None
         self._failures = 0
         self._ejection_s = BASE_EJECTION_S
@@ -68,16 +79,32 @@
 
     def record_probe(self, reply: ProbeReply) -> None:
         """Record the result of a probe."""
+        self._was_silent |= not reply.answered
+        if reply.ok and not reply.draining and self._was_silent:
+            # It was gone, so this is its next start.
+            self.leaving = self._was_silent = False
         self.probe_ok = reply.ok
         self.draining = reply.draining
         self.reported_load = reply.load
 
     def usable(self, now: float) -> bool:
         """Return whether new requests may go to the target."""
-        if self.draining or self.ejected(now):
+        if not self.takes_work(now):
             return False
         return self.probe_ok or now - self._last_success < OWN_SUCCESS_TTL_S
 
+    def takes_work(self, now: float) -> bool:
+        """Return whether requests may go to the target, whatever probes say of its health."""
+        if self.draining or self.leaving or self.ejected(now):
+            return False
+        return self.pause.allows_send(now)
+
+    def rest_s(self, now: float) -> float:
+        """Return the seconds until the target wants requests, infinite if it leaves."""
+        if self.draining or self.leaving:
+            return inf
+        return max(0.0, self.pause.resume_at - now)
+
     def usable_slots(self, declared: int, ramp_s: float, now: float) -> int:
         """Return how many of the ``declared`` slots may be used during slow start."""
         age_s = now - self._slow_start_since
--- a/src/flamingoladder/upstreams/probe_messages.py
+++ b/src/flamingoladder/upstreams/probe_messages.py
@@ -31,11 +31,15 @@
 
 
 class ProbeReply(msgspec.Struct, frozen=True):
-    """A target's reply to probes; ``load`` is the fraction of slots in use, None if unreported."""
+    """A target's reply to probes; ``load`` is the fraction of slots in use, None if unreported.
+
+    ``answered`` is False if the target gave no answer at all.
+    """
 
     ok: bool
     draining: bool = False
     load: float | None = None
+    answered: bool = True
 
 
 def parse_probe(health: Answer | None, load: Answer | None) -> ProbeReply:
@@ -49,7 +53,7 @@
     draining = (health_body is not None and health_body.status == DRAINING) or bool(
         load_body and load_body.draining
     )
-    return ProbeReply(ok, draining, _load(load_body))
+    return ProbeReply(ok, draining, _load(load_body), health is not None)
 
 
 def _decode_body(answer: Answer | None, body_type: type[B]) -> B | None:
--- a/tests/upstreams/dispatcher_fixture.py
+++ b/tests/upstreams/dispatcher_fixture.py
@@ -19,6 +19,7 @@
 from flamingoladder.upstreams.crash_guard import CrashGuard
 from flamingoladder.upstreams.dispatcher import UpstreamDispatcher
 from flamingoladder.upstreams.health import HealthBoard
+from flamingoladder.upstreams.notices import UpstreamNotices
 from flamingoladder.upstreams.targets import TargetPools
 from tests.gateway.states import FixedState
 from tests.gateway.states import agreed
@@ -52,6 +53,7 @@
             chooser=self.chooser,
             pools=self.pools,
             guard=self.guard,
+            notices=UpstreamNotices(self.board, state, self.recorder),
             permission=KeyedDispatchCheck(state, GrantedKeys(state), "h1"),
             recorder=self.recorder,
         )
