--- a/tests/timeline/test_story.py
+++ b/tests/timeline/test_story.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from flamingoladder.timeline.events import Event
 from flamingoladder.timeline.story import story_of
 
@@ -38,3 +40,25 @@
 
 def test_a_story_of_an_unknown_request_is_empty() -> None:
     assert story_of("r7", EVENTS) == []
+
+
+@pytest.mark.parametrize(
+    ("kind", "at_s", "fields", "told"),
+    [
+        ("target.leaving", 30, {}, True),
+        ("target.leaving", 20, {}, False),
+        ("target.paused", 34, {"resumes_after_s": "1.5"}, True),
+        ("target.paused", 33, {"resumes_after_s": "1.5"}, False),
+        ("target.paused", 10, {"resumes_after_s": "30.0"}, True),
+        ("target.down", 34, {}, False),
+    ],
+)
+def test_a_story_tells_why_another_target_was_not_used(
+    kind: str, at_s: float, fields: dict[str, str], told: bool
+) -> None:
+    passed_over = event(at_s, kind, "h1", target="t7", **fields)
+    elsewhere = event(at_s, kind, "h2", target="t7", **fields)
+    events = sorted([*EVENTS, passed_over, elsewhere], key=lambda of: of.clock)
+    found = story_of("r1", events)
+    assert (passed_over in found) is told
+    assert elsewhere not in found
