Keep the agreed state in force when the store comes back from an older copy

Operators and callers saw all hosts refuse everything, for good, and no change go through: each host found the head older than its own, took that as no proof, and nobody wrote it again. Now hosts write the newest version that they installed over an older one, on condition that it is unchanged, so several may try and one of them may be stale: versions only rise. Meanwhile they go on with proofs by a majority.

A host that missed the lost versions could take an old head that equals its own for the newest, and run a withdrawn key. So an era's head proves nothing to a host until a majority, asked in that era, knows of nothing newer; every later version needs such a majority. An open withdrawal is not settled by the next version if its commit may have been lost with an earlier era. A host writes its row of the directory again in each era.

--- a/src/flamingoladder/freshness/commit_attempt.py
+++ b/src/flamingoladder/freshness/commit_attempt.py
@@ -116,6 +116,8 @@
 
     async def _apply(self, pending: PendingChange, base: StoredHead) -> AttemptResult:
         state = self._local_state.state
+        if self._local_state.installed > self._base_version(base):
+            await self._renewer.put_back(base)
         if self._local_state.installed != self._base_version(base):
             return Retry("the head was outdated")
         changed_state = pending.change.create() if state is None else pending.change.apply(state)
--- a/src/flamingoladder/freshness/head_storage.py
+++ b/src/flamingoladder/freshness/head_storage.py
@@ -31,10 +31,14 @@
 
 
 class StoredHead(msgspec.Struct, frozen=True):
-    """The head as read from the table; ``revision`` is 0 and ``head`` None if there is none."""
+    """The head as read from the table; ``revision`` is 0 and ``head`` None if there is none.
+
+    ``era`` is the store's era of the answer or, if another answer overtook it, a later one.
+    """
 
     head: Head | None
     revision: int
+    era: int
 
 
 class HeadStorage:
@@ -62,9 +66,10 @@
         :raises StateUnreadableError: if the row can't be decoded.
         """
         row = await self._table.get(HEAD_KEY, self._settings.store_timeout_s)
+        era = self._table.era
         if row is None:
-            return StoredHead(None, 0)
-        return StoredHead(decode_head(row.value), row.revision)
+            return StoredHead(None, 0, era)
+        return StoredHead(decode_head(row.value), row.revision, era)
 
     async def load(self, head: Head, source: str | None = None) -> AgreedState:
         """Return the state of ``head``; fetch objects missing in the store from host ``source``.
@@ -85,6 +90,17 @@
             if name not in self._content_by_name:
                 await self._objects.put(name, content, self._settings.store_timeout_s)
 
+    async def put_back(self, base: StoredHead, head: Head) -> Commit:
+        """Write ``head``, whose objects are cached, over an older one if that is unchanged.
+
+        :raises PlatformError: if the store did not answer in time.
+        """
+        for name in object_names(head):
+            content = self._content_by_name.get(name)
+            if content is not None:
+                await self._objects.put(name, content, self._settings.store_timeout_s)
+        return await self.replace(base, head)
+
     async def replace(
         self, base: StoredHead, head: Head, conditions: tuple[Condition, ...] = ()
     ) -> Commit:
--- a/src/flamingoladder/freshness/local_state.py
+++ b/src/flamingoladder/freshness/local_state.py
@@ -25,7 +25,8 @@
 class OpenIntent(msgspec.Struct, frozen=True):
     """A change announced by the given incarnation of ``host``, whose outcome is not known yet.
 
-    ``since`` is the monotonic time in seconds at which this host received the intent.
+    ``since`` is the monotonic time in seconds at which this host received the intent, ``era`` the
+    store's era then.
     """
 
     change_id: str
@@ -34,14 +35,15 @@
     host: str
     incarnation: str
     since: float
+    era: int = 0
 
 
 class LocalState:
     """The newest state, open intents and proof of one host.
 
     ``effective`` is ``state`` with those keys withdrawn whose withdrawal may have been committed.
-    ``known`` is the newest version observed, which may be above the installed one. For
-    ``last_removal_at`` see ``guards.may_shorten_wait``.
+    ``known`` is the newest version observed, which may be above the installed one. ``era`` is the
+    store's, 0 before it has gone back. For ``last_removal_at`` see ``guards.may_shorten_wait``.
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         "_proof_asked_at",
         "_subject",
         "effective",
+        "era",
         "head",
         "intents_by_change",
         "known",
@@ -64,6 +67,7 @@
         self.state: AgreedState | None = None
         self.effective: AgreedState | None = None
         self.known = NO_STATE_VERSION
+        self.era = 0
         self.intents_by_change: dict[str, OpenIntent] = {}
         self.last_removal_at = math.inf
         self._proof_asked_at = -math.inf
@@ -149,7 +153,7 @@
         self.observe_version(intent.base_version)
         if not guards.may_acknowledge(intent.base_version, self.known):
             return False
-        self.intents_by_change[intent.change_id] = intent
+        self.intents_by_change[intent.change_id] = msgspec.structs.replace(intent, era=self.era)
         self._publish()
         return True
 
@@ -212,9 +216,19 @@
         self.intents_by_change = {
             change_id: intent
             for change_id, intent in self.intents_by_change.items()
-            if guards.intent_is_open(intent.base_version, self.installed)
+            if self._is_unsettled(intent)
         }
 
+    def _is_unsettled(self, intent: OpenIntent) -> bool:
+        """Return whether the intent's outcome is not known from the installed version.
+
+        A later version says nothing of a change that was committed and lost with an earlier era.
+        """
+        if guards.intent_is_open(intent.base_version, self.installed):
+            return True
+        is_included = self.head is not None and self.head.has_change(intent.change_id)
+        return intent.era != self.era and not is_included
+
     def _publish(self, always: bool = False) -> None:
         if self.state is None:
             return
--- a/src/flamingoladder/freshness/proof_renewer.py
+++ b/src/flamingoladder/freshness/proof_renewer.py
@@ -15,12 +15,14 @@
 from flamingoladder.freshness.messages import HeadRequest
 from flamingoladder.freshness.messages import IntentStatusReply
 from flamingoladder.freshness.messages import IntentStatusRequest
+from flamingoladder.freshness.store_trust import StoreTrust
 from flamingoladder.storage.exceptions import PlatformError
 
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import AgreedState
     from flamingoladder.freshness.head import Head
     from flamingoladder.freshness.head_storage import HeadStorage
+    from flamingoladder.freshness.head_storage import StoredHead
     from flamingoladder.freshness.local_state import LocalState
     from flamingoladder.freshness.local_state import OpenIntent
     from flamingoladder.freshness.settings import FreshnessSettings
@@ -39,6 +41,8 @@
         "_recorder",
         "_settings",
         "_storage",
+        "_stored_version",
+        "_trust",
         "store_unavailable",
     )
 
@@ -58,6 +62,8 @@
         self._recorder = recorder
         self._settings = settings
         self.store_unavailable = False
+        self._stored_version = NO_STATE_VERSION
+        self._trust = StoreTrust()
 
     async def run(self) -> None:
         """Renew the proof every ``poll_s`` seconds until cancelled."""
@@ -75,7 +81,7 @@
             await asyncio.gather(self._read_store(), self._collect_confirmations())
             return
         await self._read_store()
-        if self.store_unavailable:
+        if self.store_unavailable or not self._trust.is_trusted:
             await self._collect_confirmations()
 
     async def install(self, head: Head, source: str | None = None) -> bool:
@@ -117,13 +123,44 @@
             self._record_store_availability(True, str(error))
             return
         self._record_store_availability(False, "")
-        version = stored.head.version if stored.head else NO_STATE_VERSION
+        self._observe_era(stored.era)
+        version = self._stored_version = stored.head.version if stored.head else NO_STATE_VERSION
         if version < installed:
             self._recorder.record("store.reverted", version=version, installed=installed)
+            self._trust.lose()
+            await self.put_back(stored)
             return
         if stored.head is None or not await self.install(stored.head):
             return
-        self._local_state.renew_proof(version, asked_at, frozenset())
+        if self._trust.is_trusted:
+            self._local_state.renew_proof(version, asked_at, frozenset())
+
+    async def put_back(self, stored: StoredHead) -> None:
+        """Write the installed head over an older one that the store came back with.
+
+        Several hosts may try at once, as the older one must be unchanged; versions only rise.
+        """
+        head = self._local_state.head
+        if head is None:
+            return
+        found = stored.head.version if stored.head else NO_STATE_VERSION
+        try:
+            commit = await self._storage.put_back(stored, head)
+        except PlatformError as error:
+            self._recorder.record("store.not_put_back", version=head.version, error=error)
+            return
+        self._recorder.record(
+            "store.put_back", version=head.version, found=found, applied=commit.committed
+        )
+
+    def _observe_era(self, era: int) -> None:
+        era_before = self._trust.era
+        if self._trust.observe(era):
+            self._local_state.era = era
+            installed = self._local_state.installed
+            self._recorder.record(
+                "store.went_back", era=era, era_before=era_before, installed=installed
+            )
 
     def _record_store_availability(self, unavailable: bool, error: str) -> None:
         if unavailable != self.store_unavailable:
@@ -137,6 +174,7 @@
             await self._fetch_head(tuple(self._links.hosts))
             return
         asked_at = asyncio.get_running_loop().time()
+        asked_in_era = self._trust.era
         version = local_state.installed
         members_by_host = local_state.members_by_host
         other_hosts = [host for host in members_by_host if host != local_state.member.host]
@@ -152,15 +190,18 @@
         if hosts_with_newer:
             await self._fetch_head(hosts_with_newer)
             return
-        self._count_confirmations(version, asked_at, replies_by_host)
+        is_confirmed = self._count_confirmations(version, asked_at, replies_by_host)
+        if is_confirmed and self._stored_version == version and asked_in_era is not None:
+            self._trust.confirm(asked_in_era)
 
     def _count_confirmations(
         self, version: int, asked_at: float, replies_by_host: dict[str, ConfirmReply]
-    ) -> None:
+    ) -> bool:
+        """Renew the proof if a majority confirms the version, and return whether one does."""
         local_state = self._local_state
         if local_state.installed != version:
             self._recorder.record("proof.overtaken", version=version)
-            return
+            return False
         members_by_host = local_state.members_by_host
         suspended_keys_by_host = {
             host: frozenset(reply.suspended_keys)
@@ -181,10 +222,11 @@
                 confirmed=",".join(sorted(suspended_keys_by_host)),
                 members=len(members_by_host),
             )
-            return
+            return False
         local_state.renew_proof(
             version, asked_at, frozenset().union(*suspended_keys_by_host.values())
         )
+        return True
 
     async def _confirm_division(self) -> None:
         """Announce the current division to the other hosts and count those that know it."""
--- a/src/flamingoladder/members/registrar.py
+++ b/src/flamingoladder/members/registrar.py
@@ -36,6 +36,7 @@
 
     __slots__ = (
         "_committer",
+        "_entry_era",
         "_host_list",
         "_last_contact",
         "_links",
@@ -66,11 +67,14 @@
         self._recorder = recorder
         self._settings = settings
         self.is_leaving = False
+        self._entry_era = 0
 
     async def run(self) -> None:
         """Write the directory entry, register, then remove dead hosts until this host leaves."""
         await self._write_entry()
         while not self.is_leaving:
+            if self._table.era != self._entry_era:
+                await self._write_entry()
             if not self._local_state.is_registered:
                 await self._register()
                 await asyncio.sleep(self._settings.poll_s)
@@ -103,9 +107,11 @@
     async def _try_write_entry(self) -> bool:
         member = self._local_state.member
         try:
-            return await write_entry(self._table, member, self._settings.store_timeout_s)
+            is_written = await write_entry(self._table, member, self._settings.store_timeout_s)
         except PlatformError:
             return False
+        self._entry_era = self._table.era
+        return is_written
 
     async def _delete_entry(self, member: Member) -> None:
         try:
--- a/src/flamingoladder/platform/rows.py
+++ b/src/flamingoladder/platform/rows.py
@@ -70,7 +70,7 @@
 class RowStore(TableFeed):
     """The tables of the platform's store, all rows with an empty part.
 
-    ``era`` is the newest one that a read's answer named; answers of an earlier one are dropped.
+    ``era`` is the newest one that an answer named; answers of an earlier one are dropped.
     """
 
     __slots__ = ("_transport", "era")
@@ -168,6 +168,10 @@
         content = msgspec.json.encode(body)
         call = HttpCall(HTTPMethod.POST, "/-/rows-tx", TRANSACTION_STATUSES, content, headers)
         reply = await self._transport.write(call, timeout_s)
+        try:
+            self._era_of(reply)
+        except PlatformUnavailableError as error:
+            raise OutcomeUnknownError(str(error)) from error
         try:
             found = msgspec.json.decode(reply.body, type=_TransactionReply)
         except msgspec.DecodeError as error:
--- a/src/flamingoladder/platform/services.py
+++ b/src/flamingoladder/platform/services.py
@@ -43,6 +43,11 @@
     def __init__(self, store: RowStore) -> None:
         self._store = store
 
+    @property
+    def era(self) -> int:
+        """Return the store's era."""
+        return self._store.era
+
     async def read(self, prefix: str, timeout_s: float) -> Rows:
         """Return the rows whose key starts with ``prefix``."""
         end = prefix + LAST_CHARACTER if prefix else None
--- a/src/flamingoladder/standins/memory.py
+++ b/src/flamingoladder/standins/memory.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from flamingoladder.standins.exceptions import MalformedRequestError
 from flamingoladder.storage.exceptions import OutcomeUnknownError
 from flamingoladder.storage.exceptions import PlatformRefusedError
@@ -39,17 +41,35 @@
         self.lost_answers = 0
 
 
+class StoredTableCopy(msgspec.Struct, frozen=True):
+    """The rows as they were at a revision."""
+
+    rows_by_key: dict[str, Row]
+    revision: int
+
+
 class StoredTable:
     """The rows themselves, shared by all clients."""
 
-    __slots__ = ("reads", "revision", "rows_by_key", "writes")
+    __slots__ = ("era", "reads", "revision", "rows_by_key", "writes")
 
     def __init__(self) -> None:
+        self.era = 1
         self.rows_by_key: dict[str, Row] = {}
         self.revision = 0
         self.reads = 0
         self.writes = 0
 
+    def copy(self) -> StoredTableCopy:
+        """Return a copy of all rows."""
+        return StoredTableCopy(dict(self.rows_by_key), self.revision)
+
+    def restore(self, copy: StoredTableCopy) -> None:
+        """Come back from a copy: what was written since is gone, and a new era begins."""
+        self.rows_by_key = dict(copy.rows_by_key)
+        self.revision = copy.revision
+        self.era += 1
+
     def read(self, prefix: str) -> Rows:
         """Return the rows whose key starts with ``prefix``."""
         self.reads += 1
@@ -96,24 +116,32 @@
 class MemoryTable(TableService):
     """One host's access to a stored table, with faults of its own."""
 
-    __slots__ = ("_stored", "faults")
+    __slots__ = ("_era", "_stored", "faults")
 
     def __init__(self, stored: StoredTable, faults: Faults | None = None) -> None:
         self._stored = stored
+        self._era = 0
         self.faults = faults or Faults()
 
+    @property
+    def era(self) -> int:
+        """Return the newest era of an answer."""
+        return self._era
+
     async def read(self, prefix: str, timeout_s: float) -> Rows:
         """Return the rows under ``prefix`` after the round trip's delay."""
         await self._travel(timeout_s)
-        rows = self._stored.read(prefix)
+        rows, era = self._stored.read(prefix), self._stored.era
         await self._travel(timeout_s)
+        self._note_era(era)
         return rows
 
     async def get(self, key: str, timeout_s: float) -> Row | None:
         """Return the row of ``key`` after the round trip's delay."""
         await self._travel(timeout_s)
-        row = self._stored.get(key)
+        row, era = self._stored.get(key), self._stored.era
         await self._travel(timeout_s)
+        self._note_era(era)
         return row
 
     async def transact(
@@ -122,7 +150,7 @@
         """Apply the transaction, then lose its answer if that fault is switched on."""
         await self._travel(timeout_s)
         try:
-            commit = self._stored.transact(conditions, writes)
+            commit, era = self._stored.transact(conditions, writes), self._stored.era
         except MalformedRequestError as error:
             raise PlatformRefusedError(str(error)) from error
         if self.faults.lost_answers > 0:
@@ -131,10 +159,16 @@
             raise OutcomeUnknownError("answer lost")
         try:
             await self._travel(timeout_s)
+            self._note_era(era)
         except PlatformUnavailableError as error:
             raise OutcomeUnknownError(str(error)) from error
         return commit
 
+    def _note_era(self, era: int) -> None:
+        if era < self._era:
+            raise PlatformUnavailableError(f"answer of era {era}, now {self._era}")
+        self._era = era
+
     async def _travel(self, timeout_s: float) -> None:
         if self.faults.down or 2 * self.faults.delay_s > timeout_s:
             await asyncio.sleep(timeout_s)
--- a/src/flamingoladder/storage/table.py
+++ b/src/flamingoladder/storage/table.py
@@ -57,7 +57,16 @@
 
 
 class TableService(ABC):
-    """A table with transactions; each committed transaction raises the table's revision by one."""
+    """A table with transactions; each committed transaction raises the table's revision by one.
+
+    ``era`` is the newest that an answer named. It rises when the table comes back from an older
+    copy, in which revisions are given out again; no answer of an earlier era is returned after.
+    """
+
+    @property
+    @abstractmethod
+    def era(self) -> int:
+        """Return the newest era that an answer named."""
 
     @abstractmethod
     async def read(self, prefix: str, timeout_s: float) -> Rows:
