--- a/src/flamingoladder/console/commands/status.py
+++ b/src/flamingoladder/console/commands/status.py
@@ -21,7 +21,8 @@
 def _text(reply: FreshnessStatus) -> str:
     lines = [
         f"{status.host} version={status.version} proof={_age(status.proof_age_s)} "
-        f"open_intents={len(status.open_intents)}"
+        f"open_intents={len(status.open_intents)} "
+        f"store_era={'unknown' if status.store_era is None else status.store_era}"
         for status in reply.hosts
     ]
     lines += [f"{host} does not answer" for host in reply.unreachable]
--- a/src/flamingoladder/freshness/local_state.py
+++ b/src/flamingoladder/freshness/local_state.py
@@ -35,7 +35,7 @@
     host: str
     incarnation: str
     since: float
-    era: int = 0
+    era: int | None = None
 
 
 class LocalState:
@@ -43,7 +43,7 @@
 
     ``effective`` is ``state`` with those keys withdrawn whose withdrawal may have been committed.
     ``known`` is the newest version observed, which may be above the installed one. ``era`` is the
-    store's, 0 before it has gone back. For ``last_removal_at`` see ``guards.may_shorten_wait``.
+    store's, None before its first answer. For ``last_removal_at`` see ``guards.may_shorten_wait``.
     """
 
     __slots__ = (
@@ -67,7 +67,7 @@
         self.state: AgreedState | None = None
         self.effective: AgreedState | None = None
         self.known = NO_STATE_VERSION
-        self.era = 0
+        self.era: int | None = None
         self.intents_by_change: dict[str, OpenIntent] = {}
         self.last_removal_at = math.inf
         self._proof_asked_at = -math.inf
--- a/src/flamingoladder/freshness/messages.py
+++ b/src/flamingoladder/freshness/messages.py
@@ -109,7 +109,8 @@
 class HostStatus(msgspec.Struct, frozen=True, tag="freshness_status"):
     """The version in force on one host and the state of its proof.
 
-    ``proof_age_s`` is the age in seconds of the newest proof, None without one.
+    ``proof_age_s`` is the age in seconds of the newest proof, None without one. ``store_era`` is
+    the newest era of the store that the host knows, None before the first answer.
     """
 
     host: str
@@ -118,6 +119,7 @@
     has_proof: bool
     proof_age_s: float | None
     open_intents: tuple[str, ...]
+    store_era: int | None = None
 
 
 FreshnessMessage = (
--- a/src/flamingoladder/freshness/proof_renewer.py
+++ b/src/flamingoladder/freshness/proof_renewer.py
@@ -155,8 +155,9 @@
 
     def _observe_era(self, era: int) -> None:
         era_before = self._trust.era
-        if self._trust.observe(era):
-            self._local_state.era = era
+        went_back = self._trust.observe(era)
+        self._local_state.era = self._trust.era
+        if went_back:
             installed = self._local_state.installed
             self._recorder.record(
                 "store.went_back", era=era, era_before=era_before, installed=installed
--- a/src/flamingoladder/freshness/status.py
+++ b/src/flamingoladder/freshness/status.py
@@ -42,6 +42,7 @@
         local_state.has_proof(now),
         local_state.proof_age_s(now),
         tuple(sorted(local_state.intents_by_change)),
+        local_state.era,
     )
 
 
--- a/src/flamingoladder/soak/daemons.py
+++ b/src/flamingoladder/soak/daemons.py
@@ -14,6 +14,7 @@
 from flamingoladder.demo.traffic import kinds_of
 from flamingoladder.freshness.commit_results import CommitReport
 from flamingoladder.soak.faults import STORE_FAULTS
+from flamingoladder.soak.faults import STORE_OUTAGES
 from flamingoladder.soak.history import History
 from flamingoladder.soak.promises import Broken
 from flamingoladder.soak.promises import recovery
@@ -93,7 +94,14 @@
 
     @property
     def _faults(self) -> tuple[Callable[[], Awaitable[None]], ...]:
-        return (self._kill, self._stop, self._freeze, self._trouble_platform, self._withdraw)
+        return (
+            self._kill,
+            self._stop,
+            self._freeze,
+            self._trouble_platform,
+            self._restore_platform,
+            self._withdraw,
+        )
 
     async def _first_key(self, workspace: str) -> KeyReply:
         """Grant a key; hosts that have just started may refuse a few times, without a majority."""
@@ -152,6 +160,18 @@
             await self._deployment.set_faults(FaultSettings())
             self._note("platform: no fault")
 
+    async def _restore_platform(self) -> None:
+        """Lose what the store is told for some seconds; the hosts write it again."""
+        await self._deployment.keep_copy()
+        self._note("platform: keeps a copy")
+        await asyncio.sleep(self._random.uniform(1.0, 8.0))
+        async with self._platform_busy:
+            await self._deployment.set_faults(self._random.choice(STORE_OUTAGES))
+            await asyncio.sleep(self._random.uniform(0.0, 2.0))
+            await self._deployment.restore()
+            await self._deployment.set_faults(FaultSettings())
+            self._note("platform: back from the copy")
+
     async def _withdraw(self) -> None:
         """Grant a key, use it for a while and withdraw it; a refused change is left at that."""
         async with self._changing:
