Tell versions of one number apart by the change that made them

After the store came back from an older copy the number of a lost commit is given out again. A host that alone knew the lost one took the other for its own, and used a key that the other change had withdrawn. Confirmations and the store's head now are compared by number and change; where they differ, the content that a majority has replaces the other, which nobody was told to be in force. Two cases failed before (mutants of each half fail both).

--- a/src/flamingoladder/freshness/guards.py
+++ b/src/flamingoladder/freshness/guards.py
@@ -43,6 +43,14 @@
     return asked_version == installed == known
 
 
+def is_same_change(asked_change: str, installed_change: str) -> bool:
+    """Return whether two versions of one number have the same content.
+
+    Numbers are given out again after the store came back from an older copy.
+    """
+    return not asked_change or not installed_change or asked_change == installed_change
+
+
 def may_acknowledge(base_version: int, known: int) -> bool:
     """Return whether a host may acknowledge an intent on top of version ``base_version``."""
     return known <= base_version
--- a/src/flamingoladder/freshness/handlers.py
+++ b/src/flamingoladder/freshness/handlers.py
@@ -70,9 +70,10 @@
         local_state.observe_version(message.version)
         return ConfirmReply(
             local_state.known,
-            local_state.may_confirm(message.version),
+            local_state.may_confirm(message.version, message.change_id),
             local_state.member.incarnation,
             tuple(sorted(local_state.suspended_keys)),
+            local_state.change_id,
         )
 
     async def _acknowledge(self, peer: Peer, message: Intent) -> IntentReply:
--- a/src/flamingoladder/freshness/head.py
+++ b/src/flamingoladder/freshness/head.py
@@ -62,6 +62,11 @@
         """Return the longest proof lifetime in seconds among the recent versions."""
         return max(change.proof_s for change in self.recent)
 
+    @property
+    def change_id(self) -> str:
+        """Return the change that made this version."""
+        return self.recent[-1].change_id
+
     def has_change(self, change_id: str) -> bool:
         """Return whether ``change_id`` is among the recent changes."""
         return any(change.change_id == change_id for change in self.recent)
--- a/src/flamingoladder/freshness/local_state.py
+++ b/src/flamingoladder/freshness/local_state.py
@@ -162,9 +162,28 @@
         if self.intents_by_change.pop(change_id, None) is not None:
             self._publish()
 
-    def may_confirm(self, asked_version: int) -> bool:
+    @property
+    def change_id(self) -> str:
+        """Return the change that made the installed version, or nothing before the first."""
+        return "" if self.head is None else self.head.change_id
+
+    def may_confirm(self, asked_version: int, change_id: str = "") -> bool:
         """Return whether this host may confirm that ``asked_version`` is the newest version."""
-        return guards.may_confirm(asked_version, self.installed, self.known)
+        return guards.may_confirm(
+            asked_version, self.installed, self.known
+        ) and guards.is_same_change(change_id, self.change_id)
+
+    def replace_diverged(self, head: Head, state: AgreedState, now: float) -> None:
+        """Install another content of the installed version, which a majority has.
+
+        This host's was committed in an earlier era of the store and lost, and nobody was told
+        that it is in force.
+        """
+        self._proof_asked_at = -math.inf
+        self._record_division(state, now)
+        self.last_removal_at = math.inf
+        self.head, self.state = head, state
+        self._publish(always=True)
 
     def renew_proof(
         self, version: int, asked_at: float, peer_suspended_keys: frozenset[str]
--- a/src/flamingoladder/freshness/messages.py
+++ b/src/flamingoladder/freshness/messages.py
@@ -6,9 +6,13 @@
 
 
 class ConfirmRequest(msgspec.Struct, frozen=True, tag="vouch_request"):
-    """Asks whether ``version`` is the newest that the receiver knows."""
+    """Asks whether ``version``, made by ``change_id``, is the newest that the receiver knows.
+
+    A sender that does not name the change is of an earlier version of this software.
+    """
 
     version: int
+    change_id: str = ""
 
 
 class ConfirmReply(msgspec.Struct, frozen=True, tag="vouch_reply"):
@@ -17,12 +21,14 @@
     ``confirmed`` holds only if the sender has installed the requested version and knows no newer
     one. ``version`` is the newest that the sender knows, ``incarnation`` the sender's own. The
     confirmation does not cover ``suspended_keys``, whose withdrawal may have been committed.
+    ``change_id`` made the version that the sender has installed.
     """
 
     version: int
     confirmed: bool = msgspec.field(name="vouched")
     incarnation: str = ""
     suspended_keys: tuple[str, ...] = ()
+    change_id: str = ""
 
 
 class Intent(msgspec.Struct, frozen=True, tag="intent"):
--- a/src/flamingoladder/freshness/proof_renewer.py
+++ b/src/flamingoladder/freshness/proof_renewer.py
@@ -35,6 +35,7 @@
     """The task that renews one host's proof and installs newer versions."""
 
     __slots__ = (
+        "_diverged",
         "_last_contact",
         "_links",
         "_local_state",
@@ -64,6 +65,7 @@
         self.store_unavailable = False
         self._stored_version = NO_STATE_VERSION
         self._trust = StoreTrust()
+        self._diverged: StoredHead | None = None
 
     async def run(self) -> None:
         """Renew the proof every ``poll_s`` seconds until cancelled."""
@@ -132,9 +134,46 @@
             return
         if stored.head is None or not await self.install(stored.head):
             return
+        if stored.head.change_id != self._local_state.change_id:
+            if version == self._local_state.installed:
+                self._note_divergence(stored)
+            return
+        self._diverged = None
         if self._trust.is_trusted:
             self._local_state.renew_proof(version, asked_at, frozenset())
 
+    def _note_divergence(self, stored: StoredHead) -> None:
+        """Note that the store has another content of the installed version."""
+        self._trust.lose()
+        if self._diverged is None:
+            self._recorder.record("store.diverged", version=self._local_state.installed)
+        self._diverged = stored
+
+    async def _resolve_divergence(
+        self, diverged: StoredHead, replies_by_host: dict[str, ConfirmReply], *, confirmed: bool
+    ) -> None:
+        """Let the majority's content of the installed version replace the other."""
+        if confirmed:
+            await self.put_back(diverged)
+            return
+        head, members_by_host = diverged.head, self._local_state.members_by_host
+        if head is None or head.version != self._local_state.installed:
+            return
+        hosts = {
+            host
+            for host, reply in replies_by_host.items()
+            if (reply.version, reply.change_id) == (head.version, head.change_id)
+        }
+        if not guards.has_majority(hosts, members_by_host):
+            return
+        try:
+            state = await self._storage.load(head)
+        except StateUnreadableError as error:
+            self._recorder.record("state.unreadable", version=head.version, error=error)
+            return
+        self._local_state.replace_diverged(head, state, asyncio.get_running_loop().time())
+        self._recorder.record("state.replaced", version=head.version, change=head.change_id)
+
     async def put_back(self, stored: StoredHead) -> None:
         """Write the installed head over an older one that the store came back with.
 
@@ -192,7 +231,9 @@
             await self._fetch_head(hosts_with_newer)
             return
         is_confirmed = self._count_confirmations(version, asked_at, replies_by_host)
-        if is_confirmed and self._stored_version == version and asked_in_era is not None:
+        if self._diverged is not None:
+            await self._resolve_divergence(self._diverged, replies_by_host, confirmed=is_confirmed)
+        elif is_confirmed and self._stored_version == version and asked_in_era is not None:
             self._trust.confirm(asked_in_era)
 
     def _count_confirmations(
@@ -249,9 +290,8 @@
         local_state.confirm_division(version, hosts_that_know, asyncio.get_running_loop().time())
 
     async def _request_confirmation(self, host: str, version: int) -> ConfirmReply | None:
-        reply = await self._links.request(
-            host, ConfirmRequest(version), self._settings.peer_timeout_s
-        )
+        request = ConfirmRequest(version, self._local_state.change_id)
+        reply = await self._links.request(host, request, self._settings.peer_timeout_s)
         if not isinstance(reply, ConfirmReply):
             return None
         self._last_contact.record(host, asyncio.get_running_loop().time())
--- a/tests/freshness/test_store_going_back.py
+++ b/tests/freshness/test_store_going_back.py
@@ -183,3 +183,37 @@
         return uses + await uses_of(fleet, KEY.key_id, 5.0)
 
     assert run_on_injected_time(scenario()) == 0
+
+
+@pytest.mark.parametrize("store_is_up", [True, False])
+def test_two_contents_of_one_version_become_that_of_the_majority(store_is_up: bool) -> None:
+    """h1 alone knew a commit that was lost; the others gave its number to another change."""
+
+    async def scenario() -> tuple[int, int, str]:
+        fleet = await bootstrapped()
+        copy = fleet.stored_table.copy()
+        others = [host for host in fleet.hosts if host != "h1"]
+        fleet.cut_store(others)
+        version = fleet.state("h1").configuration_version
+        commit = asyncio.create_task(
+            fleet.replicas_by_host["h1"].commit(ApplyConfiguration(version, renamed("lost")))
+        )
+        await fleet.wait_until(lambda: fleet.stored_table.revision > copy.revision)
+        fleet.cut_peers("h1")
+        fleet.cut_store(["h1"])
+        await asyncio.sleep(2 * PROOF_S)
+        commit.cancel()
+        fleet.stored_table.restore(copy)
+        fleet.cut_store(others, down=False)
+        await asyncio.sleep(1.0)
+        report = await fleet.commit(WithdrawKey(KEY.key_id), "h4")
+        assert fleet.state("h1").version == report.version
+        assert fleet.state("h1").deployment.name == "lost"
+        fleet.cut_store(fleet.hosts, down=not store_is_up)
+        fleet.network.cuts.clear()
+        uses = await uses_of(fleet, KEY.key_id, 2 * PROOF_S)
+        fleet.cut_store(fleet.hosts, down=False)
+        await fleet.wait_until(lambda: serving(fleet, SOUND.key_id))
+        return uses, fleet.state("h1").version - report.version, fleet.state("h1").deployment.name
+
+    assert run_on_injected_time(scenario()) == (0, 0, "test")
