Check by a model that reported versions survive a store that goes back

It found a run of nine steps in the code before this commit: a host has the word of a majority that nothing is newer, in the new era, before one of that majority hears of the lost commit; the committer, which does not know of the era, then counts that host's acknowledgement and reports the change in force. So hosts tell the newest era that they know with confirmations and acknowledgements, and a committer counts those of its own content and of an era in which it knows its change to be in the store. Keys whose withdrawal may be lost stay refused at hosts that never heard of it.

--- a/models/__main__.py
+++ b/models/__main__.py
@@ -19,6 +19,7 @@
     "models.tickets",
     "models.division",
     "models.freshness",
+    "models.store_eras",
 )
 
 
--- a/src/flamingoladder/freshness/announcer.py
+++ b/src/flamingoladder/freshness/announcer.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.freshness import guards
+from flamingoladder.freshness.changes import NO_STATE_VERSION
 from flamingoladder.freshness.head import encode_head
 from flamingoladder.freshness.messages import HeadAcknowledged
 from flamingoladder.freshness.messages import HeadAnnounced
@@ -30,6 +31,7 @@
 class Announcement:
     """The announcement of one version, with the hosts' acknowledgements.
 
+    ``change_id`` made the version, and ``stored_era`` is the store's era in which it was committed.
     ``wait_s`` is the time in seconds after which every proof requested earlier has expired.
     ``key_suspended_at`` is the time of the commit if a majority refused the withdrawn key
     already before the commit, infinity for other changes.
@@ -39,20 +41,25 @@
         "_answered",
         "_known_at_by_host",
         "_members_by_host",
+        "change_id",
         "installed_on",
         "key_suspended_at",
+        "stored_era",
         "version",
         "wait_s",
     )
 
     def __init__(
         self,
-        version: int,
+        head: Head,
+        stored_era: int,
         members_by_host: Mapping[str, Member],
         wait_s: float,
         key_suspended_at: float,
     ) -> None:
-        self.version = version
+        self.version = head.version
+        self.change_id = head.change_id
+        self.stored_era = stored_era
         self.wait_s = wait_s
         self.key_suspended_at = key_suspended_at
         self.installed_on: set[str] = set()
@@ -121,7 +128,11 @@
         local_state = self._local_state
         now = asyncio.get_running_loop().time()
         announcement = Announcement(
-            head.version, local_state.members_by_host, local_state.wait_s, key_suspended_at
+            head,
+            local_state.stored_era,
+            local_state.members_by_host,
+            local_state.wait_s,
+            key_suspended_at,
         )
         own_host = local_state.member.host
         announcement.acknowledge(own_host, local_state.known, local_state.installed, now)
@@ -145,6 +156,22 @@
             pause_s = max(MIN_PAUSE_S, min(deadline, in_force_from) - now)
             await announcement.wait_for_answer(pause_s)
 
+    def _counts(self, announcement: Announcement, reply: HeadAcknowledged) -> bool:
+        """Return whether the host's knowledge of the version keeps the one below from proofs."""
+        local_state = self._local_state
+        stored_era = local_state.stored_era
+        if local_state.stored_version < announcement.version:
+            stored_era = announcement.stored_era
+        return guards.acknowledged_in_era(reply.store_era, stored_era) and self._has_content(
+            announcement, reply
+        )
+
+    @staticmethod
+    def _has_content(announcement: Announcement, reply: HeadAcknowledged) -> bool:
+        return guards.acknowledged_change(
+            announcement.version, announcement.change_id, reply.installed, reply.change_id
+        )
+
     async def _announce_to(
         self, host: str, message: HeadAnnounced, announcement: Announcement, deadline: float
     ) -> None:
@@ -154,6 +181,8 @@
             if isinstance(reply, HeadAcknowledged):
                 self._last_contact.record(host, loop.time())
                 self._local_state.observe_version(reply.known)
-                announcement.acknowledge(host, reply.known, reply.installed, loop.time())
+                known = reply.known if self._counts(announcement, reply) else NO_STATE_VERSION
+                installed = reply.installed if self._has_content(announcement, reply) else 0
+                announcement.acknowledge(host, known, installed, loop.time())
             if host not in announcement.installed_on:
                 await asyncio.sleep(ANNOUNCE_RETRY_INTERVAL_S)
--- a/src/flamingoladder/freshness/commit_attempt.py
+++ b/src/flamingoladder/freshness/commit_attempt.py
@@ -162,6 +162,8 @@
             return Retry("the head was changed meanwhile")
         pending.unresolved_base_version = None
         self._storage.cache_objects(encoded_head)
+        self._local_state.observe_era(self._storage.era)
+        self._local_state.note_stored(encoded_head.head.version, self._storage.era)
         await self._renewer.install(encoded_head.head)
         return Committed(encoded_head.head, pending.change.suspended_key is not None)
 
--- a/src/flamingoladder/freshness/guards.py
+++ b/src/flamingoladder/freshness/guards.py
@@ -43,6 +43,26 @@
     return asked_version == installed == known
 
 
+def acknowledged_change(
+    version: int, change_id: str, installed: int, installed_change: str
+) -> bool:
+    """Return whether a host that knows the number of a version also has its content.
+
+    A host that has installed a later version has it, one with another content of the same number
+    has not, and one that has installed less took the number from this announcement.
+    """
+    return installed != version or is_same_change(change_id, installed_change)
+
+
+def acknowledged_in_era(host_era: int, stored_era: int) -> bool:
+    """Return whether a host knows of no era of the store in which a version may be missing.
+
+    In a later era a majority may have confirmed the version below to a host, which then takes the
+    store's head for a proof. Of that majority one host knows the era.
+    """
+    return host_era <= stored_era
+
+
 def is_same_change(asked_change: str, installed_change: str) -> bool:
     """Return whether two versions of one number have the same content.
 
--- a/src/flamingoladder/freshness/handlers.py
+++ b/src/flamingoladder/freshness/handlers.py
@@ -68,6 +68,7 @@
         self._record_contact(peer)
         local_state = self._local_state
         local_state.observe_version(message.version)
+        local_state.observe_era(message.store_era)
         return ConfirmReply(
             local_state.known,
             local_state.may_confirm(message.version, message.change_id),
@@ -108,7 +109,11 @@
         await self._renewer.install_encoded(message.head, peer.host)
         local_state = self._local_state
         return HeadAcknowledged(
-            local_state.known, local_state.installed, local_state.member.incarnation
+            local_state.known,
+            local_state.installed,
+            local_state.member.incarnation,
+            local_state.change_id,
+            local_state.known_era,
         )
 
     async def _send_head(self, peer: Peer, message: HeadRequest) -> HeadReply:
--- a/src/flamingoladder/freshness/head_storage.py
+++ b/src/flamingoladder/freshness/head_storage.py
@@ -59,6 +59,11 @@
         self._settings = settings
         self._content_by_name: dict[str, bytes] = {}
 
+    @property
+    def era(self) -> int:
+        """Return the newest era of the store that an answer named."""
+        return self._table.era
+
     async def read(self) -> StoredHead:
         """Return the head in the table.
 
--- a/src/flamingoladder/freshness/local_state.py
+++ b/src/flamingoladder/freshness/local_state.py
@@ -43,7 +43,10 @@
 
     ``effective`` is ``state`` with those keys withdrawn whose withdrawal may have been committed.
     ``known`` is the newest version observed, which may be above the installed one. ``era`` is the
-    store's, None before its first answer. For ``last_removal_at`` see ``guards.may_shorten_wait``.
+    store's, None before its first answer, and ``known_era`` the newest that others have named too.
+    ``stored_version`` is that of the head when this host read or wrote it last, in ``stored_era``.
+    ``doubted_keys`` are those whose withdrawal may have been lost with an earlier era. For
+    ``last_removal_at`` see ``guards.may_shorten_wait``.
     """
 
     __slots__ = (
@@ -51,14 +54,18 @@
         "_peer_suspended_keys",
         "_proof_asked_at",
         "_subject",
+        "doubted_keys",
         "effective",
         "era",
         "head",
         "intents_by_change",
         "known",
+        "known_era",
         "last_removal_at",
         "member",
         "state",
+        "stored_era",
+        "stored_version",
     )
 
     def __init__(self, member: Member) -> None:
@@ -68,6 +75,10 @@
         self.effective: AgreedState | None = None
         self.known = NO_STATE_VERSION
         self.era: int | None = None
+        self.known_era = 0
+        self.doubted_keys: frozenset[str] = frozenset()
+        self.stored_version = NO_STATE_VERSION
+        self.stored_era = 0
         self.intents_by_change: dict[str, OpenIntent] = {}
         self.last_removal_at = math.inf
         self._proof_asked_at = -math.inf
@@ -162,6 +173,19 @@
         if self.intents_by_change.pop(change_id, None) is not None:
             self._publish()
 
+    def observe_era(self, era: int) -> None:
+        """Record that an answer of the store, or a message, has named an era of the store."""
+        self.known_era = max(self.known_era, era)
+
+    def doubt_keys(self, key_ids: frozenset[str]) -> None:
+        """Refuse the keys whose withdrawal may have been lost, until the next era."""
+        self.doubted_keys = key_ids
+        self._publish()
+
+    def note_stored(self, version: int, era: int) -> None:
+        """Record that the store had ``version``, or a later one, in ``era``."""
+        self.stored_version, self.stored_era = version, era
+
     @property
     def change_id(self) -> str:
         """Return the change that made the installed version, or nothing before the first."""
@@ -251,7 +275,8 @@
     def _publish(self, always: bool = False) -> None:
         if self.state is None:
             return
-        effective = with_keys_withdrawn(self.state, self.suspended_keys | self._peer_suspended_keys)
+        refused_keys = self.suspended_keys | self._peer_suspended_keys | self.doubted_keys
+        effective = with_keys_withdrawn(self.state, refused_keys)
         if always or effective != self.effective:
             self.effective = effective
             self._subject.on_next(effective)
--- a/src/flamingoladder/freshness/messages.py
+++ b/src/flamingoladder/freshness/messages.py
@@ -8,11 +8,13 @@
 class ConfirmRequest(msgspec.Struct, frozen=True, tag="vouch_request"):
     """Asks whether ``version``, made by ``change_id``, is the newest that the receiver knows.
 
-    A sender that does not name the change is of an earlier version of this software.
+    ``store_era`` is the newest era of the store that the sender knows. A sender that does not name
+    the change is of an earlier version of this software.
     """
 
     version: int
     change_id: str = ""
+    store_era: int = 0
 
 
 class ConfirmReply(msgspec.Struct, frozen=True, tag="vouch_reply"):
@@ -78,12 +80,15 @@
 class HeadAcknowledged(msgspec.Struct, frozen=True, tag="head_known"):
     """Acknowledges an announced head.
 
-    ``known`` is the newest version that the sender knows, ``installed`` the one that it acts on.
+    ``known`` is the newest version that the sender knows, ``installed`` the one that it acts on,
+    made by ``change_id``. ``store_era`` is the newest era of the store that the sender knows.
     """
 
     known: int
     installed: int
     incarnation: str
+    change_id: str = ""
+    store_era: int = 0
 
 
 class HeadRequest(msgspec.Struct, frozen=True, tag="head_request"):
--- a/src/flamingoladder/freshness/proof_renewer.py
+++ b/src/flamingoladder/freshness/proof_renewer.py
@@ -139,6 +139,7 @@
                 self._note_divergence(stored)
             return
         self._diverged = None
+        self._local_state.note_stored(version, stored.era)
         if self._trust.is_trusted:
             self._local_state.renew_proof(version, asked_at, frozenset())
 
@@ -196,6 +197,7 @@
         era_before = self._trust.era
         went_back = self._trust.observe(era)
         self._local_state.era = self._trust.era
+        self._local_state.observe_era(era)
         if went_back:
             installed = self._local_state.installed
             self._recorder.record(
@@ -234,7 +236,17 @@
         if self._diverged is not None:
             await self._resolve_divergence(self._diverged, replies_by_host, confirmed=is_confirmed)
         elif is_confirmed and self._stored_version == version and asked_in_era is not None:
-            self._trust.confirm(asked_in_era)
+            self._confirm_era(asked_in_era, replies_by_host)
+
+    def _confirm_era(self, era: int, replies_by_host: dict[str, ConfirmReply]) -> None:
+        """Trust the store's head from now on, but not for keys whose withdrawal may be lost."""
+        if self._trust.is_trusted:
+            return
+        suspended = [reply.suspended_keys for reply in replies_by_host.values()]
+        self._local_state.doubt_keys(
+            self._local_state.suspended_keys | frozenset().union(*suspended)
+        )
+        self._trust.confirm(era)
 
     def _count_confirmations(
         self, version: int, asked_at: float, replies_by_host: dict[str, ConfirmReply]
@@ -290,7 +302,8 @@
         local_state.confirm_division(version, hosts_that_know, asyncio.get_running_loop().time())
 
     async def _request_confirmation(self, host: str, version: int) -> ConfirmReply | None:
-        request = ConfirmRequest(version, self._local_state.change_id)
+        local_state = self._local_state
+        request = ConfirmRequest(version, local_state.change_id, local_state.known_era)
         reply = await self._links.request(host, request, self._settings.peer_timeout_s)
         if not isinstance(reply, ConfirmReply):
             return None
--- a/tests/freshness/test_store_going_back.py
+++ b/tests/freshness/test_store_going_back.py
@@ -164,19 +164,26 @@
     assert run_on_injected_time(scenario()) == (True, "test")
 
 
-def test_a_withdrawal_whose_commit_was_lost_with_its_committer_keeps_the_key_refused() -> None:
+@pytest.mark.parametrize("unaware", [(), ("h7",), ("h6", "h7")], ids=str)
+def test_a_withdrawal_whose_commit_was_lost_with_its_committer_keeps_the_key_refused(
+    unaware: tuple[str, ...],
+) -> None:
     """The next version, on top of the same one, shows nothing of a lost commit."""
 
     async def scenario() -> int:
         fleet = await bootstrapped()
         copy = fleet.stored_table.copy()
         fleet.cut_store([host for host in fleet.hosts if host != "h1"])
+        for host in unaware:
+            fleet.cut_peers(host)
         fleet.faults_by_host["h1"].lost_answers = 1
         commit = asyncio.create_task(fleet.commit(WithdrawKey(KEY.key_id)))
         await fleet.wait_until(lambda: fleet.stored_table.revision > copy.revision)
         await fleet.kill("h1")
         commit.cancel()
+        await asyncio.sleep(2 * PROOF_S)
         fleet.stored_table.restore(copy)
+        fleet.network.cuts.clear()
         fleet.cut_store(fleet.hosts, down=False)
         uses = await uses_of(fleet, KEY.key_id, 1.0)
         await fleet.commit(GrantKey(NEW), "h4")
@@ -217,3 +224,28 @@
         return uses, fleet.state("h1").version - report.version, fleet.state("h1").deployment.name
 
     assert run_on_injected_time(scenario()) == (0, 0, "test")
+
+
+def test_a_change_that_the_store_lost_is_not_reported_while_a_host_acts_on_the_one_below() -> None:
+    """h3 has the word of h2, from before h2 heard of the change, and the store's head."""
+
+    async def scenario() -> tuple[bool, str]:
+        fleet = await bootstrapped(3)
+        copy = fleet.stored_table.copy()
+        version = fleet.state("h1").configuration_version
+        commit = asyncio.create_task(
+            fleet.replicas_by_host["h1"].commit(ApplyConfiguration(version, renamed("b")))
+        )
+        await fleet.wait_until(lambda: fleet.stored_table.revision > copy.revision)
+        fleet.cut_peers("h1")
+        fleet.cut_store(["h1"])
+        fleet.stored_table.restore(copy)
+        await asyncio.sleep(1.5)
+        fleet.network.cuts.clear()
+        fleet.cut_peers("h3")
+        fleet.cut_store(["h2"])
+        result = await commit
+        assert fleet.serves("h3", SOUND.key_id)
+        return result.ok.in_force, fleet.state("h3").deployment.name
+
+    assert run_on_injected_time(scenario()) == (False, "test")
