--- a/src/flamingoladder/freshness/proof_renewer.py
+++ b/src/flamingoladder/freshness/proof_renewer.py
@@ -7,10 +7,9 @@
 
 from flamingoladder.freshness import guards
 from flamingoladder.freshness.changes import NO_STATE_VERSION
+from flamingoladder.freshness.confirmations import Confirmations
 from flamingoladder.freshness.exceptions import StateUnreadableError
 from flamingoladder.freshness.head import decode_head
-from flamingoladder.freshness.messages import ConfirmReply
-from flamingoladder.freshness.messages import ConfirmRequest
 from flamingoladder.freshness.messages import HeadReply
 from flamingoladder.freshness.messages import HeadRequest
 from flamingoladder.freshness.messages import IntentStatusReply
@@ -20,6 +19,7 @@
 
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import AgreedState
+    from flamingoladder.freshness.confirmations import Replies
     from flamingoladder.freshness.head import Head
     from flamingoladder.freshness.head_storage import HeadStorage
     from flamingoladder.freshness.head_storage import StoredHead
@@ -35,8 +35,8 @@
     """The task that renews one host's proof and installs newer versions."""
 
     __slots__ = (
+        "_confirmations",
         "_diverged",
-        "_last_contact",
         "_links",
         "_local_state",
         "_recorder",
@@ -57,9 +57,9 @@
         settings: FreshnessSettings,
     ) -> None:
         self._local_state = local_state
+        self._confirmations = Confirmations(local_state, links, last_contact, recorder, settings)
         self._storage = storage
         self._links = links
-        self._last_contact = last_contact
         self._recorder = recorder
         self._settings = settings
         self.store_unavailable = False
@@ -151,7 +151,7 @@
         self._diverged = stored
 
     async def _resolve_divergence(
-        self, diverged: StoredHead, replies_by_host: dict[str, ConfirmReply], *, confirmed: bool
+        self, diverged: StoredHead, replies_by_host: Replies, *, confirmed: bool
     ) -> None:
         """Let the majority's content of the installed version replace the other."""
         if confirmed:
@@ -218,27 +218,23 @@
         asked_at = asyncio.get_running_loop().time()
         asked_in_era = self._trust.era
         version = local_state.installed
-        members_by_host = local_state.members_by_host
-        other_hosts = [host for host in members_by_host if host != local_state.member.host]
-        replies = await asyncio.gather(
-            *(self._request_confirmation(host, version) for host in other_hosts)
-        )
-        replies_by_host = {
-            host: reply for host, reply in zip(other_hosts, replies, strict=True) if reply
-        }
+        replies_by_host = await self._confirmations.ask(version)
         hosts_with_newer = tuple(
             host for host, reply in replies_by_host.items() if reply.version > version
         )
         if hosts_with_newer:
             await self._fetch_head(hosts_with_newer)
             return
-        is_confirmed = self._count_confirmations(version, asked_at, replies_by_host)
+        suspended_keys = self._confirmations.suspended_keys(version, replies_by_host)
+        is_confirmed = suspended_keys is not None
+        if suspended_keys is not None:
+            local_state.renew_proof(version, asked_at, suspended_keys)
         if self._diverged is not None:
             await self._resolve_divergence(self._diverged, replies_by_host, confirmed=is_confirmed)
         elif is_confirmed and self._stored_version == version and asked_in_era is not None:
             self._confirm_era(asked_in_era, replies_by_host)
 
-    def _confirm_era(self, era: int, replies_by_host: dict[str, ConfirmReply]) -> None:
+    def _confirm_era(self, era: int, replies_by_host: Replies) -> None:
         """Trust the store's head from now on, but not for keys whose withdrawal may be lost."""
         if self._trust.is_trusted:
             return
@@ -248,69 +244,16 @@
         )
         self._trust.confirm(era)
 
-    def _count_confirmations(
-        self, version: int, asked_at: float, replies_by_host: dict[str, ConfirmReply]
-    ) -> bool:
-        """Renew the proof if a majority confirms the version, and return whether one does."""
-        local_state = self._local_state
-        if local_state.installed != version:
-            self._recorder.record("proof.overtaken", version=version)
-            return False
-        members_by_host = local_state.members_by_host
-        suspended_keys_by_host = {
-            host: frozenset(reply.suspended_keys)
-            for host, reply in replies_by_host.items()
-            if reply.confirmed
-            and guards.may_count_confirmation(reply.incarnation, members_by_host[host])
-        }
-        if local_state.is_registered and local_state.may_confirm(version):
-            suspended_keys_by_host[local_state.member.host] = local_state.suspended_keys
-        if local_state.known > version or not guards.has_majority(
-            suspended_keys_by_host, members_by_host
-        ):
-            self._recorder.record(
-                "proof.unconfirmed",
-                version=version,
-                known=local_state.known,
-                replied=",".join(sorted(replies_by_host)),
-                confirmed=",".join(sorted(suspended_keys_by_host)),
-                members=len(members_by_host),
-            )
-            return False
-        local_state.renew_proof(
-            version, asked_at, frozenset().union(*suspended_keys_by_host.values())
-        )
-        return True
-
     async def _confirm_division(self) -> None:
         """Announce the current division to the other hosts and count those that know it."""
         local_state = self._local_state
         if local_state.state is None or local_state.division_is_known:
             return
         version = local_state.installed
-        other_hosts = [
-            host for host in local_state.members_by_host if host != local_state.member.host
-        ]
-        replies = await asyncio.gather(
-            *(self._request_confirmation(host, version) for host in other_hosts)
-        )
-        host_replies = zip(other_hosts, replies, strict=True)
-        hosts_that_know = {
-            host for host, reply in host_replies if reply and reply.version >= version
-        }
-        hosts_that_know.add(local_state.member.host)
+        replies_by_host = await self._confirmations.ask(version)
+        hosts_that_know = self._confirmations.hosts_that_know(version, replies_by_host)
         local_state.confirm_division(version, hosts_that_know, asyncio.get_running_loop().time())
 
-    async def _request_confirmation(self, host: str, version: int) -> ConfirmReply | None:
-        local_state = self._local_state
-        request = ConfirmRequest(version, local_state.change_id, local_state.known_era)
-        reply = await self._links.request(host, request, self._settings.peer_timeout_s)
-        if not isinstance(reply, ConfirmReply):
-            return None
-        self._last_contact.record(host, asyncio.get_running_loop().time())
-        self._local_state.observe_version(reply.version)
-        return reply
-
     async def _fetch_head(self, hosts: tuple[str, ...]) -> None:
         requests = (
             self._links.request(host, HeadRequest(), self._settings.peer_timeout_s)
