--- a/src/flamingoladder/soak/daemons.py
+++ b/src/flamingoladder/soak/daemons.py
@@ -13,10 +13,10 @@
 from flamingoladder.demo.traffic import Traffic
 from flamingoladder.demo.traffic import kinds_of
 from flamingoladder.freshness.commit_results import CommitReport
+from flamingoladder.soak.broken import Broken
 from flamingoladder.soak.faults import STORE_FAULTS
 from flamingoladder.soak.faults import STORE_OUTAGES
 from flamingoladder.soak.history import History
-from flamingoladder.soak.promises import Broken
 from flamingoladder.soak.promises import recovery
 from flamingoladder.soak.report import SoakReport
 from flamingoladder.standins.deployment import LocalDeployment
--- a/src/flamingoladder/soak/faults.py
+++ b/src/flamingoladder/soak/faults.py
@@ -1,4 +1,4 @@
-"""Faults and planned work of a soak; each records in the history what it disturbs."""
+"""Faults and planned work of hosts, store and operators; each records what it disturbs."""
 
 from __future__ import annotations
 
@@ -8,16 +8,12 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-from flamingoladder.soak.history import RateLimitSpan
-from flamingoladder.soak.history import Span
 from flamingoladder.standins.platform import FaultSettings
-from flamingoladder.standins.relay import AnswerFault
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from random import Random
 
-    from flamingoladder.platform.standins.targets import StandinTarget
     from flamingoladder.soak.deployment import SoakDeployment
     from flamingoladder.soak.deployment import SoakHost
     from flamingoladder.soak.deployment import SoakTarget
@@ -208,88 +204,6 @@
             await deployment.write_again(random)
 
 
-class TargetConnections(Fault):
-    """A target's open connections are reset or go silent for good."""
-
-    async def inject(self, context: FaultContext) -> None:
-        """Reset or silence them."""
-        async with context.busy_target() as target:
-            if target is None:
-                return
-            is_reset = context.random.random() < 0.5
-            what = "reset" if is_reset else "silent"
-            context.note(f"{target.target.target_id}: connections {what}")
-            if is_reset:
-                target.relay.cut()
-            else:
-                target.relay.stall()
-
-
-class FaultyAnswers(Fault):
-    """A target's answers come twice, the second time late, or break off halfway."""
-
-    async def inject(self, context: FaultContext) -> None:
-        """Spoil answers for a while."""
-        async with context.busy_target() as target:
-            if target is None:
-                return
-            target.relay.answer_fault = context.random.choice(list(AnswerFault))
-            context.note(f"{target.target.target_id}: answers {target.relay.answer_fault}")
-            await asyncio.sleep(context.random.uniform(0.5, 3.0))
-            target.relay.answer_fault = None
-            context.note(f"{target.target.target_id}: answers as they are")
-
-
-class ReplaceTarget(Fault):
-    """A target drains, loses its entry or says that it leaves, serves on for a while and ends."""
-
-    async def inject(self, context: FaultContext) -> None:
-        """Start the next one, then let the old one leave."""
-        deployment = context.deployment
-        async with context.busy_target() as leaving:
-            if leaving is None:
-                return
-            target = leaving.target
-            async with context.store_busy:
-                added = await deployment.add_target(target.service, context.next_number())
-                await self._leave(context, target)
-                context.note(f"{added} is new")
-            await asyncio.sleep(context.random.uniform(4.0, 7.0))
-            async with context.store_busy:
-                await deployment.remove_target(target.target_id)
-            await deployment.stop_target(target.target_id)
-            context.note(f"{target.target_id} ended")
-
-    async def _leave(self, context: FaultContext, target: StandinTarget) -> None:
-        name = target.target_id
-        how = context.random.choice(("drain", "remove", "say"))
-        if how == "say":
-            target.says_leaving = True
-            context.note(f"{name} says in its answers that it leaves")
-            return
-        if how == "drain":
-            await target.drain(context.deployment.store)
-            context.note(f"{name} drains")
-        else:
-            await context.deployment.remove_target(name)
-            context.note(f"{name} has no entry any more")
-        context.history.left_at_by_target[name] = context.now
-
-
-class NamePause(Fault):
-    """A target turns all requests away and names the time for which it wants none."""
-
-    async def inject(self, context: FaultContext) -> None:
-        """Turn away for some seconds."""
-        async with context.busy_target() as resting:
-            if resting is None:
-                return
-            pause_s = context.random.uniform(1.0, 5.0)
-            resting.target.pause_until = context.now + pause_s
-            context.note(f"{resting.target.target_id} wants a pause of {pause_s:.3f} s")
-            await asyncio.sleep(pause_s)
-
-
 class WithdrawKey(Fault):
     """A workspace's key is withdrawn and another one granted; callers go on with both."""
 
@@ -306,39 +220,3 @@
             context.history.withdrawn_at_by_key[old] = context.now
             context.history.granted_at_by_key[new] = context.now
             context.note(f"{old} withdrawn, {new} granted")
-
-
-class NameRateLimit(Fault):
-    """A target names a limit of the requests that it takes from all hosts."""
-
-    async def inject(self, context: FaultContext) -> None:
-        """Name it for some seconds."""
-        async with context.busy_target() as limited:
-            if limited is None:
-                return
-            target, since = limited.target, context.now
-            per_s = round(context.random.uniform(0.0, 4.0), 1)
-            target.rate_limit_per_s = per_s
-            context.note(f"{target.target_id} names a limit of {per_s}/s")
-            await asyncio.sleep(context.random.uniform(6.0, 9.0))
-            target.rate_limit_per_s = None
-            span = Span(since, context.now)
-            context.history.limits.append(RateLimitSpan(target.target_id, per_s, span))
-            context.note(f"{target.target_id} names no limit any more")
-
-
-ALL_FAULTS: tuple[Fault, ...] = (
-    KillHost(),
-    StopHost(),
-    StopHost(),
-    FreezeHost(),
-    CutHostFromStore(),
-    StoreTrouble(),
-    StoreGoesBack(),
-    TargetConnections(),
-    FaultyAnswers(),
-    ReplaceTarget(),
-    WithdrawKey(),
-    NameRateLimit(),
-    NamePause(),
-)
--- a/src/flamingoladder/soak/promises.py
+++ b/src/flamingoladder/soak/promises.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from math import inf
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from flamingoladder.platform.standins.deployment import BOUNDS
+from flamingoladder.soak.broken import Broken
 from flamingoladder.soak.history import End
+from flamingoladder.soak.target_promises import TargetChecks
 from flamingoladder.soak.windows import most_in_window
 from flamingoladder.verdict import Verdict
 
@@ -33,19 +32,10 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5.0
-PAUSE_SLACK_S = 0.5
-MAX_SENT_IN_PAUSE = 2
 MIN_RECOVERED_FRACTION = 0.9
 NEVER_RUN_STATUSES = frozenset({401, 404, 408, 421, 429, 503})
 
 
-class Broken(msgspec.Struct, frozen=True):
-    """A promise that was broken, and what shows that."""
-
-    promise: str
-    evidence: str
-
-
 def recovery(served: int, owed: int) -> list[Broken]:
     """Return that the system has not recovered, unless most of the owed requests were served."""
     if owed and served >= MIN_RECOVERED_FRACTION * owed:
@@ -57,12 +47,12 @@
     """Compares what callers were told with what targets ran."""
 
     __slots__ = (
-        "_arrivals_by_link",
         "_history",
         "_rates_per_s",
         "_runs",
         "_runs_by_request",
         "_sent_by_id",
+        "_target_checks",
     )
 
     def __init__(
@@ -77,12 +67,7 @@
         self._rates_per_s = rates_per_s
         self._sent_by_id = {sent.request_id: sent for sent in history.sent}
         self._runs_by_request = Counter(run.request_id for run in runs)
-        self._arrivals_by_link: dict[tuple[str, str], list[TargetArrival]] = {}
-        for arrival in arrivals:
-            sent = self._sent_by_id.get(arrival.request_id)
-            if sent is not None:
-                link = (sent.host, arrival.target_id)
-                self._arrivals_by_link.setdefault(link, []).append(arrival)
+        self._target_checks = TargetChecks(history, self._sent_by_id, arrivals)
 
     def broken(self) -> list[Broken]:
         """Return all promises that were broken."""
@@ -98,8 +83,7 @@
             *self._unanswered(),
             *self._over_rates(),
             *self._over_target_limits(),
-            *self._sent_in_pauses(),
-            *self._sent_to_targets_that_said_they_leave(),
+            *self._target_checks.broken(),
         ]
 
     def recovered(self, since: float) -> list[Broken]:
@@ -211,31 +195,6 @@
                     f"{limit}: {most} in {LIMIT_WINDOW_S} s, {allowed} allowed",
                 )
 
-    def _sent_in_pauses(self) -> Iterable[Broken]:
-        for (host, target_id), arrivals in self._arrivals_by_link.items():
-            for first in arrivals:
-                since = first.at + PAUSE_SLACK_S
-                later = [of for of in arrivals if since < of.at < first.paused_until]
-                is_bound = not self._history.was_disturbed(host, first.at, first.paused_until)
-                if len(later) > MAX_SENT_IN_PAUSE and is_bound:
-                    evidence = f"{host}: {len(later)} to {target_id} after {first}"
-                    yield Broken("a target gets nothing in the pause that it named", evidence)
-
-    def _sent_to_targets_that_said_they_leave(self) -> Iterable[Broken]:
-        for (host, target_id), arrivals in self._arrivals_by_link.items():
-            passed_on = [
-                self._sent_by_id[of.request_id].ended_at
-                for of in arrivals
-                if of.says_leaving and self._sent_by_id[of.request_id].status == OK
-            ]
-            told_at = min(passed_on, default=inf)
-            for arrival in arrivals:
-                sent_at = self._sent_by_id[arrival.request_id].sent_at
-                is_late = sent_at > told_at + BOUNDS.propagation_s
-                if is_late and not self._history.was_disturbed(host, told_at, arrival.at):
-                    evidence = f"{host}, told {told_at}: {arrival} at {target_id}"
-                    yield Broken("a target that says it leaves gets no new work", evidence)
-
     def _acknowledged_at(self, written_at: float) -> float:
         """Return from when a bound counts after a write that the store acknowledged.
 
--- a/src/flamingoladder/soak/report.py
+++ b/src/flamingoladder/soak/report.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from flamingoladder.soak.promises import Broken
+from flamingoladder.soak.broken import Broken
 
 
 class SoakReport(msgspec.Struct, frozen=True):
--- a/src/flamingoladder/soak/run.py
+++ b/src/flamingoladder/soak/run.py
@@ -8,7 +8,7 @@
 
 from flamingoladder.soak.callers import Callers
 from flamingoladder.soak.deployment import SoakDeployment
-from flamingoladder.soak.faults import ALL_FAULTS
+from flamingoladder.soak.fault_kinds import ALL_FAULTS
 from flamingoladder.soak.faults import FaultContext
 from flamingoladder.soak.history import History
 from flamingoladder.soak.promises import Checks
