--- a/src/flamingoladder/freshness/local_state.py
+++ b/src/flamingoladder/freshness/local_state.py
@@ -270,7 +270,7 @@
         if guards.intent_is_open(intent.base_version, self.installed):
             return True
         is_included = self.head is not None and self.head.has_change(intent.change_id)
-        return intent.era != self.era and not is_included
+        return intent.era not in {None, self.era} and not is_included
 
     def _publish(self, always: bool = False) -> None:
         if self.state is None:
