--- a/src/flamingoladder/steering/candidates.py
+++ b/src/flamingoladder/steering/candidates.py
@@ -28,7 +28,7 @@
         if target.drained or target.name in tried or not health.takes_work(now):
             continue
         usable.append(target)
-        if health.usable(now):
+        if health.seems_well(now):
             healthy.append(target)
     # If all health checks fail, the checks are more likely wrong than all targets down.
     return healthy or usable
--- a/src/flamingoladder/steering/slot_chooser.py
+++ b/src/flamingoladder/steering/slot_chooser.py
@@ -244,7 +244,7 @@
     def _reserve_slot(self, held: HeldSlot, target: DeclaredTarget, now: float) -> Reservation:
         held.busy = True
         self._selector.stats_of(target.name).in_flight += 1
-        self._health_board.of(target.name).pause.count_send(now)
+        self._health_board.of(target.name).count_send(now)
         return SlotReservation(self, held, target, now)
 
     def _local_wait_s(self, service_queue: ServiceQueue, position: int, now: float) -> float:
--- a/src/flamingoladder/upstreams/health.py
+++ b/src/flamingoladder/upstreams/health.py
@@ -11,9 +11,9 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.steering.chooser import AttemptOutcome
-from flamingoladder.targets.pause import TargetPause
 
 if TYPE_CHECKING:
+    from flamingoladder.targets.pause import TargetPause
     from flamingoladder.upstreams.probe_messages import ProbeReply
 
 FAILURES_TO_EJECT = 2
@@ -31,6 +31,7 @@
     """The health of one target; all times are in monotonic seconds.
 
     ``leaving`` is set once the target says in an answer that it leaves, until it starts again.
+    ``pause`` is None until the target names one.
     """
 
     __slots__ = (
@@ -51,7 +52,7 @@
         self.probe_ok = True
         self.draining = False
         self.leaving = False
-        self.pause = TargetPause()
+        self.pause: TargetPause | None = None
         self._was_silent = False
         self.reported_load: float | None = None
         self._failures = 0
@@ -89,21 +90,28 @@
 
     def usable(self, now: float) -> bool:
         """Return whether new requests may go to the target."""
-        if not self.takes_work(now):
-            return False
+        return self.takes_work(now) and self.seems_well(now)
+
+    def seems_well(self, now: float) -> bool:
+        """Return whether probes or recent answers say that the target is healthy."""
         return self.probe_ok or now - self._last_success < OWN_SUCCESS_TTL_S
 
     def takes_work(self, now: float) -> bool:
         """Return whether requests may go to the target, whatever probes say of its health."""
-        if self.draining or self.leaving or self.ejected(now):
+        if self.draining or self.leaving or now < self._ejected_until:
             return False
-        return self.pause.allows_send(now)
+        return self.pause is None or self.pause.allows_send(now)
+
+    def count_send(self, now: float) -> None:
+        """Count a request that is being sent to the target."""
+        if self.pause is not None:
+            self.pause.count_send(now)
 
     def rest_s(self, now: float) -> float:
         """Return the seconds until the target wants requests, infinite if it leaves."""
         if self.draining or self.leaving:
             return inf
-        return max(0.0, self.pause.resume_at - now)
+        return 0.0 if self.pause is None else max(0.0, self.pause.resume_at - now)
 
     def usable_slots(self, declared: int, ramp_s: float, now: float) -> int:
         """Return how many of the ``declared`` slots may be used during slow start."""
--- a/src/flamingoladder/upstreams/notices.py
+++ b/src/flamingoladder/upstreams/notices.py
@@ -9,6 +9,7 @@
 from flamingoladder.targets.fleet_share import fleet_share
 from flamingoladder.targets.notices import PauseNotice
 from flamingoladder.targets.pause import MAX_PAUSE_S
+from flamingoladder.targets.pause import TargetPause
 
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import StateInForce
@@ -39,7 +40,8 @@
             self._recorder.record("target.leaving", target=target)
         text = header(answer, fields.RETRY_AFTER)
         if answer.status != SERVICE_UNAVAILABLE or text is None:
-            health.pause.note_answer(sent_at)
+            if health.pause is not None:
+                health.pause.note_answer(sent_at)
             return
         self._learn_pause(target, health, PauseNotice.from_text(text), now)
 
@@ -52,6 +54,8 @@
             self._recorder.record("target.pause_bounded", target=target, value=notice.seconds)
         if not notice.seconds:
             return
+        if health.pause is None:
+            health.pause = TargetPause()
         health.pause.name(notice.seconds, self._turn(target), now)
         left_s = round(health.pause.resume_at - now, 3)
         self._recorder.record(
--- a/tests/upstreams/test_notices.py
+++ b/tests/upstreams/test_notices.py
@@ -9,6 +9,7 @@
 from flamingoladder.steering.chooser import AttemptOutcome
 from flamingoladder.steering.chooser import Reservation
 from flamingoladder.targets.pause import MAX_PAUSE_S
+from flamingoladder.targets.pause import TargetPause
 from flamingoladder.upstreams.health import TargetHealth
 from flamingoladder.upstreams.probe_messages import ProbeReply
 from flamingoladder.verdict import Refusal
@@ -127,6 +128,7 @@
         if pause_s is None:
             health.leaving = True
         else:
+            health.pause = TargetPause()
             health.pause.name(pause_s, 0.0, now)
 
 
