Keep a key in doubt refused until the newest majority lets it go

Cause: a host that had confirmed a new era of the store kept the keys in doubt of that moment until the next era. A withdrawal that was announced later, at other hosts, or whose outcome became known, did not change them: a withdrawn key could be let in, and a good one stayed refused.

Change: while keys are in doubt, each refresh collects confirmations beside the store's head, and the keys in doubt are those of the newest majority.

--- a/src/flamingoladder/freshness/local_state.py
+++ b/src/flamingoladder/freshness/local_state.py
@@ -178,7 +178,7 @@
         self.known_era = max(self.known_era, era)
 
     def doubt_keys(self, key_ids: frozenset[str]) -> None:
-        """Refuse the keys whose withdrawal may have been lost, until the next era."""
+        """Refuse the keys whose withdrawal may have been lost, as the newest majority says."""
         self.doubted_keys = key_ids
         self._publish()
 
--- a/src/flamingoladder/freshness/proof_renewer.py
+++ b/src/flamingoladder/freshness/proof_renewer.py
@@ -83,9 +83,15 @@
             await asyncio.gather(self._read_store(), self._collect_confirmations())
             return
         await self._read_store()
-        if self.store_unavailable or not self._trust.is_trusted:
+        if self._needs_confirmations:
             await self._collect_confirmations()
 
+    @property
+    def _needs_confirmations(self) -> bool:
+        """Return whether the store's head alone does not tell which keys are in force."""
+        is_trusted = self._trust.is_trusted and not self._local_state.doubted_keys
+        return self.store_unavailable or not is_trusted
+
     async def install(self, head: Head, source: str | None = None) -> bool:
         """Install ``head`` if it is newer; return whether this host has it or a newer one.
 
@@ -235,9 +241,10 @@
             self._confirm_era(asked_in_era, replies_by_host)
 
     def _confirm_era(self, era: int, replies_by_host: Replies) -> None:
-        """Trust the store's head from now on, but not for keys whose withdrawal may be lost."""
-        if self._trust.is_trusted:
-            return
+        """Trust the store's head from now on, but not for keys whose withdrawal may be lost.
+
+        Each majority has a host that acknowledged such a withdrawal, until its outcome is known.
+        """
         suspended = [reply.suspended_keys for reply in replies_by_host.values()]
         self._local_state.doubt_keys(
             self._local_state.suspended_keys | frozenset().union(*suspended)
--- a/tests/freshness/test_random.py
+++ b/tests/freshness/test_random.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import AgreedState
     from flamingoladder.freshness.changes import Change
+    from flamingoladder.standins.memory import StoredTableCopy
 
 FLEET_SIZE = 5
 RUN_S = 40.0
@@ -29,6 +30,9 @@
 # A step injects a fault, or starts a change, with a probability equal to its length in seconds:
 # one of each a second on average.
 STEP_S = 0.02
+COPY_INTERVAL_S = 0.5
+MAX_LOST_S = 10.0
+GOING_BACK_FRACTION = 0.25
 
 
 class RandomRun:
@@ -195,6 +199,45 @@
         assert withdrawn >= self.withdrawn, "a withdrawal was lost"
 
 
+class RestoringRun(RandomRun):
+    """A run in which the store comes back from copies up to ``MAX_LOST_S`` old, and no host dies.
+
+    A change that was committed and not reported in force may be lost then.
+    """
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.copies: list[tuple[float, StoredTableCopy]] = []
+
+    async def _step(self) -> None:
+        if not self.copies or self.fleet.now - self.copies[-1][0] >= COPY_INTERVAL_S:
+            self.copies.append((self.fleet.now, self.fleet.stored_table.copy()))
+        await super()._step()
+
+    async def _inject_fault(self) -> None:
+        if self.random.random() < GOING_BACK_FRACTION:
+            now = self.fleet.now
+            recent = [copy for at, copy in self.copies if now - at <= MAX_LOST_S]
+            self.fleet.stored_table.restore(self.random.choice(recent))
+        else:
+            await super()._inject_fault()
+
+    async def _stop_or_start(self, host: str) -> None:
+        """Stop none: what only dead hosts knew is lost with the store's copy."""
+
+    async def _commit(self, host: str, change: Change, key_id: str = "") -> RefusalKind | None:
+        in_force_before = self.in_force_version
+        refusal_kind = await super()._commit(host, change, key_id)
+        if refusal_kind is None and self.in_force_version == in_force_before:
+            return RefusalKind.OUTCOME_UNKNOWN
+        return refusal_kind
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_guarantees_hold_if_the_store_comes_back_from_older_copies(seed: int) -> None:
+    run_on_injected_time(RestoringRun(seed).run())
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_guarantees_hold_under_random_faults(seed: int) -> None:
     run_on_injected_time(RandomRun(seed).run())
