Claim nothing on rows that may stand in place of lost ones

- A key declared fresh was claimed while in doubt, its row could replace a lost one, and was written again in the next era as if it had been trusted.
It gets not_run and a ticket now, which needs no claim.
- A key that was closed while in doubt was taken for one that has not run, and a closed row whose write was the first answer of a new era was reported as such.
- A claim found as this host's own after a lost answer was not remembered, so that it was not written again.
- The release of an abandoned claim made the host forget a later row.
- The timer of the doubt ran on from an earlier era.
- A batch of outcomes used the revisions of claims of an earlier era.

Change: rows are remembered only when not in doubt; entries keep the era of their revision; an outcome found is left, what ran counts before what is closed. A fresh key at a host that starts without the store waits as long as for a request to the store, then gets its ticket.

--- a/src/flamingoladder/ledger/caller_key_handler.py
+++ b/src/flamingoladder/ledger/caller_key_handler.py
@@ -9,6 +9,7 @@
 from flamingoladder.ledger import refusals
 from flamingoladder.ledger.entries import Entry
 from flamingoladder.ledger.exceptions import DeadlinePassedError
+from flamingoladder.ledger.exceptions import KeyInDoubtError
 from flamingoladder.ledger.row_reader import TABLE_TIMEOUT_S
 from flamingoladder.ledger.rows import claim_row_key
 from flamingoladder.ledger.rows import workspace_name
@@ -89,6 +90,8 @@
             outcome = await self._claim_store.claim(entry, request)
         except DeadlinePassedError:
             return _abandon(entry, Reason.DEADLINE_PASSED)
+        except KeyInDoubtError:
+            return _abandon(entry, Reason.CLAIM_STORE_UNAVAILABLE)
         except PlatformUnavailableError:
             self._pause_claims(request.deadline - started_at)
             return _abandon(entry, Reason.CLAIM_STORE_UNAVAILABLE)
--- a/src/flamingoladder/ledger/claim_store.py
+++ b/src/flamingoladder/ledger/claim_store.py
@@ -8,10 +8,12 @@
 from flamingoladder.ledger import refusals
 from flamingoladder.ledger.entries import EntryState
 from flamingoladder.ledger.exceptions import DeadlinePassedError
+from flamingoladder.ledger.exceptions import KeyInDoubtError
 from flamingoladder.ledger.messages import ClaimStatus
 from flamingoladder.ledger.resolutions import Claimable
 from flamingoladder.ledger.resolutions import KnownOutcome
 from flamingoladder.ledger.resolutions import OwnClaim
+from flamingoladder.ledger.row_reader import TABLE_TIMEOUT_S
 from flamingoladder.ledger.row_reader import remaining_s
 from flamingoladder.ledger.row_reader import table_timeout_s
 from flamingoladder.ledger.rows import ClaimRow
@@ -79,11 +81,11 @@
 
         :raises PlatformUnavailableError: if the table failed until the deadline.
         :raises DeadlinePassedError: if the deadline passed before the row was read.
+        :raises KeyInDoubtError: if the row may be lost, but the caller declares the key fresh.
         """
         revision = ABSENT_REVISION
-        if not request.fresh_key:
-            await self._recovery.wait_until_started(request.deadline)
-        if self._recovery.is_in_doubt and not request.fresh_key:
+        await self._wait_until_started(request)
+        if self._recovery.is_in_doubt:
             resolution = await self._resolve_claim(entry, request)
             if isinstance(resolution, KnownOutcome):
                 return resolution.outcome
@@ -93,51 +95,57 @@
             if isinstance(resolution, KnownOutcome):
                 return resolution.outcome
             if isinstance(resolution, OwnClaim):
-                _mark_claimed(entry, resolution.revision)
+                self._mark_claimed(entry, resolution.revision)
+                self._remember(entry.row_key, self._own_claim(entry))
                 break
             revision = resolution.revision
         # The answer to the write may have been the first of another era.
-        if self._recovery.is_in_doubt and not request.fresh_key:
-            return refusals.lost_row_in_doubt()
+        if self._recovery.is_in_doubt:
+            return _lost_row_in_doubt(request)
         return None
 
+    async def _wait_until_started(self, request: CallerRequest) -> None:
+        deadline = request.deadline
+        if request.fresh_key:
+            # A ticket can replace the key, so its caller need not wait longer.
+            deadline = min(deadline, asyncio.get_running_loop().time() + TABLE_TIMEOUT_S)
+        await self._recovery.wait_until_started(deadline)
+
     async def _resolve_claim(self, entry: Entry, request: CallerRequest) -> Resolution:
-        return await self.resolve(
-            entry.row_key,
-            request.digest,
-            request.deadline,
-            entry.attempt,
-            fresh_key=request.fresh_key,
+        resolution = await self._resolve_row(
+            entry.row_key, request.digest, request.deadline, entry.attempt
         )
+        if self._may_be_lost(resolution):
+            return KnownOutcome(_lost_row_in_doubt(request))
+        return resolution
 
-    async def resolve(
-        self,
-        row_key: str,
-        digest: str | None,
-        deadline: float,
-        attempt: int | None = None,
-        *,
-        fresh_key: bool = False,
-    ) -> Resolution:
+    async def resolve(self, row_key: str, digest: str | None, deadline: float) -> Resolution:
         """Return whether a request with ``digest`` may claim the row, or the row's outcome.
 
-        A ``digest`` of None matches any request. ``attempt`` is this host's own attempt at the
-        claim, if it has made one. While the store may have lost rows, neither an absent row nor a
-        claim that was given up shows that a key is free, unless it is a ``fresh_key``, which no
-        earlier request had.
+        A ``digest`` of None matches any request. While the store may have lost rows, neither an
+        absent row nor a claim that was given up shows that a key is free, and a closed row may
+        stand in place of an outcome.
 
         :raises PlatformUnavailableError: if the table failed until the deadline.
         :raises DeadlinePassedError: if the deadline passed before the row was read.
         """
-        resolution = await self._resolve_row(row_key, digest, deadline, attempt)
-        is_claimable = isinstance(resolution, Claimable)
-        if is_claimable and self._recovery.is_in_doubt and not fresh_key:
+        resolution = await self._resolve_row(row_key, digest, deadline, None)
+        if self._may_be_lost(resolution):
             return KnownOutcome(refusals.lost_row_in_doubt())
         return resolution
 
+    def _may_be_lost(self, resolution: Resolution) -> bool:
+        """Return whether an outcome may have stood in the row before the store lost it."""
+        if not self._recovery.is_in_doubt:
+            return False
+        return isinstance(resolution, Claimable) or resolution == KnownOutcome(
+            refusals.key_closed()
+        )
+
     async def _resolve_row(
         self, row_key: str, digest: str | None, deadline: float, attempt: int | None
     ) -> Resolution:
+        """Resolve the row as it is; ``attempt`` is this host's own at the claim, if it made one."""
         row = await self._reader.get(row_key, deadline)
         if row is None:
             return Claimable(ABSENT_REVISION)
@@ -180,16 +188,22 @@
         :raises DeadlinePassedError: if the deadline passed before the row was read.
         """
         await self._recovery.wait_until_started(deadline)
+        closed = self._claim_row(0, "", ClaimState.CLOSED)
         while True:
             resolution = await self.resolve(row_key, None, deadline)
             if isinstance(resolution, KnownOutcome):
+                if resolution.outcome == refusals.key_closed():
+                    # An answer to a write may have been lost, so the writer may not know of it.
+                    self._remember(row_key, closed)
                 return resolution.outcome
-            closed = self._claim_row(0, "", ClaimState.CLOSED)
             try:
-                if await self._write_row(row_key, resolution.revision, closed, deadline):
-                    return refusals.key_closed()
+                is_closed = await self._write_row(row_key, resolution.revision, closed, deadline)
             except OutcomeUnknownError:
                 continue
+            if is_closed and self._recovery.is_in_doubt:
+                return refusals.lost_row_in_doubt()
+            if is_closed:
+                return refusals.key_closed()
 
     async def _reread_outcome(self, row_key: str, digest: str | None, deadline: float) -> Outcome:
         """Return the outcome if the holder wrote it before it stopped replying."""
@@ -224,7 +238,7 @@
         :raises PlatformUnavailableError: if the write was not sent.
         :raises DeadlinePassedError: if there was no time left to send it.
         """
-        claim = self._claim_row(entry.attempt, entry.digest, ClaimState.CLAIMED)
+        claim = self._own_claim(entry)
         try:
             claimed_at = await self._write_row(entry.row_key, revision, claim, deadline)
         except OutcomeUnknownError:
@@ -232,9 +246,17 @@
             return False
         if claimed_at is None:
             return False
-        _mark_claimed(entry, claimed_at)
+        self._mark_claimed(entry, claimed_at)
         return True
 
+    def _mark_claimed(self, entry: Entry, revision: int) -> None:
+        entry.revision = revision
+        entry.era = self._table.era
+        entry.state = EntryState.CLAIMED
+
+    def _own_claim(self, entry: Entry) -> ClaimRow:
+        return self._claim_row(entry.attempt, entry.digest, ClaimState.CLAIMED)
+
     def _claim_row(self, attempt: int, digest: str, state: ClaimState) -> ClaimRow:
         return ClaimRow(self._own.host, self._own.incarnation, attempt, digest, state)
 
@@ -252,10 +274,20 @@
         )
         if not commit.committed:
             return None
-        self._written_rows.add(row_key, claim, asyncio.get_running_loop().time())
+        self._remember(row_key, claim)
         return commit.revision
 
+    def _remember(self, row_key: str, row: ClaimRow) -> None:
+        """Remember a row in the table, unless it may stand in place of one that was lost."""
+        if not self._recovery.is_in_doubt:
+            self._written_rows.add(row_key, row, asyncio.get_running_loop().time())
+
+
+def _lost_row_in_doubt(request: CallerRequest) -> Outcome:
+    """Return the refusal of a claim whose row may be lost.
 
-def _mark_claimed(entry: Entry, revision: int) -> None:
-    entry.revision = revision
-    entry.state = EntryState.CLAIMED
+    :raises KeyInDoubtError: if the caller declares the key fresh, so that a ticket can replace it.
+    """
+    if request.fresh_key:
+        raise KeyInDoubtError
+    return refusals.lost_row_in_doubt()
--- a/src/flamingoladder/ledger/entries.py
+++ b/src/flamingoladder/ledger/entries.py
@@ -42,9 +42,9 @@
     """A request under an idempotency key.
 
     ``attempt`` numbers this host's claims from 1; it is 0 for a ticket, which needs no claim.
-    ``revision`` is that of the claim row, or None for a ticket, which has no row before its
-    outcome. ``claim_in_doubt`` is set when the answer to a write of the claim is lost,
-    ``claim_failure`` when the claim is abandoned before the state of its row is known.
+    ``revision`` is that of the claim row, in the store's ``era``, or None for a ticket, which has
+    no row before its outcome. ``claim_in_doubt`` is set when the answer to a write of the claim is
+    lost, ``claim_failure`` when the claim is abandoned before the state of its row is known.
     ``retain_until`` and ``expires_at`` are monotonic time in seconds: the entry is kept at least
     until ``retain_until``, and ``expires_at`` is None until the outcome is in the table.
     ``outcome_future`` delivers the outcome to all waiting requests and is None afterwards;
@@ -57,6 +57,7 @@
         "claim_failure",
         "claim_in_doubt",
         "digest",
+        "era",
         "expires_at",
         "outcome_future",
         "retain_until",
@@ -72,6 +73,7 @@
         self.retain_until = retain_until
         self.state = EntryState.CLAIMING
         self.revision: int | None = None
+        self.era = 0
         self.claim_in_doubt = False
         self.claim_failure: Reason | None = None
         self.cached_outcome: StoredOutcome | None = None
--- a/src/flamingoladder/ledger/era_recovery.py
+++ b/src/flamingoladder/ledger/era_recovery.py
@@ -45,6 +45,7 @@
 
     __slots__ = (
         "_doubt_ends_at",
+        "_doubted_era",
         "_entries",
         "_links",
         "_recorder",
@@ -81,7 +82,8 @@
         # Whether no earlier incarnation can have written what the store lost with the last era.
         self._remembers = False
         self._started = asyncio.Event()
-        self._doubt_ends_at: float | None = None
+        self._doubted_era = 0
+        self._doubt_ends_at = 0.0
         links.register(EraQuery, self._reply)
 
     @property
@@ -138,7 +140,8 @@
 
     async def _recover(self, era: int) -> None:
         now = asyncio.get_running_loop().time()
-        if self._doubt_ends_at is None:
+        if self._doubted_era != era:
+            self._doubted_era = era
             self._doubt_ends_at = now + MAX_DOUBT_S
             self._remembers = now - self._started_at >= MAX_LOST_S
         if self._restored_era != era and not await self._restore_rows(era):
@@ -148,7 +151,6 @@
             return
         self._recorder.record("ledger.era_settled", era=era, all_restored=settled)
         self._settled_era = era
-        self._doubt_ends_at = None
 
     async def _restore_rows(self, era: int) -> bool:
         """Write the rows of this host that the store has lost; return whether that succeeded."""
@@ -214,13 +216,13 @@
 
 
 def _precedes(found: ClaimRow, own: ClaimRow) -> bool:
-    """Return whether the found row is an earlier state of the own one, or another's mere claim.
+    """Return whether the own row replaces the one found: what ran counts most, then what is closed.
 
-    Another host's claim of a key that this host holds was made when the row was absent, and is not
-    dispatched while that was in doubt.
+    Rows that others wrote when this one was absent are claims that are not dispatched, and closed
+    keys that nobody was told of, as that was in doubt.
     """
-    if found.state is not ClaimState.CLAIMED:
+    if found.state is ClaimState.DONE:
         return False
     holder = (found.host, found.incarnation, found.attempt)
-    is_own = holder == (own.host, own.incarnation, own.attempt)
-    return own.state is not ClaimState.CLAIMED or not is_own
+    is_same = (*holder, found.state) == (own.host, own.incarnation, own.attempt, own.state)
+    return not is_same and (own.state is not ClaimState.CLOSED or found.state is ClaimState.CLAIMED)
--- a/src/flamingoladder/ledger/exceptions.py
+++ b/src/flamingoladder/ledger/exceptions.py
@@ -9,3 +9,7 @@
 
 class DeadlinePassedError(Exception):
     """The request's deadline passed before its key was resolved."""
+
+
+class KeyInDoubtError(Exception):
+    """The store may have lost the row of a key that its caller declares fresh."""
--- a/src/flamingoladder/ledger/outcome_writer.py
+++ b/src/flamingoladder/ledger/outcome_writer.py
@@ -187,6 +187,8 @@
             return False
         if any(not each.is_ticket and each.revision is None for each in batch):
             return False
+        if any(not each.is_ticket and each.entry.era != self._table.era for each in batch):
+            return False
         conditions = [
             Condition(each.entry.row_key, each.revision)
             for each in batch
@@ -260,7 +262,7 @@
         now = asyncio.get_running_loop().time()
         for pending in batch:
             if pending.row is None:
-                self._written_rows.remove(pending.entry.row_key)
+                self._written_rows.remove_claim(pending.entry.row_key, pending.entry.attempt)
             else:
                 self._written_rows.add(pending.entry.row_key, pending.row, now)
             if pending.kind is WriteKind.OUTCOME:
--- a/src/flamingoladder/ledger/written_rows.py
+++ b/src/flamingoladder/ledger/written_rows.py
@@ -8,6 +8,7 @@
 
 from flamingoladder.ledger.entries import ANSWER_NOT_KEPT
 from flamingoladder.ledger.rows import ClaimRow
+from flamingoladder.ledger.rows import ClaimState
 from flamingoladder.ledger.rows import StoredOutcome
 from flamingoladder.ledger.rows import encode
 
@@ -38,7 +39,7 @@
 
     def add(self, row_key: str, row: ClaimRow, now: float) -> None:
         """Remember a row that was just written."""
-        self.remove(row_key)
+        self._remove(row_key)
         self._remove_old(now)
         size_bytes = len(encode(row))
         if row.outcome is not None and self._bytes + size_bytes > MAX_REMEMBERED_BYTES:
@@ -52,20 +53,25 @@
         written = self._by_key.get(row_key)
         return None if written is None else written.row
 
-    def remove(self, row_key: str) -> None:
-        """Forget a row that was deleted."""
-        written = self._by_key.pop(row_key, None)
-        if written is not None:
-            self._bytes -= written.size_bytes
+    def remove_claim(self, row_key: str, attempt: int) -> None:
+        """Forget a claim that was given up, unless a later row has taken its place."""
+        row = self.get(row_key)
+        if row is not None and (row.state, row.attempt) == (ClaimState.CLAIMED, attempt):
+            self._remove(row_key)
 
     def keys(self, now: float) -> list[str]:
         """Return the keys of the rows that were written lately."""
         self._remove_old(now)
         return list(self._by_key)
 
+    def _remove(self, row_key: str) -> None:
+        written = self._by_key.pop(row_key, None)
+        if written is not None:
+            self._bytes -= written.size_bytes
+
     def _remove_old(self, now: float) -> None:
         while self._by_key:
             row_key, oldest = next(iter(self._by_key.items()))
             if now - oldest.written_at < REMEMBERED_S:
                 return
-            self.remove(row_key)
+            self._remove(row_key)
--- a/tests/ledger/test_random_faults.py
+++ b/tests/ledger/test_random_faults.py
@@ -9,17 +9,20 @@
 
 import pytest
 
+from flamingoladder.ledger.era_recovery import MAX_LOST_S
 from flamingoladder.standins.loop import run_on_injected_time
 from flamingoladder.verdict import Verdict
 from tests.ledger.fleet import Fleet
 
 if TYPE_CHECKING:
+    from flamingoladder.standins.memory import StoredTableCopy
     from flamingoladder.verdict import Outcome
 
 BOOKINGS = 25
 STEPS = 5
 FAULTS = 60
 CALLER_TIMEOUT_S = 10.0
+MAX_AGE_S = 10.0
 # These seeds reproduced a not_run for a repeat that joined an abandoned fresh claim, although the
 # key had run elsewhere.
 REGRESSION_SEEDS = (1160, 1311, 1529, 1750)
@@ -122,6 +125,59 @@
                 fleet.upstream.crashes = random.random() < 0.2
 
 
+async def _let_the_store_go_back(fleet: Fleet, random: Random) -> None:
+    """Cause the faults that leave every holder of a claim alive, and come back from old copies."""
+    copies: list[tuple[float, StoredTableCopy]] = []
+    for _ in range(FAULTS):
+        now = asyncio.get_running_loop().time()
+        copies.append((now, fleet.stored.copy()))
+        await asyncio.sleep(random.uniform(0.0, 1.2))
+        host = fleet.by_name[random.choice(HOSTS)]
+        match random.randrange(7):
+            case 0:
+                host.faults.down = True
+                await asyncio.sleep(random.uniform(0.1, 4.0))
+                host.faults.down = False
+            case 1:
+                host.faults.lost_answers = random.randrange(4)
+            case 2:
+                host.faults.delay_s = random.choice((0.005, 0.055, 0.2))
+            case 3:
+                host.freeze()
+                await asyncio.sleep(random.choice((0.05, 1.0, 4.0)))
+                host.thaw()
+            case 4:
+                fleet.network.loss = random.choice((0.0, 0.1, 0.3))
+            case _:
+                now = asyncio.get_running_loop().time()
+                recent = [copy for at, copy in copies if now - at <= MAX_AGE_S]
+                if recent:
+                    fleet.stored.restore(random.choice(recent))
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_every_booking_runs_at_most_once_if_the_store_comes_back_from_older_copies(
+    seed: int,
+) -> None:
+    async def scenario() -> None:
+        random = Random(seed)
+        fleet = Fleet(*HOSTS, seed=seed)
+        await asyncio.sleep(MAX_LOST_S + 1.0)
+        callers = [Caller(fleet, f"k{number}", random) for number in range(BOOKINGS)]
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(_let_the_store_go_back(fleet, random))
+            for caller in callers:
+                tasks.create_task(caller.book())
+        await asyncio.sleep(30.0)
+        for caller in callers:
+            runs = sum(fleet.upstream.runs[key] for key in caller.keys)
+            assert runs <= 1
+            assert not any(fleet.upstream.runs[key] for key in caller.closed)
+        assert fleet.upstream.runs
+
+    run_on_injected_time(scenario())
+
+
 @pytest.mark.parametrize("seed", [*range(30), *REGRESSION_SEEDS])
 def test_every_booking_runs_at_most_once_and_not_run_is_never_false(seed: int) -> None:
     print(f"seed {seed}")
