Restore rows for good once all hosts know of the store's new era

Cause, found by the model that follows: the store gives out revisions again after its return. A host that didn't know of the return deleted an abandoned claim by its revision, which by then was that of another host's outcome, after that host had restored it. The key was free and ran again. A claim of a row that was found before the return had the same fault.

Change: hosts tell the era that they know. Rows are written again at once and each time more hosts know of the era, and count as restored when all knew it before. A row found in an earlier era is read again before its claim is taken over.

--- a/src/flamingoladder/ledger/claim_store.py
+++ b/src/flamingoladder/ledger/claim_store.py
@@ -145,10 +145,23 @@
     async def _resolve_row(
         self, row_key: str, digest: str | None, deadline: float, attempt: int | None
     ) -> Resolution:
-        """Resolve the row as it is; ``attempt`` is this host's own at the claim, if it made one."""
-        row = await self._reader.get(row_key, deadline)
-        if row is None:
-            return Claimable(ABSENT_REVISION)
+        """Resolve the row as it is; ``attempt`` is this host's own at the claim, if it made one.
+
+        A revision of an earlier era may be that of another row now. Model guard
+        ``era_of_found_row``.
+        """
+        while True:
+            row = await self._reader.get(row_key, deadline)
+            if row is None:
+                return Claimable(ABSENT_REVISION)
+            era = self._table.era
+            resolution = await self._resolve_found(row, digest, deadline, attempt)
+            if self._table.era == era or not isinstance(resolution, Claimable):
+                return resolution
+
+    async def _resolve_found(
+        self, row: Row, digest: str | None, deadline: float, attempt: int | None
+    ) -> Resolution:
         claim = decode_claim(row.value)
         if attempt is not None and self._is_own(claim, attempt):
             return OwnClaim(row.revision)
--- a/src/flamingoladder/ledger/era_recovery.py
+++ b/src/flamingoladder/ledger/era_recovery.py
@@ -39,14 +39,18 @@
     """Recovers the ledger's rows after the store came back from an older copy.
 
     Until all registered hosts have written theirs again, an absent row does not mean that its key
-    is free. A host counts only if it has run since before the seconds that the store may have
-    lost. After ``MAX_DOUBT_S`` without the word of all, absent rows are free again.
+    is free. Revisions are given out again, so a host that does not know of the era may overwrite
+    what is restored: rows are written again when more hosts know of it, and for good once all do.
+    Model guard ``all_know_the_era``. A host counts only if it has run since before the seconds
+    that the store may have lost. After ``MAX_DOUBT_S`` without the word of all, absent rows are
+    free again.
     """
 
     __slots__ = (
         "_doubt_ends_at",
         "_doubted_era",
         "_entries",
+        "_knowing",
         "_links",
         "_recorder",
         "_remembers",
@@ -57,6 +61,7 @@
         "_state",
         "_table",
         "_told_era",
+        "_written_era",
         "_written_rows",
     )
 
@@ -76,6 +81,9 @@
         self._state = state
         self._recorder = recorder
         self._started_at = asyncio.get_running_loop().time()
+        self._written_era = 0
+        # How many other hosts knew of the written era when its rows were written last.
+        self._knowing = 0
         self._restored_era = 0
         self._settled_era: int | None = None
         self._told_era = 0
@@ -94,7 +102,7 @@
     @property
     def is_restored(self) -> bool:
         """Return whether this host's rows are in the store, as far as it knows."""
-        return self._settled_era is None or self._restored_era == self._table.era
+        return self._settled_era is None or self._written_era == self._table.era
 
     async def serve(self) -> None:
         """Recover each new era, for as long as the host runs."""
@@ -134,7 +142,7 @@
         era = self._table.era
         replies = [reply for reply in await self._ask_others(era) if reply is not None]
         recovers = any(0 < reply.settled_era < era for reply in replies)
-        self._restored_era = era
+        self._written_era = self._restored_era = era
         self._settled_era = era - 1 if recovers else era
         self._started.set()
 
@@ -144,14 +152,26 @@
             self._doubted_era = era
             self._doubt_ends_at = now + MAX_DOUBT_S
             self._remembers = now - self._started_at >= MAX_LOST_S
-        if self._restored_era != era and not await self._restore_rows(era):
-            return
-        settled = await self._have_all_restored(era)
-        if not settled and now < self._doubt_ends_at:
+        if self._restored_era != era:
+            await self._restore(era)
+        settled = self._restored_era == era and await self._have_all_restored(era)
+        if not settled and (self._written_era != era or now < self._doubt_ends_at):
             return
         self._recorder.record("ledger.era_settled", era=era, all_restored=settled)
         self._settled_era = era
 
+    async def _restore(self, era: int) -> None:
+        """Write the lost rows again if more hosts know of the era than when that was done last."""
+        replies = await self._ask_others(era)
+        knowing = sum(reply is not None and reply.known_era >= era for reply in replies)
+        if self._written_era == era and knowing <= self._knowing:
+            return
+        if not await self._restore_rows(era):
+            return
+        self._written_era, self._knowing = era, knowing
+        if knowing == len(replies):
+            self._restored_era = era
+
     async def _restore_rows(self, era: int) -> bool:
         """Write the rows of this host that the store has lost; return whether that succeeded."""
         row_keys = self._written_rows.keys(asyncio.get_running_loop().time())
@@ -165,7 +185,6 @@
         if self._table.era != era:
             return False
         self._recorder.record("ledger.restored", era=era, rows=len(row_keys), lost=restored)
-        self._restored_era = era
         return True
 
     async def _restore_row(self, row_key: str) -> bool:
@@ -212,7 +231,9 @@
 
     async def _reply(self, _peer: Peer, query: EraQuery) -> EraReply:
         self._told_era = max(self._told_era, query.era)
-        return EraReply(self._restored_era, self._settled_era or 0, self._remembers)
+        return EraReply(
+            self._restored_era, self._settled_era or 0, self._remembers, self._table.era
+        )
 
 
 def _precedes(found: ClaimRow, own: ClaimRow) -> bool:
--- a/src/flamingoladder/ledger/messages.py
+++ b/src/flamingoladder/ledger/messages.py
@@ -66,15 +66,17 @@
 
 
 class EraReply(msgspec.Struct, frozen=True, tag="era_answer"):
-    """The newest era in which the sender has written its rows again.
+    """The newest era in which the sender has written its rows again for good.
 
-    ``settled_era`` is the newest in which absent rows are free, 0 before the first. The sender
-    ``remembers`` all its rows that the store may have lost if it ran when they were written.
+    It writes nothing any more by what it read before ``known_era``. ``settled_era`` is the newest
+    in which absent rows are free, 0 before the first. The sender ``remembers`` all its rows that
+    the store may have lost if it ran when they were written.
     """
 
     restored_era: int
     settled_era: int
     remembers: bool
+    known_era: int = 0
 
 
 LedgerMessage = ClaimQuery | TicketQuery | ClaimReply | EraQuery | EraReply
--- a/tests/ledger/test_store_going_back.py
+++ b/tests/ledger/test_store_going_back.py
@@ -259,3 +259,28 @@
         return most_runs(fleet)
 
     assert run_on_injected_time(scenario()) == 1
+
+
+@pytest.mark.parametrize("offset_s", [0.1 * step for step in range(12)])
+def test_a_release_from_before_the_return_deletes_no_outcome_for_good(offset_s: float) -> None:
+    """Its claim had the revision that the outcome got, as revisions are given out again."""
+
+    async def scenario() -> tuple[Verdict, int]:
+        fleet = await settled_fleet()
+        copy = fleet.stored.copy()
+        fleet.upstream.refusals_left = 1
+        await fleet["b"].send("k")
+        fleet["b"].faults.down = True
+        fleet.upstream.run_s["k"] = LONG_RUN_S
+        booking = asyncio.create_task(fleet["a"].send("k"))
+        await asyncio.sleep(LONG_RUN_S / 2)
+        fleet.stored.restore(copy)
+        await booking
+        await asyncio.sleep(SETTLE_S + offset_s)
+        fleet["b"].faults.down = False
+        await asyncio.sleep(2 * SETTLE_S)
+        fleet["a"].kill()
+        repeat = await fleet["c"].send("k")
+        return Verdict.RAN if repeat.is_ok() else repeat.error.verdict, fleet.upstream.runs["k"]
+
+    assert run_on_injected_time(scenario()) == (Verdict.RAN, 1)
