Check claims over a return of the store by a model

The model of claims knew no era. The new one has two hosts, three requests or two and a question for the outcome, and one return to any older copy with revisions that are given out again.

--- a/models/__main__.py
+++ b/models/__main__.py
@@ -20,6 +20,7 @@
     "models.division",
     "models.freshness",
     "models.store_eras",
+    "models.claim_eras",
 )
 
 
