Take in pauses of targets and turns of hosts by one piece of code

The entry host and the daemon's own upstreams each had a copy: reading a 503 with Retry-After, the log lines, the bound, and a host's turn after the pause. PauseLearner, PauseNotice.from_answer and fleet_turn serve both now. One difference: a daemon that isn't registered yet counts itself among the hosts, so that its turn stays below 1. The two random tests of the ledger share their callers and checks, which are the same.

--- a/src/flamingoladder/platform/target_notices.py
+++ b/src/flamingoladder/platform/target_notices.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from flamingoladder.header_values import MAX_LOGGED_CHARACTERS
 from flamingoladder.header_values import header
 from flamingoladder.header_values import number_from_zero
 from flamingoladder.platform import headers
+from flamingoladder.targets.notices import LEAVING
 from flamingoladder.targets.notices import LoadReport
 from flamingoladder.targets.notices import PauseNotice
 from flamingoladder.targets.notices import TargetNotice
@@ -19,7 +19,6 @@
     from flamingoladder.verdict import Answer
 
 MS_PER_S = 1_000
-LEAVING = "1"
 
 
 def notice_of(answer: Answer) -> TargetNotice:
@@ -27,7 +26,7 @@
     return TargetNotice(
         _parse_load(header(answer, headers.SERVER_LOAD)),
         _rate_limit(answer),
-        _pause(answer),
+        PauseNotice.from_answer(answer, headers.RETRY_AFTER),
         _first(answer, headers.SERVER_LEAVING) == LEAVING,
     )
 
@@ -41,13 +40,6 @@
     return next((text for name in names if (text := header(answer, name)) is not None), None)
 
 
-def _pause(answer: Answer) -> PauseNotice | None:
-    text = header(answer, headers.RETRY_AFTER)
-    if answer.status != HTTPStatus.SERVICE_UNAVAILABLE or text is None:
-        return None
-    return PauseNotice.from_text(text)
-
-
 def _rate_limit(answer: Answer) -> RateLimitNotice | None:
     """Return what the answer says of the target's rate limit, or None if that can't be told.
 
--- a/src/flamingoladder/targets/fleet_share.py
+++ b/src/flamingoladder/targets/fleet_share.py
@@ -33,6 +33,15 @@
     return FleetShare(per_host + (rank < remainder), rank)
 
 
+def fleet_turn(target_id: str, own_host: str, hosts: Iterable[str]) -> float:
+    """Return this host's place for the target among all hosts, from 0 to 1.
+
+    ``own_host`` may be left out of ``hosts``.
+    """
+    all_hosts = {own_host, *hosts}
+    return fleet_share(0, target_id, own_host, all_hosts).rank / len(all_hosts)
+
+
 class SendWindow:
     """The times of this host's sends to one target in the last ``window_s`` seconds."""
 
--- a/src/flamingoladder/targets/notice_learner.py
+++ b/src/flamingoladder/targets/notice_learner.py
@@ -4,9 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from flamingoladder.targets.fleet_share import fleet_share
-from flamingoladder.targets.pause import MAX_PAUSE_S
-from flamingoladder.targets.pause import TargetPause
+from flamingoladder.targets.pause_learner import PauseLearner
 from flamingoladder.targets.rate_limit import Told
 
 if TYPE_CHECKING:
@@ -25,7 +23,7 @@
 class NoticeLearner:
     """Takes in notices and records what they change. Times are monotonic seconds."""
 
-    __slots__ = ("_members", "_recorder", "_targets")
+    __slots__ = ("_members", "_pauses", "_recorder", "_targets")
 
     def __init__(
         self, targets: TargetRegistry, members: MemberRegistry, recorder: Recorder
@@ -33,6 +31,7 @@
         self._targets = targets
         self._members = members
         self._recorder = recorder
+        self._pauses = PauseLearner(recorder)
 
     def learn(self, target: TargetState, notice: TargetNotice, sent_at: float, now: float) -> None:
         """Take in the answer of ``now`` to a request that was sent at ``sent_at``."""
@@ -79,29 +78,11 @@
         self._recorder.record("target.leaving", target=target.record.target_id, source=source)
 
     def _learn_pause(self, target: TargetState, notice: PauseNotice, now: float) -> None:
-        target_id = target.record.target_id
-        if notice.unreadable or notice.seconds > MAX_PAUSE_S:
-            self._recorder.record(
-                "target.pause_unreadable" if notice.unreadable else "target.pause_bounded",
-                target=target_id,
-                value=notice.unreadable or notice.seconds,
-            )
-        if not notice.seconds:
-            return
-        notices = target.get_notices()
-        if notices.pause is None:
-            notices.pause = TargetPause()
-        notices.pause.name(notice.seconds, self._turn(target_id), now)
-        left_s = round(notices.pause.resume_at - now, 3)
-        self._recorder.record(
-            "target.paused", target=target_id, seconds=notice.seconds, resumes_after_s=left_s
-        )
-
-    def _turn(self, target_id: str) -> float:
-        """Return this host's place among all for the target, from 0 to 1."""
-        members = self._members
-        share = fleet_share(0, target_id, members.own_host, members.members_by_host)
-        return share.rank / members.host_count
+        known = None if target.notices is None else target.notices.pause
+        hosts = self._members.members_by_host
+        pause = self._pauses.learn(target.record.target_id, known, notice, hosts, now)
+        if pause is not None:
+            target.get_notices().pause = pause
 
     def _learn_own_rate_limit(
         self, target: TargetState, notice: RateLimitNotice, sent_at: float, now: float
--- a/src/flamingoladder/targets/notices.py
+++ b/src/flamingoladder/targets/notices.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from flamingoladder.header_values import MAX_LOGGED_CHARACTERS
+from flamingoladder.header_values import header
 from flamingoladder.header_values import number_from_zero
 from flamingoladder.targets.rate_limit import RateLimitNotice
 
 if TYPE_CHECKING:
     from flamingoladder.targets.pause import TargetPause
     from flamingoladder.targets.rate_limit import TargetRateLimit
+    from flamingoladder.verdict import Answer
+
+LEAVING = "1"
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -33,8 +38,14 @@
     unreadable: str = ""
 
     @classmethod
-    def from_text(cls, text: str) -> PauseNotice:
-        """Return what the value of a Retry-After field says."""
+    def from_answer(cls, answer: Answer, field: str) -> PauseNotice | None:
+        """Return the pause that the answer names in ``field``, or None.
+
+        Only an answer that turns the request away names one.
+        """
+        text = header(answer, field)
+        if answer.status != HTTPStatus.SERVICE_UNAVAILABLE or text is None:
+            return None
         seconds = number_from_zero(text)
         if seconds is None:
             return cls(0.0, unreadable=text[:MAX_LOGGED_CHARACTERS])
--- a/tests/ledger/test_random_faults.py
+++ b/tests/ledger/test_random_faults.py
@@ -15,6 +15,8 @@
 from tests.ledger.fleet import Fleet
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from flamingoladder.standins.memory import StoredTableCopy
     from flamingoladder.verdict import Outcome
 
@@ -155,6 +157,21 @@
                     fleet.stored.restore(random.choice(recent))
 
 
+async def _book_during(fleet: Fleet, random: Random, faults: Coroutine[None, None, None]) -> None:
+    """Let all callers book during the faults, and check what ran."""
+    callers = [Caller(fleet, f"k{number}", random) for number in range(BOOKINGS)]
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(faults)
+        for caller in callers:
+            tasks.create_task(caller.book())
+    await asyncio.sleep(30.0)
+    for caller in callers:
+        runs = sum(fleet.upstream.runs[key] for key in caller.keys)
+        assert runs <= 1
+        assert not any(fleet.upstream.runs[key] for key in caller.closed)
+    assert fleet.upstream.runs
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_every_booking_runs_at_most_once_if_the_store_comes_back_from_older_copies(
     seed: int,
@@ -163,17 +180,7 @@
         random = Random(seed)
         fleet = Fleet(*HOSTS, seed=seed)
         await asyncio.sleep(MAX_LOST_S + 1.0)
-        callers = [Caller(fleet, f"k{number}", random) for number in range(BOOKINGS)]
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(_let_the_store_go_back(fleet, random))
-            for caller in callers:
-                tasks.create_task(caller.book())
-        await asyncio.sleep(30.0)
-        for caller in callers:
-            runs = sum(fleet.upstream.runs[key] for key in caller.keys)
-            assert runs <= 1
-            assert not any(fleet.upstream.runs[key] for key in caller.closed)
-        assert fleet.upstream.runs
+        await _book_during(fleet, random, _let_the_store_go_back(fleet, random))
 
     run_on_injected_time(scenario())
 
@@ -185,16 +192,6 @@
     async def scenario() -> None:
         random = Random(seed)
         fleet = Fleet(*HOSTS, seed=seed)
-        callers = [Caller(fleet, f"k{number}", random) for number in range(BOOKINGS)]
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(_cause_faults(fleet, random))
-            for caller in callers:
-                tasks.create_task(caller.book())
-        await asyncio.sleep(30.0)
-        for caller in callers:
-            runs = sum(fleet.upstream.runs[key] for key in caller.keys)
-            assert runs <= 1
-            assert not any(fleet.upstream.runs[key] for key in caller.closed)
-        assert fleet.upstream.runs
+        await _book_during(fleet, random, _cause_faults(fleet, random))
 
     run_on_injected_time(scenario())
