--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -108,7 +108,7 @@
             self.targets, self.configuration, balancer, rate_limiter, budgets, self.members, notices
         )
         crash_exchange = CrashExchange(self.peer_links, self.relays)
-        poison_detector = PoisonRequestDetector(crash_exchange.broadcast)
+        poison_detector = PoisonRequestDetector(crash_exchange.broadcast, self.recorder)
         crash_exchange.subscribe(poison_detector.count_crash)
         self.report_exchange = RegionalReportExchange(
             self.peer_links,
--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -214,6 +214,7 @@
             request=request.incoming.request_id,
             workspace=request.workspace_name,
             route=request.route.name,
+            fingerprint=request.fingerprint,
             target=target.record.target_id,
             send=attempts.sent + attempts.unconnected + 1,
             end=result.status.value,
--- a/src/flamingoladder/entry/poison_requests.py
+++ b/src/flamingoladder/entry/poison_requests.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from flamingoladder.timeline.recorder import Recorder
+
 # Requests in flight at a failure domain that loses power look like crashes: with a limit of 2
 # and each of them counted, two such losses caused refusals of a popular path for 120 s.
 MAX_CRASHES = 3
@@ -28,10 +30,11 @@
     monotonic seconds.
     """
 
-    __slots__ = ("_broadcast", "_crashes_by_fingerprint", "_suspects_by_target")
+    __slots__ = ("_broadcast", "_crashes_by_fingerprint", "_recorder", "_suspects_by_target")
 
-    def __init__(self, broadcast: Callable[[CrashReport], None]) -> None:
+    def __init__(self, broadcast: Callable[[CrashReport], None], recorder: Recorder) -> None:
         self._broadcast = broadcast
+        self._recorder = recorder
         self._crashes_by_fingerprint: OrderedDict[str, list[float]] = OrderedDict()
         self._suspects_by_target: dict[str, list[tuple[float, str]]] = {}
 
@@ -63,12 +66,24 @@
         """Count a crash that this host or another one detected."""
         crashes = self._crashes_by_fingerprint.setdefault(report.fingerprint, [])
         if crashes and now - crashes[-1] < CRASH_DEDUP_S:
+            self._record("poison.end_ignored", report)
             return
         crashes.append(now)
+        self._record("poison.end_counted", report)
         self._crashes_by_fingerprint.move_to_end(report.fingerprint)
         if len(self._crashes_by_fingerprint) > MAX_FINGERPRINTS:
             self._crashes_by_fingerprint.popitem(last=False)
 
     def clear(self, fingerprint: str) -> None:
         """Discard the crashes of a request that was answered."""
-        self._crashes_by_fingerprint.pop(fingerprint, None)
+        crashes = self._crashes_by_fingerprint.pop(fingerprint, None)
+        if crashes is not None:
+            self._recorder.record("poison.cleared", fingerprint=fingerprint, ends=len(crashes))
+
+    def _record(self, kind: str, report: CrashReport) -> None:
+        self._recorder.record(
+            kind,
+            fingerprint=report.fingerprint,
+            target=report.target,
+            ends=len(self._crashes_by_fingerprint[report.fingerprint]),
+        )
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -137,7 +137,7 @@
         self.configuration = ActiveConfiguration(self.targets, self.rate_limiter, recorder)
         self.members = MemberRegistry(host, recorder)
         self.broadcast: list[object] = []
-        self.poison_detector = PoisonRequestDetector(self.broadcast.append)
+        self.poison_detector = PoisonRequestDetector(self.broadcast.append, recorder)
         self.balancer = balancer = LoadBalancer(
             self.targets, self.configuration, self.members, SlowStartLimit(host, 1.5, 5.0), region
         )
--- a/tests/entry/test_poison_requests.py
+++ b/tests/entry/test_poison_requests.py
@@ -11,6 +11,7 @@
 from flamingoladder.entry.poison_requests import PoisonRequestDetector
 from flamingoladder.fleet.messages import CrashReport
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.timeline.recorder import Recorder
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
 from tests.entry.harness import CONNECTION_LOST
@@ -23,7 +24,7 @@
 
 @pytest.fixture
 def detector() -> PoisonRequestDetector:
-    return PoisonRequestDetector(lambda _: None)
+    return PoisonRequestDetector(lambda _: None, Recorder("h0", "i"))
 
 
 def crash(detector: PoisonRequestDetector, target: str, at: float, fingerprint: str = "f") -> None:
