--- a/src/flamingoladder/entry/request.py
+++ b/src/flamingoladder/entry/request.py
@@ -21,7 +21,8 @@
     """A request as its caller sent it.
 
     ``headers`` are those to pass on, without the caller's API ``keys``. ``affinity_key`` names the
-    object that the request concerns; ``caller_timeout_s`` is how long the caller waits.
+    object that the request concerns; ``caller_timeout_s`` is how long the caller waits, ``caller``
+    the address that it sends from.
     """
 
     request_id: str
@@ -33,6 +34,7 @@
     keys: tuple[str, ...]
     affinity_key: str | None
     caller_timeout_s: float | None
+    caller: str = ""
 
 
 class RoutedRequest:
--- a/src/flamingoladder/platform/callers.py
+++ b/src/flamingoladder/platform/callers.py
@@ -67,6 +67,7 @@
         keys=tuple(found.getall(headers.API_KEY, ())),
         affinity_key=_affinity_key(found.getall("Cookie", ())),
         caller_timeout_s=_caller_timeout_s(found.get(headers.DEADLINE_MS)),
+        caller=request.remote or "",
     )
 
 
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -17,7 +17,10 @@
 from flamingoladder.entry.results import SendResult
 from flamingoladder.entry.results import SendStatus
 from flamingoladder.entry.target_client import TargetClient
+from flamingoladder.fleet.exchange import CrashExchange
+from flamingoladder.fleet.exchange import RegionalReportExchange
 from flamingoladder.fleet.members import MemberRegistry
+from flamingoladder.fleet.relays import RegionRelays
 from flamingoladder.limits.rate_limiter import FleetRateLimiter
 from flamingoladder.limits.retry_budgets import RetryBudgets
 from flamingoladder.limits.tolerance import RateTolerance
@@ -36,10 +39,17 @@
 from flamingoladder.verdict import Answer
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from flamingoladder.entry.request import RoutedRequest
+    from flamingoladder.fleet.messages import CrashReport
+    from flamingoladder.members.member import Member
+    from flamingoladder.peers.link import PeerLinks
     from flamingoladder.targets.state import TargetState
 
+REGIONS_BY_DOMAIN = {"d1": "r1", "d2": "r2"}
 ANSWER = SendResult(SendStatus.ANSWERED, "", Answer(200, (), b"hello"))
 SERVER_ERROR = SendResult(SendStatus.FAILED, "status 500", Answer(500, (), b"oops"))
 CONNECTION_LOST = SendResult(SendStatus.CONNECTION_LOST, "lost")
@@ -128,16 +138,25 @@
         routing: RoutingConfig | None = None,
         host: str = "h0",
         region: str = "r1",
+        regions_by_domain: Mapping[str, str] = REGIONS_BY_DOMAIN,
+        member: Member | None = None,
+        links: PeerLinks | None = None,
+        records: Sequence[TargetRecord] = (),
     ) -> None:
-        recorder = Recorder(host, "i")
+        self.recorder = recorder = Recorder(host, "i")
         self.client = client
-        self.targets = TargetRegistry({"d1": "r1", "d2": "r2"}, recorder)
+        self.targets = TargetRegistry(regions_by_domain, recorder)
         self.rate_limiter = FleetRateLimiter(RateTolerance(), start_full=True)
         self.budgets = RetryBudgets(0.2, 58.0, 10.0)
         self.configuration = ActiveConfiguration(self.targets, self.rate_limiter, recorder)
         self.members = MemberRegistry(host, recorder)
         self.broadcast: list[object] = []
-        self.poison_detector = PoisonRequestDetector(self.broadcast.append, recorder)
+        self.work: list[Coroutine[object, object, object]] = []
+        self.poison_detector = PoisonRequestDetector(self._broadcast, recorder)
+        self._crash_exchange: CrashExchange | None = None
+        if member is not None and links is not None:
+            self._crash_exchange = CrashExchange(links, RegionRelays(member, self.members))
+            self._crash_exchange.subscribe(self.poison_detector.count_crash)
         self.balancer = balancer = LoadBalancer(
             self.targets, self.configuration, self.members, SlowStartLimit(host, 1.5, 5.0), region
         )
@@ -177,8 +196,33 @@
             self.notices,
         )
         self.configuration.set_routing(routing or routing_config(), 0.0)
-        for number, domain in enumerate(["d1", "d2", "d2"]):
-            self.add(f"t{number}", domain)
+        for record in records:
+            self.targets.put(record, asyncio.get_running_loop().time())
+        if member is not None and links is not None:
+            self._join(member, links)
+        if not records:
+            for number, domain in enumerate(["d1", "d2", "d2"]):
+                self.add(f"t{number}", domain)
+
+    def close(self) -> None:
+        """End what runs for this host."""
+        self.prober.close()
+
+    def _join(self, member: Member, links: PeerLinks) -> None:
+        exchange = RegionalReportExchange(
+            links,
+            self.members,
+            RegionRelays(member, self.members),
+            self.reporter.build_report,
+            self.reporter.apply_reports,
+            self.reporter.receive_report,
+        )
+        self.work.append(exchange.run())
+
+    def _broadcast(self, report: CrashReport) -> None:
+        self.broadcast.append(report)
+        if self._crash_exchange is not None:
+            self._crash_exchange.broadcast(report)
 
     def add(self, target_id: str, domain: str = "d1", *, slow_start_s: float = 0.0) -> None:
         """Register a target."""
@@ -202,6 +246,7 @@
     caller_timeout_s: float = 2.0,
     request_id: str = "r-1",
     affinity_key: str = "17",
+    caller: str = "",
 ) -> IncomingRequest:
     return IncomingRequest(
         request_id=request_id,
@@ -213,4 +258,5 @@
         keys=keys,
         affinity_key=affinity_key,
         caller_timeout_s=caller_timeout_s,
+        caller=caller,
     )
--- /dev/null
+++ b/tests/entry/test_requests_that_crash_targets.py
@@ -0,0 +1,127 @@
+"""Requests that crash targets, replayed with several hosts on injected time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.verdict import Reason
+from tests.entry.crashing_fleet import POISON_PATH
+from tests.entry.crashing_fleet import CrashingFleet
+from tests.entry.crashing_fleet import End
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+ORDINARY_PER_S = 60.0
+REPEATED_FOR_S = 30.0
+MAX_SENT_LATE = 3
+MAX_ENDED = 8
+
+
+def _replay(fleet_and_work: Coroutine[object, object, CrashingFleet]) -> CrashingFleet:
+    return run_on_injected_time(fleet_and_work)
+
+
+async def _repeated(hosts: int, how: End, at_once: int = 1) -> CrashingFleet:
+    fleet = CrashingFleet(hosts, how)
+    async with asyncio.TaskGroup() as group:
+        group.create_task(fleet.serve(ORDINARY_PER_S, REPEATED_FOR_S))
+        group.create_task(fleet.repeat_poison(REPEATED_FOR_S, at_once))
+    return fleet
+
+
+def _check(fleet: CrashingFleet) -> None:
+    assert len(fleet.targets.ends) <= MAX_ENDED
+    assert fleet.sent_late <= MAX_SENT_LATE
+    assert not [
+        refused
+        for refused in fleet.ordinary_refusals
+        if refused.error.reason is Reason.REQUEST_CRASHES_UPSTREAMS
+    ]
+
+
+@pytest.mark.parametrize("hosts", [1, 7, 78])
+@pytest.mark.parametrize("how", list(End))
+def test_crashing_request_is_held_back_however_its_targets_end(how: End, hosts: int) -> None:
+    """Incident BUDGET: one that silences its targets was sent on for as long as it came."""
+    _check(_replay(_repeated(hosts, how)))
+
+
+@pytest.mark.parametrize("how", list(End))
+def test_copies_at_several_hosts_at_once_are_held_back(how: End) -> None:
+    _check(_replay(_repeated(7, how, at_once=3)))
+
+
+@pytest.mark.parametrize("how", list(End))
+def test_answers_to_other_callers_of_the_path_do_not_clear_it(how: End) -> None:
+    """Incident BUDGET: an ordinary request of the same path and workspace cleared the count."""
+
+    async def scenario() -> CrashingFleet:
+        fleet = CrashingFleet(7, how)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(fleet.serve(ORDINARY_PER_S, REPEATED_FOR_S))
+            group.create_task(fleet.serve(10.0, REPEATED_FOR_S, POISON_PATH))
+            group.create_task(fleet.repeat_poison(REPEATED_FOR_S))
+        return fleet
+
+    _check(_replay(scenario()))
+
+
+@pytest.mark.parametrize("how", list(End))
+def test_hosts_that_start_again_know_of_it(how: End) -> None:
+    """Incident BUDGET: a host that started anew had never heard of the ends."""
+
+    async def scenario() -> CrashingFleet:
+        fleet = CrashingFleet(5, how)
+
+        async def restart_in_turn() -> None:
+            await fleet.targets.third_end.wait()
+            for number in range(16):
+                fleet.restart(number % 5)
+                await asyncio.sleep(1.8)
+
+        async with asyncio.TaskGroup() as group:
+            group.create_task(fleet.serve(ORDINARY_PER_S, REPEATED_FOR_S))
+            group.create_task(fleet.repeat_poison(REPEATED_FOR_S))
+            group.create_task(restart_in_turn())
+        return fleet
+
+    _check(_replay(scenario()))
+
+
+@pytest.mark.parametrize("how", list(End))
+def test_host_that_was_cut_off_at_the_third_end_learns_of_it(how: End) -> None:
+    """Incident BUDGET: a report was sent once, and a host that missed it never heard of it."""
+
+    async def scenario() -> CrashingFleet:
+        fleet = CrashingFleet(7, how)
+        names = [host.members.own_host for host in fleet.hosts]
+        fleet.network.cuts = {(name, "h03") for name in names} | {("h03", name) for name in names}
+
+        async def heal() -> None:
+            await asyncio.sleep(6.0)
+            fleet.network.cuts = set()
+
+        async with asyncio.TaskGroup() as group:
+            group.create_task(fleet.serve(ORDINARY_PER_S, REPEATED_FOR_S))
+            group.create_task(fleet.repeat_poison(REPEATED_FOR_S))
+            group.create_task(heal())
+        return fleet
+
+    _check(_replay(scenario()))
+
+
+@pytest.mark.parametrize("end_after_s", [0.02, 0.5, 0.9])
+def test_late_ends_count(end_after_s: float) -> None:
+    async def scenario() -> CrashingFleet:
+        fleet = CrashingFleet(7, End.REFUSES, end_after_s)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(fleet.serve(ORDINARY_PER_S, REPEATED_FOR_S))
+            group.create_task(fleet.repeat_poison(REPEATED_FOR_S))
+        return fleet
+
+    _check(_replay(scenario()))
