--- a/src/flamingoladder/daemon/upstream_side.py
+++ b/src/flamingoladder/daemon/upstream_side.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 from random import Random
 from typing import TYPE_CHECKING
 
+from flamingoladder.poison.detector import PoisonDetector
+from flamingoladder.poison.exchange import LinkPoisonExchange
+from flamingoladder.poison.upkeep import PoisonUpkeep
 from flamingoladder.steering.slot_chooser import SlotChooser
-from flamingoladder.upstreams.crash_guard import CrashGuard
+from flamingoladder.supervision import supervised
 from flamingoladder.upstreams.dispatcher import UpstreamDispatcher
 from flamingoladder.upstreams.health import HealthBoard
 from flamingoladder.upstreams.notices import UpstreamNotices
+from flamingoladder.upstreams.poison_watch import PoisonWatch
 from flamingoladder.upstreams.probes import TargetProbes
 from flamingoladder.upstreams.targets import TargetPools
 
@@ -24,7 +29,7 @@
 class UpstreamSide:
     """The dispatcher of one host with its connections and probes."""
 
-    __slots__ = ("_chooser", "_pools", "_probes", "dispatcher")
+    __slots__ = ("_chooser", "_pools", "_probes", "_upkeep_task", "dispatcher")
 
     def __init__(
         self,
@@ -32,11 +37,14 @@
         chooser: SlotChooser,
         pools: TargetPools,
         probes: TargetProbes,
+        poison_upkeep: PoisonUpkeep,
+        recorder: Recorder,
     ) -> None:
         self.dispatcher = dispatcher
         self._chooser = chooser
         self._pools = pools
         self._probes = probes
+        self._upkeep_task = asyncio.create_task(supervised("poison", poison_upkeep.run, recorder))
 
     @classmethod
     def from_config(
@@ -52,20 +60,29 @@
         pools = TargetPools(state)
         random = Random()
         chooser = SlotChooser(own, state, links, recorder, board, random)
+        exchange = LinkPoisonExchange(links)
+        detector = PoisonDetector(exchange, recorder, asyncio.get_running_loop().time)
+        poison_watch = PoisonWatch(detector, state)
         dispatcher = UpstreamDispatcher(
             state=state,
             chooser=chooser,
             pools=pools,
-            guard=CrashGuard(links),
+            poison_watch=poison_watch,
             notices=UpstreamNotices(board, state, recorder),
             permission=permission,
             recorder=recorder,
         )
-        probes = TargetProbes(state, pools, board, links, recorder, random)
-        return cls(dispatcher, chooser, pools, probes)
+        probes = TargetProbes(
+            state, pools, board, links, recorder, random, poison_watch.target_silent
+        )
+        upkeep = PoisonUpkeep(
+            detector, exchange, lambda: tuple(links.hosts) if state.current else None, recorder
+        )
+        return cls(dispatcher, chooser, pools, probes, upkeep, recorder)
 
     async def close(self) -> None:
         """Stop the probes and close all connections."""
+        self._upkeep_task.cancel()
         self._chooser.close()
         await self._probes.close()
         await self._pools.close()
--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from secrets import token_hex
 from typing import TYPE_CHECKING
 
@@ -10,15 +11,16 @@
 from flamingoladder.entry.handler import RequestHandler
 from flamingoladder.entry.host_reports import HostReporter
 from flamingoladder.entry.load_balancer import LoadBalancer
-from flamingoladder.entry.poison_requests import PoisonRequestDetector
 from flamingoladder.entry.probing import TargetProber
 from flamingoladder.entry.send_check import SendCheck
+from flamingoladder.entry.silence_check import SilenceCheck
+from flamingoladder.entry.target_ends import TargetEnds
 from flamingoladder.feed.contact import StoreContact
 from flamingoladder.feed.exchange import FeedExchange
 from flamingoladder.feed.followers import FollowerSelection
 from flamingoladder.feed.timing import FeedTiming
 from flamingoladder.feed.watcher import FeedServices
-from flamingoladder.fleet.exchange import CrashExchange
+from flamingoladder.fleet.exchange import FleetPoisonExchange
 from flamingoladder.fleet.exchange import RegionalReportExchange
 from flamingoladder.fleet.lookups import FleetLookup
 from flamingoladder.fleet.members import MemberRegistry
@@ -36,6 +38,8 @@
 from flamingoladder.platform.object_rows import ObjectRows
 from flamingoladder.platform.rows import RowStore
 from flamingoladder.platform.target_wire import PlatformTargets
+from flamingoladder.poison.detector import PoisonDetector
+from flamingoladder.poison.upkeep import PoisonUpkeep
 from flamingoladder.routing.traffic_split import TrafficSplitter
 from flamingoladder.targets.notice_learner import NoticeLearner
 from flamingoladder.targets.registry import TargetRegistry
@@ -63,11 +67,13 @@
         "object_snapshotter",
         "own_member",
         "peer_links",
+        "poison_upkeep",
         "prober",
         "recorder",
         "relays",
         "report_exchange",
         "reporter",
+        "silence_check",
         "store",
         "target_client",
         "targets",
@@ -107,9 +113,15 @@
         self.reporter = HostReporter(
             self.targets, self.configuration, balancer, rate_limiter, budgets, self.members, notices
         )
-        crash_exchange = CrashExchange(self.peer_links, self.relays)
-        poison_detector = PoisonRequestDetector(crash_exchange.broadcast, self.recorder)
-        crash_exchange.subscribe(poison_detector.count_crash)
+        poison_exchange = FleetPoisonExchange(self.peer_links, self.relays)
+        poison_detector = PoisonDetector(
+            poison_exchange, self.recorder, asyncio.get_running_loop().time
+        )
+        ends = TargetEnds(poison_detector, self.targets)
+        self.poison_upkeep = PoisonUpkeep(
+            poison_detector, poison_exchange, self._hosts_to_ask, self.recorder
+        )
+        self.poison_upkeep.is_informed = settings.first_start
         self.report_exchange = RegionalReportExchange(
             self.peer_links,
             self.members,
@@ -122,15 +134,17 @@
             self.targets,
             self.configuration,
             self.target_client,
-            poison_detector.record_target_down,
+            ends,
             notices,
             self.recorder,
         )
+        self.silence_check = SilenceCheck(poison_detector, self.targets, self.prober, ends)
         forwarder = Forwarder(
             balancer,
             self.target_client,
             budgets,
             poison_detector,
+            ends,
             self.prober,
             notices,
             self.recorder,
@@ -139,7 +153,6 @@
             self.configuration,
             rate_limiter,
             TrafficSplitter(),
-            poison_detector,
             forwarder,
             self.recorder,
         )
@@ -179,6 +192,10 @@
             MIN_CONNECTIONS_PER_TARGET, configured.max_connections // self.members.host_count
         )
 
+    def _hosts_to_ask(self) -> list[str] | None:
+        """Return the other hosts, or None while the store has told this host nothing."""
+        return None if self.configuration.routing is None else self.relays.nearest_first()
+
     def _opens_link_ahead(self, member: Member) -> bool:
         return member.region == self.own_member.region or not self.relays.in_use
 
--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -27,6 +27,7 @@
 from flamingoladder.routing.model import RequestLimits
 from flamingoladder.supervision import supervised
 from flamingoladder.transport.port import Port
+from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
@@ -45,6 +46,9 @@
 NO_ROUTE_LABEL = "none"
 MAX_HEADER_FIELD_BYTES = 65_536
 CLOSE_TIMEOUT_S = 0.2
+NOT_INFORMED = Refusal.not_run(
+    Reason.NO_PROOF, "this host has not yet heard which requests crash targets", 0.25
+)
 
 
 def _no_dropped_lines() -> float:
@@ -102,6 +106,8 @@
         self._start_task("registration", components.membership.register)
         self._start_task("reports", components.report_exchange.run)
         self._start_task("objects", components.object_snapshotter.run)
+        self._start_task("poison", components.poison_upkeep.run)
+        self._start_task("silence", components.silence_check.run)
         self._start_task("upkeep", self._run_maintenance)
         components.recorder.record("host.started", address=self._settings.callers)
 
@@ -158,6 +164,7 @@
         return (
             self._gate.phase is ShutdownPhase.SERVING
             and self._components.configuration.routing is not None
+            and self._components.poison_upkeep.is_informed
         )
 
     def _cancel_tasks(self) -> None:
@@ -201,6 +208,8 @@
             response.force_close()
             return response
         incoming = callers.incoming_request(request, body)
+        if not self._components.poison_upkeep.is_informed:
+            return callers.refusal_response(NOT_INFORMED, incoming.request_id)
         outcome = await self._components.handler.handle(incoming, started)
         response = callers.response_to(outcome, incoming.request_id)
         seconds = asyncio.get_running_loop().time() - started
--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -12,16 +12,20 @@
 from flamingoladder.entry.load_balancer import Overload
 from flamingoladder.entry.results import SendResult
 from flamingoladder.entry.results import SendStatus
+from flamingoladder.entry.target_ends import start_of
+from flamingoladder.poison.history import Status
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
     from flamingoladder.entry.load_balancer import LoadBalancer
-    from flamingoladder.entry.poison_requests import PoisonRequestDetector
     from flamingoladder.entry.probing import TargetProber
     from flamingoladder.entry.request import RoutedRequest
     from flamingoladder.entry.target_client import TargetClient
+    from flamingoladder.entry.target_ends import TargetEnds
     from flamingoladder.limits.retry_budgets import RetryBudgets
+    from flamingoladder.poison.at_work import Work
+    from flamingoladder.poison.detector import PoisonDetector
     from flamingoladder.targets.notice_learner import NoticeLearner
     from flamingoladder.targets.state import TargetState
     from flamingoladder.timeline.recorder import Recorder
@@ -91,6 +95,7 @@
         "_balancer",
         "_budgets",
         "_client",
+        "_ends",
         "_notices",
         "_poison_detector",
         "_prober",
@@ -103,7 +108,8 @@
         balancer: LoadBalancer,
         client: TargetClient,
         budgets: RetryBudgets,
-        poison_detector: PoisonRequestDetector,
+        poison_detector: PoisonDetector,
+        ends: TargetEnds,
         prober: TargetProber,
         notices: NoticeLearner,
         recorder: Recorder,
@@ -112,6 +118,7 @@
         self._client = client
         self._budgets = budgets
         self._poison_detector = poison_detector
+        self._ends = ends
         self._prober = prober
         self._notices = notices
         self._recorder = recorder
@@ -124,6 +131,9 @@
         self._budgets.deposit(request.service, loop.time())
         last = SendResult(SendStatus.NOT_RUN, "no target can take the request")
         while True:
+            held_back = self._poison_refusal(request, loop.time())
+            if held_back is not None:
+                return Error(attempts.refusal_of(held_back))
             choice = self._balancer.choose(request, attempts.tried, loop.time())
             if choice is None:
                 wait_s = self._balancer.rest_s(request, loop.time())
@@ -144,7 +154,8 @@
         # Counted before the next request chooses, so not in the task, which starts later.
         sent_at = asyncio.get_running_loop().time()
         self._balancer.count_send(choice.target, sent_at)
-        task = asyncio.create_task(self._send_to(request, choice, sent_at))
+        work = self._poison_detector.begin(request.fingerprints, start_of(choice.target), sent_at)
+        task = asyncio.create_task(self._send_to(request, choice, work))
         self._send_tasks.add(task)
         task.add_done_callback(self._send_tasks.discard)
         task.add_done_callback(lambda _: self._balancer.count_end(choice.target))
@@ -157,24 +168,43 @@
             task.cancel()
             raise
 
-    async def _send_to(self, request: RoutedRequest, choice: Choice, sent_at: float) -> SendResult:
+    async def _send_to(self, request: RoutedRequest, choice: Choice, work: Work) -> SendResult:
         target = choice.target
-        result = await self._client.send(request, target)
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        try:
+            result = await self._client.send(request, target)
+        except asyncio.CancelledError:
+            self._poison_detector.abandon(work, loop.time())
+            raise
+        now = loop.time()
         if result.status is SendStatus.ANSWERED:
-            self._balancer.record_run(request, choice, now - sent_at)
+            self._balancer.record_run(request, choice, now - work.began)
         if result.notice is not None:
-            self._notices.learn(target, result.notice, sent_at, now)
+            self._notices.learn(target, result.notice, work.began, now)
+        self._end_work(work, result, now)
         self._apply_result(request, choice, result, now)
         return result
 
+    def _end_work(self, work: Work, result: SendResult, now: float) -> None:
+        """Tell the detector of poison requests how the target's work on a request ended."""
+        detector = self._poison_detector
+        if result.status is SendStatus.CONNECTION_LOST:
+            detector.lost(work, now)
+        elif result.status is SendStatus.TIMEOUT:
+            detector.abandon(work, now)
+        elif result.may_have_run and result.is_from_target:
+            detector.answered(work, now)
+        elif result.may_have_run:
+            detector.abandon(work, now)
+        else:
+            detector.not_run(work, now, heard=result.is_from_target)
+
     def _apply_result(
         self, request: RoutedRequest, choice: Choice, result: SendResult, now: float
     ) -> None:
         target = choice.target
         if result.status is SendStatus.ANSWERED:
             target.record_success()
-            self._poison_detector.clear(request.fingerprint)
             return
         if result.status is SendStatus.TIMEOUT and choice.queue_position:
             target.queue_limit.record_timeout(choice.queue_position)
@@ -188,11 +218,9 @@
             self._apply_connect_failure(request, target, now)
             return
         if result.status is SendStatus.CONNECTION_LOST:
-            self._poison_detector.record_lost_connection(
-                request.fingerprint, target.record.target_id, now
-            )
             self._prober.check(target)
         if result.status is SendStatus.MISDIRECTED:
+            self._ends.note_gone(target, now)
             self._prober.mark_down(target)
         elif target.record_failure(now):
             self._recorder.record("target.ejected", target=target.record.target_id)
@@ -205,7 +233,7 @@
             self._prober.check(target)
             return
         self._prober.mark_down(target)
-        self._poison_detector.record_target_down(target.record.target_id, now)
+        self._ends.note_refusing(target, now)
 
     def _record(self, attempts: Attempts, choice: Choice, result: SendResult, now: float) -> None:
         request, target = attempts.request, choice.target
@@ -214,7 +242,7 @@
             request=request.incoming.request_id,
             workspace=request.workspace_name,
             route=request.route.name,
-            fingerprint=request.fingerprint,
+            fingerprint=f"{request.fingerprints[-1]:016x}",
             target=target.record.target_id,
             send=attempts.sent + attempts.unconnected + 1,
             end=result.status.value,
@@ -242,10 +270,23 @@
             or attempts.unconnected >= MAX_CONNECT_FAILURES
         ):
             return False
-        if self._poison_detector.is_poison(request.fingerprint, now):
+        if last.status is SendStatus.CONNECTION_LOST and self._is_suspect(request, now):
             return False
         return last.status in UNSENT_STATUSES or self._budgets.take(request.service, now)
 
+    def _is_suspect(self, request: RoutedRequest, now: float) -> bool:
+        return self._poison_detector.standing(request.fingerprints, now).causes > 0
+
+    def _poison_refusal(self, request: RoutedRequest, now: float) -> Refusal | None:
+        """Return why a request that ended targets is not sent now, or None."""
+        standing = self._poison_detector.standing(request.fingerprints, now)
+        if standing.status is Status.FREE or standing.wait_s <= 0:
+            return None
+        detail = f"requests like this ended targets {standing.causes} times"
+        if standing.status is Status.SUSPECT:
+            detail += "; one is being tried"
+        return Refusal.not_run(Reason.REQUEST_CRASHES_UPSTREAMS, detail, standing.wait_s)
+
     def _overloaded(self, attempts: Attempts, overload: Overload) -> Outcome:
         best = overload.best
         detail = (
--- a/src/flamingoladder/entry/handler.py
+++ b/src/flamingoladder/entry/handler.py
@@ -6,10 +6,10 @@
 from traceback import format_exc
 from typing import TYPE_CHECKING
 
-import xxhash
 from expression import Error
 
 from flamingoladder.entry.request import RoutedRequest
+from flamingoladder.poison.fingerprints import fingerprints_of
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
@@ -17,9 +17,9 @@
 if TYPE_CHECKING:
     from flamingoladder.entry.active_configuration import ActiveConfiguration
     from flamingoladder.entry.forwarder import Forwarder
-    from flamingoladder.entry.poison_requests import PoisonRequestDetector
     from flamingoladder.entry.request import IncomingRequest
     from flamingoladder.limits.rate_limiter import FleetRateLimiter
+    from flamingoladder.poison.fingerprints import Fingerprints
     from flamingoladder.routing.model import Route
     from flamingoladder.routing.model import RoutingConfig
     from flamingoladder.routing.model import Workspace
@@ -28,7 +28,8 @@
     from flamingoladder.verdict import Outcome
 
 NO_CONFIGURATION_RETRY_S = 0.5
-POISON_RETRY_S = 30.0
+# Fields that a caller sends alike with each repeat of a request.
+CALLER_FIELDS = frozenset({"authorization", "cookie", "user-agent"})
 # Fraction of the time from the latency SLO to the deadline. Admission only up to the SLO itself
 # gave lower scores.
 MIN_ADMISSION_FRACTION = 0.5
@@ -41,7 +42,6 @@
     __slots__ = (
         "_configuration",
         "_forwarder",
-        "_poison_detector",
         "_rate_limiter",
         "_recorder",
         "_splitter",
@@ -53,14 +53,12 @@
         configuration: ActiveConfiguration,
         rate_limiter: FleetRateLimiter,
         splitter: TrafficSplitter,
-        poison_detector: PoisonRequestDetector,
         forwarder: Forwarder,
         recorder: Recorder,
     ) -> None:
         self._configuration = configuration
         self._rate_limiter = rate_limiter
         self._splitter = splitter
-        self._poison_detector = poison_detector
         self._forwarder = forwarder
         self._recorder = recorder
         self._tasks: set[asyncio.Task[Outcome]] = set()
@@ -124,10 +122,6 @@
         deadline = started + min(route.timeout_s, caller_timeout_s)
         if now >= deadline:
             return Refusal.not_run(Reason.DEADLINE_PASSED, "the deadline has passed")
-        fingerprint = _fingerprint(incoming, workspace)
-        if self._poison_detector.is_poison(fingerprint, now):
-            detail = "requests like this took down their targets"
-            return Refusal.not_run(Reason.REQUEST_CRASHES_UPSTREAMS, detail, POISON_RETRY_S)
         rate_refusal = None if workspace is None else self._rate_limiter.admit(workspace, now)
         if rate_refusal is not None:
             return Refusal.not_run(
@@ -145,7 +139,7 @@
             deadline=deadline,
             admission_deadline=_admission_deadline(routing, route, workspace, started, deadline),
             target_deadline=deadline if route.idempotent else started + caller_timeout_s,
-            fingerprint=fingerprint,
+            fingerprints=_fingerprints(incoming, workspace),
             routing_version=routing.version,
         )
 
@@ -203,8 +197,8 @@
     return frozenset.intersection(*limits) if limits else None
 
 
-def _fingerprint(incoming: IncomingRequest, workspace: Workspace | None) -> str:
-    digest = xxhash.xxh3_128(incoming.body)
+def _fingerprints(incoming: IncomingRequest, workspace: Workspace | None) -> Fingerprints:
     name = "" if workspace is None else workspace.name
-    digest.update(f"\0{incoming.method}\0{incoming.host}\0{incoming.path}\0{name}".encode())
-    return digest.hexdigest()
+    content = (name, incoming.method, incoming.host, incoming.path, incoming.body)
+    fields = [of.value for of in incoming.headers if of.name.lower() in CALLER_FIELDS]
+    return fingerprints_of(content, ((*incoming.keys, *fields), (incoming.caller,)))
--- a/src/flamingoladder/entry/probing.py
+++ b/src/flamingoladder/entry/probing.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from flamingoladder.entry.active_configuration import ActiveConfiguration
+    from flamingoladder.entry.results import ProbeResult
     from flamingoladder.entry.target_client import TargetClient
+    from flamingoladder.entry.target_ends import TargetEnds
     from flamingoladder.targets.notice_learner import NoticeLearner
     from flamingoladder.targets.registry import TargetRegistry
     from flamingoladder.targets.state import TargetState
@@ -25,8 +25,8 @@
     __slots__ = (
         "_client",
         "_configuration",
+        "_ends",
         "_notices",
-        "_on_down",
         "_recorder",
         "_targets",
         "_tasks_by_target",
@@ -37,14 +37,14 @@
         targets: TargetRegistry,
         configuration: ActiveConfiguration,
         client: TargetClient,
-        on_down: Callable[[str, float], None],
+        ends: TargetEnds,
         notices: NoticeLearner,
         recorder: Recorder,
     ) -> None:
         self._targets = targets
         self._configuration = configuration
         self._client = client
-        self._on_down = on_down
+        self._ends = ends
         self._notices = notices
         self._recorder = recorder
         self._tasks_by_target: dict[str, asyncio.Task[None]] = {}
@@ -64,6 +64,15 @@
             self._tasks_by_target[name] = task
             task.add_done_callback(lambda _: self._tasks_by_target.pop(name, None))
 
+    async def probe_once(self, target: TargetState) -> ProbeResult:
+        """Return the result of one health check, and take in what its answer says."""
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        result = await self._client.probe(target, self._health_path(target), PROBE_TIMEOUT_S)
+        if result.notice is not None:
+            self._notices.learn(target, result.notice, sent_at, loop.time())
+        return result
+
     def close(self) -> None:
         """Stop probing."""
         for task in list(self._tasks_by_target.values()):
@@ -72,20 +81,18 @@
     async def _probe_until_healthy(self, target: TargetState) -> None:
         loop = asyncio.get_running_loop()
         while self._targets.by_id.get(target.record.target_id) is target:
-            sent_at = loop.time()
-            if target.notices is not None and target.notices.rests(sent_at):
+            if target.notices is not None and target.notices.rests(loop.time()):
                 await asyncio.sleep(PROBE_INTERVAL_S)
                 continue
-            result = await self._client.probe(target, self._health_path(target), PROBE_TIMEOUT_S)
-            if result.notice is not None:
-                self._notices.learn(target, result.notice, sent_at, loop.time())
+            result = await self.probe_once(target)
+            if not result.alive:
+                self._ends.note_gone(target, loop.time())
             if result.healthy:
                 self._mark_up(target, result.slow_start_s, loop.time())
                 return
             if not target.down:
                 target.down = True
                 self._recorder.record("target.down", target=target.record.target_id)
-                self._on_down(target.record.target_id, loop.time())
             await asyncio.sleep(PROBE_INTERVAL_S)
 
     def _mark_up(self, target: TargetState, slow_start_s: float, now: float) -> None:
--- a/src/flamingoladder/entry/request.py
+++ b/src/flamingoladder/entry/request.py
@@ -9,6 +9,7 @@
 from flamingoladder.verdict import Header
 
 if TYPE_CHECKING:
+    from flamingoladder.poison.fingerprints import Fingerprints
     from flamingoladder.routing.model import Route
     from flamingoladder.routing.model import Workspace
 
@@ -51,7 +52,7 @@
         "admission_deadline",
         "caller_disconnected",
         "deadline",
-        "fingerprint",
+        "fingerprints",
         "incoming",
         "object_key",
         "regions",
@@ -75,7 +76,7 @@
         deadline: float,
         admission_deadline: float,
         target_deadline: float,
-        fingerprint: str,
+        fingerprints: Fingerprints,
         routing_version: int = 0,
     ) -> None:
         self.incoming = incoming
@@ -87,7 +88,7 @@
         self.deadline = deadline
         self.admission_deadline = admission_deadline
         self.target_deadline = target_deadline
-        self.fingerprint = fingerprint
+        self.fingerprints = fingerprints
         self.routing_version = routing_version
         self.caller_disconnected = False
         self.object_key = _object_key(route, incoming.affinity_key)
--- a/src/flamingoladder/entry/results.py
+++ b/src/flamingoladder/entry/results.py
@@ -54,6 +54,11 @@
     notice: TargetNotice | None = None
     refusal: Refusal | None = None
 
+    @property
+    def is_from_target(self) -> bool:
+        """Return whether the target itself answered."""
+        return self.answer is not None or self.notice is not None
+
     @property
     def may_have_run(self) -> bool:
         """Return whether the target may have run the request."""
@@ -69,3 +74,8 @@
     healthy: bool
     slow_start_s: float
     notice: TargetNotice | None = None
+
+    @property
+    def alive(self) -> bool:
+        """Return whether the target itself answered, well or not."""
+        return self.healthy or self.notice is not None
--- a/src/flamingoladder/fleet/exchange.py
+++ b/src/flamingoladder/fleet/exchange.py
@@ -7,11 +7,11 @@
 
 import msgspec
 
-from flamingoladder.fleet.messages import CrashReport
 from flamingoladder.fleet.messages import HostReport
 from flamingoladder.fleet.messages import RegionReports
 from flamingoladder.fleet.region_reports import RegionReportQueue
 from flamingoladder.fleet.relays import RELAYS_PER_REGION
+from flamingoladder.poison.exchange import LinkPoisonExchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,6 +21,7 @@
     from flamingoladder.fleet.relays import RegionRelays
     from flamingoladder.peers.link import Peer
     from flamingoladder.peers.link import PeerLinks
+    from flamingoladder.poison.messages import PoisonReport
 
 
 EMPTY_REPORT = HostReport()
@@ -177,30 +178,17 @@
         return known.report.sequence >= forwarded.report.sequence
 
 
-class CrashExchange:
-    """Broadcasts crashes of targets to all hosts, by relays in a large fleet."""
+class FleetPoisonExchange(LinkPoisonExchange):
+    """Tells all hosts of ended targets, by relays in a large fleet."""
 
-    __slots__ = ("_links", "_relays")
+    __slots__ = ("_relays",)
 
     def __init__(self, links: PeerLinks, relays: RegionRelays) -> None:
-        self._links = links
+        super().__init__(links)
         self._relays = relays
 
-    def subscribe(self, callback: Callable[[CrashReport, float], None]) -> None:
-        """Call ``callback`` for each crash that another host reports.
-
-        Its arguments are the report and the time of arrival in monotonic seconds.
-        """
-
-        async def on_crash(peer: Peer, report: CrashReport) -> None:
-            if self._relays.in_use and not self._relays.is_neighbour(peer.host):
-                self._links.send_all(self._relays.neighbours(), report)
-            callback(report, asyncio.get_running_loop().time())
-
-        self._links.register(CrashReport, on_crash)
-
-    def broadcast(self, report: CrashReport) -> None:
-        """Send a crash to all other hosts."""
+    def broadcast(self, report: PoisonReport) -> None:
+        """Send a report to all other hosts."""
         relays = self._relays
         if not relays.in_use:
             self._links.send_all(relays.others(), report)
@@ -210,3 +198,7 @@
             host for rank in range(RELAYS_PER_REGION) for host in relays.remote_relays(rank, now)
         }
         self._links.send_all((*relays.neighbours(), *remote), report)
+
+    def _pass_on(self, peer: Peer, report: PoisonReport) -> None:
+        if self._relays.in_use and not self._relays.is_neighbour(peer.host):
+            self._links.send_all(self._relays.neighbours(), report)
--- a/src/flamingoladder/fleet/messages.py
+++ b/src/flamingoladder/fleet/messages.py
@@ -7,6 +7,7 @@
 from flamingoladder.feed.messages import FeedMessage
 from flamingoladder.limits.rate_limiter import RateReport
 from flamingoladder.peers.messages import LinkMessage
+from flamingoladder.poison.messages import PoisonMessage
 from flamingoladder.targets.rate_limit import RateLimitReport
 
 SHORT_NAMES = {
@@ -55,11 +56,4 @@
     reports: tuple[ForwardedReport, ...]
 
 
-class CrashReport(msgspec.Struct, frozen=True, tag="c"):
-    """A target crashed while it ran the request with this ``fingerprint``."""
-
-    fingerprint: str
-    target: str
-
-
-FleetMessage = LinkMessage | HostReport | RegionReports | CrashReport | FeedMessage
+FleetMessage = LinkMessage | HostReport | RegionReports | PoisonMessage | FeedMessage
--- a/src/flamingoladder/fleet/relays.py
+++ b/src/flamingoladder/fleet/relays.py
@@ -53,6 +53,12 @@
         """Return all other hosts."""
         return [host for host, _ in self._others()]
 
+    def nearest_first(self) -> list[str]:
+        """Return all other hosts, those of this host's region first."""
+        own_region = self._own.region
+        others = sorted(self._others(), key=lambda item: item[1].region != own_region)
+        return [host for host, _ in others]
+
     def is_neighbour(self, host: str) -> bool:
         """Return whether a registered host is of this host's region."""
         member = self._members.members_by_host.get(host)
--- /dev/null
+++ b/src/flamingoladder/poison/history.py
@@ -0,0 +1,257 @@
+"""Which ends of targets a request is suspected of, and what follows from them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from flamingoladder.poison.fingerprints import Fingerprints
+
+# Ends of targets in one failure domain within this time have one cause.
+SAME_CAUSE_S = 1.0
+# So many other targets that end there at the same time show that the failure domain was lost.
+OTHER_ENDS_OF_LOST_DOMAIN = 2
+MIN_QUARANTINE_S = 120.0
+MAX_QUARANTINE_S = 600.0
+RECORD_TTL_S = 3_600.0
+MAX_ENDS = 500
+MAX_FINGERPRINTS_PER_END = 64
+MAX_ANSWERS = 2_000
+# Each end is told again for this long, so that no single lost report matters.
+REPEATED_S = 5.0
+# Until then a request that is being tried by one host is not sent by another.
+TRIAL_S = 5.0
+
+
+class TargetEnd(msgspec.Struct, frozen=True):
+    """The end of one start of a target, with the fingerprints of the requests at work there.
+
+    ``at`` and ``began``, when the first of them was sent, are monotonic seconds. ``incarnation`` is
+    None where starts of a target have no name.
+    """
+
+    target: str
+    incarnation: int | None
+    failure_domain: str
+    at: float
+    began: float
+    fingerprints: frozenset[int]
+
+
+class Status(Enum):
+    """What a host may do with a request: send, send one at a time, or reject it."""
+
+    FREE = "free"
+    SUSPECT = "suspect"
+    CONDEMNED = "condemned"
+
+
+class Standing(msgspec.Struct, frozen=True):
+    """The status of a request, the causes that count against it, and the rest of a quarantine."""
+
+    status: Status
+    causes: int = 0
+    wait_s: float = 0.0
+
+
+FREE = Standing(Status.FREE)
+
+
+class CrashHistory:
+    """All known ends of targets, and the answers that clear requests of them.
+
+    Both are sets that only grow until they expire, so hosts may tell each other the same things in
+    any order and more than once. A request counts as the suspect of an end unless an identical one
+    was answered by a run that began after it. Times are monotonic seconds.
+    """
+
+    __slots__ = ("_answer_began", "_ends_by_key", "_keys_by_fingerprint", "_next_key")
+
+    def __init__(self) -> None:
+        self._ends_by_key: OrderedDict[int, TargetEnd] = OrderedDict()
+        self._keys_by_fingerprint: dict[int, list[int]] = {}
+        self._answer_began: OrderedDict[int, float] = OrderedDict()
+        self._next_key = 0
+
+    @property
+    def ends(self) -> Iterable[TargetEnd]:
+        """Return all ends, oldest first."""
+        return self._ends_by_key.values()
+
+    @property
+    def answers(self) -> Iterable[tuple[int, float]]:
+        """Return the fingerprints that were answered after an end, and when the run began."""
+        return self._answer_began.items()
+
+    def is_suspect(self, fingerprint: int) -> bool:
+        """Return whether any end is known under which a request of this kind was at work."""
+        return fingerprint in self._keys_by_fingerprint
+
+    def add(self, end: TargetEnd) -> bool:
+        """Add an end, or what is new of a known one; return whether anything is."""
+        for key, known in reversed(self._ends_by_key.items()):
+            if _is_same(known, end):
+                return self._extend(key, known, end)
+        key = self._next_key
+        self._next_key += 1
+        self._ends_by_key[key] = end
+        self._index(key, end.fingerprints)
+        if len(self._ends_by_key) > MAX_ENDS:
+            self._drop(next(iter(self._ends_by_key)))
+        return True
+
+    def note_answer(self, fingerprint: int, began: float) -> bool:
+        """Note an answer by a run that began then; return whether it clears an end."""
+        if not self.is_suspect(fingerprint):
+            return False
+        previous = self._answer_began.get(fingerprint)
+        if previous is not None and began <= previous:
+            return False
+        clears = any(end.at < began for end in self._suspected_ends(fingerprint))
+        self._answer_began[fingerprint] = began
+        self._answer_began.move_to_end(fingerprint)
+        if len(self._answer_began) > MAX_ANSWERS:
+            self._answer_began.popitem(last=False)
+        return clears
+
+    def standing(self, fingerprints: Fingerprints, limit: int, now: float) -> Standing:
+        """Return the standing of a request by the worst of its fingerprints.
+
+        With one cause less than ``limit`` it is a suspect, with ``limit`` it is condemned until its
+        quarantine ends. That doubles with each further cause; after it the request is a suspect.
+        """
+        worst = FREE
+        for fingerprint in fingerprints:
+            if fingerprint in self._keys_by_fingerprint:
+                found = self._standing_of(fingerprint, limit, now)
+                if found.status is Status.CONDEMNED:
+                    return found
+                worst = max(worst, found, key=_causes_of)
+        return worst
+
+    def pressing_ends(self, now: float) -> list[TargetEnd]:
+        """Return the ends that are new, or count against a request with two causes or more."""
+        suspects = {
+            fingerprint
+            for fingerprint, keys in self._keys_by_fingerprint.items()
+            if len(keys) > 1 and len(self._cause_times(fingerprint)) > 1
+        }
+        return [
+            end
+            for end in self._ends_by_key.values()
+            if now - end.at < REPEATED_S or not suspects.isdisjoint(end.fingerprints)
+        ]
+
+    def expire(self, now: float) -> None:
+        """Forget the ends that are too old."""
+        for key, end in list(self._ends_by_key.items()):
+            if now - end.at >= RECORD_TTL_S:
+                self._drop(key)
+
+    def _standing_of(self, fingerprint: int, limit: int, now: float) -> Standing:
+        causes = self._cause_times(fingerprint)
+        if len(causes) < limit:
+            status = Status.SUSPECT if len(causes) >= max(1, limit - 1) else Status.FREE
+            return Standing(status, len(causes))
+        wait_s = causes[-1] + _quarantine_s(len(causes) - limit) - now
+        if wait_s <= 0:
+            return Standing(Status.SUSPECT, len(causes))
+        return Standing(Status.CONDEMNED, len(causes), wait_s)
+
+    def _cause_times(self, fingerprint: int) -> list[float]:
+        """Return when each cause that counts against the request last struck, in order."""
+        causes_by_domain: dict[str, _Cause] = {}
+        times: list[float] = []
+        for end in sorted(self._suspected_ends(fingerprint), key=_time_of):
+            if self._lost_domain(end, fingerprint):
+                continue
+            cause = causes_by_domain.get(end.failure_domain)
+            if cause is None or not cause.takes(end):
+                cause = causes_by_domain[end.failure_domain] = _Cause()
+                times.append(end.at)
+            cause.add(end)
+        return times
+
+    def _suspected_ends(self, fingerprint: int) -> list[TargetEnd]:
+        cleared_before = self._answer_began.get(fingerprint)
+        ends = (self._ends_by_key[key] for key in self._keys_by_fingerprint.get(fingerprint, ()))
+        return [end for end in ends if cleared_before is None or end.at >= cleared_before]
+
+    def _lost_domain(self, end: TargetEnd, fingerprint: int) -> bool:
+        others = sum(
+            other.failure_domain == end.failure_domain
+            and abs(other.at - end.at) <= SAME_CAUSE_S
+            and fingerprint not in other.fingerprints
+            for other in self._ends_by_key.values()
+        )
+        return others >= OTHER_ENDS_OF_LOST_DOMAIN
+
+    def _extend(self, key: int, known: TargetEnd, end: TargetEnd) -> bool:
+        added = end.fingerprints - known.fingerprints
+        self._ends_by_key[key] = msgspec.structs.replace(
+            known,
+            at=min(known.at, end.at),
+            began=min(known.began, end.began),
+            fingerprints=known.fingerprints | added,
+        )
+        self._index(key, added)
+        return bool(added)
+
+    def _index(self, key: int, fingerprints: Iterable[int]) -> None:
+        for fingerprint in fingerprints:
+            self._keys_by_fingerprint.setdefault(fingerprint, []).append(key)
+
+    def _drop(self, key: int) -> None:
+        for fingerprint in self._ends_by_key.pop(key).fingerprints:
+            keys = self._keys_by_fingerprint[fingerprint]
+            keys.remove(key)
+            if not keys:
+                del self._keys_by_fingerprint[fingerprint]
+                self._answer_began.pop(fingerprint, None)
+
+
+class _Cause:
+    """Ends of different targets of one failure domain in short order."""
+
+    __slots__ = ("_last_at", "_targets")
+
+    def __init__(self) -> None:
+        self._targets: set[str] = set()
+        self._last_at = 0.0
+
+    def takes(self, end: TargetEnd) -> bool:
+        """Return whether the end has the same cause; a target that ended again was back between."""
+        return end.target not in self._targets and end.at - self._last_at <= SAME_CAUSE_S
+
+    def add(self, end: TargetEnd) -> None:
+        """Add an end that this cause takes, or its first."""
+        self._targets.add(end.target)
+        self._last_at = end.at
+
+
+def _is_same(known: TargetEnd, end: TargetEnd) -> bool:
+    """Return whether both are one end; a request sent after the known end met a later start."""
+    if known.target != end.target or known.incarnation != end.incarnation:
+        return False
+    if known.incarnation is not None:
+        return True
+    first, second = (known, end) if known.at <= end.at else (end, known)
+    return second.began <= first.at
+
+
+def _quarantine_s(further_causes: int) -> float:
+    return min(MAX_QUARANTINE_S, MIN_QUARANTINE_S * 2.0 ** min(further_causes, 10))
+
+
+def _causes_of(standing: Standing) -> int:
+    return standing.causes
+
+
+def _time_of(end: TargetEnd) -> float:
+    return end.at
--- a/src/flamingoladder/targets/registry.py
+++ b/src/flamingoladder/targets/registry.py
@@ -26,6 +26,8 @@
     """Targets by id and by service, and the failure domains that are evacuated.
 
     ``eligibility_changes`` counts changes to the set of targets that may be homes of objects.
+    ``removed`` emits the ids of removed targets, ``ended`` the last state of a target whose
+    registration was removed or shows a later start.
     """
 
     __slots__ = (
@@ -35,6 +37,7 @@
         "by_id",
         "by_service",
         "eligibility_changes",
+        "ended",
         "evacuated",
         "removed",
     )
@@ -47,12 +50,15 @@
         self.evacuated: frozenset[str] = frozenset()
         self.eligibility_changes = 0
         self.removed: Subject[str] = Subject()
+        self.ended: Subject[TargetState] = Subject()
         self._notices_by_start: OrderedDict[tuple[str, int | None], TargetNotices] = OrderedDict()
 
     def put(self, record: TargetRecord, now: float) -> None:
         """Add a target, or update it from a newer registration."""
         target = self.by_id.get(record.target_id)
         if target is not None and target.record.service == record.service:
+            if record.started_ms != target.record.started_ms:
+                self.ended.on_next(target)
             target.update(record, now)
         else:
             self._add(record, now)
@@ -76,6 +82,7 @@
         self.eligibility_changes += 1
         self._recorder.record("target.removed", target=target_id, reason=reason)
         self.removed.on_next(target_id)
+        self.ended.on_next(target)
 
     def schedule_removal(self, target_id: str, remove_at: float) -> None:
         """Schedule the removal of a lapsed target; registering again cancels it."""
--- a/src/flamingoladder/upstreams/dispatcher.py
+++ b/src/flamingoladder/upstreams/dispatcher.py
@@ -28,8 +28,8 @@
     from flamingoladder.steering.chooser import Reservation
     from flamingoladder.steering.chooser import TargetChooser
     from flamingoladder.timeline.recorder import Recorder
-    from flamingoladder.upstreams.crash_guard import CrashGuard
     from flamingoladder.upstreams.notices import UpstreamNotices
+    from flamingoladder.upstreams.poison_watch import PoisonWatch
     from flamingoladder.upstreams.targets import TargetPools
     from flamingoladder.verdict import Outcome
 
@@ -46,9 +46,9 @@
 
     __slots__ = (
         "_chooser",
-        "_crash_guard",
         "_notices",
         "_permission",
+        "_poison_watch",
         "_pools",
         "_recorder",
         "_retry_budget",
@@ -61,7 +61,7 @@
         state: StateInForce,
         chooser: TargetChooser,
         pools: TargetPools,
-        guard: CrashGuard,
+        poison_watch: PoisonWatch,
         notices: UpstreamNotices,
         permission: DispatchCheck,
         recorder: Recorder,
@@ -69,7 +69,7 @@
         self._state = state
         self._chooser = chooser
         self._pools = pools
-        self._crash_guard = guard
+        self._poison_watch = poison_watch
         self._notices = notices
         self._permission = permission
         self._recorder = recorder
@@ -81,12 +81,11 @@
         self._retry_budget.deposit(defaults.retry_budget_ratio)
         dispatch = DispatchState(request)
         while True:
-            reservation = await self._reserve(dispatch, defaults)
+            reservation = await self._reserve(dispatch)
             if isinstance(reservation, Refusal):
                 return dispatch.refusal_outcome(reservation)
             result = await self._attempt(dispatch, reservation, defaults)
             if isinstance(result, Answer):
-                self._crash_guard.clear_crashes(request)
                 return Ok(result)
             if not self._may_retry(dispatch, result, defaults):
                 return dispatch.failure_outcome(result)
@@ -97,13 +96,19 @@
             raise RuntimeError("no state is in force")
         return state.deployment.defaults
 
-    async def _reserve(self, dispatch: DispatchState, defaults: Defaults) -> Reservation | Refusal:
+    async def _reserve(self, dispatch: DispatchState) -> Reservation | Refusal:
         loop = asyncio.get_running_loop()
         request = dispatch.request
-        crash_refusal = self._crash_guard.refusal_of(request, defaults.crash_limit, loop.time())
-        if crash_refusal is not None:
-            return crash_refusal
-        return await self._chooser.reserve(request, dispatch.tried, loop.time())
+        held_back = self._poison_watch.refusal_of(request, loop.time())
+        if held_back is not None:
+            return held_back
+        reservation = await self._chooser.reserve(request, dispatch.tried, loop.time())
+        if isinstance(reservation, Refusal):
+            return reservation
+        held_back = self._poison_watch.refusal_of(request, loop.time())
+        if held_back is not None:
+            reservation.release(AttemptOutcome.CANCELLED, loop.time())
+        return held_back or reservation
 
     async def _attempt(
         self, dispatch: DispatchState, reservation: Reservation, defaults: Defaults
@@ -121,18 +126,23 @@
             defaults.silence_ms / MS_PER_S, dispatch.request.deadline, started
         )
         hedge = partial(self._hedge, dispatch, reservation, defaults)
+        work = self._poison_watch.begin(dispatch.request, reservation.target, started)
+        result: Answer | AttemptFailure | None = None
         try:
             with StallWatchdog(exchange, connections, stall_timeout_s, hedge) as watchdog:
                 response = await connections.send(dispatch.request, exchange)
                 if isinstance(response, Answer):
                     self._notices.learn(reservation.target, response, started, loop.time())
                 result = _shed_as_failure(response, idempotent=dispatch.request.route.idempotent)
+                self._poison_watch.end(work, result, loop.time())
                 outcome = AttemptOutcome.ANSWERED if isinstance(result, Answer) else result.outcome
                 if isinstance(result, Answer):
                     return result
-                self._record_failure(dispatch, reservation.target, started, result)
+                self._record_failure(dispatch, reservation.target, result)
                 return await watchdog.hedge_answer() or result
         finally:
+            if result is None:
+                self._poison_watch.cancel(work, loop.time())
             reservation.release(outcome, loop.time())
 
     async def _hedge(
@@ -146,11 +156,11 @@
             return None
         dispatch.tried.append(reservation.target)
         while dispatch.attempts < defaults.attempts and self._retry_budget.try_withdraw():
-            alternative = await self._reserve(dispatch, defaults)
+            alternative = await self._reserve(dispatch)
             if isinstance(alternative, Refusal) and reachable:
                 reachable = False
                 dispatch.tried.remove(reservation.target)
-                alternative = await self._reserve(dispatch, defaults)
+                alternative = await self._reserve(dispatch)
             if isinstance(alternative, Refusal):
                 return None
             result = await self._attempt(dispatch, alternative, defaults)
@@ -159,7 +169,7 @@
         return None
 
     def _record_failure(
-        self, dispatch: DispatchState, target: str, started: float, failure: AttemptFailure
+        self, dispatch: DispatchState, target: str, failure: AttemptFailure
     ) -> None:
         dispatch.record_failure(target, failure)
         request = dispatch.request
@@ -171,9 +181,6 @@
             end=failure.outcome.value,
             may_have_run=failure.may_have_run,
         )
-        if failure.outcome is AttemptOutcome.LOST:
-            now = asyncio.get_running_loop().time()
-            self._crash_guard.record_loss(request, target, started, now)
 
     def _may_retry(
         self, dispatch: DispatchState, failure: AttemptFailure, defaults: Defaults
--- a/src/flamingoladder/upstreams/messages.py
+++ b/src/flamingoladder/upstreams/messages.py
@@ -4,19 +4,10 @@
 
 import msgspec
 
+from flamingoladder.poison.messages import PoisonMessage
 from flamingoladder.upstreams.probe_messages import ProbeReply
 
 
-class CrashReport(msgspec.Struct, frozen=True, tag="crash_sighting"):
-    """A report that the sender lost ``target`` while it ran the request with ``digest``."""
-
-    workspace: str | None
-    service: str
-    route: str
-    digest: str
-    target: str
-
-
 class TargetProbeReply(msgspec.Struct, frozen=True, array_like=True):
     """The latest reply of ``target`` to the sender's probes."""
 
@@ -30,4 +21,4 @@
     replies: tuple[TargetProbeReply, ...] = msgspec.field(name="seen")
 
 
-UpstreamMessage = CrashReport | ProbeReplies
+UpstreamMessage = PoisonMessage | ProbeReplies
--- a/src/flamingoladder/upstreams/probes.py
+++ b/src/flamingoladder/upstreams/probes.py
@@ -17,6 +17,7 @@
 from flamingoladder.upstreams.targets import declared_targets
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from flamingoladder.config.agreed import AgreedState
@@ -36,12 +37,17 @@
 
 
 class TargetProbes:
-    """Runs one probe task for each declared target."""
+    """Runs one probe task for each declared target.
+
+    ``on_unanswered`` is called with the name of a target that gave this host or another one no
+    answer at all.
+    """
 
     __slots__ = (
         "_assigned_targets",
         "_health_board",
         "_links",
+        "_on_unanswered",
         "_peer_reply_at_by_target",
         "_pools",
         "_random",
@@ -60,11 +66,13 @@
         links: PeerLinks,
         recorder: Recorder,
         random: Random,
+        on_unanswered: Callable[[str], None],
     ) -> None:
         self._assigned_targets: frozenset[str] = frozenset()
         self._links = links
         self._peer_reply_at_by_target: dict[str, float] = {}
         self._unsent_replies: dict[str, ProbeReply] = {}
+        self._on_unanswered = on_unanswered
         self._pools = pools
         self._health_board = health_board
         self._recorder = recorder
@@ -130,6 +138,8 @@
         for entry in message.replies:
             self._peer_reply_at_by_target[entry.target] = now
             self._health_board.of(entry.target).record_probe(entry.reply)
+            if not entry.reply.answered:
+                self._on_unanswered(entry.target)
 
     async def _probe(self, target: DeclaredTarget) -> None:
         connections = self._pools.of(target.address)
@@ -146,3 +156,5 @@
             )
             self._send_replies()
         health.record_probe(reply)
+        if not reply.answered:
+            self._on_unanswered(target.name)
--- a/tests/entry/crashing_fleet.py
+++ b/tests/entry/crashing_fleet.py
@@ -181,7 +181,7 @@
             Member(f"h{number:02}", f"r{number % 2 + 1}", "d", "1", f"h{number}:80", "tcp://h", "k")
             for number in range(hosts)
         ]
-        self.hosts = [self._start_host(member) for member in self._members]
+        self.hosts = [self._start_host(member, first_start=True) for member in self._members]
         self._start(self._write_rows())
 
     def restart(self, number: int) -> None:
@@ -247,6 +247,8 @@
 
     async def _request(self, host: EntryHarness, request: IncomingRequest) -> None:
         now = asyncio.get_running_loop().time()
+        if not host.poison_upkeep.is_informed:
+            return
         self.outcomes_by_id[request.request_id] = await host.handler.handle(request, now)
 
     def _send(self, number: int, request: IncomingRequest) -> None:
@@ -268,7 +270,7 @@
                     host.targets.put(target.record, now)
                 known[number] = target.record
 
-    def _start_host(self, member: Member) -> EntryHarness:
+    def _start_host(self, member: Member, *, first_start: bool = False) -> EntryHarness:
         client = CrashingTargetClient(member.host, self.targets)
         harness = EntryHarness(
             client,
@@ -279,6 +281,7 @@
             links=self.network.join(member.host, member.incarnation),
             records=[target.record for target in self.targets.by_slot],
         )
+        harness.poison_upkeep.is_informed = first_start
         for other in self._members:
             harness.members.put(other, asyncio.get_running_loop().time())
         for work in harness.work:
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -10,20 +10,24 @@
 from flamingoladder.entry.handler import RequestHandler
 from flamingoladder.entry.host_reports import HostReporter
 from flamingoladder.entry.load_balancer import LoadBalancer
-from flamingoladder.entry.poison_requests import PoisonRequestDetector
 from flamingoladder.entry.probing import TargetProber
 from flamingoladder.entry.request import IncomingRequest
 from flamingoladder.entry.results import ProbeResult
 from flamingoladder.entry.results import SendResult
 from flamingoladder.entry.results import SendStatus
+from flamingoladder.entry.silence_check import SilenceCheck
 from flamingoladder.entry.target_client import TargetClient
-from flamingoladder.fleet.exchange import CrashExchange
+from flamingoladder.entry.target_ends import TargetEnds
+from flamingoladder.fleet.exchange import FleetPoisonExchange
 from flamingoladder.fleet.exchange import RegionalReportExchange
 from flamingoladder.fleet.members import MemberRegistry
 from flamingoladder.fleet.relays import RegionRelays
 from flamingoladder.limits.rate_limiter import FleetRateLimiter
 from flamingoladder.limits.retry_budgets import RetryBudgets
 from flamingoladder.limits.tolerance import RateTolerance
+from flamingoladder.poison.detector import PoisonDetector
+from flamingoladder.poison.exchange import PoisonExchange
+from flamingoladder.poison.upkeep import PoisonUpkeep
 from flamingoladder.routing.model import RequestLimits
 from flamingoladder.routing.model import Route
 from flamingoladder.routing.model import RoutingConfig
@@ -39,14 +43,15 @@
 from flamingoladder.verdict import Answer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Coroutine
     from collections.abc import Mapping
     from collections.abc import Sequence
 
     from flamingoladder.entry.request import RoutedRequest
-    from flamingoladder.fleet.messages import CrashReport
     from flamingoladder.members.member import Member
     from flamingoladder.peers.link import PeerLinks
+    from flamingoladder.poison.messages import PoisonReport
     from flamingoladder.targets.state import TargetState
 
 REGIONS_BY_DOMAIN = {"d1": "r1", "d2": "r2"}
@@ -129,6 +134,24 @@
     )
 
 
+class RecordingPoisonExchange(PoisonExchange):
+    """Keeps what it is to send, as there are no other hosts."""
+
+    def __init__(self) -> None:
+        self.sent: list[PoisonReport] = []
+
+    def broadcast(self, report: PoisonReport) -> None:
+        self.sent.append(report)
+
+    async def query(self, host: str) -> PoisonReport | None:
+        return None
+
+    def serve(
+        self, on_report: Callable[[PoisonReport, float], None], known: Callable[[], PoisonReport]
+    ) -> None:
+        """Do nothing, as no report comes."""
+
+
 class EntryHarness:
     """A request handler with a fake target client and three targets in two regions."""
 
@@ -150,13 +173,15 @@
         self.budgets = RetryBudgets(0.2, 58.0, 10.0)
         self.configuration = ActiveConfiguration(self.targets, self.rate_limiter, recorder)
         self.members = MemberRegistry(host, recorder)
-        self.broadcast: list[object] = []
         self.work: list[Coroutine[object, object, object]] = []
-        self.poison_detector = PoisonRequestDetector(self._broadcast, recorder)
-        self._crash_exchange: CrashExchange | None = None
+        self.poison_exchange: PoisonExchange = RecordingPoisonExchange()
         if member is not None and links is not None:
-            self._crash_exchange = CrashExchange(links, RegionRelays(member, self.members))
-            self._crash_exchange.subscribe(self.poison_detector.count_crash)
+            relays = RegionRelays(member, self.members)
+            self.poison_exchange = FleetPoisonExchange(links, relays)
+        self.poison_detector = PoisonDetector(
+            self.poison_exchange, recorder, asyncio.get_running_loop().time
+        )
+        self.ends = TargetEnds(self.poison_detector, self.targets)
         self.balancer = balancer = LoadBalancer(
             self.targets, self.configuration, self.members, SlowStartLimit(host, 1.5, 5.0), region
         )
@@ -165,7 +190,7 @@
             self.targets,
             self.configuration,
             client,
-            self.poison_detector.record_target_down,
+            self.ends,
             self.notices,
             recorder,
         )
@@ -174,6 +199,7 @@
             client,
             self.budgets,
             self.poison_detector,
+            self.ends,
             self.prober,
             self.notices,
             recorder,
@@ -182,7 +208,6 @@
             self.configuration,
             self.rate_limiter,
             TrafficSplitter(),
-            self.poison_detector,
             forwarder,
             recorder,
         )
@@ -217,12 +242,14 @@
             self.reporter.apply_reports,
             self.reporter.receive_report,
         )
-        self.work.append(exchange.run())
-
-    def _broadcast(self, report: CrashReport) -> None:
-        self.broadcast.append(report)
-        if self._crash_exchange is not None:
-            self._crash_exchange.broadcast(report)
+        silence = SilenceCheck(self.poison_detector, self.targets, self.prober, self.ends)
+        self.poison_upkeep = PoisonUpkeep(
+            self.poison_detector,
+            self.poison_exchange,
+            RegionRelays(member, self.members).nearest_first,
+            self.recorder,
+        )
+        self.work += [exchange.run(), silence.run(), self.poison_upkeep.run()]
 
     def add(self, target_id: str, domain: str = "d1", *, slow_start_s: float = 0.0) -> None:
         """Register a target."""
--- a/tests/fleet/test_region_reports.py
+++ b/tests/fleet/test_region_reports.py
@@ -9,10 +9,9 @@
 
 import pytest
 
-from flamingoladder.fleet.exchange import CrashExchange
+from flamingoladder.fleet.exchange import FleetPoisonExchange
 from flamingoladder.fleet.exchange import RegionalReportExchange
 from flamingoladder.fleet.members import MemberRegistry
-from flamingoladder.fleet.messages import CrashReport
 from flamingoladder.fleet.messages import HostReport
 from flamingoladder.fleet.messages import RegionReports
 from flamingoladder.fleet.region_reports import joined
@@ -20,6 +19,8 @@
 from flamingoladder.fleet.relays import RegionRelays
 from flamingoladder.limits.rate_limiter import RateReport
 from flamingoladder.members.member import Member
+from flamingoladder.poison.messages import EndReport
+from flamingoladder.poison.messages import PoisonReport
 from flamingoladder.standins.loop import run_on_injected_time
 from flamingoladder.standins.network import Network
 from flamingoladder.timeline.recorder import Recorder
@@ -44,8 +45,11 @@
         self.exchange = RegionalReportExchange(
             links, self.members, self.relays, self._report, lambda _now: None
         )
-        self.crash_exchange = CrashExchange(links, self.relays)
-        self.crash_exchange.subscribe(lambda report, _now: self.crashes.update([report.target]))
+        self.poison_exchange = FleetPoisonExchange(links, self.relays)
+        self.poison_exchange.serve(
+            lambda report, _now: self.crashes.update(end.target for end in report.ends),
+            PoisonReport,
+        )
         self._task = asyncio.create_task(self.exchange.run())
 
     def kill(self) -> None:
@@ -192,7 +196,8 @@
     async def scenario() -> list[bool]:
         fleet = Fleet(count)
         await asyncio.sleep(SETTLE_S)
-        fleet.hosts[0].crash_exchange.broadcast(CrashReport("f", "t"))
+        end = EndReport("t", 1, "d", 0, 0, (1,))
+        fleet.hosts[0].poison_exchange.broadcast(PoisonReport(ends=(end,)))
         await asyncio.sleep(0.1)
         return [bool(host.crashes["t"]) for host in fleet.hosts[1:]]
 
--- a/tests/platform/test_target_wire.py
+++ b/tests/platform/test_target_wire.py
@@ -125,7 +125,7 @@
         admission_deadline=inf,
         deadline=now + patience_s,
         target_deadline=now + (target_patience_s or patience_s),
-        fingerprint="f",
+        fingerprints=(1,),
     )
 
 
--- a/tests/upstreams/dispatcher_fixture.py
+++ b/tests/upstreams/dispatcher_fixture.py
@@ -14,12 +14,14 @@
 from flamingoladder.gateway.dispatch_check import KeyedDispatchCheck
 from flamingoladder.gateway.request import CallerRequest
 from flamingoladder.keys.authentication import GrantedKeys
+from flamingoladder.poison.detector import PoisonDetector
+from flamingoladder.poison.exchange import LinkPoisonExchange
 from flamingoladder.standins.network import Network
 from flamingoladder.timeline.recorder import Recorder
-from flamingoladder.upstreams.crash_guard import CrashGuard
 from flamingoladder.upstreams.dispatcher import UpstreamDispatcher
 from flamingoladder.upstreams.health import HealthBoard
 from flamingoladder.upstreams.notices import UpstreamNotices
+from flamingoladder.upstreams.poison_watch import PoisonWatch
 from flamingoladder.upstreams.targets import TargetPools
 from tests.gateway.states import FixedState
 from tests.gateway.states import agreed
@@ -39,20 +41,22 @@
 class DispatcherFixture:
     """A dispatcher and its dependencies."""
 
-    __slots__ = ("board", "chooser", "dispatcher", "guard", "pools", "recorder", "state")
+    __slots__ = ("board", "chooser", "dispatcher", "pools", "recorder", "state")
 
     def __init__(self, state: FixedState, links: NetworkLinks) -> None:
         self.state = state
         self.board = HealthBoard()
         self.pools = TargetPools(state)
         self.chooser = LeastInFlight(state, self.board, "north", Random(1))
-        self.guard = CrashGuard(links)
         self.recorder = Recorder("h1", "h1-1")
+        detector = PoisonDetector(
+            LinkPoisonExchange(links), self.recorder, asyncio.get_running_loop().time
+        )
         self.dispatcher = UpstreamDispatcher(
             state=state,
             chooser=self.chooser,
             pools=self.pools,
-            guard=self.guard,
+            poison_watch=PoisonWatch(detector, state),
             notices=UpstreamNotices(self.board, state, self.recorder),
             permission=KeyedDispatchCheck(state, GrantedKeys(state), "h1"),
             recorder=self.recorder,
--- a/tests/upstreams/test_probes.py
+++ b/tests/upstreams/test_probes.py
@@ -88,6 +88,7 @@
             self.network.join(host, f"{host}-1"),
             Recorder(host, f"{host}-1"),
             Random(1),
+            lambda _target: None,
         )
 
 
