--- a/tests/entry/crashing_fleet.py
+++ b/tests/entry/crashing_fleet.py
@@ -172,6 +172,7 @@
 
     def __init__(self, hosts: int, how: End, end_after_s: float = 0.02) -> None:
         self.targets = CrashingTargets(how, end_after_s)
+        self.poison_path = POISON_PATH
         self.outcomes_by_id: dict[str, Outcome] = {}
         self.sent_at_by_id: dict[str, float] = {}
         self._random = Random(SEED)
@@ -204,6 +205,13 @@
             request = incoming(path.format(number), request_id=f"o-{number}", caller="10.1.0.1")
             self._send(self._random.randrange(len(self.hosts)), request)
 
+    def lose_domain(self, domain: str) -> None:
+        """Let all targets of a failure domain lose power at this moment."""
+        now = asyncio.get_running_loop().time()
+        for target in self.targets.by_slot:
+            if target.record.failure_domain == domain:
+                self.targets.end(target, now)
+
     async def repeat_poison(self, seconds: float, at_once: int = 1) -> None:
         """Send the poison request every ``REPEAT_S`` at the next host, at first ``at_once``."""
         loop = asyncio.get_running_loop()
@@ -220,7 +228,7 @@
         """Send the poison request to the host with that number, modulo their count."""
         request_id = f"p-{len(self.sent_at_by_id)}"
         self.targets.poison_ids.add(request_id)
-        request = incoming(POISON_PATH, request_id=request_id, caller=POISON_CALLER)
+        request = incoming(self.poison_path, request_id=request_id, caller=POISON_CALLER)
         self._send(number % len(self.hosts), request)
 
     @property
--- a/tests/entry/test_requests_that_crash_targets.py
+++ b/tests/entry/test_requests_that_crash_targets.py
@@ -18,6 +18,7 @@
 
 ORDINARY_PER_S = 60.0
 REPEATED_FOR_S = 30.0
+SHORTLY_S = 15.0
 MAX_SENT_LATE = 3
 MAX_ENDED = 8
 
@@ -125,3 +126,86 @@
         return fleet
 
     _check(_replay(scenario()))
+
+
+@pytest.mark.parametrize("path", ["/book/poison", "/open/poison"])
+@pytest.mark.parametrize("how", list(End))
+def test_kind_and_openness_of_the_route_do_not_matter(how: End, path: str) -> None:
+    async def scenario() -> CrashingFleet:
+        fleet = CrashingFleet(7, how)
+        fleet.poison_path = path
+        async with asyncio.TaskGroup() as group:
+            group.create_task(fleet.serve(ORDINARY_PER_S, SHORTLY_S))
+            group.create_task(fleet.repeat_poison(SHORTLY_S))
+        return fleet
+
+    _check(_replay(scenario()))
+
+
+@pytest.mark.parametrize("how", list(End))
+def test_ten_hosts_in_one_second(how: End) -> None:
+    async def scenario() -> CrashingFleet:
+        fleet = CrashingFleet(10, how)
+
+        async def send_to_each() -> None:
+            for number in range(10):
+                fleet.send_poison(number)
+                await asyncio.sleep(0.1)
+            await fleet.repeat_poison(SHORTLY_S)
+
+        async with asyncio.TaskGroup() as group:
+            group.create_task(fleet.serve(ORDINARY_PER_S, SHORTLY_S))
+            group.create_task(send_to_each())
+        return fleet
+
+    fleet = _replay(scenario())
+    assert fleet.sent_late <= MAX_SENT_LATE
+
+
+@pytest.mark.parametrize("how", list(End))
+@pytest.mark.parametrize("hosts", [7, 30])
+def test_host_that_got_no_message_over_the_third_end_learns_of_it(how: End, hosts: int) -> None:
+    """All messages to one host wait, as to one that stands still; with relays, to a relay."""
+
+    async def scenario() -> CrashingFleet:
+        fleet = CrashingFleet(hosts, how)
+        frozen = fleet.hosts[3].members.own_host
+        fleet.network.freeze(frozen)
+
+        async def thaw() -> None:
+            await asyncio.sleep(6.0)
+            fleet.network.thaw(frozen)
+
+        async with asyncio.TaskGroup() as group:
+            group.create_task(fleet.serve(ORDINARY_PER_S, SHORTLY_S))
+            group.create_task(fleet.repeat_poison(SHORTLY_S))
+            group.create_task(thaw())
+        return fleet
+
+    _check(_replay(scenario()))
+
+
+@pytest.mark.parametrize("domains", [("d1", "d1"), ("d1", "d2"), ("d1", "d3", "d1")])
+@pytest.mark.parametrize("how", list(End))
+def test_loss_of_failure_domains_refuses_nobody(how: End, domains: tuple[str, ...]) -> None:
+    """With a limit of 2, two losses of a domain refused a popular path for 120 s."""
+
+    async def scenario() -> CrashingFleet:
+        fleet = CrashingFleet(7, how)
+
+        async def lose() -> None:
+            for domain in domains:
+                await asyncio.sleep(6.0)
+                fleet.lose_domain(domain)
+
+        async with asyncio.TaskGroup() as group:
+            group.create_task(fleet.serve(ORDINARY_PER_S, SHORTLY_S, "/get/popular"))
+            group.create_task(lose())
+        return fleet
+
+    fleet = _replay(scenario())
+    assert not [
+        refused
+        for refused in fleet.ordinary_refusals
+        if refused.error.reason is Reason.REQUEST_CRASHES_UPSTREAMS
+    ]
