--- a/src/flamingoladder/platform/standins/targets.py
+++ b/src/flamingoladder/platform/standins/targets.py
@@ -14,6 +14,8 @@
 from flamingoladder.standins.server import ApplicationServer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingoladder.platform.rows import RowStore
 
 MS_PER_S = 1_000
@@ -53,7 +55,8 @@
 
     It registers ``advertised_address`` if that is set, as of a relay before it. While it has a
     ``rate_limit_per_s``, its answers name that; while ``says_leaving``, they say so. Until
-    ``pause_until`` it turns requests away and names the time that is left.
+    ``pause_until`` it turns requests away and names the time that is left. ``on_run`` is called
+    as it begins to run a request.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         self.pause_until = 0.0
         self.arrivals: list[TargetArrival] = []
         self.runs: list[TargetRun] = []
+        self.on_run: Callable[[TargetRun], None] = _ignore
         self.running = 0
         self.cancelled = 0
         self._free = asyncio.Semaphore(slots)
@@ -109,6 +113,11 @@
         }
         await store.write(TABLE, self.target_id, msgspec.json.encode(entry))
 
+    async def start_again(self, store: RowStore) -> None:
+        """Register as a new start under the same id."""
+        self._born_ms = time_ns() // NS_PER_MS
+        await self.register(store)
+
     async def drain(self, store: RowStore) -> None:
         """Report that the target leaves; it goes on serving."""
         self.state = "draining"
@@ -160,6 +169,7 @@
             self._waiting -= 1
         self.running += 1
         self.runs.append(self._record(request))
+        self.on_run(self.runs[-1])
         try:
             await asyncio.sleep(self.work_s)
         except asyncio.CancelledError:
@@ -184,3 +194,7 @@
 
     def _load(self) -> str:
         return f"{self.running},{self._waiting},{self.slots}"
+
+
+def _ignore(_run: TargetRun) -> None:
+    return
--- a/src/flamingoladder/soak/callers.py
+++ b/src/flamingoladder/soak/callers.py
@@ -35,6 +35,17 @@
     verdict: str = ""
 
 
+class Call(msgspec.Struct, frozen=True):
+    """A request to send; ``number`` names its object. With a body it is a booking."""
+
+    request_id: str
+    workspace: str
+    key: str
+    path: str
+    number: int
+    body: bytes = b""
+
+
 class Callers:
     """Callers with keys of several workspaces; ``keys_by_workspace`` may change meanwhile."""
 
@@ -87,50 +98,56 @@
         body = _body(request_id, self._random) if is_booking else b""
         number = self._random.randrange(OBJECTS)
         path = f"/bookings/{number}" if is_booking else f"/kit/{number}?for={request_id}"
-        reused, sent_at = connection.used, asyncio.get_running_loop().time()
-        answer: RawAnswer | None = None
-        try:
-            async with asyncio.timeout(SILENCE_S):
-                answer = await connection.exchange(_request(request_id, path, key, number, body))
-            end = End.ANSWERED
-        except TimeoutError:
-            end = End.SILENT
-        except (OSError, EOFError, ValueError, IndexError, asyncio.LimitOverrunError):
-            end = End.CUT
-        self._history.sent.append(
-            Sent(
-                request_id=request_id,
-                host=connection.host,
-                workspace=workspace,
-                key=key,
-                is_booking=is_booking,
-                sent_at=sent_at,
-                ended_at=asyncio.get_running_loop().time(),
-                end=end,
-                status=0 if answer is None else answer.status,
-                verdict=_verdict(answer),
-                is_own=_is_own(answer, request_id, body or path.encode()),
-                reused=reused,
-            )
+        call = Call(request_id, workspace, key, path, number, body)
+        return await send_once(connection, call, self._history)
+
+
+async def send_once(connection: CallerConnection, call: Call, history: History) -> bool:
+    """Send a request, note its end, and return whether the connection may be used again."""
+    reused, sent_at = connection.used, asyncio.get_running_loop().time()
+    answer: RawAnswer | None = None
+    try:
+        async with asyncio.timeout(SILENCE_S):
+            answer = await connection.exchange(_bytes_of(call))
+        end = End.ANSWERED
+    except TimeoutError:
+        end = End.SILENT
+    except (OSError, EOFError, ValueError, IndexError, asyncio.LimitOverrunError):
+        end = End.CUT
+    history.sent.append(
+        Sent(
+            request_id=call.request_id,
+            host=connection.host,
+            workspace=call.workspace,
+            key=call.key,
+            is_booking=bool(call.body),
+            sent_at=sent_at,
+            ended_at=asyncio.get_running_loop().time(),
+            end=end,
+            status=0 if answer is None else answer.status,
+            verdict=_verdict(answer),
+            is_own=_is_own(answer, call.request_id, call.body or call.path.encode()),
+            reused=reused,
         )
-        return answer is not None and not answer.closes
+    )
+    return answer is not None and not answer.closes
 
 
 def _body(request_id: str, random: Random) -> bytes:
     return request_id.encode().ljust(random.randrange(20, MAX_BODY_BYTES), b".")
 
 
-def _request(request_id: str, path: str, key: str, number: int, body: bytes) -> bytes:
+def _bytes_of(call: Call) -> bytes:
     lines = [
-        f"{'POST' if body else 'GET'} {path} HTTP/1.1",
+        f"{'POST' if call.body else 'GET'} {call.path} HTTP/1.1",
         "Host: rental.example",
-        f"Cookie: {headers.AFFINITY_COOKIE}={number}",
-        f"{headers.REQUEST_ID}: {request_id}",
+        f"Cookie: {headers.AFFINITY_COOKIE}={call.number}",
+        f"{headers.REQUEST_ID}: {call.request_id}",
         f"{headers.DEADLINE_MS}: {int(PATIENCE_S * 1_000)}",
-        f"{headers.API_KEY}: {key}",
-        f"Content-Length: {len(body)}",
+        f"{headers.API_KEY}: {call.key}",
+        f"Content-Length: {len(call.body)}",
     ]
-    return "\r\n".join([*lines, "", ""]).encode() + body
+    return "\r\n".join([*lines, "", ""]).encode() + call.body
 
 
 def _is_own(answer: RawAnswer | None, request_id: str, expected: bytes) -> bool:
--- a/src/flamingoladder/soak/deployment.py
+++ b/src/flamingoladder/soak/deployment.py
@@ -26,6 +26,7 @@
 from flamingoladder.standins.server import ApplicationServer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
     from random import Random
 
@@ -75,7 +76,10 @@
 
 
 class SoakDeployment:
-    """All parts; leaving the context ends every process that was started."""
+    """All parts; leaving the context ends every process that was started.
+
+    ``on_run`` holds, by path, what is called as a target begins to run a request.
+    """
 
     __slots__ = (
         "_directory",
@@ -89,6 +93,7 @@
         "_without_entry",
         "hosts",
         "keys_by_workspace",
+        "on_run",
         "rates_per_s",
         "state",
         "store",
@@ -116,6 +121,7 @@
         self.keys_by_workspace = keys_by_workspace
         self.rates_per_s = rates_per_s
         self.hosts: list[SoakHost] = []
+        self.on_run: dict[str, Callable[[TargetRun], None]] = {}
         self._targets_per_service = targets
         self.targets_by_id: dict[str, SoakTarget] = {}
         self._transport: HttpTransport
@@ -195,6 +201,7 @@
         """Start a target behind a relay, register it, and return its id."""
         domain = list(REGIONS_BY_DOMAIN)[number % len(REGIONS_BY_DOMAIN)]
         target = StandinTarget(f"i-{service}-{number}", service, domain, work_s=WORK_S)
+        target.on_run = self._observe
         await target.server.start()
         relay = Relay(target.server.address, target.server.port)
         await relay.start()
@@ -203,11 +210,20 @@
         await target.register(self.store)
         return target.target_id
 
+    def _observe(self, run: TargetRun) -> None:
+        observer = self.on_run.get(run.path)
+        if observer is not None:
+            observer(run)
+
     async def remove_target(self, target_id: str) -> None:
         """Delete a target's entry; it serves on."""
         self._without_entry.add(target_id)
         await self.store.delete(TARGETS_TABLE, target_id)
 
+    def has_entry(self, target_id: str) -> bool:
+        """Return whether the target runs and has not left."""
+        return target_id in self.targets_by_id and target_id not in self._without_entry
+
     async def stop_target(self, target_id: str) -> None:
         """End a target."""
         removed = self.targets_by_id.pop(target_id)
--- a/src/flamingoladder/soak/fault_kinds.py
+++ b/src/flamingoladder/soak/fault_kinds.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from flamingoladder.soak.crashing_requests import CrashingRequest
 from flamingoladder.soak.faults import CutHostFromStore
 from flamingoladder.soak.faults import FreezeHost
 from flamingoladder.soak.faults import KillHost
@@ -34,4 +35,5 @@
     WithdrawKey(),
     NameRateLimit(),
     NamePause(),
+    CrashingRequest(),
 )
--- a/src/flamingoladder/soak/history.py
+++ b/src/flamingoladder/soak/history.py
@@ -64,10 +64,12 @@
     """Everything that the checks need; ``lines`` is the time line.
 
     Faults of the store, which all hosts share, are kept under the name ``STORE``.
+    ``crashes_by_path`` holds when targets ended under a request that crashes them.
     """
 
     STORE = "store"
     __slots__ = (
+        "crashes_by_path",
         "faults_by_name",
         "granted_at_by_key",
         "left_at_by_target",
@@ -87,6 +89,7 @@
         self.withdrawn_at_by_key: dict[str, float] = {}
         self.left_at_by_target: dict[str, float] = {}
         self.limits: list[RateLimitSpan] = []
+        self.crashes_by_path: dict[str, list[float]] = {}
 
     def note(self, now: float, text: str) -> None:
         """Add a line to the time line."""
--- a/src/flamingoladder/soak/promises.py
+++ b/src/flamingoladder/soak/promises.py
@@ -32,6 +32,8 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5.0
+ENDS_THAT_CONDEMN = 3
+MAX_SENT_ON = 3
 MIN_RECOVERED_FRACTION = 0.9
 NEVER_RUN_STATUSES = frozenset({401, 404, 408, 421, 429, 503})
 
@@ -83,6 +85,7 @@
             *self._unanswered(),
             *self._over_rates(),
             *self._over_target_limits(),
+            *self._crashing_requests_sent_on(),
             *self._target_checks.broken(),
         ]
 
@@ -195,6 +198,20 @@
                     f"{limit}: {most} in {LIMIT_WINDOW_S} s, {allowed} allowed",
                 )
 
+    def _crashing_requests_sent_on(self) -> Iterable[Broken]:
+        for path, ended_at in self._history.crashes_by_path.items():
+            if len(ended_at) < ENDS_THAT_CONDEMN:
+                continue
+            late_at = sorted(ended_at)[ENDS_THAT_CONDEMN - 1] + STABLE_S
+            late = [
+                run
+                for run in self._runs
+                if run.path == path and run.at > late_at and self._is_undisturbed(run)
+            ]
+            if len(late) > MAX_SENT_ON:
+                evidence = f"{path}: {len(late)} after {late_at}, ends at {sorted(ended_at)}"
+                yield Broken("a request that crashes targets is held back", evidence)
+
     def _acknowledged_at(self, written_at: float) -> float:
         """Return from when a bound counts after a write that the store acknowledged.
 
--- a/src/flamingoladder/standins/relay.py
+++ b/src/flamingoladder/standins/relay.py
@@ -30,6 +30,7 @@
         "_target_port",
         "address",
         "answer_fault",
+        "is_silent",
         "port",
     )
 
@@ -39,6 +40,7 @@
         self._target_address = target_address
         self._target_port = target_port
         self.answer_fault: AnswerFault | None = None
+        self.is_silent = False
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
 
@@ -74,6 +76,11 @@
             connection.requests_stalled = True
             connection.answers_stalled = True
 
+    def silence(self) -> None:
+        """Make open connections silent for good, and new ones until ``is_silent`` is unset."""
+        self.is_silent = True
+        self.stall()
+
     def stall_answers(self) -> None:
         """Make all open connections silent towards the caller only."""
         for connection in self._connections:
@@ -93,6 +100,7 @@
             _reset(writer)
             return
         connection = _Connection(self, writer, far_writer)
+        connection.requests_stalled = connection.answers_stalled = self.is_silent
         self._connections.add(connection)
         try:
             await connection.forward(reader, far_reader)
