--- a/models/__main__.py
+++ b/models/__main__.py
@@ -21,6 +21,7 @@
     "models.freshness",
     "models.store_eras",
     "models.claim_eras",
+    "models.poison",
 )
 
 
--- a/src/flamingoladder/soak/crashing_requests.py
+++ b/src/flamingoladder/soak/crashing_requests.py
@@ -76,8 +76,9 @@
     """End the target, and start it again later unless it was stopped meanwhile."""
     await asyncio.sleep(END_AFTER_S)
     relay, name = target.relay, target.target.target_id
-    if name not in context.deployment.targets_by_id:
+    if target.is_down or name not in context.deployment.targets_by_id:
         return
+    target.is_down = True
     context.history.crashes_by_path[path].append(context.now)
     if is_silent:
         relay.silence()
@@ -87,7 +88,7 @@
     await asyncio.sleep(context.random.uniform(0.2, MAX_DOWN_S))
     if name not in context.deployment.targets_by_id:
         return
-    relay.is_silent = False
+    target.is_down = relay.is_silent = False
     relay.cut()
     if not is_silent:
         await relay.start()
--- a/src/flamingoladder/soak/deployment.py
+++ b/src/flamingoladder/soak/deployment.py
@@ -66,13 +66,14 @@
 
 
 class SoakTarget:
-    """A target and the relay through which hosts reach it."""
+    """A target and the relay through which hosts reach it; ``is_down`` after a crash."""
 
-    __slots__ = ("relay", "target")
+    __slots__ = ("is_down", "relay", "target")
 
     def __init__(self, target: StandinTarget, relay: Relay) -> None:
         self.target = target
         self.relay = relay
+        self.is_down = False
 
 
 class SoakDeployment:
