--- a/src/flamingoladder/entry/handler.py
+++ b/src/flamingoladder/entry/handler.py
@@ -199,6 +199,7 @@
 
 def _fingerprints(incoming: IncomingRequest, workspace: Workspace | None) -> Fingerprints:
     name = "" if workspace is None else workspace.name
-    content = (name, incoming.method, incoming.host, incoming.path, incoming.body)
+    names = (name, incoming.method, incoming.host, incoming.path)
     fields = [of.value for of in incoming.headers if of.name.lower() in CALLER_FIELDS]
-    return fingerprints_of(content, ((*incoming.keys, *fields), (incoming.caller,)))
+    identities = ((*incoming.keys, *fields), (incoming.caller,))
+    return fingerprints_of(names, incoming.body, identities)
--- a/src/flamingoladder/poison/history.py
+++ b/src/flamingoladder/poison/history.py
@@ -127,6 +127,8 @@
         quarantine ends. That doubles with each further cause; after it the request is a suspect.
         """
         worst = FREE
+        if not self._ends_by_key:
+            return worst
         for fingerprint in fingerprints:
             if fingerprint in self._keys_by_fingerprint:
                 found = self._standing_of(fingerprint, limit, now)
--- a/src/flamingoladder/upstreams/poison_watch.py
+++ b/src/flamingoladder/upstreams/poison_watch.py
@@ -88,5 +88,5 @@
 
 
 def _fingerprints(request: CallerRequest) -> Fingerprints:
-    content = (request.workspace or "", request.service, request.route.path, request.digest)
-    return fingerprints_of(content, ((request.key_id or "",),))
+    names = (request.workspace or "", request.service, request.route.path, request.digest)
+    return fingerprints_of(names, b"", ((request.key_id or "",),))
