--- a/src/flamingoladder/feed/proving_watcher.py
+++ b/src/flamingoladder/feed/proving_watcher.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+from functools import partial
+from math import inf
 from typing import TYPE_CHECKING
 
+from flamingoladder.feed.overlapping import OverlappingCalls
 from flamingoladder.feed.watcher import TableWatcher
 
 if TYPE_CHECKING:
@@ -12,12 +16,16 @@
     from flamingoladder.feed.quiet_watcher import QuietWatcher
     from flamingoladder.feed.reader import TableReader
     from flamingoladder.feed.watcher import FeedServices
+    from flamingoladder.storage.feed import StoredRows
+
+# An answer that is this late may never come.
+OVERDUE_S = 0.4
 
 
 class ProvingWatcher(TableWatcher):
     """Watches the table whose short polls prove the store reachable for all tables."""
 
-    __slots__ = ("_others",)
+    __slots__ = ("_answered_at", "_others")
 
     def __init__(
         self,
@@ -28,18 +36,32 @@
     ) -> None:
         super().__init__(table, reader, services)
         self._others = others
+        self._answered_at = -inf
 
     @property
     def _poll_wait_s(self) -> float:
-        return self._services.timing.proof_wait_s
+        """Return no wait unless the store has answered lately, as it may be silent."""
+        timing = self._services.timing
+        now = asyncio.get_running_loop().time()
+        return timing.proof_wait_s if now < self._answered_at + timing.proof_lifetime_s else 0.0
 
     async def _before_call(self) -> None:
         """Need nothing: this call shows whether the store answers."""
 
+    async def _changes(self, wait_s: float) -> StoredRows:
+        interval_s = self._services.timing.max_retry_pause_s
+        calls = OverlappingCalls(partial(super()._changes, 0.0), interval_s, self._on_overdue)
+        return await calls.first_answer(super()._changes(wait_s), wait_s + OVERDUE_S)
+
+    def _on_overdue(self) -> None:
+        self._note_loss()
+        self._after_failure()
+
     def _must_poll(self, now: float) -> bool:
         return self._lost or super()._must_poll(now)
 
     def _after_answer(self, now: float) -> None:
+        self._answered_at = now
         self._services.contact.regain()
         proven = [watcher.table for watcher in (self, *self._others) if watcher.is_proven]
         self._services.exchange.prove(proven, now)
