--- a/tests/poison/test_history.py
+++ b/tests/poison/test_history.py
@@ -77,6 +77,14 @@
     assert history.standing((OTHER,), LIMIT, 8.0).status is Status.FREE
 
 
+def test_wide_fingerprint_alone_makes_no_suspect() -> None:
+    history = CrashHistory()
+    for one in ONE_EACH:
+        assert history.standing((F, OTHER), LIMIT, 8.0).status is Status.FREE
+        history.add(one)
+    assert history.standing((F, OTHER), LIMIT, 8.0).status is Status.CONDEMNED
+
+
 def test_condemned_request_is_tried_again_after_its_quarantine_which_doubles() -> None:
     history = CrashHistory()
     for one in ONE_EACH:
