--- a/src/flamingoladder/entry/load_balancer.py
+++ b/src/flamingoladder/entry/load_balancer.py
@@ -195,7 +195,10 @@
         if best is None or home is None or not self._exceeds_overflow_cap(home, best, now):
             return best
         near = [target for target in order if target.region == self._region]
-        return self._cheapest(near[:MAX_CANDIDATES], home, request.object_key, now)
+        nearest = self._cheapest(near[:MAX_CANDIDATES], home, request.object_key, now)
+        if nearest is None or (nearest.queue_position and home.region != self._region):
+            return best
+        return nearest
 
     def _overload_of(self, request: RoutedRequest, best: Choice, now: float) -> Overload | None:
         late_s = now + self._expected_s(request, best) - request.admission_deadline
@@ -231,9 +234,15 @@
         return limit.allows_send(share, now)
 
     def _exceeds_overflow_cap(self, home: TargetState, best: Choice, now: float) -> bool:
-        """Return whether the request would leave its home's region beyond the overflow cap."""
-        leaves_home_region = home.region == self._region and best.target.region != self._region
-        return leaves_home_region and not self._overflow.may_overflow(now)
+        """Return whether the request would leave this host's region beyond the overflow cap.
+
+        That holds also if its home is elsewhere, as the homes of many objects may move at once.
+        """
+        if best.target.region == self._region:
+            return False
+        if home.region == self._region:
+            return not self._overflow.may_overflow(now)
+        return not self._overflow.may_follow_homes(now)
 
     def _cheapest(
         self,
--- a/src/flamingoladder/steering/overflow_cap.py
+++ b/src/flamingoladder/steering/overflow_cap.py
@@ -1,4 +1,4 @@
-"""Limits how fast the fraction of requests that overflow to other regions may grow."""
+"""Limits how fast the fraction of requests that go to other regions may grow."""
 
 from __future__ import annotations
 
@@ -13,10 +13,17 @@
 class OverflowCap:
     """Limits the cross-region fraction of a window to the last window's plus a fixed step."""
 
-    __slots__ = ("_max_cross_region_fraction", "_sent", "_sent_cross_region", "_window_start")
+    __slots__ = (
+        "_is_measured",
+        "_max_cross_region_fraction",
+        "_sent",
+        "_sent_cross_region",
+        "_window_start",
+    )
 
     def __init__(self) -> None:
         self._window_start = 0.0
+        self._is_measured = False
         self._sent = 0
         self._sent_cross_region = 0
         self._max_cross_region_fraction = MAX_FRACTION_STEP
@@ -28,6 +35,13 @@
             self._sent + 1, MIN_SENDS
         )
 
+    def may_follow_homes(self, now: float) -> bool:
+        """Return whether one more request may be sent to its home in another region.
+
+        Before the first window is over there is nothing that it could differ from.
+        """
+        return self.may_overflow(now) or not self._is_measured
+
     def record_send(self, now: float, *, cross_region: bool) -> None:
         """Record a send; ``cross_region`` if it goes to another region."""
         self._roll_window(now)
@@ -38,6 +52,7 @@
         if now - self._window_start < WINDOW_S:
             return
         if self._sent >= MIN_SENDS:
+            self._is_measured = True
             self._max_cross_region_fraction = min(
                 1.0, self._sent_cross_region / self._sent + MAX_FRACTION_STEP
             )
