--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -173,7 +173,7 @@
         loop = asyncio.get_running_loop()
         try:
             result = await self._client.send(request, target)
-        except asyncio.CancelledError:
+        except BaseException:
             self._poison_detector.abandon(work, loop.time())
             raise
         now = loop.time()
--- a/src/flamingoladder/entry/silence_check.py
+++ b/src/flamingoladder/entry/silence_check.py
@@ -27,7 +27,7 @@
     It has ended if the probe is not answered either, while other targets do answer this host.
     """
 
-    __slots__ = ("_checked_by_target", "_detector", "_ends", "_prober", "_targets", "_tasks")
+    __slots__ = ("_detector", "_ends", "_prober", "_targets", "_tasks")
 
     def __init__(
         self,
@@ -40,7 +40,6 @@
         self._targets = targets
         self._prober = prober
         self._ends = ends
-        self._checked_by_target: dict[str, Work] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -56,9 +55,9 @@
         silent = list(self._detector.at_work.unanswered(now, SILENT_AFTER_S))
         for work in silent:
             target = self._targets.by_id.get(work.start.target)
-            if target is None or self._checked_by_target.get(work.start.target) is work:
+            if target is None or work.is_checked:
                 continue
-            self._checked_by_target[work.start.target] = work
+            work.is_checked = True
             task = asyncio.create_task(self._probe(target, work))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/src/flamingoladder/poison/at_work.py
+++ b/src/flamingoladder/poison/at_work.py
@@ -26,9 +26,12 @@
 
 
 class Work:
-    """A request at a target; times are monotonic seconds, None for what has not happened."""
+    """A request at a target; times are monotonic seconds, None for what has not happened.
 
-    __slots__ = ("abandoned_at", "began", "fingerprints", "lost_at", "start")
+    ``is_checked`` is set once its target was probed for its silence.
+    """
+
+    __slots__ = ("abandoned_at", "began", "fingerprints", "is_checked", "lost_at", "start")
 
     def __init__(self, fingerprints: Fingerprints, start: TargetStart, began: float) -> None:
         self.fingerprints = fingerprints
@@ -36,6 +39,7 @@
         self.began = began
         self.lost_at: float | None = None
         self.abandoned_at: float | None = None
+        self.is_checked = False
 
     def may_explain_end(self, now: float, *, is_gone: bool) -> bool:
         """Return whether the request may have ended its target, if that has ended now.
@@ -107,13 +111,14 @@
         )
 
     def unanswered(self, now: float, after_s: float) -> Iterable[Work]:
-        """Return the oldest request of each target that is silent for ``after_s`` seconds.
+        """Return the oldest request of each target that is silent since, for ``after_s`` seconds.
 
         A request that was abandoned counts at once.
         """
         for target, works in self._works_by_target.items():
-            oldest = next((work for work in works if work.lost_at is None), None)
-            if oldest is None or self.heard_since(target, oldest.began):
+            silent = (work for work in works if not self.heard_since(target, work.began))
+            oldest = next((work for work in silent if work.lost_at is None), None)
+            if oldest is None:
                 continue
             if oldest.abandoned_at is not None or now - oldest.began >= after_s:
                 yield oldest
--- a/tests/poison/test_detector.py
+++ b/tests/poison/test_detector.py
@@ -8,6 +8,7 @@
 
 from flamingoladder.poison.at_work import TargetStart
 from flamingoladder.poison.detector import MAX_CAUSES
+from flamingoladder.poison.detector import SILENT_AFTER_S
 from flamingoladder.poison.detector import PoisonDetector
 from flamingoladder.poison.history import MIN_QUARANTINE_S
 from flamingoladder.poison.history import RECORD_TTL_S
@@ -138,6 +139,14 @@
     assert detector.standing(REQUEST, 4.2).status is Status.FREE
 
 
+def test_silence_is_noticed_behind_a_request_that_is_older(detector: PoisonDetector) -> None:
+    detector.begin((7, 8, 9), start_of("t0"), 0.0)
+    detector.at_work.note_heard("t0", 0.5)
+    later = detector.begin(REQUEST, start_of("t0"), 0.7)
+    assert list(detector.at_work.unanswered(2.0, SILENT_AFTER_S)) == []
+    assert list(detector.at_work.unanswered(2.2, SILENT_AFTER_S)) == [later]
+
+
 async def _send_until_refused() -> None:
     harness = EntryHarness(FakeTargetClient(*[CONNECTION_LOST] * 20))
     harness.client.healthy = False
