--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -13,7 +13,6 @@
 from flamingoladder.entry.results import SendResult
 from flamingoladder.entry.results import SendStatus
 from flamingoladder.entry.target_ends import start_of
-from flamingoladder.poison.history import Status
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 
@@ -131,7 +130,7 @@
         self._budgets.deposit(request.service, loop.time())
         last = SendResult(SendStatus.NOT_RUN, "no target can take the request")
         while True:
-            held_back = self._poison_refusal(request, loop.time())
+            held_back = self._poison_detector.refusal_of(request.fingerprints, loop.time())
             if held_back is not None:
                 return Error(attempts.refusal_of(held_back))
             choice = self._balancer.choose(request, attempts.tried, loop.time())
@@ -277,16 +276,6 @@
     def _is_suspect(self, request: RoutedRequest, now: float) -> bool:
         return self._poison_detector.standing(request.fingerprints, now).causes > 0
 
-    def _poison_refusal(self, request: RoutedRequest, now: float) -> Refusal | None:
-        """Return why a request that ended targets is not sent now, or None."""
-        standing = self._poison_detector.standing(request.fingerprints, now)
-        if standing.status is Status.FREE or standing.wait_s <= 0:
-            return None
-        detail = f"requests like this ended targets {standing.causes} times"
-        if standing.status is Status.SUSPECT:
-            detail += "; one is being tried"
-        return Refusal.not_run(Reason.REQUEST_CRASHES_UPSTREAMS, detail, standing.wait_s)
-
     def _overloaded(self, attempts: Attempts, overload: Overload) -> Outcome:
         best = overload.best
         detail = (
--- a/src/flamingoladder/poison/detector.py
+++ b/src/flamingoladder/poison/detector.py
@@ -16,6 +16,8 @@
 from flamingoladder.poison.messages import AnswerReport
 from flamingoladder.poison.messages import EndReport
 from flamingoladder.poison.messages import PoisonReport
+from flamingoladder.verdict import Reason
+from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -66,6 +68,18 @@
             return msgspec.structs.replace(standing, wait_s=max(wait_s, TRIAL_S / 2))
         return standing
 
+    def refusal_of(
+        self, fingerprints: Fingerprints, now: float, limit: int = MAX_CAUSES
+    ) -> Refusal | None:
+        """Return a ``NOT_RUN`` refusal if the request is not to be sent now, or None."""
+        standing = self.standing(fingerprints, now, limit)
+        if standing.status is Status.FREE or standing.wait_s <= 0:
+            return None
+        detail = f"targets ended under requests like this, by {standing.causes} causes"
+        if standing.status is Status.SUSPECT:
+            detail += "; one is being tried"
+        return Refusal.not_run(Reason.REQUEST_CRASHES_UPSTREAMS, detail, standing.wait_s)
+
     def begin(
         self,
         fingerprints: Fingerprints,
--- a/src/flamingoladder/upstreams/poison_watch.py
+++ b/src/flamingoladder/upstreams/poison_watch.py
@@ -7,11 +7,8 @@
 
 from flamingoladder.poison.at_work import TargetStart
 from flamingoladder.poison.fingerprints import fingerprints_of
-from flamingoladder.poison.history import Status
 from flamingoladder.steering.chooser import AttemptOutcome
 from flamingoladder.verdict import Answer
-from flamingoladder.verdict import Reason
-from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
     from flamingoladder.config.agreed import StateInForce
@@ -20,6 +17,7 @@
     from flamingoladder.poison.detector import PoisonDetector
     from flamingoladder.poison.fingerprints import Fingerprints
     from flamingoladder.upstreams.attempt import AttemptFailure
+    from flamingoladder.verdict import Refusal
 
 
 class PoisonWatch:
@@ -37,13 +35,7 @@
 
     def refusal_of(self, request: CallerRequest, now: float) -> Refusal | None:
         """Return a ``NOT_RUN`` refusal if the request may not be sent now, or None."""
-        standing = self._detector.standing(_fingerprints(request), now, self._limit)
-        if standing.status is Status.FREE or standing.wait_s <= 0:
-            return None
-        detail = f"this request was in progress at {standing.causes} crashes of targets"
-        if standing.status is Status.SUSPECT:
-            detail += "; one is being tried"
-        return Refusal.not_run(Reason.REQUEST_CRASHES_UPSTREAMS, detail, standing.wait_s)
+        return self._detector.refusal_of(_fingerprints(request), now, self._limit)
 
     def begin(self, request: CallerRequest, target: str, now: float) -> Work:
         """Note that the request is being sent to the target."""
--- a/tests/entry/test_requests_that_crash_targets.py
+++ b/tests/entry/test_requests_that_crash_targets.py
@@ -27,14 +27,22 @@
     return run_on_injected_time(fleet_and_work)
 
 
-async def _repeated(hosts: int, how: End, at_once: int = 1) -> CrashingFleet:
-    fleet = CrashingFleet(hosts, how)
+async def _beside(
+    fleet: CrashingFleet, seconds: float, *works: Coroutine[object, object, None]
+) -> CrashingFleet:
+    """Serve ordinary requests beside the works."""
     async with asyncio.TaskGroup() as group:
-        group.create_task(fleet.serve(ORDINARY_PER_S, REPEATED_FOR_S))
-        group.create_task(fleet.repeat_poison(REPEATED_FOR_S, at_once))
+        group.create_task(fleet.serve(ORDINARY_PER_S, seconds))
+        for work in works:
+            group.create_task(work)
     return fleet
 
 
+async def _repeated(hosts: int, how: End, at_once: int = 1) -> CrashingFleet:
+    fleet = CrashingFleet(hosts, how)
+    return await _beside(fleet, REPEATED_FOR_S, fleet.repeat_poison(REPEATED_FOR_S, at_once))
+
+
 def _check(fleet: CrashingFleet) -> None:
     assert len(fleet.targets.ends) <= MAX_ENDED
     assert fleet.sent_late <= MAX_SENT_LATE
@@ -63,11 +71,12 @@
 
     async def scenario() -> CrashingFleet:
         fleet = CrashingFleet(7, how)
-        async with asyncio.TaskGroup() as group:
-            group.create_task(fleet.serve(ORDINARY_PER_S, REPEATED_FOR_S))
-            group.create_task(fleet.serve(10.0, REPEATED_FOR_S, POISON_PATH))
-            group.create_task(fleet.repeat_poison(REPEATED_FOR_S))
-        return fleet
+        return await _beside(
+            fleet,
+            REPEATED_FOR_S,
+            fleet.serve(10.0, REPEATED_FOR_S, POISON_PATH),
+            fleet.repeat_poison(REPEATED_FOR_S),
+        )
 
     _check(_replay(scenario()))
 
@@ -85,11 +94,9 @@
                 fleet.restart(number % 5)
                 await asyncio.sleep(1.8)
 
-        async with asyncio.TaskGroup() as group:
-            group.create_task(fleet.serve(ORDINARY_PER_S, REPEATED_FOR_S))
-            group.create_task(fleet.repeat_poison(REPEATED_FOR_S))
-            group.create_task(restart_in_turn())
-        return fleet
+        return await _beside(
+            fleet, REPEATED_FOR_S, fleet.repeat_poison(REPEATED_FOR_S), restart_in_turn()
+        )
 
     _check(_replay(scenario()))
 
@@ -107,11 +114,7 @@
             await asyncio.sleep(6.0)
             fleet.network.cuts = set()
 
-        async with asyncio.TaskGroup() as group:
-            group.create_task(fleet.serve(ORDINARY_PER_S, REPEATED_FOR_S))
-            group.create_task(fleet.repeat_poison(REPEATED_FOR_S))
-            group.create_task(heal())
-        return fleet
+        return await _beside(fleet, REPEATED_FOR_S, fleet.repeat_poison(REPEATED_FOR_S), heal())
 
     _check(_replay(scenario()))
 
@@ -120,10 +123,7 @@
 def test_late_ends_count(end_after_s: float) -> None:
     async def scenario() -> CrashingFleet:
         fleet = CrashingFleet(7, End.REFUSES, end_after_s)
-        async with asyncio.TaskGroup() as group:
-            group.create_task(fleet.serve(ORDINARY_PER_S, REPEATED_FOR_S))
-            group.create_task(fleet.repeat_poison(REPEATED_FOR_S))
-        return fleet
+        return await _beside(fleet, REPEATED_FOR_S, fleet.repeat_poison(REPEATED_FOR_S))
 
     _check(_replay(scenario()))
 
@@ -134,10 +134,7 @@
     async def scenario() -> CrashingFleet:
         fleet = CrashingFleet(7, how)
         fleet.poison_path = path
-        async with asyncio.TaskGroup() as group:
-            group.create_task(fleet.serve(ORDINARY_PER_S, SHORTLY_S))
-            group.create_task(fleet.repeat_poison(SHORTLY_S))
-        return fleet
+        return await _beside(fleet, SHORTLY_S, fleet.repeat_poison(SHORTLY_S))
 
     _check(_replay(scenario()))
 
@@ -153,10 +150,7 @@
                 await asyncio.sleep(0.1)
             await fleet.repeat_poison(SHORTLY_S)
 
-        async with asyncio.TaskGroup() as group:
-            group.create_task(fleet.serve(ORDINARY_PER_S, SHORTLY_S))
-            group.create_task(send_to_each())
-        return fleet
+        return await _beside(fleet, SHORTLY_S, send_to_each())
 
     fleet = _replay(scenario())
     assert fleet.sent_late <= MAX_SENT_LATE
@@ -176,11 +170,7 @@
             await asyncio.sleep(6.0)
             fleet.network.thaw(frozen)
 
-        async with asyncio.TaskGroup() as group:
-            group.create_task(fleet.serve(ORDINARY_PER_S, SHORTLY_S))
-            group.create_task(fleet.repeat_poison(SHORTLY_S))
-            group.create_task(thaw())
-        return fleet
+        return await _beside(fleet, SHORTLY_S, fleet.repeat_poison(SHORTLY_S), thaw())
 
     _check(_replay(scenario()))
 
