--- a/src/flamingoladder/entry/probing.py
+++ b/src/flamingoladder/entry/probing.py
@@ -86,7 +86,7 @@
                 continue
             result = await self.probe_once(target)
             if not result.alive:
-                self._ends.note_gone(target, loop.time())
+                self._ends.note_refusing(target, loop.time())
             if result.healthy:
                 self._mark_up(target, result.slow_start_s, loop.time())
                 return
--- a/tests/poison/test_detector.py
+++ b/tests/poison/test_detector.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from flamingoladder.entry.target_ends import start_of as start_at
 from flamingoladder.poison.at_work import TargetStart
 from flamingoladder.poison.detector import MAX_CAUSES
 from flamingoladder.poison.detector import SILENT_AFTER_S
@@ -166,3 +167,21 @@
 
 def test_poison_request_is_refused_and_crashes_are_broadcast() -> None:
     run_on_injected_time(_send_until_refused())
+
+
+async def _refused_while_others_are_at_work() -> int:
+    """Return the ends that are told when a target with too many connections resets new ones."""
+    harness = EntryHarness(FakeTargetClient(CONNECTION_LOST))
+    loop = asyncio.get_running_loop()
+    target = harness.targets.by_id["t0"]
+    harness.poison_detector.begin(REQUEST, start_at(target), loop.time())
+    harness.client.healthy = False
+    harness.prober.check(target)
+    await asyncio.sleep(1.0)
+    harness.prober.close()
+    assert isinstance(harness.poison_exchange, RecordingPoisonExchange)
+    return sum(len(report.ends) for report in harness.poison_exchange.sent)
+
+
+def test_probe_that_is_refused_is_no_end_for_requests_with_open_connections() -> None:
+    assert run_on_injected_time(_refused_while_others_are_at_work()) == 0
