--- a/src/flamingoladder/poison/exchange.py
+++ b/src/flamingoladder/poison/exchange.py
@@ -16,7 +16,7 @@
     from flamingoladder.peers.link import Peer
     from flamingoladder.peers.link import PeerLinks
 
-QUERY_TIMEOUT_S = 0.3
+QUERY_TIMEOUT_S = 0.15
 
 
 class PoisonExchange(ABC):
--- a/src/flamingoladder/poison/upkeep.py
+++ b/src/flamingoladder/poison/upkeep.py
@@ -16,9 +16,9 @@
 
 REPORT_INTERVAL_S = 1.0
 ASKED_AT_ONCE = 3
-ASK_INTERVAL_S = 0.1
+ASK_INTERVAL_S = 0.05
 # A host that no other one answers takes requests after this time all the same.
-MAX_ASKING_S = 1.0
+MAX_ASKING_S = 0.2
 
 
 class PoisonUpkeep:
