--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -153,6 +153,7 @@
             self.configuration,
             rate_limiter,
             TrafficSplitter(),
+            self.poison_upkeep,
             forwarder,
             self.recorder,
         )
--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -27,7 +27,6 @@
 from flamingoladder.routing.model import RequestLimits
 from flamingoladder.supervision import supervised
 from flamingoladder.transport.port import Port
-from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
@@ -46,9 +45,6 @@
 NO_ROUTE_LABEL = "none"
 MAX_HEADER_FIELD_BYTES = 65_536
 CLOSE_TIMEOUT_S = 0.2
-NOT_INFORMED = Refusal.not_run(
-    Reason.NO_PROOF, "this host has not yet heard which requests crash targets", 0.25
-)
 
 
 def _no_dropped_lines() -> float:
@@ -208,8 +204,6 @@
             response.force_close()
             return response
         incoming = callers.incoming_request(request, body)
-        if not self._components.poison_upkeep.is_informed:
-            return callers.refusal_response(NOT_INFORMED, incoming.request_id)
         outcome = await self._components.handler.handle(incoming, started)
         response = callers.response_to(outcome, incoming.request_id)
         seconds = asyncio.get_running_loop().time() - started
--- a/src/flamingoladder/entry/handler.py
+++ b/src/flamingoladder/entry/handler.py
@@ -20,6 +20,7 @@
     from flamingoladder.entry.request import IncomingRequest
     from flamingoladder.limits.rate_limiter import FleetRateLimiter
     from flamingoladder.poison.fingerprints import Fingerprints
+    from flamingoladder.poison.upkeep import PoisonUpkeep
     from flamingoladder.routing.model import Route
     from flamingoladder.routing.model import RoutingConfig
     from flamingoladder.routing.model import Workspace
@@ -28,6 +29,7 @@
     from flamingoladder.verdict import Outcome
 
 NO_CONFIGURATION_RETRY_S = 0.5
+NOT_INFORMED_RETRY_S = 0.25
 # Fields that a caller sends alike with each repeat of a request.
 CALLER_FIELDS = frozenset({"authorization", "cookie", "user-agent"})
 # Fraction of the time from the latency SLO to the deadline. Admission only up to the SLO itself
@@ -42,6 +44,7 @@
     __slots__ = (
         "_configuration",
         "_forwarder",
+        "_poison_upkeep",
         "_rate_limiter",
         "_recorder",
         "_splitter",
@@ -53,12 +56,14 @@
         configuration: ActiveConfiguration,
         rate_limiter: FleetRateLimiter,
         splitter: TrafficSplitter,
+        poison_upkeep: PoisonUpkeep,
         forwarder: Forwarder,
         recorder: Recorder,
     ) -> None:
         self._configuration = configuration
         self._rate_limiter = rate_limiter
         self._splitter = splitter
+        self._poison_upkeep = poison_upkeep
         self._forwarder = forwarder
         self._recorder = recorder
         self._tasks: set[asyncio.Task[Outcome]] = set()
@@ -112,6 +117,9 @@
         if routing is None:
             detail = "this host has no configuration yet"
             return Refusal.not_run(Reason.NO_PROOF, detail, NO_CONFIGURATION_RETRY_S)
+        if not self._poison_upkeep.is_informed:
+            detail = "this host has not yet heard which requests crash targets"
+            return Refusal.not_run(Reason.NO_PROOF, detail, NOT_INFORMED_RETRY_S)
         route = routing.find_route(incoming.host, incoming.path)
         if route is None:
             return Refusal.not_run(Reason.UNKNOWN_ROUTE, "no route has this host and path")
--- a/src/flamingoladder/entry/silence_check.py
+++ b/src/flamingoladder/entry/silence_check.py
@@ -1,4 +1,4 @@
-"""Finds targets that fell silent with requests at work, and keeps the fleet told of ends."""
+"""Finds targets that fell silent with requests at work."""
 
 from __future__ import annotations
 
@@ -51,7 +51,6 @@
 
     def check(self, now: float) -> None:
         """Begin to probe each target that is silent for too long."""
-        self._detector.expire(now)
         silent = list(self._detector.at_work.unanswered(now, SILENT_AFTER_S))
         for work in silent:
             target = self._targets.by_id.get(work.start.target)
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -209,3 +209,14 @@
         await handle(harness, incoming(request_id=str(number)))
     now = asyncio.get_running_loop().time()
     assert not any(target.is_ejected(now) for target in harness.targets.by_id.values())
+
+
+async def test_host_that_has_not_heard_which_requests_crash_targets_refuses_and_says_so() -> None:
+    harness = EntryHarness(FakeTargetClient())
+    harness.poison_upkeep.is_informed = False
+    outcome = await harness.handler.handle(incoming(), asyncio.get_running_loop().time())
+    assert outcome.error.reason is Reason.NO_PROOF
+    assert outcome.error.verdict is Verdict.NOT_RUN
+    assert harness.client.sent == []
+    refused = [of for of in harness.recorder.since(0) if of.kind == "request.refused"]
+    assert [of.fields["reason"] for of in refused] == [Reason.NO_PROOF.value]
