--- a/src/flamingoladder/poison/at_work.py
+++ b/src/flamingoladder/poison/at_work.py
@@ -86,9 +86,11 @@
         heard = self._heard_at_by_target.items()
         return any(name != target and at > since for name, at in heard)
 
-    def oldest_began(self, target: str) -> float | None:
-        """Return when the oldest request without an answer was sent to the target, if any was."""
-        return min((work.began for work in self._works_by_target.get(target, ())), default=None)
+    def oldest_silent(self, target: str) -> Work | None:
+        """Return the oldest request since which nothing came from the target, if there is one."""
+        works = self._works_by_target.get(target, ())
+        silent = (work for work in works if not self.heard_since(target, work.began))
+        return next((work for work in silent if work.lost_at is None), None)
 
     def take_suspects(self, start: TargetStart, now: float, *, is_gone: bool) -> list[Work]:
         """Return and remove the requests that may have ended this start of the target."""
@@ -115,9 +117,8 @@
 
         A request that was abandoned counts at once.
         """
-        for target, works in self._works_by_target.items():
-            silent = (work for work in works if not self.heard_since(target, work.began))
-            oldest = next((work for work in silent if work.lost_at is None), None)
+        for target in self._works_by_target:
+            oldest = self.oldest_silent(target)
             if oldest is None:
                 continue
             if oldest.abandoned_at is not None or now - oldest.began >= after_s:
--- a/src/flamingoladder/poison/detector.py
+++ b/src/flamingoladder/poison/detector.py
@@ -148,8 +148,7 @@
 
     def target_silent(self, start: TargetStart, now: float) -> None:
         """Count the end of a target that answers no probe, if requests there are unanswered too."""
-        oldest = self.at_work.oldest_began(start.target)
-        if oldest is not None and not self.at_work.heard_since(start.target, oldest):
+        if self.at_work.oldest_silent(start.target) is not None:
             self.target_ended(start, now)
 
     def learn(self, report: PoisonReport, now: float) -> None:
--- a/tests/upstreams/test_poison_watch.py
+++ b/tests/upstreams/test_poison_watch.py
@@ -107,6 +107,24 @@
     run_on_injected_time(scenario())
 
 
+def test_silence_counts_behind_a_request_that_is_older_than_the_last_answer() -> None:
+    async def scenario() -> None:
+        watch = watch_of(Network(Random(1)).join("h1", "i1"))
+        request = request_for()
+        for target in ("desk/a", "desk/b"):
+            watch.begin(request_for(NON_IDEMPOTENT), target, asyncio.get_running_loop().time())
+            answered = watch.begin(request_for(NON_IDEMPOTENT), target, 0.0)
+            await asyncio.sleep(0.5)
+            watch.end(answered, Answer(200, (), b""), asyncio.get_running_loop().time())
+            await asyncio.sleep(0.1)
+            watch.begin(request, target, asyncio.get_running_loop().time())
+            await asyncio.sleep(1.0)
+            watch.target_silent(target)
+        assert watch.refusal_of(request, asyncio.get_running_loop().time()) is not None
+
+    run_on_injected_time(scenario())
+
+
 async def test_crashing_request_is_not_retried_beyond_the_crash_limit() -> None:
     targets = [ScriptedTarget(name, Behavior.CLOSE) for name in ("a", "b", "c")]
     async with dispatching(*targets, crash_limit=LIMIT) as fixture:
