--- a/src/flamingoladder/upstreams/dispatch_state.py
+++ b/src/flamingoladder/upstreams/dispatch_state.py
@@ -9,6 +9,7 @@
 from expression import Ok
 
 from flamingoladder.steering.chooser import AttemptOutcome
+from flamingoladder.upstreams.poison_watch import fingerprints_of_request
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
@@ -33,10 +34,11 @@
 class DispatchState:
     """The targets tried for one request, and whether any of them may have run it."""
 
-    __slots__ = ("attempts", "may_have_run", "request", "tried")
+    __slots__ = ("attempts", "fingerprints", "may_have_run", "request", "tried")
 
     def __init__(self, request: CallerRequest) -> None:
         self.request = request
+        self.fingerprints = fingerprints_of_request(request)
         self.tried: list[str] = []
         self.attempts = 0
         self.may_have_run = False
--- a/src/flamingoladder/upstreams/dispatcher.py
+++ b/src/flamingoladder/upstreams/dispatcher.py
@@ -99,13 +99,13 @@
     async def _reserve(self, dispatch: DispatchState) -> Reservation | Refusal:
         loop = asyncio.get_running_loop()
         request = dispatch.request
-        held_back = self._poison_watch.refusal_of(request, loop.time())
+        held_back = self._poison_watch.refusal_of(dispatch.fingerprints, loop.time())
         if held_back is not None:
             return held_back
         reservation = await self._chooser.reserve(request, dispatch.tried, loop.time())
         if isinstance(reservation, Refusal):
             return reservation
-        held_back = self._poison_watch.refusal_of(request, loop.time())
+        held_back = self._poison_watch.refusal_of(dispatch.fingerprints, loop.time())
         if held_back is not None:
             reservation.release(AttemptOutcome.CANCELLED, loop.time())
         return held_back or reservation
@@ -126,7 +126,7 @@
             defaults.silence_ms / MS_PER_S, dispatch.request.deadline, started
         )
         hedge = partial(self._hedge, dispatch, reservation, defaults)
-        work = self._poison_watch.begin(dispatch.request, reservation.target, started)
+        work = self._poison_watch.begin(dispatch.fingerprints, reservation.target, started)
         result: Answer | AttemptFailure | None = None
         try:
             with StallWatchdog(exchange, connections, stall_timeout_s, hedge) as watchdog:
--- a/src/flamingoladder/upstreams/poison_watch.py
+++ b/src/flamingoladder/upstreams/poison_watch.py
@@ -33,15 +33,13 @@
         self._detector = detector
         self._state = state
 
-    def refusal_of(self, request: CallerRequest, now: float) -> Refusal | None:
+    def refusal_of(self, fingerprints: Fingerprints, now: float) -> Refusal | None:
         """Return a ``NOT_RUN`` refusal if the request may not be sent now, or None."""
-        return self._detector.refusal_of(_fingerprints(request), now, self._limit)
+        return self._detector.refusal_of(fingerprints, now, self._limit)
 
-    def begin(self, request: CallerRequest, target: str, now: float) -> Work:
+    def begin(self, fingerprints: Fingerprints, target: str, now: float) -> Work:
         """Note that the request is being sent to the target."""
-        return self._detector.begin(
-            _fingerprints(request), self._start_of(target), now, self._limit
-        )
+        return self._detector.begin(fingerprints, self._start_of(target), now, self._limit)
 
     def end(self, work: Work, result: Answer | AttemptFailure, now: float) -> None:
         """Note how the attempt ended."""
@@ -79,6 +77,7 @@
         return TargetStart(target, None, "" if found is None else found.failure_domain)
 
 
-def _fingerprints(request: CallerRequest) -> Fingerprints:
+def fingerprints_of_request(request: CallerRequest) -> Fingerprints:
+    """Return what a repeat of the request is known by."""
     names = (request.workspace or "", request.service, request.route.path, request.digest)
     return fingerprints_of(names, b"", ((request.key_id or "",),))
--- a/tests/upstreams/test_poison_watch.py
+++ b/tests/upstreams/test_poison_watch.py
@@ -18,6 +18,7 @@
 from flamingoladder.timeline.recorder import Recorder
 from flamingoladder.upstreams.attempt import AttemptFailure
 from flamingoladder.upstreams.poison_watch import PoisonWatch
+from flamingoladder.upstreams.poison_watch import fingerprints_of_request
 from flamingoladder.verdict import Answer
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
@@ -63,7 +64,7 @@
 ) -> None:
     async def scenario() -> None:
         watch = watch_of(Network(Random(1)).join("h1", "i1"))
-        request = request_for()
+        request = fingerprints_of_request(request_for())
         works = [watch.begin(request, f"desk/{target}", began) for target, began, _ in losses]
         for work, (_, _, lost) in zip(works, losses, strict=True):
             watch.end(work, LOST, lost)
@@ -77,7 +78,7 @@
     async def scenario() -> None:
         network = Network(Random(1))
         watches = [watch_of(network.join(host, "i1")) for host in ("h1", "h2", "h3")]
-        request = request_for()
+        request = fingerprints_of_request(request_for())
         for watch, target in zip(watches, ("desk/a", "desk/b"), strict=False):
             watch.end(watch.begin(request, target, 0.0), LOST, 0.1)
         await asyncio.sleep(1.0)
@@ -93,7 +94,7 @@
 def test_target_that_answers_no_probe_counts_as_ended_for_requests_that_wait_there() -> None:
     async def scenario() -> None:
         watch = watch_of(Network(Random(1)).join("h1", "i1"))
-        request = request_for()
+        request = fingerprints_of_request(request_for())
         for target in ("desk/a", "desk/b"):
             work = watch.begin(request, target, asyncio.get_running_loop().time())
             await asyncio.sleep(1.0)
@@ -110,10 +111,11 @@
 def test_silence_counts_behind_a_request_that_is_older_than_the_last_answer() -> None:
     async def scenario() -> None:
         watch = watch_of(Network(Random(1)).join("h1", "i1"))
-        request = request_for()
+        request = fingerprints_of_request(request_for())
+        other = fingerprints_of_request(request_for(NON_IDEMPOTENT))
         for target in ("desk/a", "desk/b"):
-            watch.begin(request_for(NON_IDEMPOTENT), target, asyncio.get_running_loop().time())
-            answered = watch.begin(request_for(NON_IDEMPOTENT), target, 0.0)
+            watch.begin(other, target, asyncio.get_running_loop().time())
+            answered = watch.begin(other, target, 0.0)
             await asyncio.sleep(0.5)
             watch.end(answered, Answer(200, (), b""), asyncio.get_running_loop().time())
             await asyncio.sleep(0.1)
