--- a/models/division.py
+++ b/models/division.py
@@ -15,6 +15,7 @@
 from minicheck import Protocol
 
 from models.checked import CheckedModel
+from models.hosts import with_host
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -107,22 +108,17 @@
         after = host._replace(
             version=now.version, own=kept if waits else part, grow_in=PROOF if waits else 0
         )
-        yield f"host {index} adopts {now.version}", _with_host(now, index, after)
+        yield f"host {index} adopts {now.version}", with_host(now, index, after)
 
     def _restart(self, now: State, index: int) -> Iterator[Step]:
         if now.restarts == MAX_RESTARTS:
             return
         run = Host(version=0, own=0)
-        yield f"host {index} restarts", _with_host(now, index, run)._replace(
+        yield f"host {index} restarts", with_host(now, index, run)._replace(
             restarts=now.restarts + 1
         )
 
 
-def _with_host(now: State, index: int, host: Host) -> State:
-    hosts = tuple(host if at == index else each for at, each in enumerate(now.hosts))
-    return now._replace(hosts=hosts)
-
-
 def build(guards: frozenset[str]) -> Protocol:
     """Return the model with the given guards."""
     rules = Rules(guards)
--- a/models/poison.py
+++ b/models/poison.py
@@ -20,6 +20,7 @@
 from minicheck import Protocol
 
 from models.checked import CheckedModel
+from models.hosts import with_host
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -109,12 +110,12 @@
         """Let the request of another caller be answered."""
         if "own_answers_clear" not in self.guards and now.ends:
             host = now.hosts[index]._replace(cleared=len(now.ends))
-            yield f"host {index} passes on an answer to another", _with_host(now, index, host)
+            yield f"host {index} passes on an answer to another", with_host(now, index, host)
 
     def _restart(self, now: State, index: int) -> Iterator[Step]:
         if now.restarts == MAX_RESTARTS:
             return
-        after = _with_host(now, index, Host())._replace(restarts=now.restarts + 1)
+        after = with_host(now, index, Host())._replace(restarts=now.restarts + 1)
         if "asked_at_start" in self.guards and now.cut < 0:
             after = _with_known(after, index, now.hosts[1 - index].known)
         elif now.cut >= 0:
@@ -149,12 +150,7 @@
 
 def _with_known(now: State, index: int, numbers: set[int] | frozenset[int]) -> State:
     host = now.hosts[index]
-    return _with_host(now, index, host._replace(known=host.known | numbers))
-
-
-def _with_host(now: State, index: int, host: Host) -> State:
-    hosts = tuple(host if at == index else each for at, each in enumerate(now.hosts))
-    return now._replace(hosts=hosts)
+    return with_host(now, index, host._replace(known=host.known | numbers))
 
 
 def build(guards: frozenset[str]) -> Protocol:
