--- a/review/lab.py
+++ b/review/lab.py
@@ -77,8 +77,11 @@
     def __init__(self, folder: Path) -> None:
         self._file = (folder / "record.txt").open("w")
         self._began = time.monotonic()
+        self.paused = False
 
     def write(self, text: str) -> None:
+        if self.paused:
+            return
         self._file.write(f"{time.monotonic() - self._began:8.3f}  {text}\n")
         self._file.flush()
 
