Record that the store is beyond a host's copy of a table

Logs showed nothing between a poll that is lost and the end of its time 12.5 s later, so they could not tell a poll that nobody answered from a table that does not change.

The answer to each poll of the operator's table names the newest version of the whole store. A host now compares the copies of the other tables with it and records store.behind.

From 7.9 s to 20.1 s four hosts (khomas-a-2, khomas-b-1, erongo-a-1, erongo-b-1) have the targets' table at version 65 while their own polls of the operator's table name versions up to 94. So the store answers these hosts all the while, and one poll is never answered. Quiet tables are behind as well, for up to 13 s, with nothing lost: the line is a sign, not yet a proof.

--- a/src/flamingoladder/feed/proving_watcher.py
+++ b/src/flamingoladder/feed/proving_watcher.py
@@ -63,6 +63,9 @@
     def _after_answer(self, now: float) -> None:
         self._answered_at = now
         self._services.contact.regain()
+        if self.replica.position is not None:
+            for watcher in self._others:
+                watcher.note_position(self.replica.position, now)
         proven = [watcher.table for watcher in (self, *self._others) if watcher.is_proven]
         self._services.exchange.prove(proven, now)
 
--- a/src/flamingoladder/feed/quiet_watcher.py
+++ b/src/flamingoladder/feed/quiet_watcher.py
@@ -10,17 +10,30 @@
 if TYPE_CHECKING:
     from flamingoladder.feed.reader import TableReader
     from flamingoladder.feed.watcher import FeedServices
+    from flamingoladder.storage.feed import StorePosition
 
 
 class QuietWatcher(TableWatcher):
     """Watches a table with long polls, and sends them anew after the store was silent."""
 
-    __slots__ = ()
+    __slots__ = ("_behind_since",)
 
     def __init__(self, table: str, reader: TableReader, services: FeedServices) -> None:
         super().__init__(table, reader, services)
+        self._behind_since: float | None = None
         services.contact.on_lost(self._on_contact_lost)
 
+    def note_position(self, position: StorePosition, now: float) -> None:
+        """Record that the store has reached ``position`` and this copy has not."""
+        if self.replica.position is None or self.replica.position >= position:
+            self._behind_since = None
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+            return
+        behind_s = round(now - self._behind_since, 3)
+        self._record("store.behind", reached=position.version, behind_s=behind_s)
+
     @property
     def _poll_wait_s(self) -> float:
         return self._services.timing.quiet_wait_s
