Check each copy of a table by answers about that table

Cause: one call's answer stood for another call's health. The polls of the operator's table alone told whether the store answers. A poll of another table that was sent in the silence is never answered, and looks like one that waits for a change; its copy counted as up to date, also towards the region's other hosts, for the 11 s of its wait and 1.5 s more.

Now each answer of the store, which names the version of the whole store, requires that of the other copies. One that has not reached it is not proven and is asked for at once, beside the poll that waits; the second follower asks only if the first has sent no proof.

Why this works: a copy that lacks a change lacks its version, and the next answer of any table names it, 0.44 D later at most; the check's own answer, not another one, proves the copy.

--- a/src/flamingoladder/feed/followers.py
+++ b/src/flamingoladder/feed/followers.py
@@ -31,6 +31,10 @@
         """Return whether this host is among the region's followers."""
         return self._relays.own_rank(now) < RELAYS_PER_REGION
 
+    def turn(self, now: float) -> int:
+        """Return this host's turn among its region's followers, 1 for the first."""
+        return 1 + min(self._relays.own_rank(now), RELAYS_PER_REGION)
+
     def is_relay(self, now: float) -> bool:
         """Return whether this host is the one that sends changes to the region's other hosts."""
         return self._relays.own_rank(now) == 0
--- a/src/flamingoladder/feed/proving_watcher.py
+++ b/src/flamingoladder/feed/proving_watcher.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from functools import partial
 from math import inf
 from typing import TYPE_CHECKING
 
-from flamingoladder.feed.overlapping import OverlappingCalls
 from flamingoladder.feed.watcher import TableWatcher
 
 if TYPE_CHECKING:
@@ -16,10 +14,6 @@
     from flamingoladder.feed.quiet_watcher import QuietWatcher
     from flamingoladder.feed.reader import TableReader
     from flamingoladder.feed.watcher import FeedServices
-    from flamingoladder.storage.feed import StoredRows
-
-# An answer that is this late may never come.
-OVERDUE_S = 0.4
 
 
 class ProvingWatcher(TableWatcher):
@@ -48,11 +42,6 @@
     async def _before_call(self) -> None:
         """Need nothing: this call shows whether the store answers."""
 
-    async def _changes(self, wait_s: float) -> StoredRows:
-        interval_s = self._services.timing.max_retry_pause_s
-        calls = OverlappingCalls(partial(super()._changes, 0.0), interval_s, self._on_overdue)
-        return await calls.first_answer(super()._changes(wait_s), wait_s + OVERDUE_S)
-
     def _on_overdue(self) -> None:
         self._note_loss()
         self._after_failure()
--- a/src/flamingoladder/feed/quiet_watcher.py
+++ b/src/flamingoladder/feed/quiet_watcher.py
@@ -16,23 +16,21 @@
 class QuietWatcher(TableWatcher):
     """Watches a table with long polls, and sends them anew after the store was silent."""
 
-    __slots__ = ("_behind_since",)
+    __slots__ = ()
 
     def __init__(self, table: str, reader: TableReader, services: FeedServices) -> None:
         super().__init__(table, reader, services)
-        self._behind_since: float | None = None
         services.contact.on_lost(self._on_contact_lost)
 
     def note_position(self, position: StorePosition, now: float) -> None:
-        """Record that the store has reached ``position`` and this copy has not."""
-        if self.replica.position is None or self.replica.position >= position:
-            self._behind_since = None
-            return
-        if self._behind_since is None:
-            self._behind_since = now
-            return
-        behind_s = round(now - self._behind_since, 3)
-        self._record("store.behind", reached=position.version, behind_s=behind_s)
+        """Note the position that an answer about another table named.
+
+        The store answers, but this table's poll may have been lost: it proves nothing for itself.
+        """
+        self.replica.note_position(position, now)
+        turn = self._services.followers.turn(now)
+        # The first follower's proof spares the others a check.
+        self._check_within(turn * self._services.timing.relay_grace_s)
 
     @property
     def _poll_wait_s(self) -> float:
@@ -41,14 +39,17 @@
     async def _before_call(self) -> None:
         await self._services.contact.wait()
 
+    def _on_overdue(self) -> None:
+        self._record("store.call_overdue")
+
     def _after_answer(self, now: float) -> None:
-        """Need nothing: other polls prove the store reachable."""
+        if self.is_proven:
+            self._services.exchange.prove([self.table], now)
 
     def _after_failure(self) -> None:
         """Need nothing: the connection of this poll alone may have failed."""
 
     async def _after_change(self, now: float) -> None:
-        self._services.exchange.prove([self.table], now)
         # Changes of the next moments then come with one answer.
         await asyncio.sleep(self._services.timing.gather_pause_s)
 
@@ -58,4 +59,5 @@
 
     def _on_contact_lost(self) -> None:
         self._note_loss()
+        self._cancel_check()
         self._interrupt()
--- a/src/flamingoladder/feed/replica.py
+++ b/src/flamingoladder/feed/replica.py
@@ -32,6 +32,7 @@
         "_claimed_at",
         "_last_position",
         "_newest_change",
+        "_reached",
         "_settled_claim",
         "position",
         "rows",
@@ -44,6 +45,7 @@
         self._newest_change = 0
         self._claim = START
         self._claimed_at = 0.0
+        self._reached = START
         self._settled_claim = START
 
     @property
@@ -60,13 +62,16 @@
 
     @property
     def claim(self) -> StorePosition | None:
-        """Return the newest change that another host has and this one lacks."""
-        if self.position is None or self._claim <= max(self.position, self._settled_claim):
-            return None
-        return self._claim
+        """Return the position up to which there may be changes that this copy lacks, if any.
+
+        Another host has a change of that position, or an answer about another table named it.
+        """
+        told = self._claim if self._claim > self._settled_claim else START
+        claim = max(told, self._reached)
+        return claim if self.position is not None and claim > self.position else None
 
     def is_overdue(self, now: float, grace_s: float) -> bool:
-        """Return whether another host has had a change for ``grace_s`` that this one lacks."""
+        """Return whether changes may have been lacking for ``grace_s`` seconds."""
         return self.claim is not None and now - self._claimed_at >= grace_s
 
     def forget(self) -> None:
@@ -120,9 +125,20 @@
             self._claimed_at = now
         self._claim = max(self._claim, change)
 
+    def note_position(self, position: StorePosition, now: float) -> None:
+        """Note that the store has reached a position: changes up to it may be lacking."""
+        if self.claim is None:
+            self._claimed_at = now
+        self._reached = max(self._reached, position)
+
     def settle(self, claim: StorePosition | None) -> None:
         """Note that the store was asked after ``claim`` was known: it has nothing more."""
-        self._settled_claim = max(self._settled_claim, claim or START)
+        if claim is None:
+            return
+        if self._claim <= claim:
+            self._settled_claim = max(self._settled_claim, self._claim)
+        if self._reached <= claim:
+            self._reached = START
 
     def _take(self, rows: Iterable[StoredRow], version: int, now: float) -> tuple[StoredRow, ...]:
         newest_by_key = {row.key: row for row in rows if self._is_newer(row)}
--- a/tests/feed/harness.py
+++ b/tests/feed/harness.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING
+from typing import NoReturn
 
 from flamingoladder.feed.contact import StoreContact
 from flamingoladder.feed.exchange import FeedExchange
@@ -49,11 +50,15 @@
 
 
 class Store:
-    """A store in memory. Calls of ``silent_hosts`` are never answered, those of others are."""
+    """A store in memory. Calls of ``silent_hosts`` are never answered, those of others are.
+
+    With ``loses_answers`` a silence also takes the answers to calls that came before it.
+    """
 
     def __init__(self) -> None:
         self.tables = Tables()
         self.silent_hosts: set[str] = set()
+        self.loses_answers = False
         self.refused_hosts: set[str] = set()
         self.calls_by_table: Counter[str] = Counter()
         self.calls_by_host: Counter[str] = Counter()
@@ -116,17 +121,23 @@
         self._store = store
         self._host = host
         self._wait_s = wait_s
+        self._given_up_at = 0.0
 
     async def __aenter__(self) -> None:
+        self._given_up_at = asyncio.get_running_loop().time() + self._wait_s + CALL_TIMEOUT_S
         await asyncio.sleep(ANSWER_S)
         if self._host in self._store.refused_hosts:
             raise PlatformUnavailableError("refused")
         if self._host in self._store.silent_hosts:
-            await asyncio.sleep(self._wait_s + CALL_TIMEOUT_S)
-            raise PlatformUnavailableError("no answer")
+            await self._lose()
+
+    async def __aexit__(self, kind: type[BaseException] | None, *_: object) -> None:
+        if kind is None and self._store.loses_answers and self._host in self._store.silent_hosts:
+            await self._lose()
 
-    async def __aexit__(self, *_: object) -> None:
-        return
+    async def _lose(self) -> NoReturn:
+        await asyncio.sleep(self._given_up_at - asyncio.get_running_loop().time())
+        raise PlatformUnavailableError("no answer")
 
 
 class Seen(TableReader):
