Let a host that starts while the store is away wait for it

What was seen: `task.failed ... AttributeError: '_pause_s'` at hosts whose first call to the store failed. The supervisor started the reading task again after 1 s, so the store's return was noticed up to 1 s late.

Cause: the pause between attempts was set by the first success only.

--- a/src/flamingoladder/feed/watcher.py
+++ b/src/flamingoladder/feed/watcher.py
@@ -84,6 +84,7 @@
         self._check: asyncio.Task[None] | None = None
         self._interruptible: asyncio.Timeout | None = None
         self._lost = False
+        self._pause_s = 0.0
         services.exchange.attach(table, self.replica, self._on_news)
 
     @property
--- a/tests/feed/test_watcher.py
+++ b/tests/feed/test_watcher.py
@@ -274,6 +274,24 @@
     assert 0.0 < took_s < CALM_S - LAPSED_TARGET_TTL_S
 
 
+@pytest.mark.parametrize("table", TABLES)
+@pytest.mark.parametrize("away_s", [0.3, 2.0, 6.0])
+def test_a_host_that_starts_while_the_store_is_away_follows_it_after_its_return(
+    table: str, away_s: float
+) -> None:
+    """The task that reads ended with an AttributeError if its first call failed."""
+
+    async def scenario() -> float:
+        fleet = fleet_of()
+        fleet.store.refused_hosts = set(fleet.names)
+        await fleet.start(settle_s=away_s)
+        fleet.store.write(table, "k", b"1")
+        fleet.store.refused_hosts = set()
+        return await fleet.in_force_after_s(table, "k", b"1", fleet.hosts, LIMIT_S)
+
+    assert run_on_injected_time(scenario()) < PROPAGATION_S / 2
+
+
 @pytest.mark.parametrize(("size", "relayed"), [(1_000, 5), (100_000, 0)])
 def test_changes_that_would_fill_the_relay_s_link_are_fetched(size: int, relayed: int) -> None:
     async def scenario() -> tuple[int, float]:
