Read the daemons' directory again soon after a read that was lost

What was seen: a host that joined while the store was silent for some tenths of a second had no link to the other daemons for 5 s.

Cause: a rejected key asks for a read of the directory. If that one call is lost, the next comes with the interval of the reads that nothing asks for.

Now a failed read is repeated after 0.2 s, then at doubled pauses up to that interval, so that a long outage costs no more than before.

--- a/src/flamingoladder/daemon/directory_watcher.py
+++ b/src/flamingoladder/daemon/directory_watcher.py
@@ -43,23 +43,29 @@
 
     async def run(self) -> None:
         """Follow the directory until cancelled."""
+        pause_s = RETRY_INTERVAL_S
         while True:
             self._outdated.clear()
-            await self.read_once()
-            await asyncio.sleep(RETRY_INTERVAL_S)
+            is_read = await self.read_once()
+            await asyncio.sleep(pause_s)
+            if not is_read:
+                pause_s = min(READ_INTERVAL_S, 2 * pause_s)
+                continue
+            pause_s = RETRY_INTERVAL_S
             try:
                 await asyncio.wait_for(self._outdated.wait(), READ_INTERVAL_S)
             except TimeoutError:
                 continue
 
-    async def read_once(self) -> None:
-        """Read the directory and pass it on."""
+    async def read_once(self) -> bool:
+        """Read the directory and pass it on; return whether it could be read."""
         try:
             by_host = await read_directory(self._table, READ_TIMEOUT_S)
         except PlatformError as error:
             self._recorder.record("directory.unreadable", error=error)
-            return
+            return False
         self._links.update_directory(by_host.values())
+        return True
 
     def _compare(self, state: AgreedState) -> None:
         if not self._links.has_links_to(state.members):
