Assign homes of objects one by one, and correct them in steps

Cause: all homes were assigned anew, on the way of the request, for each new object that any host met: 55 ms at 15,000 known objects.

Now a request assigns the home of its own object, a pass in steps of 2.5 ms each 0.25 s corrects the others, and beyond 20,000 objects the oldest is forgotten.

Why this works: no step's cost depends on how many objects are known, but for a copy and an insertion in a list of 20,000 at most.

--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -58,6 +58,7 @@
     """The components of one incarnation of a host; none of them is started."""
 
     __slots__ = (
+        "balancer",
         "configuration",
         "feed",
         "handler",
@@ -100,7 +101,7 @@
         slow_start_limit = SlowStartLimit(
             settings.host, bounds.slow_start_overshoot, bounds.slow_start_slack
         )
-        balancer = LoadBalancer(
+        balancer = self.balancer = LoadBalancer(
             self.targets, self.configuration, self.members, slow_start_limit, settings.region
         )
         self.target_client = PlatformTargets(
--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -189,6 +189,7 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             now = loop.time()
             components.targets.expire(now)
+            components.balancer.correct_homes()
             if not components.members.has_lowest_name(now):
                 continue
             for member in components.members.lost(now):
--- a/src/flamingoladder/entry/host_reports.py
+++ b/src/flamingoladder/entry/host_reports.py
@@ -15,6 +15,7 @@
     from flamingoladder.fleet.members import MemberRegistry
     from flamingoladder.limits.rate_limiter import FleetRateLimiter
     from flamingoladder.limits.retry_budgets import RetryBudgets
+    from flamingoladder.steering.known_objects import KnownObjects
     from flamingoladder.targets.notice_learner import NoticeLearner
     from flamingoladder.targets.rate_limit import RateLimitReport
     from flamingoladder.targets.registry import TargetRegistry
@@ -118,23 +119,27 @@
 
     def _objects(self, *, with_repeated: bool) -> dict[str, tuple[str, ...]]:
         listed_by_service: dict[str, tuple[str, ...]] = {}
-        for service, objects in self._balancer.objects_by_service().items():
-            listed = self._new_objects(service, objects)
+        for service, known in self._balancer.known_by_service().items():
+            listed = self._new_objects(service, known)
             if with_repeated:
-                listed += self._repeated_objects(service, objects)
+                listed += self._repeated_objects(service, known)
             if listed:
                 listed_by_service[service] = tuple(listed)
         return listed_by_service
 
-    def _new_objects(self, service: str, objects: list[str]) -> list[str]:
-        reported = self._reported_count_by_service.get(service, 0)
-        new = objects[reported : reported + MAX_NEW_OBJECTS_PER_REPORT]
-        self._reported_count_by_service[service] = reported + len(new)
+    def _new_objects(self, service: str, known: KnownObjects) -> list[str]:
+        added = known.added_to_region(self._balancer.region)
+        unreported = added - self._reported_count_by_service.get(service, 0)
+        waiting = known.newest_of_region(self._balancer.region, unreported)
+        new = waiting[:MAX_NEW_OBJECTS_PER_REPORT]
+        self._reported_count_by_service[service] = added - len(waiting) + len(new)
         return new
 
-    def _repeated_objects(self, service: str, objects: list[str]) -> list[str]:
+    def _repeated_objects(self, service: str, known: KnownObjects) -> list[str]:
+        region, count = self._balancer.region, REPEATED_OBJECTS_PER_REPORT
         start = self._next_object_by_service.get(service, 0)
-        if start >= len(objects):
-            start = 0
-        self._next_object_by_service[service] = start + REPEATED_OBJECTS_PER_REPORT
-        return objects[start : start + REPEATED_OBJECTS_PER_REPORT]
+        repeated = known.slice_of_region(region, start, count)
+        if not repeated:
+            start, repeated = 0, known.slice_of_region(region, 0, count)
+        self._next_object_by_service[service] = start + count
+        return repeated
--- a/src/flamingoladder/entry/load_balancer.py
+++ b/src/flamingoladder/entry/load_balancer.py
@@ -20,6 +20,7 @@
     from flamingoladder.entry.active_configuration import ActiveConfiguration
     from flamingoladder.entry.request import RoutedRequest
     from flamingoladder.fleet.members import MemberRegistry
+    from flamingoladder.steering.known_objects import KnownObjects
     from flamingoladder.targets.notices import TargetNotices
     from flamingoladder.targets.registry import TargetRegistry
     from flamingoladder.targets.slow_start import SlowStartLimit
@@ -90,6 +91,11 @@
         self._run_times = RunTimes()
         self._overflow = OverflowCap()
 
+    @property
+    def region(self) -> str:
+        """Return the region of this host."""
+        return self._region
+
     def choose(
         self, request: RoutedRequest, tried: Collection[str], now: float
     ) -> Choice | Overload | None:
@@ -163,13 +169,22 @@
             assignment = self._homes_by_service[service] = HomeAssignment()
         return assignment
 
-    def objects_by_service(self) -> dict[str, list[str]]:
-        """Return the known objects that are requested from this host's region, by service."""
+    def objects_by_service(self, newest: int) -> dict[str, list[str]]:
+        """Return the ``newest`` known objects requested from this host's region, by service."""
         return {
-            service: assignment.objects_of(self._region)
-            for service, assignment in self._homes_by_service.items()
+            service: known.newest_of_region(self._region, newest)
+            for service, known in self.known_by_service().items()
         }
 
+    def known_by_service(self) -> dict[str, KnownObjects]:
+        """Return the known objects by service."""
+        return {service: homes.known for service, homes in self._homes_by_service.items()}
+
+    def correct_homes(self) -> None:
+        """Take a step towards the homes that all objects would get if they were assigned anew."""
+        for homes in self._homes_by_service.values():
+            homes.correct()
+
     def _best(
         self,
         request: RoutedRequest,
--- a/src/flamingoladder/fleet/object_snapshots.py
+++ b/src/flamingoladder/fleet/object_snapshots.py
@@ -13,6 +13,7 @@
     from flamingoladder.members.member import Member
 
 SNAPSHOT_INTERVAL_S = 2.0
+MAX_SNAPSHOT_OBJECTS_PER_SERVICE = 500
 
 ObjectsByService = dict[str, list[str]]
 
@@ -76,7 +77,7 @@
             return
         if self._saved_in_era != self._store.era:
             self._saved, self._saved_in_era = {}, self._store.era
-        objects = self._balancer.objects_by_service()
+        objects = self._balancer.objects_by_service(MAX_SNAPSHOT_OBJECTS_PER_SERVICE)
         if _count(objects) <= _count(self._saved):
             return
         if await self._store.write(self._own.region, objects):
