Take only the target's own close for the end of an answer

Cause: the guard against floods counted a part as no content before it was parsed, so that an ordinary part of 256 KiB after small ones passed for a flood, and closed the connection. An answer without a length was whole unless its connection was reset; this host's own close is no reset.

Now the guard parses at most what may come without any of it being content. An answer without a length is whole only if the guard saw the other end close in order, with everything before that parsed.

Bytes that wait to be parsed may be 1 MiB, 512 KiB before: what comes until the head of an answer is known, which is no flood.

--- a/src/flamingoladder/transport/answer_progress.py
+++ b/src/flamingoladder/transport/answer_progress.py
@@ -14,8 +14,8 @@
 class AnswerProgress:
     """Counts what came of an answer; ``response`` is None before its head.
 
-    ``flooded`` is set once over ``MAX_OTHER_BYTES`` came that are no content, beside as many as the
-    content has.
+    ``flooded`` is set once more came than ``acceptable_bytes``: ``MAX_OTHER_BYTES`` that are no
+    content, beside as many as the content has.
     """
 
     __slots__ = ("_received_bytes", "flooded", "response")
@@ -35,9 +35,11 @@
         """Return a number that grows with each part of the answer; it is 0 before the head."""
         return 0 if self.response is None else 1 + self.content_bytes
 
-    def accepts(self, more_bytes: int) -> bool:
-        """Count bytes that came, and return whether they may be the answer."""
+    @property
+    def acceptable_bytes(self) -> int:
+        """Return how many more bytes may come before any of them proves to be content."""
+        return MAX_OTHER_BYTES + 2 * self.content_bytes - self._received_bytes
+
+    def count(self, more_bytes: int) -> None:
+        """Count bytes that came."""
         self._received_bytes += more_bytes
-        other_bytes = self._received_bytes - 2 * self.content_bytes
-        self.flooded |= other_bytes > MAX_OTHER_BYTES
-        return not self.flooded
--- a/src/flamingoladder/transport/exchange.py
+++ b/src/flamingoladder/transport/exchange.py
@@ -66,9 +66,14 @@
         self.transport: Transport | None = None
         self._timeout: asyncio.Timeout | None = None
 
-    def was_reset(self) -> bool:
-        """Return whether the connection ended with an error instead of its other end's close."""
-        return isinstance(self.connection_error(), OSError)
+    def has_ended(self) -> bool:
+        """Return whether the other end has closed the connection in order, and all was parsed.
+
+        Nothing that this host does to a connection passes for that.
+        """
+        if self.guard is None or self.answer.flooded or self.guard.has_unparsed:
+            return False
+        return self.guard.ended and not isinstance(self.connection_error(), OSError)
 
     def may_leave(self) -> bool:
         """Return whether the request may still be written."""
--- a/src/flamingoladder/transport/receive_guard.py
+++ b/src/flamingoladder/transport/receive_guard.py
@@ -12,8 +12,8 @@
 # byte take the longest.
 FIRST_PART_BYTES = 4_096
 MAX_PART_BYTES = 262_144
-# The event loop reads up to 256 KiB at once, and a second time before the head is known.
-MAX_UNPARSED_BYTES = 524_288
+# The event loop reads up to 256 KiB at once, and up to three times before the head is known.
+MAX_UNPARSED_BYTES = 1_048_576
 
 
 class ReceiveGuard(asyncio.Protocol):
@@ -23,9 +23,20 @@
     come that are no content, as in a head or in chunk extensions without end. What may be no
     content is parsed in small parts, one in each turn of the event loop, so that other requests are
     served meanwhile.
+
+    ``ended`` is set once the other end has closed the connection in order. It isn't by anything
+    that this host does to the connection.
     """
 
-    __slots__ = ("_is_scheduled", "_parser", "_part_bytes", "_transport", "_unparsed", "answer")
+    __slots__ = (
+        "_is_scheduled",
+        "_parser",
+        "_part_bytes",
+        "_transport",
+        "_unparsed",
+        "answer",
+        "ended",
+    )
 
     def __init__(self, parser: asyncio.Protocol, transport: asyncio.Transport) -> None:
         self._parser = parser
@@ -34,6 +45,7 @@
         self._part_bytes = FIRST_PART_BYTES
         self._is_scheduled = False
         self.answer: AnswerProgress | None = None
+        self.ended = False
 
     @classmethod
     def of(cls, transport: asyncio.Transport) -> ReceiveGuard:
@@ -61,7 +73,8 @@
         if self.answer is None or len(self._unparsed) + len(data) > MAX_UNPARSED_BYTES:
             self._refuse()
             return
-        if not self._unparsed and len(data) <= FIRST_PART_BYTES:
+        most_bytes = min(FIRST_PART_BYTES, self.answer.acceptable_bytes)
+        if not self._unparsed and len(data) <= most_bytes:
             self._parse(data)
             return
         self._unparsed += data
@@ -69,7 +82,11 @@
             self._parse_parts()
 
     def eof_received(self) -> bool | None:
-        """Pass on the end of what is received."""
+        """Pass on the end of what is received, once all before it is parsed."""
+        self.ended = True
+        if self._unparsed and self.answer is not None and self.answer.response is None:
+            # What comes after the head can't be told from a head without end before that is known.
+            return True
         self._parse_rest()
         return self._parser.eof_received()
 
@@ -97,7 +114,10 @@
             if self._unparsed:
                 self._is_scheduled = True
                 asyncio.get_running_loop().call_soon(self._parse_parts)
-            return
+                return
+        if self.ended:
+            self._parser.eof_received()
+            self._transport.close()
 
     def _parse_rest(self) -> None:
         while self._unparsed:
@@ -105,8 +125,13 @@
 
     def _parse_part(self) -> bool:
         """Parse one part and return whether most of it was content."""
-        part = bytes(self._unparsed[: self._part_bytes])
-        del self._unparsed[: self._part_bytes]
+        acceptable_bytes = 0 if self.answer is None else self.answer.acceptable_bytes
+        part_bytes = min(self._part_bytes, acceptable_bytes)
+        if part_bytes <= 0:
+            self._refuse()
+            return False
+        part = bytes(self._unparsed[:part_bytes])
+        del self._unparsed[:part_bytes]
         return self._parse(part)
 
     def _parse(self, part: bytes) -> bool:
@@ -115,9 +140,7 @@
             self._refuse()
             return False
         content_before = answer.content_bytes
-        if not answer.accepts(len(part)):
-            self._refuse()
-            return False
+        answer.count(len(part))
         self._parser.data_received(part)
         return 2 * (answer.content_bytes - content_before) >= len(part)
 
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -136,11 +136,13 @@
     if not framed and not outgoing.echo.required:
         return _lost(exchange, "the answer has no length and no chunks, so no certain end")
     body = await read_body(response, memory)
-    if not framed and exchange.was_reset():
-        return _lost(exchange, "the connection was reset before the end of an answer")
     if body is None:
         detail = f"the answer is over {MAX_ANSWER_BYTES} bytes, or those at work are too many"
         return SendFailure(FailureKind.TOO_LARGE, detail, exchange.reused)
+    if not framed and not exchange.has_ended():
+        if exchange.answer.flooded:
+            return _flooded(exchange)
+        return _lost(exchange, "the connection broke before the end of an answer")
     headers = tuple(
         Header(str(name), value)
         for name, value in response.headers.items()
@@ -184,8 +186,7 @@
 def _broken(exchange: Exchange, error: Exception) -> SendFailure:
     name = type(error).__name__
     if exchange.answer.flooded:
-        detail = f"over {MAX_OTHER_BYTES} bytes came that are no content"
-        return SendFailure(FailureKind.NO_ANSWER, detail, exchange.reused)
+        return _flooded(exchange)
     if exchange.refusal is not None:
         return SendFailure(FailureKind.REFUSED, exchange.refusal.detail, reused=False)
     if not exchange.connected:
@@ -193,5 +194,10 @@
     return _lost(exchange, f"the connection was lost: {name}")
 
 
+def _flooded(exchange: Exchange) -> SendFailure:
+    detail = f"over {MAX_OTHER_BYTES} bytes came that are no content"
+    return SendFailure(FailureKind.NO_ANSWER, detail, exchange.reused)
+
+
 def _lost(exchange: Exchange, detail: str) -> SendFailure:
     return SendFailure(FailureKind.LOST, detail, exchange.reused)
