Send request targets on byte for byte

Cause: the HTTP client writes the target of a parsed URL, which drops an empty query and a fragment.

--- a/src/flamingoladder/platform/target_wire.py
+++ b/src/flamingoladder/platform/target_wire.py
@@ -146,7 +146,9 @@
     if request.workspace is not None:
         fields[headers.TENANT_ID] = request.workspace.name
     url = URL(f"http://{target.record.address}{incoming.path}", encoded=True)
-    return Outgoing(incoming.method, url, fields, incoming.body, incoming.request_id, ECHO)
+    return Outgoing(
+        incoming.method, url, fields, incoming.body, incoming.request_id, ECHO, incoming.path
+    )
 
 
 def _to_result(answer: Answer, *, reused: bool) -> SendResult:
--- a/src/flamingoladder/transport/exchange.py
+++ b/src/flamingoladder/transport/exchange.py
@@ -25,7 +25,8 @@
     answer has come for the check time. ``last_check`` is asked once there is a connection, with no
     wait between its answer and the write; its refusal, if any, is kept as ``refusal``. An exchange
     without a connection ends at ``connect_by``, one with a connection at ``deadline``, both in
-    monotonic seconds. ``answer`` counts what came of the answer.
+    monotonic seconds. ``answer`` counts what came of the answer. ``target`` is the request target
+    to write, if it may differ from the URL's.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         "refusal",
         "reused",
         "silent",
+        "target",
         "transport",
     )
 
@@ -60,6 +62,7 @@
         self.connection_error: Callable[[], BaseException | None] = _unknown
         self.forbid_reuse: Callable[[], None] = _nothing
         self.silent = False
+        self.target = ""
         self.reused = False
         self.answer = AnswerProgress()
         self.guard: ReceiveGuard | None = None
--- a/src/flamingoladder/transport/pool.py
+++ b/src/flamingoladder/transport/pool.py
@@ -8,6 +8,7 @@
 
 from flamingoladder.transport.connector import SILENCE_S
 from flamingoladder.transport.connector import ExchangeConnector
+from flamingoladder.transport.exact_request import ExactRequest
 from flamingoladder.transport.sending import send
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
             skip_auto_headers=AUTO_FIELDS,
             max_field_size=MAX_ANSWER_FIELD_BYTES,
             max_line_size=MAX_ANSWER_FIELD_BYTES,
+            request_class=ExactRequest,
         )
         self._users = 0
         self._retired = False
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -73,9 +73,12 @@
 
 
 class Outgoing:
-    """A request as it goes out; an answer with another ``request_id`` is refused."""
+    """A request as it goes out; an answer with another ``request_id`` is refused.
 
-    __slots__ = ("body", "echo", "headers", "method", "request_id", "url")
+    ``target`` is the request target, byte for byte; without one it is that of ``url``.
+    """
+
+    __slots__ = ("body", "echo", "headers", "method", "request_id", "target", "url")
 
     def __init__(
         self,
@@ -85,8 +88,10 @@
         body: bytes,
         request_id: str,
         echo: EchoRule = OPTIONAL_ECHO,
+        target: str = "",
     ) -> None:
         self.echo = echo
+        self.target = target
         self.method = method
         self.url = url
         self.headers = headers
@@ -102,6 +107,7 @@
     The connection is closed if this fails or is cancelled. ``memory`` bounds the answer's body.
     """
     token = current_exchange.set(exchange)
+    exchange.target = outgoing.target
     whole = False
     try:
         async with exchange.open():
--- a/src/flamingoladder/upstreams/connections.py
+++ b/src/flamingoladder/upstreams/connections.py
@@ -49,7 +49,12 @@
         """Send the request once; return the complete answer or the reason for the failure."""
         url = URL(self._base_url + request.path, encoded=True)
         outgoing = Outgoing(
-            request.method, url, _headers(request), request.body, request.request_id
+            request.method,
+            url,
+            _headers(request),
+            request.body,
+            request.request_id,
+            target=request.path,
         )
         idempotent = request.route.idempotent
         result = await self._pools.send(outgoing, exchange, idempotent=idempotent)
--- a/tests/entry/test_end_to_end.py
+++ b/tests/entry/test_end_to_end.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import pytest
+from yarl import URL
 
 from flamingoladder.entry.daemon import EntryHost
 from flamingoladder.platform.standins.deployment import LocalPlatform
@@ -106,6 +107,22 @@
     assert len(platform.runs) == (status == 200)
 
 
+@pytest.mark.parametrize("path", ["/kit/1?", "/kit/a/b??", "/kit/?x=%2f", "/kit/a//b?c", "/kit/1"])
+async def test_request_target_reaches_the_target_unchanged(
+    platform: LocalPlatform, path: str
+) -> None:
+    """An empty query was dropped on the way."""
+    url = URL(platform.caller_urls[0])
+    reader, writer = await asyncio.open_connection(url.host, url.port)
+    fields = ["Host: rental.example", "Flamingoladder-Request-Id: r-1", "X-Api-Key: k-turf"]
+    writer.write("\r\n".join([f"GET {path} HTTP/1.1", *fields, "", ""]).encode())
+    assert await reader.readline() == b"HTTP/1.1 200 OK\r\n"
+    writer.close()
+    await writer.wait_closed()
+    runs = [run for target in platform.targets for run in target.runs]
+    assert [run.path for run in runs] == [path]
+
+
 async def test_forged_internal_headers_are_ignored(platform: LocalPlatform, caller: Caller) -> None:
     forged = {"Flamingoladder-Tenant-Id": "moss", "Flamingoladder-Expect-Instance": "i-none"}
     assert (await caller.send("/kit/1", headers=forged))[0] == 200
