--- a/src/flamingoladder/steering/home_assignment.py
+++ b/src/flamingoladder/steering/home_assignment.py
@@ -76,10 +76,6 @@
                 self._forget(forgotten)
             self._stale = True
 
-    def objects_of(self, region: str) -> list[ObjectKey]:
-        """Return the known objects that are requested from ``region``."""
-        return self.known.of_region(region)
-
     def ranked_targets(self, key: ObjectKey) -> tuple[str, ...]:
         """Return all targets: the object's home first, the others by rendezvous hash."""
         self._assign_if_few()
--- a/tests/entry/test_object_snapshots.py
+++ b/tests/entry/test_object_snapshots.py
@@ -50,7 +50,7 @@
     before = assignment_of(REGIONS, OBJECTS)
     object_rows = ObjectRows(store, Recorder("h", "i"))
     for region in set(REGIONS.values()):
-        assert await object_rows.write(region, {"s": before.objects_of(region)})
+        assert await object_rows.write(region, {"s": before.known.of_region(region)})
     found = await ObjectRows(store, Recorder("h", "i2")).read()
     assert found is not None
     after = HomeAssignment()
--- a/tests/steering/test_home_assignment.py
+++ b/tests/steering/test_home_assignment.py
@@ -162,7 +162,7 @@
         assignment.add_objects((f"o{number}",), "north")
         assignment.ranked_targets(f"o{number}")
         assignment.correct()
-    assert assignment.objects_of("north") == [f"o{number}" for number in range(4_400, 5_000)]
+    assert assignment.known.of_region("north") == [f"o{number}" for number in range(4_400, 5_000)]
     assert len(assignment._homes_by_object) <= 600
     assert len(assignment._rankings_by_object) <= home_assignment.MAX_RANKINGS
     assert sum(assignment._objects_by_target.values()) <= 600
