Repeat reports of ended targets as often in a large fleet as in a small one

Cause: after targets ended, each host repeated the same report every second to all others. In a profiled fleet of 91 hosts a relay received 56 such messages a second and sent 840 frames a second, most of them repeats that it passed on; that was the largest part of its control work. Change: a host's interval grows with the fleet beyond 8 hosts, and hosts take their turns at different times, so all hosts together repeat about 8 times a second. Fleets of up to 8 hosts repeat as before. Result: tests of the schedule at 1 to 1,500 hosts; tests of poison requests pass.

--- a/src/flamingoladder/poison/upkeep.py
+++ b/src/flamingoladder/poison/upkeep.py
@@ -6,6 +6,9 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+from flamingoladder.poison.repeat_schedule import REPORT_INTERVAL_S
+from flamingoladder.poison.repeat_schedule import RepeatSchedule
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Sequence
@@ -14,7 +17,6 @@
     from flamingoladder.poison.exchange import PoisonExchange
     from flamingoladder.timeline.recorder import Recorder
 
-REPORT_INTERVAL_S = 1.0
 ASKED_AT_ONCE = 3
 ASK_INTERVAL_S = 0.05
 # A host that no other one answers takes requests after this time all the same.
@@ -28,7 +30,7 @@
     told of none. Until ``is_informed`` an entry host sends no request to a target.
     """
 
-    __slots__ = ("_detector", "_exchange", "_hosts_to_ask", "_recorder", "is_informed")
+    __slots__ = ("_detector", "_exchange", "_hosts_to_ask", "_recorder", "_repeats", "is_informed")
 
     def __init__(
         self,
@@ -41,6 +43,7 @@
         self._exchange = exchange
         self._hosts_to_ask = hosts_to_ask
         self._recorder = recorder
+        self._repeats = RepeatSchedule(recorder.host)
         self.is_informed = False
 
     async def run(self) -> None:
@@ -52,6 +55,8 @@
             await asyncio.sleep(REPORT_INTERVAL_S)
             now = loop.time()
             self._detector.expire(now)
+            if not self._repeats.is_due(len(self._hosts_to_ask() or ()) + 1, now):
+                continue
             report = self._detector.report(now, everything=False)
             if report.ends:
                 self._exchange.broadcast(report)
