Bound one cause of crashes by its first end

Change: the time of a cause runs from its first end and doesn't move on, and a target that got its first request after that end isn't part of it. The test of two ends at one moment gave the second a request sent after the first end; it now names when each began, and has a row for each case.

--- a/src/flamingoladder/poison/history.py
+++ b/src/flamingoladder/poison/history.py
@@ -13,8 +13,11 @@
 
     from flamingoladder.poison.fingerprints import Fingerprints
 
-# Ends of targets in one failure domain within this time have one cause.
-SAME_CAUSE_S = 1.0
+# Ends of targets in one failure domain within this time of the first may have one cause. A target
+# that goes silent is found 1.5 s after the first request that it doesn't answer.
+SAME_CAUSE_S = 2.0
+# Ends this close together belong to one loss of a failure domain.
+SAME_LOSS_S = 1.0
 # So many other targets that end there at the same time show that the failure domain was lost.
 OTHER_ENDS_OF_LOST_DOMAIN = 2
 MIN_QUARANTINE_S = 120.0
@@ -175,10 +178,11 @@
             if self._lost_domain(end, fingerprint):
                 continue
             cause = causes_by_domain.get(end.failure_domain)
-            if cause is None or not cause.takes(end):
-                cause = causes_by_domain[end.failure_domain] = _Cause()
-                times.append(end.at)
-            cause.add(end)
+            if cause is not None and cause.takes(end):
+                cause.add(end)
+                continue
+            causes_by_domain[end.failure_domain] = _Cause(end)
+            times.append(end.at)
         return times
 
     def _suspected_ends(self, fingerprint: int) -> list[TargetEnd]:
@@ -189,7 +193,7 @@
     def _lost_domain(self, end: TargetEnd, fingerprint: int) -> bool:
         others = sum(
             other.failure_domain == end.failure_domain
-            and abs(other.at - end.at) <= SAME_CAUSE_S
+            and abs(other.at - end.at) <= SAME_LOSS_S
             and fingerprint not in other.fingerprints
             for other in self._ends_by_key.values()
         )
@@ -220,22 +224,31 @@
 
 
 class _Cause:
-    """Ends of different targets of one failure domain in short order."""
+    """Ends of different targets of one failure domain at one moment.
+
+    The moment is that of the first end and doesn't move on with further ones: a request that is
+    repeated at once ends a target each fraction of a second, and would else be one cause for good.
+    """
 
-    __slots__ = ("_last_at", "_targets")
+    __slots__ = ("_first_at", "_targets")
 
-    def __init__(self) -> None:
-        self._targets: set[str] = set()
-        self._last_at = 0.0
+    def __init__(self, first: TargetEnd) -> None:
+        self._targets = {first.target}
+        self._first_at = first.at
 
     def takes(self, end: TargetEnd) -> bool:
-        """Return whether the end has the same cause; a target that ended again was back between."""
-        return end.target not in self._targets and end.at - self._last_at <= SAME_CAUSE_S
+        """Return whether the end has the same cause.
+
+        A target that ended again was back between. A target that got its first request only after
+        the first end outlived it, so that it ended by something else.
+        """
+        if end.target in self._targets or end.began > self._first_at:
+            return False
+        return end.at - self._first_at <= SAME_CAUSE_S
 
     def add(self, end: TargetEnd) -> None:
-        """Add an end that this cause takes, or its first."""
+        """Add an end that this cause takes."""
         self._targets.add(end.target)
-        self._last_at = end.at
 
 
 def _is_same(known: TargetEnd, end: TargetEnd) -> bool:
--- a/tests/poison/test_history.py
+++ b/tests/poison/test_history.py
@@ -39,7 +39,9 @@
         ([end("a", 1.0), end("b", 1.0), end("c", 1.0)], 3),
         ([end("a", 1.0), end("a", 1.2)], 1),
         ([end("a", 1.0), end("a", 9.0, incarnation=2)], 2),
-        ([end("a", 1.0, "d"), end("b", 1.5, "d")], 1),
+        ([end("a", 1.0, "d"), end("b", 1.5, "d", began=0.9)], 1),
+        ([end("a", 1.0, "d"), end("b", 1.5, "d", began=1.1)], 2),
+        ([end("a", 1.0, "d"), end("b", 2.0, "d", began=0.9), end("c", 3.1, "d", began=0.9)], 2),
         ([end("a", 1.0, "d"), end("b", 3.0, "d")], 2),
         ([end("a", 1.0, "d"), end("a", 1.5, "d", incarnation=2)], 2),
         ([end("a", 1.0, incarnation=None), end("a", 1.2, incarnation=None, began=0.9)], 1),
@@ -52,6 +54,8 @@
         "one end told twice",
         "two starts of a target",
         "one domain at one moment",
+        "sent to a target that outlived the first",
+        "a chain longer than one moment",
         "one domain at two moments",
         "a target that was back between",
         "at work at one end",
@@ -150,3 +154,18 @@
         history.add(one)
     history.note_answer(OTHER, 2.0)
     assert [one.target for one in history.pressing_ends(30.0)] == ["a", "b", "y"]
+
+
+@pytest.mark.parametrize("domains", [1, 2, 6])
+@pytest.mark.parametrize("rhythm_s", [0.1, 0.3, 0.5, 0.9, 1.1, 2.0])
+def test_request_that_crashes_targets_in_quick_succession_is_condemned(
+    rhythm_s: float, domains: int
+) -> None:
+    """Guards against ends in one failure domain, each soon after the last, that count only once."""
+    history = CrashHistory()
+    ended = 0
+    while history.standing((F,), LIMIT, ended * rhythm_s).status is not Status.CONDEMNED:
+        ended += 1
+        domain = f"domain-{ended % domains}"
+        history.add(end(f"t-{ended}", ended * rhythm_s, domain, began=(ended - 0.5) * rhythm_s))
+        assert ended <= 8
