Update the fleet's demand by what a report changes

Cause: each admitted request added up the demand of its workspace over all hosts' reports, up to three times; each interval compared all workspaces of all hosts by name.

Change: the rate limiter keeps the sum of the other hosts' demand by workspace. It is updated by the entries that differ from the host's earlier report, and summed up anew once a host or an entry is gone.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,9 @@
     "floods",
     "capacity",
     "start",
+    "idle",
+    "links",
+    "entry",
 )
 
 
--- a/src/flamingoladder/limits/rate_limiter.py
+++ b/src/flamingoladder/limits/rate_limiter.py
@@ -69,6 +69,7 @@
     __slots__ = (
         "_buckets_by_workspace",
         "_host_count",
+        "_remote_demand_by_workspace",
         "_report_delay_s",
         "_reported",
         "_reports_by_host",
@@ -80,6 +81,7 @@
         self._tolerance = tolerance
         self._buckets_by_workspace: dict[str, WorkspaceBuckets] = {}
         self._reports_by_host: dict[str, Mapping[str, RateReport]] = {}
+        self._remote_demand_by_workspace: dict[str, float] = {}
         self._reported: dict[str, RateReport] = {}
         self._host_count = 1
         self._report_delay_s = REPORT_TRANSIT_S
@@ -94,14 +96,16 @@
         """Apply the number of all hosts, and the live reports of the others."""
         self._host_count = max(1, host_count)
         self._report_delay_s = report_interval_s + REPORT_TRANSIT_S
+        known_by_host, self._reports_by_host = self._reports_by_host, dict(reports_by_host)
         for host, reports in reports_by_host.items():
-            previous = self._reports_by_host.get(host)
-            if previous is None:
-                continue
-            for name, report in reports.items():
-                before = previous.get(name)
-                self._spend_remotely(name, report.admitted - (before.admitted if before else 0))
-        self._reports_by_host = dict(reports_by_host)
+            known = known_by_host.get(host)
+            if known is not reports:
+                self._take_changes(reports, known)
+        if not all(
+            host in reports_by_host and known.keys() <= reports_by_host[host].keys()
+            for host, known in known_by_host.items()
+        ):
+            self._sum_demand()
 
     def report(self, now: float) -> dict[str, RateReport]:
         """Return the report to send to the other hosts.
@@ -180,21 +184,34 @@
         reported = self._reported.get(workspace)
         return buckets.admitted if reported is None else max(reported.admitted, buckets.admitted)
 
-    def _spend_remotely(self, workspace: str, tokens: int) -> None:
-        buckets = self._buckets_by_workspace.get(workspace)
-        if buckets is not None and tokens > 0:
-            buckets.fleet_tokens -= tokens
+    def _take_changes(
+        self, reports: Mapping[str, RateReport], known: Mapping[str, RateReport] | None
+    ) -> None:
+        """Add what changed since a host's ``known`` reports, or a new host's demand alone."""
+        buckets_by_workspace, demands = self._buckets_by_workspace, self._remote_demand_by_workspace
+        for name, report in reports.items():
+            before = known.get(name) if known else None
+            if report is before:
+                continue
+            demand_before = before.demand_per_s if before else 0.0
+            demands[name] = demands.get(name, 0.0) + report.demand_per_s - demand_before
+            tokens = report.admitted - (before.admitted if before else 0)
+            if known is not None and tokens > 0 and name in buckets_by_workspace:
+                buckets_by_workspace[name].fleet_tokens -= tokens
+
+    def _sum_demand(self) -> None:
+        """Sum up the other hosts' demand anew, as some of it is no longer reported."""
+        demands = self._remote_demand_by_workspace = {}
+        for reports in self._reports_by_host.values():
+            for name, report in reports.items():
+                demands[name] = demands.get(name, 0.0) + report.demand_per_s
 
     @property
     def _silent_hosts(self) -> int:
         return max(0, self._host_count - 1 - len(self._reports_by_host))
 
     def _fleet_demand(self, workspace: str) -> float:
-        demand_per_s = self._own_demand(workspace)
-        for reports in self._reports_by_host.values():
-            report = reports.get(workspace)
-            demand_per_s += 0.0 if report is None else report.demand_per_s
-        return demand_per_s
+        return self._own_demand(workspace) + self._remote_demand_by_workspace.get(workspace, 0.0)
 
     def _own_demand(self, workspace: str) -> float:
         own = self._reported.get(workspace)
--- a/tests/limits/test_rate_limiter.py
+++ b/tests/limits/test_rate_limiter.py
@@ -7,6 +7,7 @@
 import pytest
 
 from flamingoladder.limits.rate_limiter import FleetRateLimiter
+from flamingoladder.limits.rate_limiter import RateReport
 from flamingoladder.limits.tolerance import RateTolerance
 from flamingoladder.routing.model import Workspace
 from flamingoladder.soak.windows import most_in_window
@@ -145,3 +146,22 @@
     limit = workspace(rate, burst)
     admitted, requested = simulate(limit, load, shares)
     assert len(admitted) >= 0.95 * min(requested, rate * DURATION_S + burst)
+
+
+def test_the_demand_of_other_hosts_is_that_of_their_present_reports() -> None:
+    """Sums that are updated by what changed must not keep what hosts no longer report."""
+    random = Random(1)
+    rates = FleetRateLimiter(RateTolerance(), start_full=True)
+    reports: dict[str, dict[str, RateReport]] = {}
+    for step in range(200):
+        host = f"h{random.randrange(8)}"
+        if random.random() < 0.2:
+            reports.pop(host, None)
+        else:
+            known = {} if random.random() < 0.2 else reports.get(host, {})
+            changed = RateReport(step, round(random.uniform(0.0, 9.0), 1))
+            reports[host] = {**known, f"w{random.randrange(4)}": changed}
+        rates.update(len(reports) + 1, reports, REPORT_INTERVAL_S)
+        for name in ("w0", "w1", "w2", "w3"):
+            present = [found[name].demand_per_s for found in reports.values() if name in found]
+            assert rates._fleet_demand(name) == pytest.approx(sum(present), abs=1e-6)
