Read the pace in load reports, and check the kinds of routes

A load report with a fourth figure was dropped whole, so that hosts saw no load of the targets that send one. Each figure is now read by itself; one that can't be read is dropped alone, counted, and logged at most once a second. The pace is averaged over about half a second, multiplies the cost of run and queue at that target, and counts as usual two seconds after the last report. Recorded run times are divided by it, as the expected time is multiplied by it.

Kinds of routes are idempotent and download (may be repeated) and non_idempotent and upload (at most once). Any other makes the configuration unreadable, with a message that names route, field and valid values.

The test of a route's kind became a table of all four kinds. The test of the load header became a table with three, four and malformed figures.

--- a/src/flamingoladder/entry/load_balancer.py
+++ b/src/flamingoladder/entry/load_balancer.py
@@ -33,7 +33,8 @@
     """A chosen target, with its ``load`` in requests and its ``cost`` in units of a cold run.
 
     ``is_home`` is set if the target is the object's home. ``is_warm`` is set if the target has
-    probably handled the object recently, or if the request concerns no object.
+    probably handled the object recently, or if the request concerns no object. Work at the target
+    takes ``pace`` times its usual duration now.
     """
 
     target: TargetState
@@ -41,6 +42,7 @@
     is_warm: bool
     load: int
     cost: float
+    pace: float = 1.0
 
     @property
     def queue_position(self) -> int:
@@ -160,7 +162,8 @@
         if choice.queue_position:
             return
         if choice.is_home or request.object_key is None:
-            self._run_times.record(request.service, request.route.name, seconds)
+            # The expected duration is multiplied by the pace of the target that is chosen.
+            self._run_times.record(request.service, request.route.name, seconds / choice.pace)
 
     def homes_of(self, service: str) -> HomeAssignment:
         """Return the assignment of a service's objects to home targets."""
@@ -281,7 +284,9 @@
         run = costs.run_cost(target, home, object_key)
         queueing = costs.queueing_cost(target.queue_position(load), target.record.slots)
         is_warm = object_key is None or run < costs.COLD_RUN_COST
-        return Choice(target, target is home, is_warm, load, network + run + queueing)
+        pace = target.pace_factor(now)
+        cost = network + (run + queueing) * pace
+        return Choice(target, target is home, is_warm, load, cost, pace)
 
     def _regions_by_target(self, service: str, now: float) -> dict[str, str]:
         return {
--- a/src/flamingoladder/platform/configuration.py
+++ b/src/flamingoladder/platform/configuration.py
@@ -16,7 +16,10 @@
 from flamingoladder.routing.model import priorities_of
 
 VERSION_BASE = 16
-IDEMPOTENT = "idempotent"
+# Requests of these kinds of routes may run more than once. Downloads have large responses.
+REPEATABLE_KINDS = ("idempotent", "download")
+# Requests of these kinds run at most once. Uploads have large bodies.
+AT_MOST_ONCE_KINDS = ("non_idempotent", "upload")
 
 
 class _Service(msgspec.Struct):
@@ -133,7 +136,7 @@
         name=found.name,
         host=host,
         prefix=found.path_prefix,
-        idempotent=found.kind == IDEMPOTENT,
+        idempotent=_may_be_repeated(found),
         timeout_s=found.timeout_s,
         latency_slo_s=found.timeout_s if found.latency_slo_s is None else found.latency_slo_s,
         priority=found.priority,
@@ -145,6 +148,17 @@
     )
 
 
+def _may_be_repeated(found: _Path) -> bool:
+    if found.kind in REPEATABLE_KINDS:
+        return True
+    if found.kind in AT_MOST_ONCE_KINDS:
+        return False
+    valid = ", ".join((*REPEATABLE_KINDS, *AT_MOST_ONCE_KINDS))
+    raise UnreadableRowError(
+        f"route {found.name}: kind is {found.kind!r}; set it to one of {valid}"
+    )
+
+
 def _shares(found: _Path) -> tuple[ServiceShare, ...]:
     total = sum(part.weight for part in found.traffic_split)
     if found.traffic_split and total > 0:
--- a/src/flamingoladder/platform/target_notices.py
+++ b/src/flamingoladder/platform/target_notices.py
@@ -19,6 +19,9 @@
     from flamingoladder.verdict import Answer
 
 MS_PER_S = 1_000
+LOAD_COUNTS = 3
+LOAD_FIGURES = 4
+MAX_COUNT_DIGITS = 9
 
 
 def notice_of(answer: Answer) -> TargetNotice:
@@ -67,8 +70,26 @@
 
 
 def _parse_load(text: str | None) -> LoadReport | None:
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
+    """Return the figures of a report: running, waiting and slots, and on some services the pace.
+
+    A figure that can't be read drops itself alone; figures after the fourth are ignored.
+    """
+    if text is None:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return LoadReport(running, waiting, slots)
+    parts = [part.strip() for part in text.split(",", LOAD_FIGURES)[:LOAD_FIGURES]]
+    parts += [""] * (LOAD_COUNTS - len(parts))
+    running, waiting, slots = counts = [_parse_count(part) for part in parts[:LOAD_COUNTS]]
+    pace = _parse_pace(parts[LOAD_COUNTS]) if len(parts) > LOAD_COUNTS else None
+    faults = counts.count(None) + (len(parts) > LOAD_COUNTS and pace is None)
+    shown = text[:MAX_LOGGED_CHARACTERS] if faults else ""
+    return LoadReport(running, waiting, slots, pace, faults, shown)
+
+
+def _parse_count(text: str) -> int | None:
+    is_count = text.isascii() and text.isdecimal() and len(text) <= MAX_COUNT_DIGITS
+    return int(text) if is_count else None
+
+
+def _parse_pace(text: str) -> float | None:
+    """Return the pace in percent, or None; work that takes no time is no pace."""
+    return number_from_zero(text) or None
--- a/src/flamingoladder/targets/notice_learner.py
+++ b/src/flamingoladder/targets/notice_learner.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from flamingoladder.targets.load_faults import LoadFaults
 from flamingoladder.targets.pause_learner import PauseLearner
 from flamingoladder.targets.rate_limit import Told
 
 if TYPE_CHECKING:
     from flamingoladder.fleet.members import MemberRegistry
+    from flamingoladder.targets.notices import LoadReport
     from flamingoladder.targets.notices import PauseNotice
     from flamingoladder.targets.notices import TargetNotice
     from flamingoladder.targets.rate_limit import RateLimitNotice
@@ -23,7 +25,7 @@
 class NoticeLearner:
     """Takes in notices and records what they change. Times are monotonic seconds."""
 
-    __slots__ = ("_members", "_pauses", "_recorder", "_targets")
+    __slots__ = ("_load_faults", "_members", "_pauses", "_recorder", "_targets")
 
     def __init__(
         self, targets: TargetRegistry, members: MemberRegistry, recorder: Recorder
@@ -32,11 +34,12 @@
         self._members = members
         self._recorder = recorder
         self._pauses = PauseLearner(recorder)
+        self._load_faults = LoadFaults()
 
     def learn(self, target: TargetState, notice: TargetNotice, sent_at: float, now: float) -> None:
         """Take in the answer of ``now`` to a request that was sent at ``sent_at``."""
         if notice.load is not None:
-            target.update_load(notice.load, now)
+            self._learn_load(target, notice.load, now)
         if notice.rate_limit is not None:
             self._learn_own_rate_limit(target, notice.rate_limit, sent_at, now)
         if notice.leaving:
@@ -70,6 +73,19 @@
             and now - target.notices.leaving_since < LEAVING_REPORTED_S
         }
 
+    def _learn_load(self, target: TargetState, load: LoadReport, now: float) -> None:
+        target.update_load(load, now)
+        if not load.unreadable_figures:
+            return
+        figures = self._load_faults.count(load.unreadable_figures, now)
+        if figures:
+            self._recorder.record(
+                "target.load_unreadable",
+                target=target.record.target_id,
+                value=load.unreadable,
+                figures=figures,
+            )
+
     def _learn_leaving(self, target: TargetState, now: float, *, source: str | None) -> None:
         if target.notices is not None and target.notices.leaving_since is not None:
             return
--- a/src/flamingoladder/targets/notices.py
+++ b/src/flamingoladder/targets/notices.py
@@ -21,11 +21,19 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """Numbers of running and waiting requests and of slots, as reported by a target."""
+    """Numbers of running and waiting requests and of slots, as reported by a target.
 
-    running: int
-    waiting: int
-    slots: int
+    ``pace_percent`` is how long work takes on its machine now, 100 being usual. A figure is None
+    if the report lacks it. ``unreadable_figures`` counts those that could not be read, and
+    ``unreadable`` is the start of such a report.
+    """
+
+    running: int | None = None
+    waiting: int | None = None
+    slots: int | None = None
+    pace_percent: float | None = None
+    unreadable_figures: int = 0
+    unreadable: str = ""
 
 
 class PauseNotice(msgspec.Struct, frozen=True):
--- a/src/flamingoladder/targets/state.py
+++ b/src/flamingoladder/targets/state.py
@@ -8,6 +8,7 @@
 
 from flamingoladder.targets.fleet_share import SendWindow
 from flamingoladder.targets.notices import TargetNotices
+from flamingoladder.targets.pace import PaceAverage
 from flamingoladder.targets.queue_limit import QueueLimit
 from flamingoladder.targets.rate_limit import TargetRateLimit
 from flamingoladder.targets.slow_start import SEND_WINDOW_S
@@ -38,6 +39,7 @@
         "_load",
         "_load_updated_at",
         "_outcomes",
+        "_pace",
         "_recent_objects",
         "down",
         "ejected_until",
@@ -67,8 +69,9 @@
         self.ejected_until = now
         self.remove_at: float | None = None
         self._ejection_s = BASE_EJECTION_S
-        self._load: LoadReport | None = None
+        self._load: int | None = None
         self._load_updated_at = now
+        self._pace: PaceAverage | None = None
         self._outcomes: deque[bool] = deque(maxlen=RECENT_OUTCOMES_KEPT)
         self._recent_objects: OrderedDict[str, None] = OrderedDict()
 
@@ -82,6 +85,7 @@
             self.queue_limit = QueueLimit()
             self.notices = None
             self._load = None
+            self._pace = None
         self.slow_start_until = max(self.slow_start_until, now + record.slow_start_s)
         says_leaving = self.notices is not None and self.notices.leaving_since is not None
         self.leaving = record.draining or says_leaving
@@ -131,16 +135,25 @@
         return self.notices
 
     def update_load(self, load: LoadReport, now: float) -> None:
-        """Store the load that the target reported."""
-        self._load = load
-        self._load_updated_at = now
+        """Store the load and the pace that the target reported, as far as they could be read."""
+        if load.running is not None or load.waiting is not None:
+            self._load = (load.running or 0) + (load.waiting or 0)
+            self._load_updated_at = now
+        if load.pace_percent is not None:
+            if self._pace is None:
+                self._pace = PaceAverage()
+            self._pace.add(load.pace_percent, now)
+
+    def pace_factor(self, now: float) -> float:
+        """Return how long work takes here now, in units of its usual duration."""
+        return 1.0 if self._pace is None else self._pace.factor(now)
 
     def load(self, now: float) -> int:
         """Return the number of requests at the target, by the hosts' counts or by its report."""
         local_count = self.in_flight + self.remote_in_flight
         if self._load is None or now - self._load_updated_at > LOAD_REPORT_LIFETIME_S:
             return local_count
-        return max(local_count, self._load.running + self._load.waiting)
+        return max(local_count, self._load)
 
     def queue_position(self, load: int) -> int:
         """Return the queue position of one more request at the target, with ``load`` already there.
--- a/tests/entry/test_target_notices.py
+++ b/tests/entry/test_target_notices.py
@@ -9,6 +9,7 @@
 import pytest
 
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.targets.notices import LoadReport
 from flamingoladder.targets.notices import PauseNotice
 from flamingoladder.targets.notices import TargetNotice
 from flamingoladder.verdict import Verdict
@@ -204,3 +205,16 @@
         return (await request).is_ok()
 
     assert run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize(("percent", "at_home"), [(None, True), (100.0, True), (400.0, False)])
+async def test_a_slow_machine_gets_less_work(percent: float | None, *, at_home: bool) -> None:
+    """Hosts that ignored the pace queued requests at a machine that worked at half its speed."""
+    harness = EntryHarness(FakeTargetClient(), regions_by_domain={"d1": "r1", "d2": "r1"})
+    now = asyncio.get_running_loop().time()
+    await harness.handler.handle(incoming(), now)
+    home = harness.client.sent[0]
+    load = LoadReport(0, 0, 3, percent)
+    harness.notices.learn(harness.targets.by_id[home], TargetNotice(load), now, now)
+    await harness.handler.handle(incoming(), now)
+    assert (harness.client.sent[1] == home) is at_home
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -76,9 +76,24 @@
     assert plan.limits.max_body_bytes == 1000
 
 
-def test_what_may_be_repeated_follows_from_the_kind_alone() -> None:
-    plan = decode_configuration(msgspec.json.encode(document(kind="non_idempotent", name="get")))
-    assert not plan.routes_by_host["a.example"][0].idempotent
+@pytest.mark.parametrize(
+    ("kind", "may_be_repeated"),
+    [("idempotent", True), ("download", True), ("non_idempotent", False), ("upload", False)],
+)
+def test_what_may_be_repeated_follows_from_the_kind_alone(
+    kind: str, *, may_be_repeated: bool
+) -> None:
+    plan = decode_configuration(msgspec.json.encode(document(kind=kind, name="get")))
+    assert plan.routes_by_host["a.example"][0].idempotent is may_be_repeated
+
+
+@pytest.mark.parametrize("kind", ["", "Idempotent", "stream"])
+def test_an_unknown_kind_is_refused_with_the_valid_ones(kind: str) -> None:
+    """Taken for one that may not be repeated, a misspelt kind lost its retries unseen."""
+    with pytest.raises(UnreadableRowError) as refused:
+        decode_configuration(msgspec.json.encode(document(kind=kind)))
+    words = ("route r1", "kind", repr(kind), "idempotent, download, non_idempotent, upload")
+    assert all(word in str(refused.value) for word in words)
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_target_wire.py
+++ b/tests/platform/test_target_wire.py
@@ -224,11 +224,27 @@
     assert [result.answer.body for result in (first, second) if result.answer] == [b"hello"] * 2
 
 
-async def test_the_load_of_the_target_is_read() -> None:
-    load = "Flamingoladder-Server-Load: 3,2,8\r\n"
-    result = await send_once(RawTarget(reply(SIGNED + load + LENGTH)))
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        ("3,2,8", LoadReport(3, 2, 8)),
+        ("3, 2, 8, 130", LoadReport(3, 2, 8, 130.0)),
+        ("3,2,8,99.5", LoadReport(3, 2, 8, 99.5)),
+        ("3,2,8,130,7", LoadReport(3, 2, 8, 130.0)),
+        ("3,2,8,fast", LoadReport(3, 2, 8, None, 1, "3,2,8,fast")),
+        ("3,2,8,0", LoadReport(3, 2, 8, None, 1, "3,2,8,0")),
+        ("3,2,8,nan", LoadReport(3, 2, 8, None, 1, "3,2,8,nan")),
+        ("3,-2,8,130", LoadReport(3, None, 8, 130.0, 1, "3,-2,8,130")),
+        ("1e9,2", LoadReport(None, 2, None, None, 2, "1e9,2")),
+        ("9999999999,2,8", LoadReport(None, 2, 8, None, 1, "9999999999,2,8")),
+    ],
+)
+async def test_the_load_of_the_target_is_read(value: str, load: LoadReport) -> None:
+    """A fourth figure once dropped the whole report, so that hosts saw no load at all."""
+    head = f"Flamingoladder-Server-Load: {value}\r\n"
+    result = await send_once(RawTarget(reply(SIGNED + head + LENGTH)))
     assert result.notice is not None
-    assert result.notice.load == LoadReport(3, 2, 8)
+    assert result.notice.load == load
 
 
 @pytest.mark.parametrize(
