Answer look-ups by failure domain, capacity and busyness of hosts

Look-ups treated all hosts of a region alike: a host with 0.43 cores got as many callers as one with 2.15, and callers crossed failure domains without need.

In fleets of more than 16 hosts, a caller that names its failure domain gets up to 8 hosts of it, or of the region if fewer than 3 of them serve. They are selected by weighted rendezvous hashing of the caller's address and the host, with inclusion in proportion to capacity. Hosts register their capacity and report how busy they are in tenths of it; a host that is much busier than its neighbours is in fewer answers, and hosts of the other failure domains join in as a failure domain gets busier than its region or loses more of its hosts.

--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -26,6 +26,7 @@
 from flamingoladder.fleet.members import MemberRegistry
 from flamingoladder.fleet.messages import FleetMessage
 from flamingoladder.fleet.object_snapshots import ObjectSnapshotter
+from flamingoladder.fleet.processor_use import ProcessorUse
 from flamingoladder.fleet.relays import RegionRelays
 from flamingoladder.limits.rate_limiter import FleetRateLimiter
 from flamingoladder.limits.retry_budgets import RetryBudgets
@@ -97,7 +98,10 @@
         self.configuration = ActiveConfiguration(self.targets, rate_limiter, self.recorder)
         self.members = MemberRegistry(settings.host, self.recorder)
         self.relays = RegionRelays(self.own_member, self.members)
-        self.lookups = FleetLookup(self.own_member, self.members, bounds.lookup_ttl_s)
+        processor_use = ProcessorUse(settings.capacity_cores)
+        self.lookups = FleetLookup(
+            self.own_member, self.members, bounds.lookup_ttl_s, processor_use
+        )
         slow_start_limit = SlowStartLimit(
             settings.host, bounds.slow_start_overshoot, bounds.slow_start_slack
         )
@@ -112,7 +116,14 @@
         )
         notices = NoticeLearner(self.targets, self.members, self.recorder)
         self.reporter = HostReporter(
-            self.targets, self.configuration, balancer, rate_limiter, budgets, self.members, notices
+            self.targets,
+            self.configuration,
+            balancer,
+            rate_limiter,
+            budgets,
+            self.members,
+            notices,
+            processor_use,
         )
         poison_exchange = FleetPoisonExchange(self.peer_links, self.relays)
         poison_detector = PoisonDetector(
@@ -216,4 +227,5 @@
         keys.public_key,
         link_mbps=settings.link_mbps,
         takes_compressed=True,
+        capacity_cores=settings.capacity_cores,
     )
--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -223,7 +223,12 @@
         if self._components.configuration.routing is None:
             return web.Response(status=503)
         now = asyncio.get_running_loop().time()
-        answer = self._components.lookups.answer(callers.lookup_region(request), now)
+        answer = self._components.lookups.answer(
+            callers.lookup_region(request),
+            now,
+            callers.lookup_failure_domain(request),
+            request.remote or "",
+        )
         return callers.lookup_response(answer)
 
     async def _handle_metrics(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/src/flamingoladder/entry/host_reports.py
+++ b/src/flamingoladder/entry/host_reports.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from flamingoladder.fleet.messages import HostReport
+from flamingoladder.fleet.processor_use import ProcessorUse
 from flamingoladder.limits.rate_deltas import RateDeltas
 from flamingoladder.targets.rate_limit import MS_PER_S
 from flamingoladder.targets.rate_limit import Told
@@ -36,6 +38,7 @@
         "_members",
         "_next_object_by_service",
         "_notices",
+        "_processor_use",
         "_rate_deltas",
         "_rate_limiter",
         "_reported_count_by_service",
@@ -52,6 +55,7 @@
         budgets: RetryBudgets,
         members: MemberRegistry,
         notices: NoticeLearner,
+        processor_use: ProcessorUse | None = None,
     ) -> None:
         self._targets = targets
         self._configuration = configuration
@@ -60,6 +64,7 @@
         self._budgets = budgets
         self._members = members
         self._notices = notices
+        self._processor_use = processor_use or ProcessorUse(0.0)
         self._next_object_by_service: dict[str, int] = {}
         self._reported_count_by_service: dict[str, int] = {}
         self._rate_deltas = RateDeltas()
@@ -81,6 +86,7 @@
             self._objects(with_repeated=self._rate_deltas.is_full),
             self._rate_limits(now),
             self._notices.leaving_targets(now),
+            busy_tenths=self._processor_use.observe(time.process_time(), now),
         )
 
     def receive_report(self, host: str, report: HostReport, now: float) -> None:
--- a/src/flamingoladder/fleet/exchange.py
+++ b/src/flamingoladder/fleet/exchange.py
@@ -85,7 +85,9 @@
         self._links.send_all(self._links.hosts, report)
 
     def _is_due(self, report: HostReport) -> bool:
-        self._empty_reports = self._empty_reports + 1 if report == EMPTY_REPORT else 0
+        # Without its busyness, so that a host that only keeps itself up reports no more for it.
+        is_empty = msgspec.structs.replace(report, busy_tenths=0) == EMPTY_REPORT
+        self._empty_reports = self._empty_reports + 1 if is_empty else 0
         return self._empty_reports % EMPTY_REPORTS_PER_SEND == 0
 
     async def _on_report(self, peer: Peer, report: HostReport) -> None:
--- a/src/flamingoladder/fleet/messages.py
+++ b/src/flamingoladder/fleet/messages.py
@@ -18,6 +18,7 @@
     "rate_limits_by_target": "m",
     "leaving_targets": "q",
     "sequence": "n",
+    "busy_tenths": "b",
 }
 
 
@@ -30,7 +31,7 @@
     host's region: new ones at once, all others in turn. ``rate_limits_by_target`` holds what
     targets said of their rate limits to this host lately, ``leaving_targets`` the starts (Unix ms)
     of targets that said lately that they leave. ``sequence`` numbers the reports of one
-    incarnation.
+    incarnation. ``busy_tenths`` is the host's use of the processor in tenths of its capacity.
     """
 
     unavailable: bool = False
@@ -40,6 +41,7 @@
     rate_limits_by_target: dict[str, RateLimitReport] = {}
     leaving_targets: dict[str, int | None] = {}
     sequence: int = 0
+    busy_tenths: int = 0
 
 
 class ForwardedReport(msgspec.Struct, frozen=True, array_like=True):
--- a/src/flamingoladder/platform/callers.py
+++ b/src/flamingoladder/platform/callers.py
@@ -104,6 +104,11 @@
     return request.query.get("region", "")
 
 
+def lookup_failure_domain(request: web.BaseRequest) -> str:
+    """Return the failure domain that a look-up comes from, or "" if it names none."""
+    return request.query.get("zone", "")
+
+
 def _status(refusal: Refusal) -> int:
     if refusal.reason in STATUS_BY_REASON:
         return STATUS_BY_REASON[refusal.reason]
--- a/src/flamingoladder/platform/settings.py
+++ b/src/flamingoladder/platform/settings.py
@@ -19,6 +19,14 @@
 class _Limits(msgspec.Struct):
     link_mbps: float = 0.0
     memory_mb: float = 0.0
+    cores: float | None = None
+    cpu_share: float | None = None
+
+    @property
+    def capacity_cores(self) -> float:
+        """Return the processor time per second that the host may use, 0 if it is not known."""
+        share = 1.0 if self.cpu_share is None else self.cpu_share
+        return max(0.0, (self.cores or 0.0) * share)
 
 
 class _Own(msgspec.Struct):
@@ -110,6 +118,7 @@
             store_url=f"http://{found.provider.provider.address}",
             link_mbps=found.own.limits.link_mbps,
             memory_mb=found.own.limits.memory_mb,
+            capacity_cores=found.own.limits.capacity_cores,
             bounds=Bounds(
                 grace_s=bounds.grace_s,
                 retry_ratio=bounds.retry_budget_ratio,
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from flamingoladder.fleet.lookups import FleetLookup
@@ -90,3 +91,31 @@
     registry.receive("h1", "1", HostReport(False, {"b": RateReport(9, 2.0)}, {}, {}), 0.2)
     rates = registry.live_reports(0.3)["h1"].rates_by_workspace
     assert rates == {"a": RateReport(5, 1.0), "b": RateReport(9, 2.0)}
+
+
+def large_fleet(count: int, *, per_domain: int) -> MemberRegistry:
+    registry = MemberRegistry("h0", Recorder("h0", "i"))
+    for number in range(1, count):
+        domain = f"r1-{'a' if number < per_domain else 'b'}"
+        registry.put(msgspec.structs.replace(member(f"h{number}"), failure_domain=domain), 0.0)
+        registry.receive(f"h{number}", "1", REPORT, 0.0)
+    return registry
+
+
+@pytest.mark.parametrize(
+    ("count", "domain", "per_domain", "listed"),
+    [
+        pytest.param(16, "r1-a", 8, range(16), id="small fleet: all hosts of the region"),
+        pytest.param(30, "", 8, range(30), id="no failure domain named: all hosts of the region"),
+        pytest.param(30, "r1-a", 8, range(8), id="the failure domain alone"),
+        pytest.param(30, "r1-a", 3, range(3), id="the failure domain with three hosts"),
+        pytest.param(30, "r1-a", 2, range(30), id="too few hosts in the failure domain"),
+    ],
+)
+def test_callers_get_hosts_of_their_failure_domain_while_it_has_enough(
+    count: int, domain: str, per_domain: int, listed: range
+) -> None:
+    lookup = FleetLookup(member("h0"), large_fleet(count, per_domain=per_domain), 5.0)
+    answers = [lookup.answer("r1", 0.1, domain, f"10.0.0.{number}") for number in range(300)]
+    assert {url for of in answers for url in of.addresses} == {f"h{n}:80" for n in listed}
+    assert all(len(of.addresses) >= 3 for of in answers)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -27,7 +27,13 @@
         "region": "north",
         "bootstrap": True,
         "data_dir": None,
-        "limits": {"link_mbps": 20.0, "memory_mb": 300, "max_fds": 4100},
+        "limits": {
+            "link_mbps": 20.0,
+            "memory_mb": 300,
+            "max_fds": 4100,
+            "cores": 2,
+            "cpu_share": 0.5,
+        },
         "unheard_of": {"by": "us"},
     },
     "network": {
@@ -79,6 +85,7 @@
     assert settings.store_url == "http://10.200.1.7:8205"
     assert settings.link_mbps == 20.0
     assert settings.memory_mb == 300.0
+    assert settings.capacity_cores == 1.0
     assert settings.bounds.propagation_s == 2.5
     assert settings.bounds.retry_slack == 58
     assert settings.bounds.rate_tolerance == RateTolerance(0.05, 12, 4)
