List all near hosts to callers that share one address

Hosts are selected by the caller's address, so that callers behind one address would all get the same 8 hosts.

--- a/src/flamingoladder/fleet/host_selection.py
+++ b/src/flamingoladder/fleet/host_selection.py
@@ -31,6 +31,7 @@
 WIDEN_RATIO = 1.2
 FULLY_WIDE_RATIO = 1.8
 MAX_INCLUSION = 0.95
+HALF = 0.5
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -41,11 +42,16 @@
 
 
 def select_hosts(
-    caller: str, failure_domain: str, region: Sequence[Candidate], silent: Sequence[Member] = ()
+    caller: str,
+    failure_domain: str,
+    region: Sequence[Candidate],
+    silent: Sequence[Member] = (),
+    max_selected: int = MAX_SELECTED,
 ) -> list[Member]:
     """Return the hosts of ``region`` for a caller, best first; the same at all hosts.
 
-    ``silent`` are the registered hosts of the region that don't serve now.
+    ``silent`` are the registered hosts of the region that don't serve now. A ``max_selected`` above
+    ``MAX_SELECTED`` selects as many as that of the hosts that count for half or more.
 
     Loads: hosts of uneven capacity, a host that cannot keep up, a lost failure domain, many hosts
     killed at once, callers that move to another failure domain.
@@ -67,8 +73,12 @@
         capacity * factor * _busy_factor(of, region, capacities)
         for of, capacity, factor in zip(region, capacities, near, strict=True)
     ]
+    wanted = max(MIN_SELECTED, round(sum(near) * 2 / 3))
+    if max_selected > MAX_SELECTED:
+        weights = [float(factor >= HALF) for factor in near]
+        wanted = max_selected
     eligible = [index for index, weight in enumerate(weights) if weight > 0]
-    count = min(MAX_SELECTED, max(MIN_SELECTED, round(sum(near) * 2 / 3)), len(eligible))
+    count = min(max_selected, wanted, len(eligible))
     fractions = _fractions([weights[index] for index in eligible], count)
     ranked = sorted(
         (_rank(caller, region[index].member.host, fraction), index)
--- a/src/flamingoladder/fleet/lookups.py
+++ b/src/flamingoladder/fleet/lookups.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from flamingoladder.fleet.caller_addresses import CallerAddresses
+from flamingoladder.fleet.host_selection import MAX_SELECTED
 from flamingoladder.fleet.host_selection import MIN_DOMAIN_HOSTS
 from flamingoladder.fleet.host_selection import Candidate
 from flamingoladder.fleet.host_selection import select_hosts
@@ -35,7 +37,7 @@
     hosts, selected by nearness, capacity and busyness. ``processor_use`` is that of this host.
     """
 
-    __slots__ = ("_members", "_own", "_processor_use", "_ttl_s", "leaving")
+    __slots__ = ("_caller_addresses", "_members", "_own", "_processor_use", "_ttl_s", "leaving")
 
     def __init__(
         self,
@@ -46,6 +48,7 @@
     ) -> None:
         self._own = own
         self._members = members
+        self._caller_addresses = CallerAddresses()
         self._ttl_s = min(MAX_TTL_S, max_ttl_s)
         self._processor_use = processor_use or ProcessorUse(0.0)
         self.leaving = False
@@ -61,7 +64,11 @@
         if self._selects(failure_domain, in_region):
             candidates = [Candidate(member, self._busy_tenths(member)) for member in in_region]
             silent = self._silent_members(region, in_region)
-            selected = select_hosts(caller, failure_domain, candidates, silent)
+            known = any(member.failure_domain == failure_domain for member in in_region)
+            max_selected = MAX_HOSTS_PER_ANSWER
+            if self._caller_addresses.are_many(failure_domain if known else "", caller, now):
+                max_selected = MAX_SELECTED
+            selected = select_hosts(caller, failure_domain, candidates, silent, max_selected)
             return LookupAnswer(tuple(of.caller_url for of in selected), self._ttl_s)
         # Each host sorts differently, so that no host of a large region is in none of the answers.
         listed = sorted(in_region or members, key=self._order_hash)[:MAX_HOSTS_PER_ANSWER]
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -119,3 +119,14 @@
     answers = [lookup.answer("r1", 0.1, domain, f"10.0.0.{number}") for number in range(300)]
     assert {url for of in answers for url in of.addresses} == {f"h{n}:80" for n in listed}
     assert all(len(of.addresses) >= 3 for of in answers)
+
+
+def test_callers_behind_one_address_get_all_hosts_of_their_failure_domain() -> None:
+    lookup = FleetLookup(member("h0"), large_fleet(30, per_domain=12), 5.0)
+    for number in range(20):
+        answer = lookup.answer("r1", number / 100, "r1-a", "10.0.0.1")
+    assert sorted(answer.addresses) == sorted(f"h{n}:80" for n in range(12))
+    for number in range(4):
+        answer = lookup.answer("r1", 0.3, "r1-a", f"10.0.0.{number}")
+    assert len(answer.addresses) == 8
+    assert len(lookup.answer("r1", 0.3, "r1-b", "10.0.0.1").addresses) == 18
