Assign the same homes at all hosts at any number of objects

With more than 400 known objects a host gave homes one by one, by what it knew at that moment. The correction pass started from zero at each change of the targets, so that hosts disagreed for as long as targets came and went, and each disagreement cost cold runs.

Homes now follow from the present targets and the known objects alone. A pass goes on when targets change, and the next one takes the change in; the homes of the pass before hold until it is over. Up to 400 objects all homes are still assigned at once, by the same rule. An object that several regions ask for belongs to the one with the lowest hash, whoever heard of it first.

The load balancer keeps the targets of each service until registrations or slow starts change, examines targets in rank order only as far as needed, and compares 48 random ones for a request without an object if there are more.

Tests of homes ask for the home itself, as rankings are now lazy; the bound on kept rankings is that of known objects instead of 512.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,7 +8,17 @@
 
 import defopt
 
-NAMES = ("rates", "freshness", "ledger", "steering", "gateway", "platform", "floods", "capacity")
+NAMES = (
+    "rates",
+    "freshness",
+    "ledger",
+    "steering",
+    "gateway",
+    "platform",
+    "floods",
+    "capacity",
+    "placement",
+)
 
 
 def bench(names: list[str] | None = None, *, quick: bool = False) -> int:
--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -42,6 +42,8 @@
 EXIT_MARGIN_S = 0.4
 LEAVE_TIMEOUT_S = 0.1
 MAINTENANCE_INTERVAL_S = 0.25
+# Each takes 1 to 2 ms, so all take about a twentieth of the interval.
+HOME_STEPS_PER_MAINTENANCE = 8
 NO_ROUTE_LABEL = "none"
 MAX_HEADER_FIELD_BYTES = 65_536
 CLOSE_TIMEOUT_S = 0.2
@@ -189,13 +191,20 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             now = loop.time()
             components.targets.expire(now)
-            components.balancer.correct_homes()
+            await self._correct_homes()
             if not components.members.has_lowest_name(now):
                 continue
             for member in components.members.lost(now):
                 components.recorder.record("host.forgotten", peer=member.host)
                 await components.membership.forget(member.host)
 
+    async def _correct_homes(self) -> None:
+        """Take some steps, each in a turn of the event loop of its own."""
+        for _ in range(HOME_STEPS_PER_MAINTENANCE):
+            if not self._components.balancer.correct_homes():
+                return
+            await asyncio.sleep(0)
+
     async def _handle_caller(self, request: web.BaseRequest) -> web.StreamResponse:
         started = asyncio.get_running_loop().time()
         routing = self._components.configuration.routing
--- a/src/flamingoladder/entry/load_balancer.py
+++ b/src/flamingoladder/entry/load_balancer.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from itertools import islice
+from random import Random
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from flamingoladder.entry import costs
+from flamingoladder.entry.request_targets import RequestTargets
+from flamingoladder.entry.service_targets import ServiceTargetsCache
 from flamingoladder.steering.home_assignment import HomeAssignment
 from flamingoladder.steering.overflow_cap import OverflowCap
+from flamingoladder.steering.target_rankings import ALL_REGIONS
 from flamingoladder.targets.fleet_share import fleet_share
 from flamingoladder.targets.run_times import RunTimes
 from flamingoladder.targets.state import TargetState
@@ -19,14 +24,18 @@
 
     from flamingoladder.entry.active_configuration import ActiveConfiguration
     from flamingoladder.entry.request import RoutedRequest
+    from flamingoladder.entry.service_targets import ServiceTargets
     from flamingoladder.fleet.members import MemberRegistry
     from flamingoladder.steering.known_objects import KnownObjects
+    from flamingoladder.steering.known_objects import ObjectKey
     from flamingoladder.targets.notices import TargetNotices
     from flamingoladder.targets.registry import TargetRegistry
     from flamingoladder.targets.slow_start import SlowStartLimit
 
 # The number of targets, highest ranked first, that are compared for a request.
 MAX_CANDIDATES = 4
+# The number of targets that are compared for a request without an object, unless all are busy.
+MAX_COMPARED = 48
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -70,10 +79,11 @@
         "_homes_by_service",
         "_members",
         "_overflow",
+        "_random",
         "_region",
         "_run_times",
+        "_service_targets",
         "_slow_start_limit",
-        "_targets",
     )
 
     def __init__(
@@ -84,7 +94,6 @@
         slow_start_limit: SlowStartLimit,
         region: str,
     ) -> None:
-        self._targets = targets
         self._configuration = configuration
         self._members = members
         self._slow_start_limit = slow_start_limit
@@ -92,6 +101,8 @@
         self._homes_by_service: dict[str, HomeAssignment] = {}
         self._run_times = RunTimes()
         self._overflow = OverflowCap()
+        self._service_targets = ServiceTargetsCache(targets)
+        self._random = Random()
 
     @property
     def region(self) -> str:
@@ -108,21 +119,12 @@
         work on requests that are too late; if the best target would need a cold run, which takes
         the time of several warm ones; or if requests recently timed out at that queue position.
         """
-        allowed = [
-            target
-            for target in self._targets.eligible_targets(request.service)
-            if not target.down
-            and (request.regions is None or target.region in request.regions)
-            and (target.notices is None or self._allows_send(target, target.notices, now))
-        ]
-        usable = [target for target in allowed if not target.in_slow_start(now)]
-        home_candidates = _not_ejected(usable, now)
-        reachable = _not_ejected(_untried(usable, tried), now) if tried else home_candidates
-        best = self._best(request, home_candidates, reachable, now)
+        service = self._service_targets.get(request.service, now)
+        targets = RequestTargets(service, request, tried, self._allows_send, now)
+        best = self._best(request, service, targets, now)
         if best is None:
-            starting = [target for target in _untried(allowed, tried) if target.in_slow_start(now)]
-            return self._cheapest_in_slow_start(request, starting, now)
-        if not self._all_busy(reachable, best, now):
+            return self._cheapest_in_slow_start(request, targets.untried_starting(), now)
+        if not self._all_busy(targets, best, now):
             return best
         return self._overload_of(request, best, now) or best
 
@@ -143,7 +145,7 @@
         """Return the seconds until a target takes requests, or 0 if not all of them rest."""
         targets = [
             target
-            for target in self._targets.eligible_targets(request.service)
+            for target in self._service_targets.get(request.service, now).eligible
             if request.regions is None or target.region in request.regions
         ]
         resume_times = [
@@ -183,41 +185,56 @@
         """Return the known objects by service."""
         return {service: homes.known for service, homes in self._homes_by_service.items()}
 
-    def correct_homes(self) -> None:
-        """Take a step towards the homes that all objects would get if they were assigned anew."""
-        for homes in self._homes_by_service.values():
-            homes.correct()
+    def correct_homes(self) -> bool:
+        """Take a step towards the homes that follow from the present targets and objects.
+
+        Return whether there are more to take.
+        """
+        goes_on = [homes.correct() for homes in self._homes_by_service.values()]
+        return any(goes_on)
 
     def _best(
         self,
         request: RoutedRequest,
-        home_candidates: list[TargetState],
-        reachable: list[TargetState],
+        service: ServiceTargets,
+        targets: RequestTargets,
         now: float,
     ) -> Choice | None:
-        """Return the cheapest of the ``reachable`` targets.
+        """Return the cheapest of the reachable targets.
 
-        The object's home is the first of its ranked targets that is in ``home_candidates``.
+        The object's home is the first of its ranked targets that may be one for this request.
         """
-        if request.object_key is None:
-            return self._cheapest(reachable, None, None, now)
-        home_by_id = {target.record.target_id: target for target in home_candidates}
-        by_id = {target.record.target_id: target for target in reachable}
-        assignment = self.homes_of(request.service)
-        assignment.set_targets(self._regions_by_target(request.service, now))
-        assignment.add_objects((request.object_key,), self._region)
-        names = assignment.ranked_targets(request.object_key)
-        home = next((home_by_id[name] for name in names if name in home_by_id), None)
-        order = [by_id[name] for name in names if name in by_id]
-        best = self._cheapest(order[:MAX_CANDIDATES], home, request.object_key, now)
+        key = request.object_key
+        if key is None:
+            return self._best_without_object(service, targets, now)
+        homes = self.homes_of(request.service)
+        homes.set_targets(service.regions_by_target)
+        homes.add_objects((key,), self._region)
+        candidates = map(targets.home_candidate, homes.ranked_targets(key))
+        home = next(filter(None, candidates), None)
+        best = self._cheapest(_first_ranked(homes, key, targets), home, key, now)
         if best is None or home is None or not self._exceeds_overflow_cap(home, best, now):
             return best
-        near = [target for target in order if target.region == self._region]
-        nearest = self._cheapest(near[:MAX_CANDIDATES], home, request.object_key, now)
+        near = _first_ranked(homes, key, targets, self._region)
+        nearest = self._cheapest(near, home, key, now)
         if nearest is None or (nearest.queue_position and home.region != self._region):
             return best
         return nearest
 
+    def _best_without_object(
+        self, service: ServiceTargets, targets: RequestTargets, now: float
+    ) -> Choice | None:
+        """Return the cheapest target, of some drawn at random if there are many.
+
+        If all that were drawn are busy, all targets are compared.
+        """
+        if len(service.started) > MAX_COMPARED:
+            drawn = self._random.sample(service.started, MAX_COMPARED)
+            best = self._cheapest(filter(targets.is_reachable, drawn), None, None, now)
+            if best is not None and not best.queue_position:
+                return best
+        return self._cheapest(targets.reachable(), None, None, now)
+
     def _overload_of(self, request: RoutedRequest, best: Choice, now: float) -> Overload | None:
         late_s = now + self._expected_s(request, best) - request.admission_deadline
         if late_s > 0:
@@ -228,12 +245,14 @@
             return Overload(best, 0.0, "let it wait in line in vain")
         return None
 
-    def _all_busy(self, targets: Iterable[TargetState], best: Choice, now: float) -> bool:
+    def _all_busy(self, targets: RequestTargets, best: Choice, now: float) -> bool:
         """Return whether all targets that the overflow cap lets the request go to are busy."""
+        if not best.queue_position:
+            return False
         stays_local = best.target.region == self._region and not self._overflow.may_overflow(now)
         return all(
             target.queue_position(target.load(now))
-            for target in targets
+            for target in targets.reachable_unfilled()
             if not stays_local or target.region == self._region
         )
 
@@ -288,13 +307,6 @@
         cost = network + (run + queueing) * pace
         return Choice(target, target is home, is_warm, load, cost, pace)
 
-    def _regions_by_target(self, service: str, now: float) -> dict[str, str]:
-        return {
-            target.record.target_id: target.region
-            for target in self._targets.eligible_targets(service)
-            if not target.in_slow_start(now)
-        }
-
     def _expected_s(self, request: RoutedRequest, choice: Choice) -> float:
         """Return the expected seconds at the target; 0 until enough runs are recorded."""
         typical_s = self._run_times.typical_s(request.service, request.route.name)
@@ -323,13 +335,12 @@
         return self._cheapest(within_limit, None, None, now)
 
 
-def _not_ejected(targets: list[TargetState], now: float) -> list[TargetState]:
-    """Return the targets that are not ejected, or all of them if every one is ejected."""
-    return [target for target in targets if not target.is_ejected(now)] or targets
-
-
-def _untried(targets: Iterable[TargetState], tried: Collection[str]) -> list[TargetState]:
-    return [target for target in targets if target.record.target_id not in tried]
+def _first_ranked(
+    homes: HomeAssignment, key: ObjectKey, targets: RequestTargets, region: str = ALL_REGIONS
+) -> list[TargetState]:
+    """Return the highest ranked reachable targets, the home first."""
+    reachable = map(targets.reachable_target, homes.ranked_targets(key, region))
+    return list(islice(filter(None, reachable), MAX_CANDIDATES))
 
 
 def _cost_of(choice: Choice) -> float:
--- a/src/flamingoladder/entry/probing.py
+++ b/src/flamingoladder/entry/probing.py
@@ -96,7 +96,9 @@
             await asyncio.sleep(PROBE_INTERVAL_S)
 
     def _mark_up(self, target: TargetState, slow_start_s: float, now: float) -> None:
-        target.slow_start_until = max(target.slow_start_until, now + slow_start_s)
+        if slow_start_s > 0:
+            target.slow_start_until = max(target.slow_start_until, now + slow_start_s)
+            self._targets.eligibility_changes += 1
         if target.down:
             target.down = False
             self._recorder.record("target.up", target=target.record.target_id, cold_s=slow_start_s)
--- a/src/flamingoladder/steering/home_assignment.py
+++ b/src/flamingoladder/steering/home_assignment.py
@@ -5,21 +5,26 @@
 home to at most ``MAX_LOAD_FACTOR`` times the average number of objects. An object's home is in the
 region that its requests come from, unless the targets there have reached that limit.
 
-While few objects are known, all homes are assigned anew when an object or a target comes or goes.
-With more, a request assigns the home of its own object alone, by what is known at that moment, and
-``correct`` brings all homes to what they would be if they were assigned anew.
+All homes follow from the present targets and the known objects alone, so that hosts agree however
+they came to know them. While few objects are known, a change is followed by a whole assignment at
+once. With more, ``correct`` does it in bounded steps; until it is over, the homes of the one before
+hold, and an object that has none gets one by what is known at that moment.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from math import ceil
 from typing import TYPE_CHECKING
 
-from flamingoladder.hashing import stable_hash
+from flamingoladder.steering.assignment_pass import AssignmentPass
 from flamingoladder.steering.known_objects import KnownObjects
+from flamingoladder.steering.target_rankings import ALL_REGIONS
+from flamingoladder.steering.target_rankings import TargetRankings
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Iterator
     from collections.abc import Mapping
 
     from flamingoladder.steering.known_objects import ObjectKey
@@ -30,19 +35,20 @@
 MAX_OBJECTS = 20_000
 # Up to this many objects a request may assign all homes anew.
 MAX_OBJECTS_AT_ONCE = 400
-MAX_RANKINGS = 512
-# Hashes of a target for an object that one step of the correction may compute.
-HASHES_PER_STEP = 4_096
+# One step of an assignment takes 1 to 2 ms by either bound (bench placement).
+OBJECTS_PER_STEP = 1_000
+HASHES_PER_STEP = 8_192
 
 
 class HomeAssignment:
     """The homes of the known objects of one service."""
 
     __slots__ = (
+        "_added",
         "_homes_by_object",
         "_objects_by_target",
         "_pass",
-        "_rankings_by_object",
+        "_rankings",
         "_regions_by_target",
         "_stale",
         "known",
@@ -50,156 +56,126 @@
 
     def __init__(self, max_objects: int = MAX_OBJECTS) -> None:
         self.known = KnownObjects(max_objects)
-        self._regions_by_target: dict[str, str] = {}
-        self._rankings_by_object: dict[ObjectKey, tuple[str, ...]] = {}
+        self._regions_by_target: Mapping[str, str] = {}
+        self._rankings = TargetRankings()
         self._homes_by_object: dict[ObjectKey, str] = {}
         self._objects_by_target: dict[str, int] = {}
-        self._pass: _AssignmentPass | None = None
+        self._added: list[ObjectKey] = []
+        self._pass: AssignmentPass | None = None
         self._stale = False
 
     def set_targets(self, regions_by_target: Mapping[str, str]) -> None:
-        """Replace the targets to assign objects to."""
-        if regions_by_target == self._regions_by_target:
+        """Replace the targets to assign objects to; the mapping must not change any more."""
+        if regions_by_target is self._regions_by_target:
             return
-        self._regions_by_target = dict(regions_by_target)
-        self._rankings_by_object.clear()
-        self._pass = None
+        is_same = regions_by_target == self._regions_by_target
+        self._regions_by_target = regions_by_target
+        if is_same:
+            return
+        self._rankings.set_targets(self._regions_by_target)
         self._stale = True
 
     def add_objects(self, objects: Collection[ObjectKey], region: str) -> None:
         """Add objects that are requested from ``region``."""
         for key in objects:
             if key in self.known:
+                self._stale |= self.known.add_region(key, region)
                 continue
             forgotten = self.known.add(key, region)
             if forgotten is not None:
                 self._forget(forgotten)
+            self._added.append(key)
             self._stale = True
 
-    def ranked_targets(self, key: ObjectKey) -> tuple[str, ...]:
-        """Return all targets: the object's home first, the others by rendezvous hash."""
+    def home(self, key: ObjectKey) -> str | None:
+        """Return the object's home, or None without targets or for an object that is not known."""
         self._assign_if_few()
-        ranking = self._cached_ranking(key)
-        home = self._home(key, ranking)
-        if home is None or ranking[0] == home:
-            return ranking
-        return (home, *(target for target in ranking if target != home))
-
-    def correct(self) -> None:
-        """Take a step towards the homes that all objects would get if they were assigned anew."""
-        if not self._regions_by_target:
-            return
-        if self._pass is None and self._stale and len(self.known) > MAX_OBJECTS_AT_ONCE:
-            self._stale = False
-            self._pass = self._new_pass()
+        home = self._homes_by_object.get(key)
+        if home in self._regions_by_target:
+            return home
+        if not self._regions_by_target or key not in self.known:
+            return None
+        return self._assign_alone(key)
+
+    def ranked_targets(self, key: ObjectKey, region: str = ALL_REGIONS) -> Iterator[str]:
+        """Yield the targets of a region, or all: the home first, the others by rendezvous hash."""
+        home = self.home(key)
+        if home is not None and region in (ALL_REGIONS, self._regions_by_target[home]):
+            yield home
+        yield from (t for t in self._rankings.present(key, region) if t != home)
+
+    def correct(self) -> bool:
+        """Take a step towards the homes that follow from the present targets and objects.
+
+        Return whether the assignment goes on. A later change doesn't end it, but is followed by one
+        of its own, so that it gets done however often targets come and go.
+        """
         if self._pass is None:
-            return
-        objects = max(1, HASHES_PER_STEP // len(self._regions_by_target))
-        if self._pass.step(objects):
-            self._pass = None
+            if not self._stale or not self._regions_by_target or self._has_few:
+                return False
+            self._start_pass()
+        if self._pass is not None and self._pass.step(OBJECTS_PER_STEP, HASHES_PER_STEP):
+            self._finish_pass(self._pass)
+        return self._pass is not None
 
-    def assign(self, key: ObjectKey, target: str) -> None:
-        """Make a target the home of an object, unless the object was forgotten."""
-        if key not in self.known:
-            return
-        self._forget_home(key)
-        self._homes_by_object[key] = target
-        self._objects_by_target[target] = self._objects_by_target.get(target, 0) + 1
-
-    def ranking(self, key: ObjectKey) -> tuple[str, ...]:
-        """Return all targets by rendezvous hash."""
-        ranking = self._rankings_by_object.get(key)
-        if ranking is not None:
-            return ranking
-        return tuple(sorted(self._regions_by_target, key=lambda target: stable_hash(key, target)))
-
-    def _cached_ranking(self, key: ObjectKey) -> tuple[str, ...]:
-        ranking = self.ranking(key)
-        if key not in self._rankings_by_object:
-            if len(self._rankings_by_object) >= MAX_RANKINGS:
-                del self._rankings_by_object[next(iter(self._rankings_by_object))]
-            self._rankings_by_object[key] = ranking
-        return ranking
+    @property
+    def _has_few(self) -> bool:
+        return len(self.known) <= MAX_OBJECTS_AT_ONCE
 
     def _assign_if_few(self) -> None:
-        if not self._stale or len(self.known) > MAX_OBJECTS_AT_ONCE:
+        if not self._stale or not self._has_few or not self._regions_by_target:
             return
-        self._stale = False
-        self._homes_by_object.clear()
-        self._objects_by_target.clear()
-        if self._regions_by_target:
-            for _, key in self.known.in_hash_order():
-                self._cached_ranking(key)
-            whole = self._new_pass()
-            while not whole.step(MAX_OBJECTS_AT_ONCE):
-                continue
+        whole = self._start_pass()
+        while not whole.step(MAX_OBJECTS_AT_ONCE, HASHES_PER_STEP):
+            continue
+        self._finish_pass(whole)
 
-    def _new_pass(self) -> _AssignmentPass:
-        return _AssignmentPass(self, self._regions_by_target, self._most_objects())
+    def _start_pass(self) -> AssignmentPass:
+        self._stale = False
+        self._added.clear()
+        self._pass = AssignmentPass(
+            self.known, self._rankings, self._regions_by_target, self._most_objects()
+        )
+        return self._pass
+
+    def _finish_pass(self, whole: AssignmentPass) -> None:
+        """Put the new homes in force; objects that came meanwhile keep the ones they have."""
+        self._pass = None
+        homes = whole.homes_by_object
+        for key in self._added:
+            home = self._homes_by_object.get(key)
+            if home is not None:
+                homes[key] = home
+        self._homes_by_object = homes
+        self._objects_by_target = dict(Counter(homes.values()))
 
     def _most_objects(self) -> int:
         """Return the number of objects that a target may be home to."""
         return ceil(len(self.known) * MAX_LOAD_FACTOR / len(self._regions_by_target))
 
-    def _home(self, key: ObjectKey, ranking: tuple[str, ...]) -> str | None:
-        home = self._homes_by_object.get(key)
-        if home in self._regions_by_target:
-            return home
-        if not ranking or key not in self.known:
-            return None
+    def _assign_alone(self, key: ObjectKey) -> str:
+        """Give an object a home by what is known at this moment, until the next assignment."""
         region, most = self.known.regions_by_key[key], self._most_objects()
-        free = [target for target in ranking if self._objects_by_target.get(target, 0) < most]
-        near = (target for target in free if self._regions_by_target[target] == region)
-        home = next(near, free[0] if free else ranking[0])
-        self.assign(key, home)
+        near = self._first_free(key, region, most)
+        home = near or self._first_free(key, ALL_REGIONS, most)
+        if home is None:
+            home = next(self._rankings.present(key, ALL_REGIONS))
+        self._forget_home(key)
+        self._homes_by_object[key] = home
+        self._objects_by_target[home] = self._objects_by_target.get(home, 0) + 1
         return home
 
+    def _first_free(self, key: ObjectKey, region: str, most: int) -> str | None:
+        ranked = self._rankings.present(key, region)
+        return next((t for t in ranked if self._objects_by_target.get(t, 0) < most), None)
+
     def _forget(self, key: ObjectKey) -> None:
-        self._rankings_by_object.pop(key, None)
+        self._rankings.forget(key)
         self._forget_home(key)
+        if self._pass is not None:
+            self._pass.homes_by_object.pop(key, None)
 
     def _forget_home(self, key: ObjectKey) -> None:
         home = self._homes_by_object.pop(key, None)
         if home is not None:
             self._objects_by_target[home] -= 1
-
-
-class _AssignmentPass:
-    """Assigns all objects anew, some at a time: first those for which their own region has room."""
-
-    __slots__ = ("_assignment", "_capacity_left", "_left_over", "_next", "_regions_by_target")
-
-    def __init__(
-        self, assignment: HomeAssignment, regions_by_target: Mapping[str, str], most_objects: int
-    ) -> None:
-        self._assignment = assignment
-        self._regions_by_target = regions_by_target
-        self._capacity_left = dict.fromkeys(regions_by_target, most_objects)
-        self._next = iter(assignment.known.in_hash_order())
-        self._left_over: list[tuple[int, ObjectKey]] | None = []
-
-    def step(self, objects: int) -> bool:
-        """Assign up to ``objects`` objects; return whether the pass is over."""
-        for _ in range(objects):
-            item = next(self._next, None)
-            if item is not None:
-                self._assign(item)
-            elif self._left_over is None:
-                return True
-            else:
-                self._next, self._left_over = iter(self._left_over), None
-        return False
-
-    def _assign(self, item: tuple[int, ObjectKey]) -> None:
-        _, key = item
-        region = self._assignment.known.regions_by_key.get(key)
-        if region is None:
-            return
-        for target in self._assignment.ranking(key):
-            is_allowed = self._left_over is None or self._regions_by_target[target] == region
-            if self._capacity_left[target] and is_allowed:
-                self._capacity_left[target] -= 1
-                self._assignment.assign(key, target)
-                return
-        if self._left_over is not None:
-            self._left_over.append(item)
--- a/src/flamingoladder/steering/known_objects.py
+++ b/src/flamingoladder/steering/known_objects.py
@@ -39,6 +39,21 @@
         insort(self._ordered, (stable_hash(key), key))
         return forgotten
 
+    def add_region(self, key: ObjectKey, region: str) -> bool:
+        """Note that a known object is requested from ``region``; return whether it moves there.
+
+        Of the regions that request an object, the one with the lowest hash counts, so that all
+        hosts come to the same one in whichever order they hear of them.
+        """
+        present = self.regions_by_key[key]
+        if region == present or stable_hash(key, region) > stable_hash(key, present):
+            return False
+        self.regions_by_key[key] = region
+        del self._by_region[present][key]
+        self._by_region.setdefault(region, OrderedDict())[key] = None
+        self._added_by_region[region] = self._added_by_region.get(region, 0) + 1
+        return True
+
     def in_hash_order(self) -> tuple[tuple[int, ObjectKey], ...]:
         """Return all objects with their hashes, in an order that is the same at all hosts."""
         return tuple(self._ordered)
--- a/tests/steering/test_home_assignment.py
+++ b/tests/steering/test_home_assignment.py
@@ -29,7 +29,7 @@
 
 
 def homes(assignment: HomeAssignment) -> dict[str, str]:
-    return {key: assignment.ranked_targets(key)[0] for key in OBJECTS}
+    return {key: assignment.home(key) or "" for key in OBJECTS}
 
 
 def reverse(mapping: dict[str, str]) -> dict[str, str]:
@@ -73,7 +73,7 @@
 
 
 def test_without_targets_there_is_no_home() -> None:
-    assert assignment_of({}, OBJECTS).ranked_targets("route\0001") == ()
+    assert list(assignment_of({}, OBJECTS).ranked_targets("route\0001")) == []
 
 
 MANY = {f"route\0{number}": ("north", "south", "east")[number % 3] for number in range(1_200)}
@@ -90,18 +90,18 @@
 
 
 def homes_of(assignment: HomeAssignment, keys: Iterable[str]) -> dict[str, str]:
-    return {key: assignment.ranked_targets(key)[0] for key in keys}
+    return {key: assignment.home(key) or "" for key in keys}
 
 
 def test_a_new_object_costs_the_same_however_many_are_known() -> None:
     """All hosts stopped answering after some 12,000 objects, as each assigned all homes anew."""
     assignment = assignment_of(REGIONS, {f"o{n}": "north" for n in range(KNOWN_OBJECTS)})
-    assignment.ranked_targets("o0")
+    assignment.home("o0")
     seconds = []
     for number in range(NEW_OBJECTS):
         started = perf_counter()
         assignment.add_objects((f"new{number}",), "north")
-        assignment.ranked_targets(f"new{number}")
+        assignment.home(f"new{number}")
         assignment.correct()
         seconds.append(perf_counter() - started)
     assert median(seconds) < MOST_SECONDS_PER_NEW_OBJECT
@@ -160,9 +160,9 @@
     assignment.set_targets(REGIONS)
     for number in range(5_000):
         assignment.add_objects((f"o{number}",), "north")
-        assignment.ranked_targets(f"o{number}")
+        assignment.home(f"o{number}")
         assignment.correct()
     assert assignment.known.of_region("north") == [f"o{number}" for number in range(4_400, 5_000)]
     assert len(assignment._homes_by_object) <= 600
-    assert len(assignment._rankings_by_object) <= home_assignment.MAX_RANKINGS
+    assert len(assignment._rankings) <= 600
     assert sum(assignment._objects_by_target.values()) <= 600
