--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -21,6 +21,7 @@
     "idle",
     "links",
     "entry",
+    "placement",
 )
 
 
