Read peer links without a task and a future for each message

Cause: each message from a peer took a future of zmq.asyncio, a step of the receiving task, a task of its own and three to four turns of the event loop.

Messages without a reply (reports, table changes and versions) go to their receivers at once, through PeerLinks.subscribe; requests get a task each as before. The wire format is unchanged.

--- a/bench/links.py
+++ b/bench/links.py
@@ -68,11 +68,11 @@
     links = _links(members[0], keys, members)
     received = 0
 
-    async def count(_peer: Peer, _report: HostReport) -> None:
+    def count(_peer: Peer, _report: HostReport) -> None:
         nonlocal received
         received += 1
 
-    links.register(HostReport, count)
+    links.subscribe(HostReport, count)
     sending = asyncio.create_task(_send_reports(links))
     await asyncio.sleep(SETTLE_S)
     profile = cProfile.Profile()
@@ -100,7 +100,7 @@
         _links(member, own, members[:1]) for member, own in zip(members[1:], keys[1:], strict=True)
     ]
     for links in peers:
-        links.register(HostReport, _ignore)
+        links.subscribe(HostReport, _ignore)
     await asyncio.gather(*map(_send_reports, peers))
 
 
@@ -111,7 +111,7 @@
         await asyncio.sleep(REPORT_INTERVAL_S)
 
 
-async def _ignore(_peer: Peer, _report: HostReport) -> None:
+def _ignore(_peer: Peer, _report: HostReport) -> None:
     return
 
 
--- a/src/flamingoladder/feed/exchange.py
+++ b/src/flamingoladder/feed/exchange.py
@@ -33,8 +33,8 @@
         self._followers = followers
         self._replicas_by_table: dict[str, TableReplica] = {}
         self._on_news_by_table: dict[str, Callable[[float], None]] = {}
-        links.register(TableChanges, self._on_changes)
-        links.register(TableVersions, self._on_versions)
+        links.subscribe(TableChanges, self._on_changes)
+        links.subscribe(TableVersions, self._on_versions)
 
     def attach(self, table: str, replica: TableReplica, on_news: Callable[[float], None]) -> None:
         """Bring what other hosts say of a table to ``replica``, then call ``on_news``.
@@ -60,7 +60,7 @@
         message = TableVersions({name: state for name, state in states.items() if state})
         self._links.send_all(self._followers.neighbours(), message)
 
-    async def _on_changes(self, _peer: Peer, changes: TableChanges) -> None:
+    def _on_changes(self, _peer: Peer, changes: TableChanges) -> None:
         replica = self._replicas_by_table.get(changes.table)
         if replica is None:
             return
@@ -68,7 +68,7 @@
         if replica.take_relayed(changes, now):
             self._on_news_by_table[changes.table](now)
 
-    async def _on_versions(self, _peer: Peer, versions: TableVersions) -> None:
+    def _on_versions(self, _peer: Peer, versions: TableVersions) -> None:
         now = asyncio.get_running_loop().time()
         for table, state in versions.by_table.items():
             replica = self._replicas_by_table.get(table)
--- a/src/flamingoladder/fleet/exchange.py
+++ b/src/flamingoladder/fleet/exchange.py
@@ -64,7 +64,7 @@
         self._report_callback = on_report
         self._empty_reports = 0
         self._sequence = 0
-        links.register(HostReport, self._on_report)
+        links.subscribe(HostReport, self._on_report)
 
     async def run(self) -> None:
         """Send reports until cancelled."""
@@ -88,7 +88,7 @@
         self._empty_reports = self._empty_reports + 1 if report == EMPTY_REPORT else 0
         return self._empty_reports % EMPTY_REPORTS_PER_SEND == 0
 
-    async def _on_report(self, peer: Peer, report: HostReport) -> None:
+    def _on_report(self, peer: Peer, report: HostReport) -> None:
         self._receive(peer.host, peer.incarnation, report)
 
     def _receive(self, host: str, incarnation: str, report: HostReport) -> None:
@@ -124,7 +124,7 @@
         self._held = RegionReportQueue()
         self._held_before: RegionReports | None = None
         self._distributed_by_host: dict[str, ForwardedReport] = {}
-        links.register(RegionReports, self._on_region_reports)
+        links.subscribe(RegionReports, self._on_region_reports)
 
     def send(self, now: float) -> None:
         """Send a report if it is due, and what the region reported if this host is a relay."""
@@ -142,12 +142,12 @@
         relays = self._relays
         self._links.send_all(relays.neighbours() if relays.in_use else relays.others(), report)
 
-    async def _on_report(self, peer: Peer, report: HostReport) -> None:
-        await super()._on_report(peer, report)
+    def _on_report(self, peer: Peer, report: HostReport) -> None:
+        super()._on_report(peer, report)
         if self._relays.is_neighbour(peer.host):
             self._queue.add(peer.host, peer.incarnation, report)
 
-    async def _on_region_reports(self, peer: Peer, reports: RegionReports) -> None:
+    def _on_region_reports(self, peer: Peer, reports: RegionReports) -> None:
         if not self._relays.is_neighbour(peer.host):
             self._distribute_remote(reports)
         else:
--- a/src/flamingoladder/peers/connection.py
+++ b/src/flamingoladder/peers/connection.py
@@ -4,13 +4,14 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Any
 from uuid import uuid4
 
 import zmq
-import zmq.asyncio
 
 from flamingoladder.peers.envelope import Envelope
 from flamingoladder.peers.exceptions import PeerMessageError
+from flamingoladder.peers.socket_reader import SocketReader
 
 if TYPE_CHECKING:
     import msgspec
@@ -35,7 +36,13 @@
 REFUSED_HANDSHAKE_TIMEOUT_S = 0.25
 
 
-def configure_socket(socket: zmq.asyncio.Socket, keys: LinkKeys) -> None:
+def open_socket(context: zmq.Context[Any], kind: int) -> zmq.Socket[bytes]:
+    """Return a socket for a ``SocketReader``, also from the context of asyncio's sockets."""
+    socket: zmq.Socket[bytes] = context.socket(kind, socket_class=zmq.Socket)
+    return socket
+
+
+def configure_socket(socket: zmq.Socket[Any], keys: LinkKeys) -> None:
     """Set the key pair, and queue and message size limits of a peer socket."""
     socket.curve_publickey = keys.public_key.encode("ascii")
     socket.curve_secretkey = keys.secret_key.encode("ascii")
@@ -46,13 +53,13 @@
 
 
 class PeerConnection:
-    """A connection to one incarnation of a peer, with a task that receives its replies."""
+    """A connection to one incarnation of a peer, which receives its replies."""
 
     __slots__ = (
         "_auth_failure_monitor",
         "_codec",
         "_last_request_id",
-        "_receive_task",
+        "_reader",
         "_recorder",
         "_replies_by_request_id",
         "_socket",
@@ -63,7 +70,7 @@
 
     def __init__(
         self,
-        socket: zmq.asyncio.Socket,
+        socket: zmq.Socket[bytes],
         member: Member,
         codec: EnvelopeCodec,
         recorder: Recorder,
@@ -81,19 +88,19 @@
         self._unanswered_since: float | None = None
         self.has_received_reply = False
         self._replies_by_request_id: dict[int, asyncio.Future[msgspec.Struct | None]] = {}
-        self._receive_task = asyncio.create_task(self._receive())
+        self._reader = SocketReader(socket, self._receive, recorder)
 
     @classmethod
     def open(
         cls,
-        context: zmq.asyncio.Context,
+        context: zmq.Context[Any],
         member: Member,
         keys: LinkKeys,
         codec: EnvelopeCodec,
         recorder: Recorder,
     ) -> PeerConnection:
         """Start connecting; messages are queued until the link is up, and lost if it is closed."""
-        socket = context.socket(zmq.DEALER)
+        socket = open_socket(context, zmq.DEALER)
         configure_socket(socket, keys)
         socket.curve_serverkey = member.peer_public_key.encode("ascii")
         # Only the end that opens a link sends ZMTP heartbeats: those of both cost twice the bytes.
@@ -137,13 +144,14 @@
     def send_frame(self, frame: bytes) -> None:
         """Send an encoded message without waiting; it is dropped while too many are queued."""
         try:
-            zmq.Socket.send(self._socket, frame, zmq.NOBLOCK)
+            self._socket.send(frame, zmq.NOBLOCK)
         except zmq.Again:
             self._recorder.record("peer.queue_full", peer=self.member.host, bytes=len(frame))
+        self._reader.check()
 
     def close(self) -> None:
         """Close the connection; pending requests time out."""
-        self._receive_task.cancel()
+        self._reader.close()
         self._socket.close(linger=0)
         self._auth_failure_monitor.close(linger=0)
 
@@ -161,17 +169,15 @@
         )
         self.send_frame(frame)
 
-    async def _receive(self) -> None:
-        while True:
-            frame = await self._socket.recv()
-            try:
-                envelope = self._codec.decode(frame)
-            except PeerMessageError as error:
-                self._recorder.record("peer.bad_message", peer=self.member.host, error=error)
-                continue
-            self._recorder.clock.observe(envelope.clock)
-            self._unanswered_since = None
-            self.has_received_reply = True
-            reply = self._replies_by_request_id.get(envelope.request_id)
-            if reply is not None and not reply.done():
-                reply.set_result(envelope.body)
+    def _receive(self, frames: list[zmq.Frame]) -> None:
+        try:
+            envelope = self._codec.decode(frames[-1].bytes)
+        except PeerMessageError as error:
+            self._recorder.record("peer.bad_message", peer=self.member.host, error=error)
+            return
+        self._recorder.clock.observe(envelope.clock)
+        self._unanswered_since = None
+        self.has_received_reply = True
+        reply = self._replies_by_request_id.get(envelope.request_id)
+        if reply is not None and not reply.done():
+            reply.set_result(envelope.body)
--- a/src/flamingoladder/peers/link.py
+++ b/src/flamingoladder/peers/link.py
@@ -26,6 +26,7 @@
 
 
 Handler = Callable[[Peer, M], Awaitable[msgspec.Struct | None]]
+Receiver = Callable[[Peer, M], None]
 
 
 class PeerLinks(ABC):
@@ -45,6 +46,17 @@
     def register(self, message_type: type[M], handler: Handler[M]) -> None:
         """Call ``handler`` for each message of ``message_type``; its result is the reply."""
 
+    def subscribe(self, message_type: type[M], receive: Receiver[M]) -> None:
+        """Call ``receive`` for each message of ``message_type``, which has no reply.
+
+        Links may do so without a task for each message.
+        """
+
+        async def handle(peer: Peer, message: M) -> None:
+            receive(peer, message)
+
+        self.register(message_type, handle)
+
     @abstractmethod
     async def request(
         self, host: str, message: msgspec.Struct, timeout_s: float
--- a/src/flamingoladder/peers/zmq_links.py
+++ b/src/flamingoladder/peers/zmq_links.py
@@ -13,6 +13,7 @@
 from flamingoladder.peers.authentication import LinkAuthenticator
 from flamingoladder.peers.connection import PeerConnection
 from flamingoladder.peers.connection import configure_socket
+from flamingoladder.peers.connection import open_socket
 from flamingoladder.peers.directory import PeerDirectory
 from flamingoladder.peers.envelope import Envelope
 from flamingoladder.peers.exceptions import PeerMessageError
@@ -20,7 +21,9 @@
 from flamingoladder.peers.link import M
 from flamingoladder.peers.link import Peer
 from flamingoladder.peers.link import PeerLinks
+from flamingoladder.peers.link import Receiver
 from flamingoladder.peers.messages import Heartbeat
+from flamingoladder.peers.socket_reader import SocketReader
 from flamingoladder.supervision import supervised
 
 if TYPE_CHECKING:
@@ -64,7 +67,8 @@
         "_heartbeat_tasks_by_host",
         "_keys",
         "_opens_ahead",
-        "_receive_task",
+        "_reader",
+        "_receivers_by_type",
         "_recorder",
         "_socket",
         "authenticator",
@@ -88,8 +92,9 @@
         self._heartbeat_tasks_by_host: dict[str, asyncio.Task[None]] = {}
         self._handlers_by_type: dict[type, Handler[Any]] = {}
         self._handler_tasks: set[asyncio.Task[None]] = set()
-        self._socket: zmq.asyncio.Socket = self._context.socket(zmq.ROUTER)
-        self._receive_task: asyncio.Task[None] | None = None
+        self._receivers_by_type: dict[type, Receiver[Any]] = {}
+        self._socket = open_socket(self._context, zmq.ROUTER)
+        self._reader: SocketReader | None = None
         self.register(Heartbeat, self._answer_heartbeat)
 
     @property
@@ -126,17 +131,14 @@
         self._socket.curve_server = True
         self._socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
         self._socket.bind(endpoint)
-        self._receive_task = asyncio.create_task(supervised("links", self._receive, self._recorder))
+        self._reader = SocketReader(self._socket, self._receive, self._recorder)
 
     def close(self) -> None:
         """Close all links."""
-        for task in [
-            self._receive_task,
-            *self._handler_tasks,
-            *self._heartbeat_tasks_by_host.values(),
-        ]:
-            if task is not None:
-                task.cancel()
+        for task in [*self._handler_tasks, *self._heartbeat_tasks_by_host.values()]:
+            task.cancel()
+        if self._reader is not None:
+            self._reader.close()
         for connection in self._connections_by_host.values():
             connection.close()
         self.authenticator.stop()
@@ -158,6 +160,10 @@
         """Call ``handler`` for each message of ``message_type``; its result is the reply."""
         self._handlers_by_type[message_type] = handler
 
+    def subscribe(self, message_type: type[M], receive: Receiver[M]) -> None:
+        """Call ``receive`` for each message of ``message_type`` as it arrives."""
+        self._receivers_by_type[message_type] = receive
+
     async def request(
         self, host: str, message: msgspec.Struct, timeout_s: float
     ) -> msgspec.Struct | None:
@@ -228,18 +234,20 @@
         connection.close()
         self._open(member)
 
-    async def _receive(self) -> None:
-        while True:
-            frames = await self._socket.recv_multipart(copy=False)
-            envelope = self._authenticate(frames)
-            if envelope is None:
-                continue
-            if len(self._handler_tasks) >= MAX_CONCURRENT_HANDLERS:
-                self._recorder.record("peer.overloaded", peer=envelope.host)
-                continue
-            task = asyncio.create_task(self._handle(frames[0].bytes, envelope))
-            self._handler_tasks.add(task)
-            task.add_done_callback(self._handler_tasks.discard)
+    def _receive(self, frames: list[zmq.Frame]) -> None:
+        envelope = self._authenticate(frames)
+        if envelope is None:
+            return
+        receive = self._receivers_by_type.get(type(envelope.body))
+        if receive is not None:
+            receive(Peer(envelope.host, envelope.incarnation), envelope.body)
+            return
+        if len(self._handler_tasks) >= MAX_CONCURRENT_HANDLERS:
+            self._recorder.record("peer.overloaded", peer=envelope.host)
+            return
+        task = asyncio.create_task(self._handle(frames[0].bytes, envelope))
+        self._handler_tasks.add(task)
+        task.add_done_callback(self._handler_tasks.discard)
 
     def _authenticate(self, frames: list[zmq.Frame]) -> Envelope | None:
         """Return the envelope if it is valid and its sender matches the link's public key."""
@@ -275,4 +283,11 @@
             recorder.clock.tick(),
             reply,
         )
-        await self._socket.send_multipart([routing_id, self._codec.encode(reply_envelope)])
+        try:
+            self._socket.send_multipart(
+                [routing_id, self._codec.encode(reply_envelope)], zmq.NOBLOCK
+            )
+        except zmq.Again:
+            recorder.record("peer.queue_full", peer=envelope.host)
+        if self._reader is not None:
+            self._reader.check()
