Relay reports between failure domains

In a region, each host sent its report to all others, and the first relay sent the reports of other regions to all of them; both crossed failure domains. Fleets of more than 16 hosts now relay between failure domains as they did between regions, with the same ranks and failure handling, once all registered hosts say that they do so. Followers of the store are still chosen by region.

--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -27,6 +27,7 @@
 from flamingoladder.fleet.messages import FleetMessage
 from flamingoladder.fleet.object_snapshots import ObjectSnapshotter
 from flamingoladder.fleet.processor_use import ProcessorUse
+from flamingoladder.fleet.relays import DomainRelays
 from flamingoladder.fleet.relays import RegionRelays
 from flamingoladder.limits.rate_limiter import FleetRateLimiter
 from flamingoladder.limits.retry_budgets import RetryBudgets
@@ -74,6 +75,7 @@
         "recorder",
         "relays",
         "report_exchange",
+        "report_relays",
         "reporter",
         "silence_check",
         "store",
@@ -98,6 +100,7 @@
         self.configuration = ActiveConfiguration(self.targets, rate_limiter, self.recorder)
         self.members = MemberRegistry(settings.host, self.recorder)
         self.relays = RegionRelays(self.own_member, self.members)
+        self.report_relays = DomainRelays(self.own_member, self.members)
         processor_use = ProcessorUse(settings.capacity_cores)
         self.lookups = FleetLookup(
             self.own_member, self.members, bounds.lookup_ttl_s, processor_use
@@ -125,7 +128,7 @@
             notices,
             processor_use,
         )
-        poison_exchange = FleetPoisonExchange(self.peer_links, self.relays)
+        poison_exchange = FleetPoisonExchange(self.peer_links, self.report_relays)
         poison_detector = PoisonDetector(
             poison_exchange, self.recorder, asyncio.get_running_loop().time
         )
@@ -137,7 +140,7 @@
         self.report_exchange = RegionalReportExchange(
             self.peer_links,
             self.members,
-            self.relays,
+            self.report_relays,
             self.reporter.build_report,
             self.reporter.apply_reports,
             self.reporter.receive_report,
@@ -210,9 +213,11 @@
         return None if self.configuration.routing is None else self.relays.nearest_first()
 
     def _opens_link_ahead(self, member: Member) -> bool:
-        return member.region == self.own_member.region or not self.relays.in_use
+        relays = self.report_relays
+        return relays.is_neighbour(member.host) or not relays.in_use
 
     def _update_links(self) -> None:
+        self.report_relays.update()
         self.peer_links.update_directory(self.members.members_by_host.values())
 
 
@@ -228,4 +233,5 @@
         link_mbps=settings.link_mbps,
         takes_compressed=True,
         capacity_cores=settings.capacity_cores,
+        relays_by_domain=True,
     )
--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -117,6 +117,7 @@
         components.lookups.leaving = True
         components.reporter.leaving = True
         components.relays.leaving = True
+        components.report_relays.leaving = True
         components.report_exchange.send(loop.time())
         await asyncio.sleep(DEREGISTRATION_DELAY_S)
         caller_port, _ = self._ports[0]
--- a/src/flamingoladder/fleet/exchange.py
+++ b/src/flamingoladder/fleet/exchange.py
@@ -101,12 +101,13 @@
 
 
 class RegionalReportExchange(ReportExchange):
-    """Sends reports to this host's region; relays bring them to other regions, many in a message.
+    """Sends reports to this host's group; relays bring them to other groups, many in a message.
 
-    That keeps messages from growing with hosts x hosts, and bytes between regions with hosts. Each
-    relay sends to the relay of its own rank, so the loss of one leaves the other's way. The first
-    relay distributes what it gets at once; the second waits for one to two intervals and then sends
-    only what the first did not. A small fleet sends all reports directly.
+    A group is a failure domain, or a region while hosts of earlier versions are registered. That
+    keeps messages from growing with hosts x hosts, and bytes between groups with hosts. Each relay
+    sends to the relay of its own rank, so the loss of one leaves the other's way. The first relay
+    distributes what it gets at once; the second waits for one to two intervals and then sends only
+    what the first did not. A small fleet sends all reports directly.
     """
 
     __slots__ = ("_distributed_by_host", "_held", "_held_before", "_queue", "_relays")
@@ -129,7 +130,7 @@
         links.register(RegionReports, self._on_region_reports)
 
     def send(self, now: float) -> None:
-        """Send a report if it is due, and what the region reported if this host is a relay."""
+        """Send a report if it is due, and what the group reported if this host is a relay."""
         super().send(now)
         self._send_held()
         gathered = self._queue.take()
--- a/src/flamingoladder/fleet/relays.py
+++ b/src/flamingoladder/fleet/relays.py
@@ -1,4 +1,4 @@
-"""Which hosts of a region stand for it towards the store and towards other regions."""
+"""Which hosts of a region or failure domain stand for it towards the store and other groups."""
 
 from __future__ import annotations
 
@@ -13,14 +13,18 @@
 RELAYS_PER_REGION = 2
 # With fewer hosts, reports through relays save no messages worth their delay.
 MAX_DIRECT_HOSTS = 16
-# How long a host of a region that was not heard yet is tried as its relay.
+# How long a host of a group that was not heard yet is tried as its relay.
 TRIAL_S = 1.0
 
+# Region and failure domain; the latter is empty if the whole region is one group.
+Group = tuple[str, str]
+
 
 class RegionRelays:
-    """Ranks each region's hosts by bandwidth, then by rendezvous hashing; the first two relay.
+    """Ranks each group's hosts by bandwidth, then by rendezvous hashing; the first two relay.
 
-    A relay sends as many bytes as its region has hosts, which a narrow link does not take in time.
+    The groups are the regions. A relay sends as many bytes as its group has hosts, which a narrow
+    link does not take in time.
     Each host ranks for itself, without agreement: two hosts that both take themselves for the first
     cost messages and nothing else. A host that stops ranks last.
     """
@@ -34,20 +38,22 @@
 
     @property
     def in_use(self) -> bool:
-        """Return whether the fleet is so large that its regions hear each other by relays."""
+        """Return whether the fleet is so large that its groups hear each other by relays."""
         return self._members.host_count > MAX_DIRECT_HOSTS
 
     def own_rank(self, now: float) -> int:
-        """Return this host's rank in its region, 0 for the first relay."""
+        """Return this host's rank in its group, 0 for the first relay."""
         if self.leaving:
             return RELAYS_PER_REGION
         own = _order_of(self._own)
-        others = self._candidates(self._own.region, now)
+        others = self._candidates(self._own_group, now)
         return sum(_order_of(member) < own for member in others)
 
     def neighbours(self) -> list[str]:
-        """Return the other hosts of this host's region."""
-        return [host for host, member in self._others() if member.region == self._own.region]
+        """Return the other hosts of this host's group."""
+        return [
+            host for host, member in self._others() if self._group_of(member) == self._own_group
+        ]
 
     def others(self) -> list[str]:
         """Return all other hosts."""
@@ -60,36 +66,68 @@
         return [host for host, _ in others]
 
     def is_neighbour(self, host: str) -> bool:
-        """Return whether a registered host is of this host's region."""
+        """Return whether a registered host is of this host's group."""
         member = self._members.members_by_host.get(host)
-        return member is not None and member.region == self._own.region
+        return member is not None and self._group_of(member) == self._own_group
 
     def remote_relays(self, rank: int, now: float) -> list[str]:
-        """Return the relay of ``rank`` of each other region."""
-        regions = {member.region for _, member in self._others()} - {self._own.region}
-        return [self._remote_relay(region, rank, now) for region in sorted(regions)]
+        """Return the relay of ``rank`` of each other group."""
+        groups = {self._group_of(member) for _, member in self._others()} - {self._own_group}
+        return [self._remote_relay(group, rank, now) for group in sorted(groups)]
+
+    @property
+    def _own_group(self) -> Group:
+        return self._group_of(self._own)
 
-    def _remote_relay(self, region: str, rank: int, now: float) -> str:
-        heard = sorted(self._candidates(region, now), key=_order_of)
+    def _group_of(self, member: Member) -> Group:
+        return member.region, ""
+
+    def _remote_relay(self, group: Group, rank: int, now: float) -> str:
+        heard = sorted(self._candidates(group, now), key=_order_of)
         if heard:
             return heard[min(rank, len(heard) - 1)].host
         registered = sorted(
-            (member for _, member in self._others() if member.region == region), key=_order_of
+            (member for _, member in self._others() if self._group_of(member) == group),
+            key=_order_of,
         )
         return registered[(int(now / TRIAL_S) + rank) % len(registered)].host
 
-    def _candidates(self, region: str, now: float) -> list[Member]:
-        """Return the other hosts of a region that serve, or those that were heard at all."""
-        serving = [member for member in self._members.serving(now) if member.region == region]
+    def _candidates(self, group: Group, now: float) -> list[Member]:
+        """Return the other hosts of a group that serve, or those that were heard at all."""
+        serving = [
+            member for member in self._members.serving(now) if self._group_of(member) == group
+        ]
         return serving or [
             member
             for host, member in self._others()
-            if member.region == region and self._members.is_alive(host, now)
+            if self._group_of(member) == group and self._members.is_alive(host, now)
         ]
 
     def _others(self) -> list[tuple[str, Member]]:
         return list(self._members.members_by_host.items())
 
 
+class DomainRelays(RegionRelays):
+    """Groups hosts by failure domain, once all registered hosts are of a version that does.
+
+    With regions as groups, most bytes of reports crossed failure domains of one region: those that
+    each host sent to all others there, and those that the first relay sent on to them.
+    """
+
+    __slots__ = ("_by_domain",)
+
+    def __init__(self, own: Member, members: MemberRegistry) -> None:
+        super().__init__(own, members)
+        self._by_domain = False
+
+    def update(self) -> None:
+        """Take in changed registrations."""
+        members = self._members.members_by_host.values()
+        self._by_domain = self._own.relays_by_domain and all(of.relays_by_domain for of in members)
+
+    def _group_of(self, member: Member) -> Group:
+        return member.region, member.failure_domain if self._by_domain else ""
+
+
 def _order_of(member: Member) -> tuple[float, int]:
     return -member.link_mbps, stable_hash("relay", member.region, member.host)
--- a/src/flamingoladder/members/member.py
+++ b/src/flamingoladder/members/member.py
@@ -11,8 +11,9 @@
     ``incarnation`` is unique to one run of the daemon. ``caller_url`` is the base URL for callers,
     ``peer_endpoint`` the ZeroMQ endpoint, and ``peer_public_key`` its CURVE public key (Z85).
     ``link_mbps`` is the bandwidth of its link in Mbit/s and ``capacity_cores`` the processor time
-    per second that it may use, each 0 if it is not known. A host that does not
-    say that it ``takes_compressed`` messages is of a version that can't read them.
+    per second that it may use, each 0 if it is not known. A host that does not say that it
+    ``takes_compressed`` messages is of a version that can't read them; one that does not say
+    ``relays_by_domain`` is of a version that passes reports on between regions only.
     """
 
     host: str
@@ -26,3 +27,4 @@
     link_mbps: float = 0.0
     takes_compressed: bool = False
     capacity_cores: float = 0.0
+    relays_by_domain: bool = False
--- a/tests/fleet/test_region_reports.py
+++ b/tests/fleet/test_region_reports.py
@@ -11,11 +11,15 @@
 
 from flamingoladder.fleet.exchange import FleetPoisonExchange
 from flamingoladder.fleet.exchange import RegionalReportExchange
+from flamingoladder.fleet.members import REPORT_INTERVAL_S
+from flamingoladder.fleet.members import REPORT_LIFETIME_INTERVALS
 from flamingoladder.fleet.members import MemberRegistry
 from flamingoladder.fleet.messages import HostReport
 from flamingoladder.fleet.messages import RegionReports
 from flamingoladder.fleet.region_reports import joined
 from flamingoladder.fleet.relays import MAX_DIRECT_HOSTS
+from flamingoladder.fleet.relays import RELAYS_PER_REGION
+from flamingoladder.fleet.relays import DomainRelays
 from flamingoladder.fleet.relays import RegionRelays
 from flamingoladder.limits.rate_limiter import RateReport
 from flamingoladder.members.member import Member
@@ -38,7 +42,7 @@
     def __init__(self, network: Network, member: Member) -> None:
         self.member = member
         self.members = MemberRegistry(member.host, Recorder(member.host, "1", kept_events=0))
-        self.relays = RegionRelays(member, self.members)
+        self.relays = DomainRelays(member, self.members)
         self.reports = 0
         self.crashes: Counter[str] = Counter()
         links = network.join(member.host, member.incarnation)
@@ -67,20 +71,30 @@
 
 
 class Fleet:
-    """Hosts of three regions."""
+    """Hosts of three regions, with two failure domains each if they relay by these."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, *, by_domain: bool = False) -> None:
         self.network = Network(Random(3), delay_s=0.01)
         self.sent: Counter[str] = Counter()
         self.network.tap = self._count
         members = [
-            Member(f"h{number:02}", REGIONS[number % 3], "d", "1", f"h{number}:80", "tcp://h", "k")
+            Member(
+                f"h{number:02}",
+                REGIONS[number % 3],
+                f"d{number % 2}" if by_domain else "d",
+                "1",
+                f"h{number}:80",
+                "tcp://h",
+                "k",
+                relays_by_domain=by_domain,
+            )
             for number in range(count)
         ]
         self.hosts = [Host(self.network, member) for member in members]
         for host in self.hosts:
             for member in members:
                 host.members.put(member, 0.0)
+            host.relays.update()
 
     def ranked(self, region: str) -> list[Host]:
         """Return the hosts of a region by their rank."""
@@ -93,10 +107,11 @@
         self.sent[f"{type(content).__name__} {'across' if across else 'within'}"] += 1
 
 
-@pytest.mark.parametrize("count", [7, MAX_DIRECT_HOSTS, 30])
-def test_all_hosts_hear_all_others(count: int) -> None:
+@pytest.mark.parametrize("by_domain", [False, True])
+@pytest.mark.parametrize("count", [7, MAX_DIRECT_HOSTS, 17, 30])
+def test_all_hosts_hear_all_others(count: int, *, by_domain: bool) -> None:
     async def scenario() -> list[int]:
-        fleet = Fleet(count)
+        fleet = Fleet(count, by_domain=by_domain)
         await asyncio.sleep(SETTLE_S)
         return [len(host.heard()) for host in fleet.hosts]
 
@@ -114,18 +129,20 @@
     return found
 
 
+@pytest.mark.parametrize("by_domain", [False, True])
 @pytest.mark.parametrize("rank", [0, 1])
 @pytest.mark.parametrize("how", ["killed", "cut"])
-def test_a_lost_relay_silences_no_other_host(rank: int, how: str) -> None:
+def test_a_lost_relay_silences_no_other_host(rank: int, how: str, *, by_domain: bool) -> None:
     async def scenario() -> list[bool]:
-        fleet = Fleet(30)
+        fleet = Fleet(30, by_domain=by_domain)
         await asyncio.sleep(SETTLE_S)
-        gone = fleet.ranked("r1")[rank]
+        ranked = [of for of in fleet.ranked("r1") if not by_domain or _domain(of) == "d0"]
+        gone = ranked[rank]
         if how == "killed":
             gone.kill()
             fleet.network.leave(gone.member.host)
         for host in fleet.hosts:
-            if host.member.region != "r1":
+            if host not in ranked:
                 pair = (gone.member.host, host.member.host)
                 fleet.network.cuts.update([pair, pair[::-1]])
         return await complete_at_each_quarter_second(fleet, [gone])
@@ -133,6 +150,23 @@
     assert all(run_on_injected_time(scenario()))
 
 
+def _domain(host: Host) -> str:
+    return host.member.failure_domain
+
+
+@pytest.mark.parametrize("by_domain", [False, True])
+def test_a_silent_host_is_noticed_by_all_within_the_same_time(*, by_domain: bool) -> None:
+    async def scenario() -> list[int]:
+        fleet = Fleet(30, by_domain=by_domain)
+        await asyncio.sleep(SETTLE_S)
+        gone = fleet.hosts[5]
+        gone.kill()
+        await asyncio.sleep((REPORT_LIFETIME_INTERVALS + 3) * REPORT_INTERVAL_S)
+        return [gone.member.host in host.heard() for host in fleet.hosts if host is not gone]
+
+    assert not any(run_on_injected_time(scenario()))
+
+
 def test_regions_hear_each_other_again_after_both_relays_were_killed() -> None:
     async def scenario() -> list[bool]:
         fleet = Fleet(30)
@@ -191,10 +225,11 @@
     )
 
 
+@pytest.mark.parametrize("by_domain", [False, True])
 @pytest.mark.parametrize("count", [7, 30])
-def test_a_crash_is_told_to_all_hosts(count: int) -> None:
+def test_a_crash_is_told_to_all_hosts(count: int, *, by_domain: bool) -> None:
     async def scenario() -> list[bool]:
-        fleet = Fleet(count)
+        fleet = Fleet(count, by_domain=by_domain)
         await asyncio.sleep(SETTLE_S)
         end = EndReport("t", 1, "d", 0, 0, (1,))
         fleet.hosts[0].poison_exchange.broadcast(PoisonReport(ends=(end,)))
@@ -238,3 +273,44 @@
         ranks[own.host] = RegionRelays(own, registry).own_rank(0.1)
     assert sorted(ranks.values()) == list(range(8))
     assert {host for host, rank in ranks.items() if rank < 4} == {of.host for of in wide}
+
+
+def test_relays_by_failure_domain_send_each_report_across_once_for_each_rank() -> None:
+    """Each host sent its report to all hosts of the region, also those across."""
+
+    async def sent_across(fleet: Fleet) -> int:
+        domains = {of.member.host: (of.member.region, _domain(of)) for of in fleet.hosts}
+        reports = 0
+
+        def count(sender: str, receiver: str, content: msgspec.Struct | None) -> None:
+            nonlocal reports
+            if domains[sender] != domains[receiver]:
+                reports += len(content.reports) if isinstance(content, RegionReports) else 1
+
+        await asyncio.sleep(SETTLE_S)
+        fleet.network.tap = count
+        await asyncio.sleep(SETTLE_S)
+        return reports
+
+    async def scenario() -> int:
+        return await sent_across(Fleet(30, by_domain=True))
+
+    reports_per_host = SETTLE_S / REPORT_INTERVAL_S + 1
+    assert run_on_injected_time(scenario()) <= 30 * reports_per_host * 5 * RELAYS_PER_REGION
+
+
+def test_hosts_relay_by_region_while_one_of_an_earlier_version_is_registered() -> None:
+    members = [
+        Member(f"h{n}", "r1", f"d{n % 2}", "1", "", "", "", relays_by_domain=n != 3)
+        for n in range(6)
+    ]
+    registry = MemberRegistry("h0", Recorder("h0", "1"))
+    relays = DomainRelays(members[0], registry)
+    for member in members:
+        registry.put(member, 0.0)
+    relays.update()
+    assert relays.neighbours() == ["h1", "h2", "h3", "h4", "h5"]
+    registry.remove("h3")
+    relays.update()
+    assert relays.neighbours() == ["h2", "h4"]
+    assert not relays.is_neighbour("h1")
