Bound callers' bodies, targets' answers and connections by one memory budget

Cause: a body was read whole before anything was judged, and was held and copied several times; the bound on answers ended when the answer object died, while the response still held its body. Change: the package memory. Key, route, deadline, rate and declared length are judged from the head; a body is then read into mapped blocks within the budget and bounded by the request's deadline (408); large bodies and answers are written part by part. Answers count until written. Callers' connections are bounded by max_fds, unfinished heads and idle connections by the configuration's header_timeout_s and idle_timeout_s, if given.

--- a/bench/floods.py
+++ b/bench/floods.py
@@ -12,8 +12,8 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from flamingoladder.memory.budget import MemoryBudget
 from flamingoladder.standins.server import ApplicationServer
-from flamingoladder.transport.answer_memory import AnswerMemory
 from flamingoladder.transport.exchange import Exchange
 from flamingoladder.transport.pool import Pool
 from flamingoladder.transport.sending import Outgoing
@@ -51,7 +51,7 @@
     urls = [URL((await process.stdout.readline()).decode().strip()) for _ in range(count)]
     sound = await _sound_server()
     until = asyncio.get_running_loop().time() + duration_s
-    memory = AnswerMemory.from_config(HOST_MEMORY_MB)
+    memory = MemoryBudget.from_config(HOST_MEMORY_MB)
     try:
         turns = asyncio.create_task(_turns(until))
         flooded = [_call(url, memory, until, FLOOD_PAUSE_S) for url in urls]
@@ -83,7 +83,7 @@
     return server
 
 
-async def _call(url: URL, memory: AnswerMemory, until: float, pause_s: float) -> list[float]:
+async def _call(url: URL, memory: MemoryBudget, until: float, pause_s: float) -> list[float]:
     loop = asyncio.get_running_loop()
     pool = Pool(1, keep=True, memory=memory)
     times_s = []
--- a/src/flamingoladder/client/entry_hosts.py
+++ b/src/flamingoladder/client/entry_hosts.py
@@ -12,7 +12,7 @@
 from yarl import URL
 
 from flamingoladder import fields
-from flamingoladder.transport.answer_memory import AnswerMemory
+from flamingoladder.memory.budget import MemoryBudget
 from flamingoladder.transport.exchange import Exchange
 from flamingoladder.transport.pool import PoolPair
 from flamingoladder.transport.sending import FailureKind
@@ -39,7 +39,7 @@
 
     def __init__(self, settings: CallerSettings) -> None:
         self._settings = settings
-        self._memory = AnswerMemory()
+        self._memory = MemoryBudget()
         self._pools_by_url: dict[str, PoolPair] = {}
 
     async def send(self, url: str, call: Call, deadline: float, abort_at: float) -> Outcome:
--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -30,6 +30,7 @@
 from flamingoladder.limits.rate_limiter import FleetRateLimiter
 from flamingoladder.limits.retry_budgets import RetryBudgets
 from flamingoladder.members.member import Member
+from flamingoladder.memory.budget import MemoryBudget
 from flamingoladder.peers.envelope import EnvelopeCodec
 from flamingoladder.peers.keys import LinkKeys
 from flamingoladder.peers.zmq_links import ZmqLinks
@@ -45,7 +46,6 @@
 from flamingoladder.targets.registry import TargetRegistry
 from flamingoladder.targets.slow_start import SlowStartLimit
 from flamingoladder.timeline.recorder import Recorder
-from flamingoladder.transport.answer_memory import AnswerMemory
 
 if TYPE_CHECKING:
     from flamingoladder.entry.settings import HostSettings
@@ -65,6 +65,7 @@
         "lookups",
         "members",
         "membership",
+        "memory",
         "object_snapshotter",
         "own_member",
         "peer_links",
@@ -89,6 +90,7 @@
         self.peer_links = ZmqLinks(
             keys, EnvelopeCodec(FleetMessage), self.recorder, self._opens_link_ahead
         )
+        self.memory = MemoryBudget.from_config(settings.memory_mb)
         self.transport = HttpTransport.from_config(settings.store_url, None)
         self.store = RowStore(self.transport)
         self.targets = TargetRegistry(settings.regions_by_domain, self.recorder)
@@ -108,7 +110,7 @@
             self.targets.removed,
             self._connections_of,
             SendCheck(self.configuration, self.targets).refusal_of,
-            AnswerMemory.from_config(settings.memory_mb),
+            self.memory,
         )
         notices = NoticeLearner(self.targets, self.members, self.recorder)
         self.reporter = HostReporter(
--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -12,11 +12,14 @@
 from flamingoladder.entry.components import EntryComponents
 from flamingoladder.entry.metrics import CONTENT_TYPE
 from flamingoladder.entry.metrics import EntryMetrics
-from flamingoladder.entry.request_body import read_body
+from flamingoladder.entry.request_admission import RequestAdmission
 from flamingoladder.entry.shutdown_gate import ShutdownGate
 from flamingoladder.feed.proving_watcher import ProvingWatcher
 from flamingoladder.feed.quiet_watcher import QuietWatcher
 from flamingoladder.gateway.shutdown_phase import ShutdownPhase
+from flamingoladder.memory.caller_connections import CallerConnections
+from flamingoladder.memory.events import MemoryEvents
+from flamingoladder.memory.request_scope import is_worth_draining
 from flamingoladder.platform import callers
 from flamingoladder.platform import memberships
 from flamingoladder.platform import operators
@@ -24,10 +27,8 @@
 from flamingoladder.platform.exceptions import SettingsFileError
 from flamingoladder.platform.operators import OperatorReader
 from flamingoladder.platform.registry import RegistryReader
-from flamingoladder.routing.model import RequestLimits
 from flamingoladder.supervision import supervised
 from flamingoladder.transport.port import Port
-from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -36,6 +37,7 @@
     from flamingoladder.entry.request import IncomingRequest
     from flamingoladder.entry.settings import HostSettings
     from flamingoladder.transport.port import Handle
+    from flamingoladder.verdict import Refusal
 
 # A stopping host serves callers this much longer, as they may use a cached lookup answer.
 DEREGISTRATION_DELAY_S = 3.0
@@ -54,16 +56,30 @@
 class EntryHost:
     """An entry host: its ports, and the tasks that keep its components up to date."""
 
-    __slots__ = ("_components", "_gate", "_metrics", "_ports", "_settings", "_tasks")
+    __slots__ = (
+        "_admission",
+        "_components",
+        "_connections",
+        "_gate",
+        "_metrics",
+        "_ports",
+        "_settings",
+        "_tasks",
+    )
 
     def __init__(self, settings: HostSettings, dropped_lines: Callable[[], float]) -> None:
         self._settings = settings
         self._components = EntryComponents.from_config(settings)
         self._metrics = EntryMetrics(dropped_lines)
         self._metrics.count_events(self._components.recorder.events)
+        memory = self._components.memory
+        self._metrics.watch_memory(lambda: memory.held_bytes, lambda: memory.limit_bytes)
+        memory_events = MemoryEvents(self._components.recorder, self._metrics.count_memory)
+        self._connections = CallerConnections(memory, memory_events, settings.max_fds)
+        self._admission = RequestAdmission(self._components, memory_events)
         self._gate = ShutdownGate(self._handle_caller, _refuse)
         self._ports = [
-            (_port(self._gate.handle), settings.callers),
+            (_port(self._gate.handle, self._connections), settings.callers),
             (_port(self._handle_readiness), settings.health),
             (_port(self._handle_lookup), settings.lookups),
             (_port(self._handle_metrics), settings.metrics),
@@ -190,6 +206,7 @@
             now = loop.time()
             components.targets.expire(now)
             components.balancer.correct_homes()
+            self._bound_connections(now)
             if not components.members.has_lowest_name(now):
                 continue
             for member in components.members.lost(now):
@@ -198,15 +215,12 @@
 
     async def _handle_caller(self, request: web.BaseRequest) -> web.StreamResponse:
         started = asyncio.get_running_loop().time()
-        routing = self._components.configuration.routing
-        body = await read_body(request, RequestLimits() if routing is None else routing.limits)
-        if isinstance(body, Refusal):
-            response = _refuse(body)
+        incoming = callers.incoming_request(request)
+        outcome = await self._admission.handle(request, incoming, started)
+        transfers = self._components.memory.transfers
+        response = callers.response_to(outcome, incoming.request_id, transfers)
+        if not is_worth_draining(request):
             response.force_close()
-            return response
-        incoming = callers.incoming_request(request, body)
-        outcome = await self._components.handler.handle(incoming, started)
-        response = callers.response_to(outcome, incoming.request_id)
         seconds = asyncio.get_running_loop().time() - started
         self._metrics.count_request(self._route_name(incoming), response.status, seconds)
         return response
@@ -216,6 +230,16 @@
         route = None if routing is None else routing.find_route(incoming.host, incoming.path)
         return NO_ROUTE_LABEL if route is None else route.name
 
+    def _bound_connections(self, now: float) -> None:
+        components, connections = self._components, self._connections
+        components.memory.measure_rest()
+        connections.expect_peers(components.members.host_count)
+        if components.configuration.routing is not None:
+            limits = components.configuration.routing.limits
+            connections.header_timeout_s = limits.header_timeout_s
+            connections.idle_timeout_s = limits.idle_timeout_s
+        connections.close_expired(now)
+
     async def _handle_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if self._is_ready else 503)
 
@@ -255,8 +279,8 @@
     await host.stop()
 
 
-def _port(handle: Handle) -> Port:
-    return Port.of_handler(handle, MAX_HEADER_FIELD_BYTES, CLOSE_TIMEOUT_S)
+def _port(handle: Handle, connections: CallerConnections | None = None) -> Port:
+    return Port.of_handler(handle, MAX_HEADER_FIELD_BYTES, CLOSE_TIMEOUT_S, connections)
 
 
 def _refuse(refusal: Refusal) -> web.Response:
--- a/src/flamingoladder/entry/handler.py
+++ b/src/flamingoladder/entry/handler.py
@@ -6,6 +6,7 @@
 from traceback import format_exc
 from typing import TYPE_CHECKING
 
+import msgspec
 from expression import Error
 
 from flamingoladder.entry.request import RoutedRequest
@@ -19,6 +20,7 @@
     from flamingoladder.entry.forwarder import Forwarder
     from flamingoladder.entry.request import IncomingRequest
     from flamingoladder.limits.rate_limiter import FleetRateLimiter
+    from flamingoladder.memory.body import Content
     from flamingoladder.poison.fingerprints import Fingerprints
     from flamingoladder.poison.upkeep import PoisonUpkeep
     from flamingoladder.routing.model import Route
@@ -69,16 +71,38 @@
         self._tasks: set[asyncio.Task[Outcome]] = set()
 
     async def handle(self, incoming: IncomingRequest, started: float) -> Outcome:
-        """Return the outcome of a request whose body was read completely.
+        """Return the outcome of a request whose body was read completely."""
+        admitted = self.admit(incoming, started)
+        if isinstance(admitted, Refusal):
+            return Error(admitted)
+        return await self.run(admitted, incoming.body)
+
+    def admit(self, head: IncomingRequest, started: float) -> RoutedRequest | Refusal:
+        """Return the routed request, or its refusal, which is recorded; the body may be unread."""
+        admitted = self._admit(head, started, asyncio.get_running_loop().time())
+        if isinstance(admitted, Refusal):
+            self._record(head, admitted)
+        return admitted
+
+    def refuse(self, admitted: RoutedRequest, refusal: Refusal) -> None:
+        """Record that an admitted request is refused, as its body was not received."""
+        self._refund(admitted, refusal)
+        self._record(admitted.incoming, refusal, admitted)
+
+    def abandon(self, admitted: RoutedRequest) -> None:
+        """Give back what an admitted request took whose caller left before its body was whole."""
+        if admitted.workspace is not None:
+            self._rate_limiter.refund(admitted.workspace)
+
+    async def run(self, admitted: RoutedRequest, body: Content) -> Outcome:
+        """Return the outcome of an admitted request with its whole body.
 
         If the caller disconnects, an idempotent request is cancelled. A non-idempotent one that was
         sent runs on, but is not retried.
         """
-        loop = asyncio.get_running_loop()
-        admitted = self._admit(incoming, started, loop.time())
-        if isinstance(admitted, Refusal):
-            self._record(incoming, admitted)
-            return Error(admitted)
+        if body is not admitted.incoming.body:
+            admitted.incoming = msgspec.structs.replace(admitted.incoming, body=body)
+        admitted.fingerprints = _fingerprints(admitted.incoming, admitted.workspace)
         if admitted.route.idempotent:
             return await self._forward(admitted)
         task = asyncio.create_task(self._forward(admitted))
@@ -147,7 +171,7 @@
             deadline=deadline,
             admission_deadline=_admission_deadline(routing, route, workspace, started, deadline),
             target_deadline=deadline if route.idempotent else started + caller_timeout_s,
-            fingerprints=_fingerprints(incoming, workspace),
+            fingerprints=(),
             routing_version=routing.version,
         )
 
--- a/src/flamingoladder/entry/metrics.py
+++ b/src/flamingoladder/entry/metrics.py
@@ -24,7 +24,7 @@
 class EntryMetrics:
     """Counters and latency histograms; callers' input can't add label values without bound."""
 
-    __slots__ = ("_events", "_latency_s", "_registry", "_requests")
+    __slots__ = ("_events", "_latency_s", "_memory", "_registry", "_requests")
 
     def __init__(self, dropped_lines: Callable[[], float]) -> None:
         self._registry = CollectorRegistry()
@@ -41,6 +41,12 @@
         self._events = Counter(
             "flamingoladder_events", "Events by kind", ["kind"], registry=self._registry
         )
+        self._memory = Counter(
+            "flamingoladder_memory",
+            "Bodies refused and connections closed to bound memory and descriptors",
+            ["kind", "reason"],
+            registry=self._registry,
+        )
         dropped = Gauge(
             "flamingoladder_log_lines_dropped", "Log lines dropped", registry=self._registry
         )
@@ -55,6 +61,22 @@
         self._requests.labels(str(status)).inc()
         self._latency_s.labels(route).observe(seconds)
 
+    def count_memory(self, kind: str, reason: str) -> None:
+        """Count a refused body or a closed connection."""
+        self._memory.labels(kind, reason).inc()
+
+    def watch_memory(
+        self, held_bytes: Callable[[], float], limit_bytes: Callable[[], float]
+    ) -> None:
+        """Show the use of the memory budget."""
+        for name, value in (("held", held_bytes), ("limit", limit_bytes)):
+            gauge = Gauge(
+                f"flamingoladder_memory_{name}_bytes",
+                f"Memory budget, bytes: {name}",
+                registry=self._registry,
+            )
+            gauge.set_function(value)
+
     def text(self) -> bytes:
         """Return all metrics in the text exposition format."""
         return generate_latest(self._registry)
--- a/src/flamingoladder/entry/request.py
+++ b/src/flamingoladder/entry/request.py
@@ -6,9 +6,11 @@
 
 import msgspec
 
+from flamingoladder.memory.body import Content
 from flamingoladder.verdict import Header
 
 if TYPE_CHECKING:
+    from flamingoladder.memory.reservation import Reservation
     from flamingoladder.poison.fingerprints import Fingerprints
     from flamingoladder.routing.model import Route
     from flamingoladder.routing.model import Workspace
@@ -31,7 +33,7 @@
     host: str
     path: str
     headers: tuple[Header, ...]
-    body: bytes
+    body: Content
     keys: tuple[str, ...]
     affinity_key: str | None
     caller_timeout_s: float | None
@@ -45,7 +47,8 @@
     it is expected to end by ``admission_deadline``. A target may work on it until
     ``target_deadline``, so that a non-idempotent request is not interrupted while its caller waits.
     Once ``caller_disconnected`` is set, the request is not sent to another target.
-    ``routing_version`` is the version of the configuration that admitted it.
+    ``routing_version`` is the version of the configuration that admitted it. ``reservation`` holds
+    the memory of its body for as long as anything refers to the request.
     """
 
     __slots__ = (
@@ -56,6 +59,7 @@
         "incoming",
         "object_key",
         "regions",
+        "reservation",
         "route",
         "routing_version",
         "service",
@@ -91,6 +95,7 @@
         self.fingerprints = fingerprints
         self.routing_version = routing_version
         self.caller_disconnected = False
+        self.reservation: Reservation | None = None
         self.object_key = _object_key(route, incoming.affinity_key)
 
     @property
--- a/src/flamingoladder/entry/settings.py
+++ b/src/flamingoladder/entry/settings.py
@@ -43,8 +43,9 @@
 class HostSettings(msgspec.Struct, frozen=True, kw_only=True):
     """All settings of an entry host; ``first_start`` is True if the whole fleet starts fresh.
 
-    ``link_mbps`` is the bandwidth of the host's link in Mbit/s, and ``memory_mb`` what a process
-    may take in megabytes; each is 0 if it is not known.
+    ``link_mbps`` is the bandwidth of the host's link in Mbit/s, ``memory_mb`` what a process may
+    take in megabytes, and ``max_fds`` how many descriptors it may open; each is 0 if it is not
+    known.
     """
 
     host: str
@@ -60,4 +61,5 @@
     store_url: str
     link_mbps: float = 0.0
     memory_mb: float = 0.0
+    max_fds: int = 0
     bounds: Bounds
--- a/src/flamingoladder/gateway/responses.py
+++ b/src/flamingoladder/gateway/responses.py
@@ -23,7 +23,9 @@
 STATUS_BY_REASON = {
     Reason.BAD_REQUEST: 400,
     Reason.HEADERS_TOO_LARGE: 431,
+    Reason.BODY_INCOMPLETE: 408,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.NO_MEMORY: 503,
     Reason.UNKNOWN_SERVICE: 404,
     Reason.UNKNOWN_ROUTE: 404,
     Reason.KEY_MISSING: 401,
--- a/src/flamingoladder/platform/callers.py
+++ b/src/flamingoladder/platform/callers.py
@@ -12,6 +12,9 @@
 
 from flamingoladder import fields
 from flamingoladder.entry.request import IncomingRequest
+from flamingoladder.memory.answers import AnswerPayload
+from flamingoladder.memory.answers import HeldAnswer
+from flamingoladder.memory.body import PartedBody
 from flamingoladder.platform import headers
 from flamingoladder.verdict import Header
 from flamingoladder.verdict import Reason
@@ -19,6 +22,7 @@
 
 if TYPE_CHECKING:
     from flamingoladder.fleet.lookups import LookupAnswer
+    from flamingoladder.memory.stalls import Transfers
     from flamingoladder.verdict import Answer
     from flamingoladder.verdict import Outcome
     from flamingoladder.verdict import Refusal
@@ -27,6 +31,7 @@
 MIN_RETRY_AFTER_S = 0.05
 DEFAULT_RETRY_AFTER_S = 0.25
 JSON = "application/json"
+ANSWER = web.ResponseKey("answer", HeldAnswer)
 
 # A target must not get these from a caller: the host sets them, or they concern one connection.
 DROPPED_FIELDS = fields.CONNECTION_FIELDS | {
@@ -41,6 +46,7 @@
 
 STATUS_BY_REASON = {
     Reason.BAD_REQUEST: 400,
+    Reason.BODY_INCOMPLETE: 408,
     Reason.BODY_TOO_LARGE: 413,
     Reason.HEADERS_TOO_LARGE: 431,
     Reason.KEY_MISSING: 401,
@@ -54,8 +60,8 @@
 TIMEOUT_REASONS = frozenset({Reason.UPSTREAM_SILENT, Reason.DEADLINE_PASSED})
 
 
-def incoming_request(request: web.BaseRequest, body: bytes) -> IncomingRequest:
-    """Return a caller's request that was read whole."""
+def incoming_request(request: web.BaseRequest) -> IncomingRequest:
+    """Return a caller's request, whose body is not read yet."""
     found = request.headers
     return IncomingRequest(
         request_id=found.get(headers.REQUEST_ID, ""),
@@ -63,7 +69,7 @@
         host=_host(found.get("Host", "")),
         path=request.raw_path,
         headers=_forwarded_headers(request),
-        body=body,
+        body=b"",
         keys=tuple(found.getall(headers.API_KEY, ())),
         affinity_key=_affinity_key(found.getall("Cookie", ())),
         caller_timeout_s=_caller_timeout_s(found.get(headers.DEADLINE_MS)),
@@ -71,10 +77,10 @@
     )
 
 
-def response_to(outcome: Outcome, request_id: str) -> web.Response:
-    """Return the response that tells the outcome."""
+def response_to(outcome: Outcome, request_id: str, transfers: Transfers) -> web.Response:
+    """Return the response that tells the outcome; large answers are written as ``transfers``."""
     if outcome.is_ok():
-        return _answer_response(outcome.ok)
+        return _answer_response(outcome.ok, transfers)
     return refusal_response(outcome.error, request_id)
 
 
@@ -112,11 +118,18 @@
     return TIMEOUT_STATUS if refusal.reason in TIMEOUT_REASONS else MAY_HAVE_RUN_STATUS
 
 
-def _answer_response(answer: Answer) -> web.Response:
+def _answer_response(answer: Answer, transfers: Transfers) -> web.Response:
     found: CIMultiDict[str] = CIMultiDict()
     for header in answer.headers:
         found.add(header.name, header.value)
-    return web.Response(status=answer.status, body=answer.body, headers=found)
+    if not isinstance(answer, HeldAnswer):
+        return web.Response(status=answer.status, body=answer.body, headers=found)
+    if isinstance(answer.content, PartedBody):
+        payload = AnswerPayload(answer, transfers)
+        return web.Response(status=answer.status, body=payload, headers=found)
+    response = web.Response(status=answer.status, body=answer.content, headers=found)
+    response[ANSWER] = answer  # Its memory is held until the response is written.
+    return response
 
 
 def _host(text: str) -> str:
--- a/src/flamingoladder/platform/configuration.py
+++ b/src/flamingoladder/platform/configuration.py
@@ -30,6 +30,8 @@
 class _Limits(msgspec.Struct):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 67_108_864
+    header_timeout_s: float = 0.0
+    idle_timeout_s: float = 0.0
 
 
 # The platform calls a workspace a tenant.
@@ -100,6 +102,8 @@
         limits=RequestLimits(
             max_header_bytes=document.limits.max_header_bytes,
             max_body_bytes=document.limits.max_body_bytes,
+            header_timeout_s=document.limits.header_timeout_s,
+            idle_timeout_s=document.limits.idle_timeout_s,
         ),
         priorities=priorities_of(
             chain.from_iterable(routes_by_host.values()),
--- a/src/flamingoladder/platform/http_transport.py
+++ b/src/flamingoladder/platform/http_transport.py
@@ -10,10 +10,12 @@
 import aiohttp
 import msgspec
 
+from flamingoladder.memory.body import PartedBody
+from flamingoladder.memory.budget import MemoryBudget
+from flamingoladder.memory.reservation import Reservation
 from flamingoladder.storage.exceptions import OutcomeUnknownError
 from flamingoladder.storage.exceptions import PlatformRefusedError
 from flamingoladder.storage.exceptions import PlatformUnavailableError
-from flamingoladder.transport.answer_memory import AnswerMemory
 from flamingoladder.transport.bodies import MAX_ANSWER_BYTES
 from flamingoladder.transport.bodies import read_body
 from flamingoladder.transport.connector import ExchangeConnector
@@ -57,7 +59,7 @@
     def __init__(self, url: str, token: str | None) -> None:
         self._url = url.rstrip("/")
         self._headers = {} if token is None else {"Authorization": f"Bearer {token}"}
-        self._memory = AnswerMemory()
+        self._memory = MemoryBudget()
         self._pool: _Pool | None = None
 
     @classmethod
@@ -129,10 +131,15 @@
             allow_redirects=False,
         ) as response:
             exchange.answer.response = response
-            body = await read_body(response, self._memory)
+            reservation = Reservation(self._memory)
+            try:
+                body = await read_body(response, reservation)
+            finally:
+                reservation.release()
             if body is None:
                 raise aiohttp.ClientPayloadError(f"the reply is over {MAX_ANSWER_BYTES} bytes")
-            return HttpReply(response.status, body, response.headers)
+            whole = body.joined() if isinstance(body, PartedBody) else body
+            return HttpReply(response.status, whole, response.headers)
 
     def _retire(self, pool: _Pool) -> None:
         pool.retired = True
--- a/src/flamingoladder/platform/settings.py
+++ b/src/flamingoladder/platform/settings.py
@@ -19,6 +19,7 @@
 class _Limits(msgspec.Struct):
     link_mbps: float = 0.0
     memory_mb: float = 0.0
+    max_fds: int = 0
 
 
 class _Own(msgspec.Struct):
@@ -110,6 +111,7 @@
             store_url=f"http://{found.provider.provider.address}",
             link_mbps=found.own.limits.link_mbps,
             memory_mb=found.own.limits.memory_mb,
+            max_fds=found.own.limits.max_fds,
             bounds=Bounds(
                 grace_s=bounds.grace_s,
                 retry_ratio=bounds.retry_budget_ratio,
--- a/src/flamingoladder/platform/target_wire.py
+++ b/src/flamingoladder/platform/target_wire.py
@@ -15,6 +15,8 @@
 from flamingoladder.entry.results import SendStatus
 from flamingoladder.entry.target_client import TargetClient
 from flamingoladder.header_values import header
+from flamingoladder.memory.accounts import Account
+from flamingoladder.memory.accounts import AccountKind
 from flamingoladder.platform import headers
 from flamingoladder.platform.target_notices import notice_of
 from flamingoladder.platform.target_notices import slow_start_s_of
@@ -31,8 +33,8 @@
     from reactivex import Observable
 
     from flamingoladder.entry.request import RoutedRequest
+    from flamingoladder.memory.budget import MemoryBudget
     from flamingoladder.targets.state import TargetState
-    from flamingoladder.transport.answer_memory import AnswerMemory
     from flamingoladder.transport.sending import SendFailure
     from flamingoladder.verdict import Refusal
 
@@ -58,7 +60,7 @@
 
     ``connections_of`` tells this host's part of the connections that a service's target accepts.
     ``refusal_of`` decides, once a request has its connection, whether it may still be sent.
-    ``memory`` bounds the answers of all targets.
+    ``memory`` bounds the answers of all targets, which are ``HeldAnswer``.
     """
 
     __slots__ = ("_connections_of", "_memory", "_pools_by_target", "_refusal_of", "_tasks")
@@ -68,7 +70,7 @@
         removed: Observable[str],
         connections_of: Callable[[str], int],
         refusal_of: Callable[[RoutedRequest, TargetState, float], Refusal | None],
-        memory: AnswerMemory,
+        memory: MemoryBudget,
     ) -> None:
         self._memory = memory
         self._connections_of = connections_of
@@ -121,7 +123,13 @@
         if pool is None:
             limit = self._connections_of(target.record.service)
             pool = Pool(
-                limit, keep=True, memory=self._memory, keep_s=KEPT_IDLE_S, silence_s=SILENCE_S
+                limit,
+                keep=True,
+                memory=self._memory,
+                keep_s=KEPT_IDLE_S,
+                silence_s=SILENCE_S,
+                accounts=(Account(AccountKind.TARGET, target_id),),
+                parted=True,
             )
             self._pools_by_target[target_id] = pool
         return pool
--- a/src/flamingoladder/poison/fingerprints.py
+++ b/src/flamingoladder/poison/fingerprints.py
@@ -6,10 +6,14 @@
 
 import xxhash
 
+from flamingoladder.memory.body import PartedBody
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Sequence
 
+    from flamingoladder.memory.body import Content
+
 # From the widest to the narrowest: what is asked, by which key, and from where.
 Fingerprints = tuple[int, ...]
 
@@ -17,7 +21,7 @@
 
 
 def fingerprints_of(
-    names: Sequence[str], body: bytes, identities: Iterable[Sequence[str]]
+    names: Sequence[str], body: Content, identities: Iterable[Sequence[str]]
 ) -> Fingerprints:
     """Return 64-bit fingerprints of names and body alone, then with each of the identities.
 
@@ -25,10 +29,22 @@
     may share the wider ones with callers whose requests are harmless; so ends of targets count
     for all fingerprints, and answers clear only those that they bear.
     """
-    digest = xxhash.xxh3_64(body)
+    digest = _digest_of(body)
     digest.update(SEPARATOR.join((str(len(body)), *names)).encode())
     found = [digest.intdigest()]
     for identity in identities:
         digest.update(SEPARATOR.join((SEPARATOR, *identity)).encode())
         found.append(digest.intdigest())
     return tuple(found)
+
+
+def _digest_of(body: Content) -> xxhash.xxh3_64:
+    """Return the digest of a body, for a parted one the one that was kept while it arrived."""
+    if not isinstance(body, PartedBody):
+        return xxhash.xxh3_64(body)
+    if body.digest is not None:
+        return body.digest.copy()
+    digest = xxhash.xxh3_64()
+    for part in body.parts():
+        digest.update(part)
+    return digest
--- a/src/flamingoladder/transport/pool.py
+++ b/src/flamingoladder/transport/pool.py
@@ -9,10 +9,12 @@
 from flamingoladder.transport.connector import SILENCE_S
 from flamingoladder.transport.connector import ExchangeConnector
 from flamingoladder.transport.exact_request import ExactRequest
+from flamingoladder.transport.sending import AnswerRoom
 from flamingoladder.transport.sending import send
 
 if TYPE_CHECKING:
-    from flamingoladder.transport.answer_memory import AnswerMemory
+    from flamingoladder.memory.accounts import Account
+    from flamingoladder.memory.budget import MemoryBudget
     from flamingoladder.transport.exchange import Exchange
     from flamingoladder.transport.sending import Outgoing
     from flamingoladder.transport.sending import SendFailure
@@ -21,6 +23,8 @@
 CONNECT_TIMEOUT_S = 0.5
 KEPT_IDLE_S = 15.0
 MAX_ANSWER_FIELD_BYTES = 65_536
+# An answer that waits for memory holds up to twice as much.
+READ_BUFFER_BYTES = 65_536
 
 AUTO_FIELDS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
@@ -29,21 +33,24 @@
 class Pool:
     """At most ``limit`` connections, kept or new for each request.
 
-    ``memory`` bounds the answers of all pools that share it.
+    ``memory`` bounds the answers of all pools that share it; ``accounts`` hold them. With
+    ``parted``, large answers are not joined.
     """
 
-    __slots__ = ("_memory", "_retired", "_users", "session")
+    __slots__ = ("_retired", "_room", "_users", "session")
 
     def __init__(
         self,
         limit: int,
         *,
         keep: bool,
-        memory: AnswerMemory,
+        memory: MemoryBudget,
         keep_s: float = KEPT_IDLE_S,
         silence_s: float = SILENCE_S,
+        accounts: tuple[Account, ...] = (),
+        parted: bool = False,
     ) -> None:
-        self._memory = memory
+        self._room = AnswerRoom(memory, accounts, parted=parted)
         kept_s = keep_s if keep else None
         self.session = aiohttp.ClientSession(
             connector=ExchangeConnector(limit, keep_s=kept_s, silence_s=silence_s),
@@ -54,6 +61,7 @@
             max_field_size=MAX_ANSWER_FIELD_BYTES,
             max_line_size=MAX_ANSWER_FIELD_BYTES,
             request_class=ExactRequest,
+            read_bufsize=READ_BUFFER_BYTES,
         )
         self._users = 0
         self._retired = False
@@ -62,7 +70,7 @@
         """Send the request and return its whole answer, or why there is none."""
         self._users += 1
         try:
-            return await send(self.session, outgoing, exchange, self._memory)
+            return await send(self.session, outgoing, exchange, self._room)
         finally:
             self._users -= 1
             await self._close_if_unused()
@@ -86,7 +94,7 @@
 
     __slots__ = ("_limit", "_memory", "fresh", "kept")
 
-    def __init__(self, limit: int, memory: AnswerMemory) -> None:
+    def __init__(self, limit: int, memory: MemoryBudget) -> None:
         self._limit = max(1, limit // 2)
         self._memory = memory
         self.kept = Pool(self._limit, keep=True, memory=memory)
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -4,11 +4,17 @@
 
 from enum import StrEnum
 from typing import TYPE_CHECKING
+from weakref import finalize
 
 import aiohttp
 import msgspec
 
 from flamingoladder import fields
+from flamingoladder.memory.answers import HeldAnswer
+from flamingoladder.memory.body import BodyPayload
+from flamingoladder.memory.body import PartedBody
+from flamingoladder.memory.budget import SMALL_BYTES
+from flamingoladder.memory.reservation import Reservation
 from flamingoladder.transport.answer_progress import MAX_OTHER_BYTES
 from flamingoladder.transport.bodies import MAX_ANSWER_BYTES
 from flamingoladder.transport.bodies import read_body
@@ -20,7 +26,9 @@
     from multidict import CIMultiDict
     from yarl import URL
 
-    from flamingoladder.transport.answer_memory import AnswerMemory
+    from flamingoladder.memory.accounts import Account
+    from flamingoladder.memory.body import Content
+    from flamingoladder.memory.budget import MemoryBudget
     from flamingoladder.transport.exchange import Exchange
 
 NO_CONTENT = 204
@@ -85,7 +93,7 @@
         method: str,
         url: URL,
         headers: CIMultiDict[str],
-        body: bytes,
+        body: Content,
         request_id: str,
         echo: EchoRule = OPTIONAL_ECHO,
         target: str = "",
@@ -99,21 +107,42 @@
         self.request_id = request_id
 
 
+class AnswerRoom:
+    """Where the memory of answers comes from.
+
+    With ``parted``, answers are returned as ``HeldAnswer`` and never joined.
+    """
+
+    __slots__ = ("_accounts", "_budget", "parted")
+
+    def __init__(
+        self, budget: MemoryBudget, accounts: tuple[Account, ...] = (), *, parted: bool = False
+    ) -> None:
+        self._budget = budget
+        self._accounts = accounts
+        self.parted = parted
+
+    def reservation(self) -> Reservation:
+        """Return an empty reservation for one answer."""
+        return Reservation(self._budget, self._accounts)
+
+
 async def send(
-    session: aiohttp.ClientSession, outgoing: Outgoing, exchange: Exchange, memory: AnswerMemory
+    session: aiohttp.ClientSession, outgoing: Outgoing, exchange: Exchange, room: AnswerRoom
 ) -> Answer | SendFailure:
     """Send the request, once, and return the whole answer or why there is none.
 
-    The connection is closed if this fails or is cancelled. ``memory`` bounds the answer's body.
+    The connection is closed if this fails or is cancelled. ``room`` bounds the answer's body.
     """
+    reservation = room.reservation()
     token = current_exchange.set(exchange)
     exchange.target = outgoing.target
     whole = False
     try:
         async with exchange.open():
-            result = await _exchange(session, outgoing, exchange, memory)
-            whole = isinstance(result, Answer)
-            return result
+            result = await _exchange(session, outgoing, exchange, reservation)
+            whole = isinstance(result, HeldAnswer)
+            return _joined(result) if isinstance(result, Answer) and not room.parted else result
     except TimeoutError:
         return _timed_out(exchange)
     except (aiohttp.ClientError, OSError) as error:
@@ -121,15 +150,20 @@
     finally:
         current_exchange.reset(token)
         exchange.end(whole=whole)
+        if not whole:
+            reservation.release()
 
 
 async def _exchange(
-    session: aiohttp.ClientSession, outgoing: Outgoing, exchange: Exchange, memory: AnswerMemory
+    session: aiohttp.ClientSession,
+    outgoing: Outgoing,
+    exchange: Exchange,
+    reservation: Reservation,
 ) -> Answer | SendFailure:
     response = await session.request(
         outgoing.method,
         outgoing.url,
-        data=outgoing.body or None,
+        data=_data(outgoing.body),
         headers=outgoing.headers,
         allow_redirects=False,
     )
@@ -141,7 +175,7 @@
     framed = _ends_detectably(response, outgoing.method)
     if not framed and not outgoing.echo.required:
         return _lost(exchange, "the answer has no length and no chunks, so no certain end")
-    body = await read_body(response, memory)
+    body = await read_body(response, reservation)
     if body is None:
         detail = f"the answer is over {MAX_ANSWER_BYTES} bytes, or those at work are too many"
         return SendFailure(FailureKind.TOO_LARGE, detail, exchange.reused)
@@ -154,9 +188,27 @@
         for name, value in response.headers.items()
         if _passes(name.lower(), outgoing.method)
     )
-    answer = Answer(response.status, headers, body)
-    memory.hold(answer, len(body))
-    return answer
+    whole = body if isinstance(body, bytes) else b""
+    return HeldAnswer(response.status, headers, whole, body, reservation)
+
+
+def _joined(answer: HeldAnswer | Answer) -> Answer:
+    """Return the answer with its body as one object, with its memory if it is large."""
+    assert isinstance(answer, HeldAnswer)
+    content = answer.content
+    body = content.joined() if isinstance(content, PartedBody) else content
+    joined = Answer(answer.status, answer.headers, body)
+    if len(body) > SMALL_BYTES:
+        finalize(joined, answer.reservation.release)
+    else:
+        answer.reservation.release()
+    return joined
+
+
+def _data(body: Content) -> bytes | BodyPayload | None:
+    if len(body) > SMALL_BYTES:
+        return BodyPayload(body)
+    return body if isinstance(body, bytes) and body else None
 
 
 def _is_crossed(response: aiohttp.ClientResponse, outgoing: Outgoing, *, reused: bool) -> bool:
--- a/src/flamingoladder/upstreams/connections.py
+++ b/src/flamingoladder/upstreams/connections.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from flamingoladder.gateway.request import CallerRequest
-    from flamingoladder.transport.answer_memory import AnswerMemory
+    from flamingoladder.memory.budget import MemoryBudget
     from flamingoladder.transport.pool import Pool
     from flamingoladder.transport.sending import SendFailure
 
@@ -41,7 +41,7 @@
 
     __slots__ = ("_base_url", "_pools")
 
-    def __init__(self, address: str, limit: int, memory: AnswerMemory) -> None:
+    def __init__(self, address: str, limit: int, memory: MemoryBudget) -> None:
         self._base_url = f"http://{address}"
         self._pools = PoolPair(limit, memory)
 
--- a/src/flamingoladder/upstreams/targets.py
+++ b/src/flamingoladder/upstreams/targets.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from flamingoladder.config.agreed import DrainKind
-from flamingoladder.transport.answer_memory import AnswerMemory
+from flamingoladder.memory.budget import MemoryBudget
 from flamingoladder.upstreams.connections import TargetConnections
 
 if TYPE_CHECKING:
@@ -73,7 +73,7 @@
     def __init__(self, state: StateInForce) -> None:
         self._by_address: dict[str, TargetConnections] = {}
         self._limits_by_address: dict[str, int] = {}
-        self._memory = AnswerMemory()
+        self._memory = MemoryBudget()
         self._tasks: set[asyncio.Task[None]] = set()
         self._subscription = state.changes.subscribe(self._on_state)
 
--- a/src/flamingoladder/verdict.py
+++ b/src/flamingoladder/verdict.py
@@ -23,6 +23,8 @@
     BAD_REQUEST = "bad_request"
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TOO_LARGE = "body_too_large"
+    BODY_INCOMPLETE = "body_incomplete"
+    NO_MEMORY = "no_memory"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_ROUTE = "unknown_route"
     KEY_MISSING = "key_missing"
--- /dev/null
+++ b/tests/memory/__init__.py
@@ -0,0 +1,3 @@
+"""Tests."""
+
+from __future__ import annotations
