Bound bodies and answers of the daemon's gateway by the memory budget

Cause: the gateway read bodies and held answers as entry hosts did. Change: the gateway reads bodies through the same reader, keeps large ones in blocks, writes large answers part by part and guards its connections.

--- a/src/flamingoladder/console/commands/daemon.py
+++ b/src/flamingoladder/console/commands/daemon.py
@@ -32,6 +32,8 @@
     caller_tls_key: str | None = None,
     operator_tls_certificate: str | None = None,
     operator_tls_key: str | None = None,
+    memory_mb: str | None = None,
+    max_fds: str | None = None,
 ) -> int:
     """Run the entry daemon of a host.
 
@@ -56,6 +58,8 @@
     :param caller_tls_key: PEM file with its key
     :param operator_tls_certificate: PEM file with the certificate chain of the operator port
     :param operator_tls_key: PEM file with its key
+    :param memory_mb: memory of the process in megabytes; bodies and answers are kept within it
+    :param max_fds: descriptors that the process may open; callers' connections are bounded by it
     """
     result = read_settings(locals(), os.environ)
     if result.is_error():
--- a/src/flamingoladder/daemon/application.py
+++ b/src/flamingoladder/daemon/application.py
@@ -17,6 +17,7 @@
 from flamingoladder.daemon.upstream_side import UpstreamSide
 from flamingoladder.gateway.metrics import RequestMetrics
 from flamingoladder.gateway.server import GatewayServer
+from flamingoladder.memory.budget import MemoryBudget
 from flamingoladder.operators.access import OperatorAccess
 from flamingoladder.operators.server import OperatorServer
 from flamingoladder.peers.keys import LinkKeys
@@ -57,6 +58,7 @@
         transport = HttpTransport.from_config(settings.platform_url, settings.platform_token)
         platform = PlatformServices.over_http(transport)
         slices = HostSlices.from_config(own, platform, links, recorder)
+        memory = MemoryBudget.from_config(settings.memory_mb)
         self._settings = settings
         self._recorder = recorder
         self._links = links
@@ -64,7 +66,7 @@
         self._slices = slices
         self._directory = DirectoryWatcher(platform.table, links, recorder)
         self._upstreams = UpstreamSide.from_config(
-            own, slices.keeper, slices.permission, links, recorder
+            own, slices.keeper, slices.permission, links, recorder, memory
         )
         stages = slices.stages(self._upstreams.dispatcher)
         self._gateway = GatewayServer(
@@ -72,6 +74,8 @@
             settings.address,
             settings.caller_port,
             tls_context(settings.caller_tls_certificate, settings.caller_tls_key),
+            memory,
+            settings.max_fds,
         )
         self._operators = OperatorServer(
             slices.keeper,
--- a/src/flamingoladder/daemon/settings.py
+++ b/src/flamingoladder/daemon/settings.py
@@ -44,6 +44,8 @@
     ``operator_tokens`` may hold several tokens of a role, so that a token can be replaced without a
     stop. ``stop_grace_s`` bounds a graceful shutdown, in seconds. ``caller_tls_*`` and
     ``operator_tls_*`` are paths of PEM files; without them the port speaks plain HTTP.
+    ``memory_mb`` is what the process may take in megabytes, and ``max_fds`` how many descriptors it
+    may open; each is 0 if it is not known.
     """
 
     host: Text
@@ -65,6 +67,8 @@
     caller_tls_key: str | None = None
     operator_tls_certificate: str | None = None
     operator_tls_key: str | None = None
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
 
     @property
     def caller_url(self) -> str:
--- a/src/flamingoladder/daemon/upstream_side.py
+++ b/src/flamingoladder/daemon/upstream_side.py
@@ -22,6 +22,7 @@
     from flamingoladder.config.agreed import StateInForce
     from flamingoladder.gateway.dispatch_check import DispatchCheck
     from flamingoladder.members.member import Member
+    from flamingoladder.memory.budget import MemoryBudget
     from flamingoladder.peers.link import PeerLinks
     from flamingoladder.timeline.recorder import Recorder
 
@@ -54,10 +55,11 @@
         permission: DispatchCheck,
         links: PeerLinks,
         recorder: Recorder,
+        memory: MemoryBudget,
     ) -> UpstreamSide:
         """Return the upstream side of ``own``; probes start with the first state."""
         board = HealthBoard()
-        pools = TargetPools(state)
+        pools = TargetPools(state, memory)
         random = Random()
         chooser = SlotChooser(own, state, links, recorder, board, random)
         exchange = LinkPoisonExchange(links)
--- a/src/flamingoladder/gateway/forwarding.py
+++ b/src/flamingoladder/gateway/forwarding.py
@@ -8,6 +8,7 @@
 
 from flamingoladder import fields
 from flamingoladder.gateway.exceptions import RefusedError
+from flamingoladder.memory.body import contains
 from flamingoladder.verdict import Header
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
@@ -16,6 +17,8 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from flamingoladder.memory.body import Content
+
 DROPPED_HEADERS = fields.CONNECTION_FIELDS | {
     "authorization",
     "content-length",
@@ -49,7 +52,7 @@
     return "%" in text and (key in unquote(text) or key in unquote_plus(text))
 
 
-def reject_misplaced_key(key: str | None, body: bytes, texts: Iterable[str | None]) -> None:
+def reject_misplaced_key(key: str | None, body: Content, texts: Iterable[str | None]) -> None:
     """Check that the key is neither in the body nor in any of ``texts``.
 
     Unlike a header, these can't be dropped, so the request is refused.
@@ -58,7 +61,7 @@
     """
     if not key:
         return
-    if key.encode("utf-8", "surrogateescape") in body:
+    if contains(body, key.encode("utf-8", "surrogateescape")):
         raise _misplaced_key_error("body")
     if any(text and contains_key(text, key) for text in texts):
         raise _misplaced_key_error("path, query, request id or idempotency key")
--- a/src/flamingoladder/gateway/handler.py
+++ b/src/flamingoladder/gateway/handler.py
@@ -10,6 +10,8 @@
 from flamingoladder.gateway.dispatch_check import KeyedDispatchCheck
 from flamingoladder.gateway.exceptions import RefusedError
 from flamingoladder.gateway.validation import RequestValidator
+from flamingoladder.memory.body_reader import BodyReader
+from flamingoladder.memory.budget import MemoryBudget
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
@@ -30,9 +32,15 @@
 
     __slots__ = ("_dispatch_check", "_in_flight", "_stages", "_tasks", "validator")
 
-    def __init__(self, stages: GatewayStages, in_flight: InFlightCounter) -> None:
+    def __init__(
+        self,
+        stages: GatewayStages,
+        in_flight: InFlightCounter,
+        bodies: BodyReader | None = None,
+    ) -> None:
         host = stages.recorder.host
-        self.validator = RequestValidator(stages.state, stages.keys, host)
+        bodies = bodies or BodyReader(MemoryBudget())
+        self.validator = RequestValidator(stages.state, stages.keys, host, bodies)
         self._stages = stages
         self._in_flight = in_flight
         self._dispatch_check = KeyedDispatchCheck(stages.state, stages.keys, host)
--- a/src/flamingoladder/gateway/request.py
+++ b/src/flamingoladder/gateway/request.py
@@ -6,6 +6,8 @@
 
 if TYPE_CHECKING:
     from flamingoladder.config.model import Route
+    from flamingoladder.memory.body import Content
+    from flamingoladder.memory.reservation import Reservation
     from flamingoladder.verdict import Header
 
 
@@ -17,7 +19,8 @@
     ``path`` is the path for the upstream, with the query. ``digest`` is the hex digest of method,
     path and body. ``fresh_key`` is the caller's statement that every earlier request with this
     idempotency key, if any, was answered ``not_run``, and that it sends no other such request
-    before this one is answered.
+    before this one is answered. ``reservation`` holds the memory of the body for as long as
+    anything refers to the request.
     """
 
     __slots__ = (
@@ -31,6 +34,7 @@
         "method",
         "path",
         "request_id",
+        "reservation",
         "route",
         "service",
         "workspace",
@@ -45,13 +49,14 @@
         method: str,
         path: str,
         headers: tuple[Header, ...],
-        body: bytes,
+        body: Content,
         digest: str,
         deadline: float,
         workspace: str | None,
         key_id: str | None,
         idempotency_key: str | None,
         fresh_key: bool = False,
+        reservation: Reservation | None = None,
     ) -> None:
         self.request_id = request_id
         self.service = service
@@ -66,3 +71,4 @@
         self.key_id = key_id
         self.idempotency_key = idempotency_key
         self.fresh_key = fresh_key
+        self.reservation = reservation
--- a/src/flamingoladder/gateway/request_parsing.py
+++ b/src/flamingoladder/gateway/request_parsing.py
@@ -1,14 +1,14 @@
-"""Parsing of a caller's HTTP request, with limits on its size and time."""
+"""Parsing of a caller's HTTP request, with a limit on its header fields."""
 
 from __future__ import annotations
 
-import asyncio
 from hashlib import sha256
 from secrets import token_hex
 from typing import TYPE_CHECKING
 
 from flamingoladder import fields
 from flamingoladder.gateway.exceptions import RefusedError
+from flamingoladder.memory.body import PartedBody
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 
@@ -17,6 +17,7 @@
 
     from flamingoladder.config.model import Defaults
     from flamingoladder.config.model import Route
+    from flamingoladder.memory.body import Content
 
 MAX_ID_LENGTH = 255
 HEADER_SEPARATOR_BYTES = 4  # colon, space and CRLF of each header field
@@ -41,37 +42,6 @@
     raise RefusedError(Refusal.not_run(Reason.HEADERS_TOO_LARGE, detail))
 
 
-async def read_body(request: web.BaseRequest, max_bytes: int, deadline: float) -> bytes:
-    """Return the whole body.
-
-    :raises RefusedError: if it is too large, or not received by ``deadline`` (monotonic s).
-    """
-    if not request.body_exists:
-        return b""
-    if (request.content_length or 0) > max_bytes:
-        raise _too_large(max_bytes)
-    try:
-        async with asyncio.timeout_at(deadline):
-            return await _read_chunks(request, max_bytes)
-    except TimeoutError:
-        detail = "the deadline passed before the whole body was received"
-        raise RefusedError(Refusal.not_run(Reason.DEADLINE_PASSED, detail)) from None
-
-
-async def _read_chunks(request: web.BaseRequest, max_bytes: int) -> bytes:
-    body = bytearray()
-    async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > max_bytes:
-            raise _too_large(max_bytes)
-    return bytes(body)
-
-
-def _too_large(max_bytes: int) -> RefusedError:
-    detail = f"the body is over the limit of {max_bytes} bytes (setting defaults.max_body_bytes)"
-    return RefusedError(Refusal.not_run(Reason.BODY_TOO_LARGE, detail))
-
-
 def bearer_key(request: web.BaseRequest) -> str | None:
     """Return the caller's key, or None if there is none.
 
@@ -143,8 +113,9 @@
     return visible and 0 < len(text) <= MAX_ID_LENGTH
 
 
-def request_digest(method: str, path: str, body: bytes) -> str:
+def request_digest(method: str, path: str, body: Content) -> str:
     """Return the hex SHA-256 digest of method, path (with query) and body."""
     digest = sha256(f"{method} {path}\n".encode("utf-8", "surrogateescape"))
-    digest.update(body)
+    for part in body.parts() if isinstance(body, PartedBody) else (body,):
+        digest.update(part)
     return digest.hexdigest()
--- a/src/flamingoladder/gateway/responses.py
+++ b/src/flamingoladder/gateway/responses.py
@@ -10,15 +10,18 @@
 from multidict import CIMultiDict
 
 from flamingoladder import fields
+from flamingoladder.memory.body import BodyPayload
+from flamingoladder.memory.budget import SMALL_BYTES
+from flamingoladder.verdict import Answer
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
 
 if TYPE_CHECKING:
-    from flamingoladder.verdict import Answer
     from flamingoladder.verdict import Outcome
 
 JSON = "application/json"
+ANSWER = web.ResponseKey("answer", Answer)
 
 STATUS_BY_REASON = {
     Reason.BAD_REQUEST: 400,
@@ -94,4 +97,8 @@
             headers.add(header.name, header.value)
     headers[fields.VERDICT] = Verdict.RAN.value
     headers[fields.REQUEST_ID] = request_id
-    return web.Response(status=answer.status, headers=headers, body=answer.body)
+    if len(answer.body) <= SMALL_BYTES:
+        return web.Response(status=answer.status, headers=headers, body=answer.body)
+    response = web.Response(status=answer.status, headers=headers, body=BodyPayload(answer.body))
+    response[ANSWER] = answer  # Its memory is held until the response is written.
+    return response
--- a/src/flamingoladder/gateway/server.py
+++ b/src/flamingoladder/gateway/server.py
@@ -20,6 +20,11 @@
 from flamingoladder.gateway.system_api import SystemApi
 from flamingoladder.gateway.system_api import with_unknown_outcome
 from flamingoladder.gateway.validation import split_service_path
+from flamingoladder.memory.body_reader import BodyReader
+from flamingoladder.memory.budget import MemoryBudget
+from flamingoladder.memory.caller_connections import CallerConnections
+from flamingoladder.memory.events import MemoryEvents
+from flamingoladder.memory.request_scope import is_worth_draining
 from flamingoladder.transport.port import Port
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
@@ -39,18 +44,21 @@
 MAX_FIELD_BYTES = 1_048_576
 MAX_FIELDS = 10_000
 CLOSE_TIMEOUT_S = 5.0
+BODY_SETTING = "defaults.max_body_bytes"
 
 
 class GatewayServer:
     """HTTP server on one port; after ``start()``, ``port`` is the port that it listens on.
 
     For a graceful shutdown, call ``leave()`` once look-up answers no longer list this host, wait
-    for one look-up lifetime, then call ``stop()``.
+    for one look-up lifetime, then call ``stop()``. ``memory`` bounds callers' bodies, ``max_fds``
+    their connections, if it is given.
     """
 
     __slots__ = (
         "_bind_address",
         "_completed",
+        "_connections",
         "_handler",
         "_in_flight",
         "_listener",
@@ -67,18 +75,23 @@
         bind_address: str,
         port: int,
         ssl_context: SSLContext | None = None,
+        memory: MemoryBudget | None = None,
+        max_fds: int = 0,
     ) -> None:
         self._stages = stages
         self._bind_address = bind_address
         self.port = port
         self._ssl = ssl_context
         self._in_flight = InFlightCounter()
-        self._handler = RequestHandler(stages, self._in_flight)
+        memory = memory or MemoryBudget()
+        events = MemoryEvents(stages.recorder, _no_counter)
+        self._connections = CallerConnections(memory, events, max_fds)
+        self._handler = RequestHandler(stages, self._in_flight, BodyReader(memory, BODY_SETTING))
         self._system_api = SystemApi(stages, self._handler.validator)
         self._phase = ShutdownPhase.SERVING
         self._completed: Subject[RequestCompleted] = Subject()
         self._listener = Port.of_application(
-            self._application(), MAX_FIELD_BYTES, MAX_FIELDS, CLOSE_TIMEOUT_S
+            self._application(), MAX_FIELD_BYTES, MAX_FIELDS, CLOSE_TIMEOUT_S, self._connections
         )
 
     @property
@@ -140,7 +153,8 @@
                 )
             with self._in_flight:
                 response = await handle(request, request_id)
-                if self._phase is not ShutdownPhase.SERVING:
+                is_kept = self._phase is ShutdownPhase.SERVING and is_worth_draining(request)
+                if not is_kept:
                     self._close_connection(response)
                 await _write(request, response)
             return response
@@ -170,6 +184,10 @@
         return outcome_response(outcome, request_id)
 
 
+def _no_counter(_kind: str, _reason: str) -> None:
+    """Count nothing: the recorder's events are counted by kind."""
+
+
 async def _write(request: web.Request, response: web.Response) -> None:
     await response.prepare(request)
     await response.write_eof()
--- a/src/flamingoladder/gateway/validation.py
+++ b/src/flamingoladder/gateway/validation.py
@@ -11,6 +11,9 @@
 from flamingoladder.gateway.forwarding import reject_misplaced_key
 from flamingoladder.gateway.request import CallerRequest
 from flamingoladder.gateway.routing import find_route
+from flamingoladder.memory.accounts import Account
+from flamingoladder.memory.accounts import AccountKind
+from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -19,6 +22,7 @@
     from flamingoladder.config.agreed import KeyGrant
     from flamingoladder.config.agreed import StateInForce
     from flamingoladder.keys.authentication import KeyAuthenticator
+    from flamingoladder.memory.body_reader import BodyReader
 
 SERVICES_PREFIX = "/services/"
 
@@ -26,9 +30,12 @@
 class RequestValidator:
     """Validator of requests against the state in force; ``host`` is this host's name."""
 
-    __slots__ = ("_host", "_keys", "_state")
+    __slots__ = ("_bodies", "_host", "_keys", "_state")
 
-    def __init__(self, state: StateInForce, keys: KeyAuthenticator, host: str) -> None:
+    def __init__(
+        self, state: StateInForce, keys: KeyAuthenticator, host: str, bodies: BodyReader
+    ) -> None:
+        self._bodies = bodies
         self._state = state
         self._keys = keys
         self._host = host
@@ -49,7 +56,12 @@
         grant = None if route.open else self.authenticate(key, now)
         deadline = request_parsing.request_deadline(request, route, defaults, now)
         idempotency_key = request_parsing.idempotency_key(request, route)
-        body = await request_parsing.read_body(request, defaults.max_body_bytes, deadline)
+        read = await self._bodies.read(
+            request, defaults.max_body_bytes, deadline, _accounts(request, grant)
+        )
+        if isinstance(read, Refusal):
+            raise RefusedError(read)
+        body, reservation = read
         path = _with_query(request, raw_path)
         reject_misplaced_key(key, body, (path, request_id, idempotency_key))
         return CallerRequest(
@@ -66,6 +78,7 @@
             key_id=grant.key_id if grant else None,
             idempotency_key=idempotency_key,
             fresh_key=request_parsing.is_fresh_key(request),
+            reservation=reservation,
         )
 
     def authenticate(self, key: str | None, now: float) -> KeyGrant:
@@ -94,6 +107,13 @@
     return service, f"/{path}"
 
 
+def _accounts(request: web.BaseRequest, grant: KeyGrant | None) -> tuple[Account, ...]:
+    client = Account(AccountKind.CLIENT, request.remote or "")
+    if grant is None:
+        return (client,)
+    return (client, Account(AccountKind.WORKSPACE, grant.workspace))
+
+
 def _with_query(request: web.BaseRequest, raw_path: str) -> str:
     query = request.rel_url.raw_query_string
     return f"{raw_path}?{query}" if query else raw_path
--- a/src/flamingoladder/memory/body.py
+++ b/src/flamingoladder/memory/body.py
@@ -103,3 +103,16 @@
     def forget(self) -> None:
         """Let go of the body once it is written."""
         self._body = b""
+
+
+def contains(body: Content, text: bytes) -> bool:
+    """Return whether a body holds ``text``, which may lie across parts."""
+    if not isinstance(body, PartedBody):
+        return text in body
+    end = b""
+    for part in body.parts():
+        joined = end + bytes(part)
+        if text in joined:
+            return True
+        end = joined[max(0, len(joined) - len(text) + 1) :]
+    return False
--- a/src/flamingoladder/memory/body_reader.py
+++ b/src/flamingoladder/memory/body_reader.py
@@ -39,10 +39,11 @@
     one another. A body without one that can't grow within ``PAUSE_S`` is refused.
     """
 
-    __slots__ = ("_budget",)
+    __slots__ = ("_budget", "_setting")
 
-    def __init__(self, budget: MemoryBudget) -> None:
+    def __init__(self, budget: MemoryBudget, setting: str = "limits.max_body_bytes") -> None:
         self._budget = budget
+        self._setting = setting
 
     def length_refusal(self, request: web.BaseRequest, max_bytes: int) -> Refusal | None:
         """Return the refusal of a request whose declared length is over the limit."""
@@ -138,8 +139,11 @@
         return body.joined() if len(body) <= SMALL_BYTES else body
 
     def _too_large(self, max_bytes: int) -> Refusal:
-        limit_bytes = min(max_bytes, self._budget.large_limit_bytes)
-        return Refusal.not_run(Reason.BODY_TOO_LARGE, f"the body is over {limit_bytes} bytes")
+        limit_bytes = self._budget.large_limit_bytes
+        detail = f"the body is over the {limit_bytes} bytes that this host's memory has room for"
+        if max_bytes <= limit_bytes:
+            detail = f"the body is over the limit of {max_bytes} bytes (setting {self._setting})"
+        return Refusal.not_run(Reason.BODY_TOO_LARGE, detail)
 
 
 async def _read_small(reader: StreamReader) -> bytes:
--- a/src/flamingoladder/upstreams/targets.py
+++ b/src/flamingoladder/upstreams/targets.py
@@ -70,10 +70,10 @@
 
     __slots__ = ("_by_address", "_limits_by_address", "_memory", "_subscription", "_tasks")
 
-    def __init__(self, state: StateInForce) -> None:
+    def __init__(self, state: StateInForce, memory: MemoryBudget | None = None) -> None:
         self._by_address: dict[str, TargetConnections] = {}
         self._limits_by_address: dict[str, int] = {}
-        self._memory = MemoryBudget()
+        self._memory = memory or MemoryBudget()
         self._tasks: set[asyncio.Task[None]] = set()
         self._subscription = state.changes.subscribe(self._on_state)
 
