--- a/src/flamingoladder/entry/metrics.py
+++ b/src/flamingoladder/entry/metrics.py
@@ -30,6 +30,7 @@
         "_events",
         "_latency_by_route",
         "_latency_s",
+        "_memory",
         "_registry",
         "_requests",
     )
@@ -53,6 +54,12 @@
         self._count_by_kind: dict[str, Counter] = {}
         self._count_by_status: dict[int, Counter] = {}
         self._latency_by_route: dict[str, Histogram] = {}
+        self._memory = Counter(
+            "flamingoladder_memory",
+            "Bodies refused and connections closed to bound memory and descriptors",
+            ["kind", "reason"],
+            registry=self._registry,
+        )
         dropped = Gauge(
             "flamingoladder_log_lines_dropped", "Log lines dropped", registry=self._registry
         )
@@ -73,6 +80,22 @@
             latency_s = self._latency_by_route[route] = self._latency_s.labels(route)
         latency_s.observe(seconds)
 
+    def count_memory(self, kind: str, reason: str) -> None:
+        """Count a refused body or a closed connection."""
+        self._memory.labels(kind, reason).inc()
+
+    def watch_memory(
+        self, held_bytes: Callable[[], float], limit_bytes: Callable[[], float]
+    ) -> None:
+        """Show the use of the memory budget."""
+        for name, value in (("held", held_bytes), ("limit", limit_bytes)):
+            gauge = Gauge(
+                f"flamingoladder_memory_{name}_bytes",
+                f"Memory budget, bytes: {name}",
+                registry=self._registry,
+            )
+            gauge.set_function(value)
+
     def text(self) -> bytes:
         """Return all metrics in the text exposition format."""
         return generate_latest(self._registry)
--- a/src/flamingoladder/entry/settings.py
+++ b/src/flamingoladder/entry/settings.py
@@ -44,8 +44,8 @@
     """All settings of an entry host; ``first_start`` is True if the whole fleet starts fresh.
 
     ``link_mbps`` is the bandwidth of the host's link in Mbit/s, ``memory_mb`` what a process may
-    take in megabytes, and ``capacity_cores`` the processor time per second that the host may use;
-    each is 0 if it is not known.
+    take in megabytes, ``capacity_cores`` the processor time per second that the host may use, and
+    ``max_fds`` how many descriptors it may open; each is 0 if it is not known.
     """
 
     host: str
@@ -62,4 +62,5 @@
     link_mbps: float = 0.0
     memory_mb: float = 0.0
     capacity_cores: float = 0.0
+    max_fds: int = 0
     bounds: Bounds
--- a/src/flamingoladder/platform/settings.py
+++ b/src/flamingoladder/platform/settings.py
@@ -19,6 +19,7 @@
 class _Limits(msgspec.Struct):
     link_mbps: float = 0.0
     memory_mb: float = 0.0
+    max_fds: int = 0
     cores: float | None = None
     cpu_share: float | None = None
 
@@ -119,6 +120,7 @@
             link_mbps=found.own.limits.link_mbps,
             memory_mb=found.own.limits.memory_mb,
             capacity_cores=found.own.limits.capacity_cores,
+            max_fds=found.own.limits.max_fds,
             bounds=Bounds(
                 grace_s=bounds.grace_s,
                 retry_ratio=bounds.retry_budget_ratio,
--- a/src/flamingoladder/platform/standins/settings_file.py
+++ b/src/flamingoladder/platform/standins/settings_file.py
@@ -23,6 +23,7 @@
             "link_mbps": settings.link_mbps,
             "memory_mb": settings.memory_mb,
             "cores": settings.capacity_cores,
+            "max_fds": settings.max_fds,
         },
     }
     listen = {
--- a/src/flamingoladder/upstreams/targets.py
+++ b/src/flamingoladder/upstreams/targets.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from flamingoladder.config.agreed import DrainKind
-from flamingoladder.transport.answer_memory import AnswerMemory
+from flamingoladder.memory.budget import MemoryBudget
 from flamingoladder.upstreams.connections import TargetConnections
 
 if TYPE_CHECKING:
@@ -70,10 +70,10 @@
 
     __slots__ = ("_by_address", "_limits_by_address", "_memory", "_subscription", "_tasks")
 
-    def __init__(self, state: StateInForce) -> None:
+    def __init__(self, state: StateInForce, memory: MemoryBudget | None = None) -> None:
         self._by_address: dict[str, TargetConnections] = {}
         self._limits_by_address: dict[str, int] = {}
-        self._memory = AnswerMemory()
+        self._memory = memory or MemoryBudget()
         self._tasks: set[asyncio.Task[None]] = set()
         self._subscription = state.changes.subscribe(self._on_state)
 
