Rank a region's relays with less work

Cause: each ranking looked at all hosts' reports twice and hashed the names of the region's hosts anew; hosts rank several times a second.

Change: hosts that serve are found in one pass, for one region if only that is asked, and the hashes of names are kept.

--- a/src/flamingoladder/fleet/members.py
+++ b/src/flamingoladder/fleet/members.py
@@ -106,13 +106,17 @@
     def _report_lifetime_s(self) -> float:
         return REPORT_LIFETIME_INTERVALS * self.report_interval_s
 
-    def serving(self, now: float) -> list[Member]:
-        """Return the other members that accept callers."""
-        reports = self.live_reports(now)
+    def serving(self, now: float, region: str | None = None) -> list[Member]:
+        """Return the other members that accept callers, all or those of one ``region``."""
+        lifetime_s, reports = self._report_lifetime_s, self.reports_by_host
         return [
             member
             for host, member in self.members_by_host.items()
-            if not member.leaving and host in reports and not reports[host].unavailable
+            if not member.leaving
+            and (region is None or member.region == region)
+            and (received := reports.get(host)) is not None
+            and now - received.received_at < lifetime_s
+            and not received.report.unavailable
         ]
 
     def has_lowest_name(self, now: float, region: str | None = None) -> bool:
@@ -120,11 +124,7 @@
 
         With a ``region``, only the hosts of that region are compared.
         """
-        return not any(
-            member.host < self._own_host
-            for member in self.serving(now)
-            if region is None or member.region == region
-        )
+        return not any(member.host < self._own_host for member in self.serving(now, region))
 
     def lost(self, now: float) -> list[Member]:
         """Return the members that have sent no report for ``LOST_AFTER_S``."""
--- a/src/flamingoladder/fleet/relays.py
+++ b/src/flamingoladder/fleet/relays.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from flamingoladder.hashing import stable_hash
@@ -15,6 +16,7 @@
 MAX_DIRECT_HOSTS = 16
 # How long a host of a region that was not heard yet is tried as its relay.
 TRIAL_S = 1.0
+MAX_KEPT_HASHES = 4_096
 
 
 class RegionRelays:
@@ -80,8 +82,7 @@
 
     def _candidates(self, region: str, now: float) -> list[Member]:
         """Return the other hosts of a region that serve, or those that were heard at all."""
-        serving = [member for member in self._members.serving(now) if member.region == region]
-        return serving or [
+        return self._members.serving(now, region) or [
             member
             for host, member in self._others()
             if member.region == region and self._members.is_alive(host, now)
@@ -92,4 +93,10 @@
 
 
 def _order_of(member: Member) -> tuple[float, int]:
-    return -member.link_mbps, stable_hash("relay", member.region, member.host)
+    return -member.link_mbps, _hash_of(member.region, member.host)
+
+
+@lru_cache(MAX_KEPT_HASHES)
+def _hash_of(region: str, host: str) -> int:
+    """All hosts of a region are ranked several times a second, also while nothing changes."""
+    return stable_hash("relay", region, host)
