--- a/bench/entry.py
+++ b/bench/entry.py
@@ -42,6 +42,7 @@
 QUICK_REQUESTS = 1_500
 IDLE_S = 10.0
 QUICK_IDLE_S = 3.0
+PACED_PER_S = 7.0
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.1
 HOST_PORTS = 5
@@ -87,6 +88,7 @@
     print(f"seed {SEED}, start until ready: {process.cpu_s():.2f} s of CPU time")
     await _load(settings, process, QUICK_REQUESTS if quick else REQUESTS)
     await _rest(process, QUICK_IDLE_S if quick else IDLE_S)
+    await _pace(settings, process, QUICK_IDLE_S if quick else IDLE_S)
 
 
 async def _load(settings: HostSettings, process: Process, requests: int) -> None:
@@ -123,6 +125,23 @@
     print(f"at rest: {process.cpu_s() / seconds:.4f} cores, {process.resident_mb():.1f} MB")
 
 
+async def _pace(settings: HostSettings, process: Process, seconds: float) -> None:
+    """Send requests for one object after the other, as slowly as to one of many hosts."""
+    process.cpu_s()
+    requests = int(seconds * PACED_PER_S)
+    refused = 0
+    for number in range(requests):
+        request = _request("GET", "/kit/3/item/17", object_name=f"object-{number}")
+        sample = await closed_loop(settings.callers.port, request, 1, 1)
+        refused += sample.refused
+        await asyncio.sleep(1 / PACED_PER_S)
+    cpu_s = process.cpu_s()
+    print(
+        f"{PACED_PER_S:.0f} requests/s for {requests} objects: {cpu_s / seconds:.4f} cores, "
+        f"{US_PER_S * cpu_s / requests:.0f} us of CPU time each, {refused} refused"
+    )
+
+
 async def _wait_until_ready(url: str) -> None:
     async with asyncio.timeout(READY_TIMEOUT_S), aiohttp.ClientSession() as session:
         while True:
@@ -135,7 +154,14 @@
             await asyncio.sleep(POLL_S)
 
 
-def _request(method: str, path: str, body_bytes: int = 0, *, keyed: bool = True) -> bytes:
+def _request(
+    method: str,
+    path: str,
+    body_bytes: int = 0,
+    *,
+    keyed: bool = True,
+    object_name: str = "object-17",
+) -> bytes:
     fields = {
         "Host": "rental.example",
         "User-Agent": "bench/1.0",
@@ -143,7 +169,7 @@
         "Accept-Encoding": "gzip, deflate",
         headers.REQUEST_ID: "0123456789abcdef",
         headers.DEADLINE_MS: "900",
-        "Cookie": f"session=0a1b2c3d; {headers.AFFINITY_COOKIE}=object-17",
+        "Cookie": f"session=0a1b2c3d; {headers.AFFINITY_COOKIE}={object_name}",
     }
     if keyed:
         fields[headers.API_KEY] = key(17)
