Keep a host's rates as they are while its reports have none

Cause: each report made a new dictionary of its host's rates, also without news of them, so the rate limiter compared all 88 of them in each interval.

Change: the rates of the earlier report stay the same object then, which the limiter passes over. 'python -m bench -n idle' also measures the ranking of relays.

--- a/bench/idle.py
+++ b/bench/idle.py
@@ -81,10 +81,11 @@
             self.members,
             NoticeLearner(targets, self.members, recorder),
         )
+        self.relays = RegionRelays(own, self.members)
         self.exchange = RegionalReportExchange(
             self.links,
             self.members,
-            RegionRelays(own, self.members),
+            self.relays,
             reporter.build_report,
             reporter.apply_reports,
             reporter.receive_report,
@@ -143,6 +144,9 @@
         started = process_time()
         host.exchange.send(loop.time())
         costs.add("build, send and apply", process_time() - started)
+        started = process_time()
+        host.relays.own_rank(loop.time())
+        costs.add("rank the region's relays", process_time() - started)
         end = loop.time() + host.members.report_interval_s
         while next_request < end:
             asking = Workspace(
--- a/src/flamingoladder/fleet/members.py
+++ b/src/flamingoladder/fleet/members.py
@@ -82,10 +82,9 @@
             return
         if not self.is_alive(host, now):
             self._recorder.record("host.heard", peer=host)
-        previous_rates = {} if previous is None else previous.report.rates_by_workspace
-        rates = {**previous_rates, **report.rates_by_workspace}
-        merged = msgspec.structs.replace(report, rates_by_workspace=rates)
-        self.reports_by_host[host] = ReceivedReport(merged, incarnation, now)
+        if previous is not None:
+            report = _with_rates_of(previous.report, report)
+        self.reports_by_host[host] = ReceivedReport(report, incarnation, now)
         self._silent_since[host] = now
 
     def is_alive(self, host: str, now: float) -> bool:
@@ -133,3 +132,14 @@
             for host, member in self.members_by_host.items()
             if now - self._silent_since.get(host, now) > LOST_AFTER_S
         ]
+
+
+def _with_rates_of(previous: HostReport, report: HostReport) -> HostReport:
+    """Return ``report`` with the rates that only ``previous`` has.
+
+    Without news the rates are those of ``previous`` themselves, so that no one compares them.
+    """
+    rates = previous.rates_by_workspace
+    if report.rates_by_workspace:
+        rates = {**rates, **report.rates_by_workspace}
+    return msgspec.structs.replace(report, rates_by_workspace=rates)
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -90,3 +90,14 @@
     registry.receive("h1", "1", HostReport(False, {"b": RateReport(9, 2.0)}, {}, {}), 0.2)
     rates = registry.live_reports(0.3)["h1"].rates_by_workspace
     assert rates == {"a": RateReport(5, 1.0), "b": RateReport(9, 2.0)}
+
+
+def test_rates_without_news_are_the_same_object(registry: MemberRegistry) -> None:
+    """The rate limiter compares the rates of 90 hosts in each interval unless they are."""
+    rates = {"a": RateReport(5, 1.0)}
+    for at, sent in ((0.0, rates), (0.2, {}), (0.4, {})):
+        registry.receive("h1", "1", HostReport(False, sent, {}, {}), at)
+        assert registry.live_reports(at)["h1"].rates_by_workspace == rates
+    before = registry.live_reports(0.4)["h1"].rates_by_workspace
+    registry.receive("h1", "1", REPORT, 0.6)
+    assert registry.live_reports(0.6)["h1"].rates_by_workspace is before
