--- a/src/flamingoladder/fleet/members.py
+++ b/src/flamingoladder/fleet/members.py
@@ -82,10 +82,9 @@
             return
         if not self.is_alive(host, now):
             self._recorder.record("host.heard", peer=host)
-        previous_rates = {} if previous is None else previous.report.rates_by_workspace
-        rates = {**previous_rates, **report.rates_by_workspace}
-        merged = msgspec.structs.replace(report, rates_by_workspace=rates)
-        self.reports_by_host[host] = ReceivedReport(merged, incarnation, now)
+        if previous is not None:
+            report = _with_rates_of(previous.report, report)
+        self.reports_by_host[host] = ReceivedReport(report, incarnation, now)
         self._silent_since[host] = now
 
     def is_alive(self, host: str, now: float) -> bool:
@@ -106,13 +105,17 @@
     def _report_lifetime_s(self) -> float:
         return REPORT_LIFETIME_INTERVALS * self.report_interval_s
 
-    def serving(self, now: float) -> list[Member]:
-        """Return the other members that accept callers."""
-        reports = self.live_reports(now)
+    def serving(self, now: float, region: str | None = None) -> list[Member]:
+        """Return the other members that accept callers, all or those of one ``region``."""
+        lifetime_s, reports = self._report_lifetime_s, self.reports_by_host
         return [
             member
             for host, member in self.members_by_host.items()
-            if not member.leaving and host in reports and not reports[host].unavailable
+            if not member.leaving
+            and (region is None or member.region == region)
+            and (received := reports.get(host)) is not None
+            and now - received.received_at < lifetime_s
+            and not received.report.unavailable
         ]
 
     def has_lowest_name(self, now: float, region: str | None = None) -> bool:
@@ -120,11 +123,7 @@
 
         With a ``region``, only the hosts of that region are compared.
         """
-        return not any(
-            member.host < self._own_host
-            for member in self.serving(now)
-            if region is None or member.region == region
-        )
+        return not any(member.host < self._own_host for member in self.serving(now, region))
 
     def lost(self, now: float) -> list[Member]:
         """Return the members that have sent no report for ``LOST_AFTER_S``."""
@@ -133,3 +132,14 @@
             for host, member in self.members_by_host.items()
             if now - self._silent_since.get(host, now) > LOST_AFTER_S
         ]
+
+
+def _with_rates_of(previous: HostReport, report: HostReport) -> HostReport:
+    """Return ``report`` with the rates that only ``previous`` has.
+
+    Without news the rates are those of ``previous`` themselves, so that no one compares them.
+    """
+    rates = previous.rates_by_workspace
+    if report.rates_by_workspace:
+        rates = {**rates, **report.rates_by_workspace}
+    return msgspec.structs.replace(report, rates_by_workspace=rates)
--- a/src/flamingoladder/fleet/relays.py
+++ b/src/flamingoladder/fleet/relays.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from flamingoladder.hashing import stable_hash
@@ -15,6 +16,7 @@
 MAX_DIRECT_HOSTS = 16
 # How long a host of a group that was not heard yet is tried as its relay.
 TRIAL_S = 1.0
+MAX_KEPT_HASHES = 4_096
 
 # Region and failure domain; the latter is empty if the whole region is one group.
 Group = tuple[str, str]
@@ -94,10 +96,9 @@
 
     def _candidates(self, group: Group, now: float) -> list[Member]:
         """Return the other hosts of a group that serve, or those that were heard at all."""
-        serving = [
-            member for member in self._members.serving(now) if self._group_of(member) == group
-        ]
-        return serving or [
+        region, _ = group
+        serving = self._members.serving(now, region)
+        return [member for member in serving if self._group_of(member) == group] or [
             member
             for host, member in self._others()
             if self._group_of(member) == group and self._members.is_alive(host, now)
@@ -130,4 +131,10 @@
 
 
 def _order_of(member: Member) -> tuple[float, int]:
-    return -member.link_mbps, stable_hash("relay", member.region, member.host)
+    return -member.link_mbps, _hash_of(member.region, member.host)
+
+
+@lru_cache(MAX_KEPT_HASHES)
+def _hash_of(region: str, host: str) -> int:
+    """All hosts of a region are ranked several times a second, also while nothing changes."""
+    return stable_hash("relay", region, host)
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -130,3 +130,14 @@
         answer = lookup.answer("r1", 0.3, "r1-a", f"10.0.0.{number}")
     assert len(answer.addresses) == 8
     assert len(lookup.answer("r1", 0.3, "r1-b", "10.0.0.1").addresses) == 18
+
+
+def test_rates_without_news_are_the_same_object(registry: MemberRegistry) -> None:
+    """The rate limiter compares the rates of 90 hosts in each interval unless they are."""
+    rates = {"a": RateReport(5, 1.0)}
+    for at, sent in ((0.0, rates), (0.2, {}), (0.4, {})):
+        registry.receive("h1", "1", HostReport(False, sent, {}, {}), at)
+        assert registry.live_reports(at)["h1"].rates_by_workspace == rates
+    before = registry.live_reports(0.4)["h1"].rates_by_workspace
+    registry.receive("h1", "1", REPORT, 0.6)
+    assert registry.live_reports(0.6)["h1"].rates_by_workspace is before
