Plan the split of requests between regions ahead of need

Requests left a region only once its targets were busy, and then by at most a tenth in 2 s, so a region with few targets queued while others had free slots.

Hosts report the slots that their callers ask for, by service. From these sums and the registered slots, each host plans which fraction of its region's requests should go to which other region, forecast by 3 s, growing by at most a tenth in 2 s and shrinking more slowly. Demand counts by the callers' region, so a shift does not change its cause. A region with a host that does not report takes no part. The load balancer does not use the plan yet.

--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -12,6 +12,7 @@
 from flamingoladder.entry.host_reports import HostReporter
 from flamingoladder.entry.load_balancer import LoadBalancer
 from flamingoladder.entry.probing import TargetProber
+from flamingoladder.entry.region_planner import RegionPlanner
 from flamingoladder.entry.send_check import SendCheck
 from flamingoladder.entry.silence_check import SilenceCheck
 from flamingoladder.entry.target_ends import TargetEnds
@@ -73,6 +74,7 @@
         "poison_upkeep",
         "prober",
         "recorder",
+        "region_planner",
         "relays",
         "report_exchange",
         "report_relays",
@@ -118,6 +120,7 @@
             AnswerMemory.from_config(settings.memory_mb),
         )
         notices = NoticeLearner(self.targets, self.members, self.recorder)
+        self.region_planner = RegionPlanner(self.targets, self.members, settings.region)
         self.reporter = HostReporter(
             self.targets,
             self.configuration,
@@ -127,6 +130,7 @@
             self.members,
             notices,
             processor_use,
+            self.region_planner,
         )
         poison_exchange = FleetPoisonExchange(self.peer_links, self.report_relays)
         poison_detector = PoisonDetector(
--- a/src/flamingoladder/entry/host_reports.py
+++ b/src/flamingoladder/entry/host_reports.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from flamingoladder.entry.region_planner import RegionPlanner
 from flamingoladder.fleet.messages import HostReport
 from flamingoladder.fleet.processor_use import ProcessorUse
 from flamingoladder.limits.rate_deltas import RateDeltas
@@ -38,6 +39,7 @@
         "_members",
         "_next_object_by_service",
         "_notices",
+        "_planner",
         "_processor_use",
         "_rate_deltas",
         "_rate_limiter",
@@ -56,6 +58,7 @@
         members: MemberRegistry,
         notices: NoticeLearner,
         processor_use: ProcessorUse | None = None,
+        planner: RegionPlanner | None = None,
     ) -> None:
         self._targets = targets
         self._configuration = configuration
@@ -65,6 +68,7 @@
         self._members = members
         self._notices = notices
         self._processor_use = processor_use or ProcessorUse(0.0)
+        self._planner = planner or RegionPlanner(targets, members, balancer.region)
         self._next_object_by_service: dict[str, int] = {}
         self._reported_count_by_service: dict[str, int] = {}
         self._rate_deltas = RateDeltas()
@@ -87,6 +91,7 @@
             self._rate_limits(now),
             self._notices.leaving_targets(now),
             busy_tenths=self._processor_use.observe(time.process_time(), now),
+            offered_by_service=self._planner.report(now),
         )
 
     def receive_report(self, host: str, report: HostReport, now: float) -> None:
@@ -105,6 +110,7 @@
     def apply_reports(self, now: float) -> None:
         """Apply the newest reports of all hosts."""
         reports = self._members.live_reports(now)
+        self._planner.update(reports, now)
         rates = {host: report.rates_by_workspace for host, report in reports.items()}
         self._rate_limiter.update(self._members.host_count, rates, self._members.report_interval_s)
         self._budgets.set_host_count(self._members.host_count)
--- a/src/flamingoladder/fleet/exchange.py
+++ b/src/flamingoladder/fleet/exchange.py
@@ -85,8 +85,9 @@
         self._links.send_all(self._links.hosts, report)
 
     def _is_due(self, report: HostReport) -> bool:
-        # Without its busyness, so that a host that only keeps itself up reports no more for it.
-        is_empty = msgspec.structs.replace(report, busy_tenths=0) == EMPTY_REPORT
+        # Without what changes slowly, so that an idle host reports no more often for it.
+        compared = msgspec.structs.replace(report, busy_tenths=0, offered_by_service=None)
+        is_empty = compared == EMPTY_REPORT
         self._empty_reports = self._empty_reports + 1 if is_empty else 0
         return self._empty_reports % EMPTY_REPORTS_PER_SEND == 0
 
