Replace names by hashes in reports between failure domains

Names of workspaces and targets were over a third of the compressed bytes. Relays by failure domain send 4 bytes of a hash for each name that they know and that no other name shares; receivers look hashes up among the names they know.

--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -30,6 +30,7 @@
 from flamingoladder.fleet.processor_use import ProcessorUse
 from flamingoladder.fleet.relays import DomainRelays
 from flamingoladder.fleet.relays import RegionRelays
+from flamingoladder.fleet.report_packing import ReportPacker
 from flamingoladder.limits.rate_limiter import FleetRateLimiter
 from flamingoladder.limits.retry_budgets import RetryBudgets
 from flamingoladder.members.member import Member
@@ -148,6 +149,7 @@
             self.reporter.build_report,
             self.reporter.apply_reports,
             self.reporter.receive_report,
+            ReportPacker(self._known_names, self._names_version),
         )
         self.prober = TargetProber(
             self.targets,
@@ -212,6 +214,17 @@
             MIN_CONNECTIONS_PER_TARGET, configured.max_connections // self.members.host_count
         )
 
+    def _known_names(self) -> list[str]:
+        """Return the names of all workspaces and targets."""
+        routing = self.configuration.routing
+        workspaces = () if routing is None else routing.workspaces_by_name
+        return [*workspaces, *self.targets.by_id]
+
+    def _names_version(self) -> tuple[int | None, int]:
+        routing = self.configuration.routing
+        version = None if routing is None else routing.version
+        return version, self.targets.eligibility_changes
+
     def _hosts_to_ask(self) -> list[str] | None:
         """Return the other hosts, or None while the store has told this host nothing."""
         return None if self.configuration.routing is None else self.relays.nearest_first()
--- a/src/flamingoladder/fleet/exchange.py
+++ b/src/flamingoladder/fleet/exchange.py
@@ -8,9 +8,11 @@
 import msgspec
 
 from flamingoladder.fleet.messages import HostReport
+from flamingoladder.fleet.messages import PackedReports
 from flamingoladder.fleet.messages import RegionReports
 from flamingoladder.fleet.region_reports import RegionReportQueue
 from flamingoladder.fleet.relays import RELAYS_PER_REGION
+from flamingoladder.fleet.report_packing import ReportPacker
 from flamingoladder.poison.exchange import LinkPoisonExchange
 
 if TYPE_CHECKING:
@@ -111,7 +113,7 @@
     what the first did not. A small fleet sends all reports directly.
     """
 
-    __slots__ = ("_distributed_by_host", "_held", "_held_before", "_queue", "_relays")
+    __slots__ = ("_distributed_by_host", "_held", "_held_before", "_packer", "_queue", "_relays")
 
     def __init__(
         self,
@@ -121,14 +123,18 @@
         make_report: Callable[[float], HostReport],
         apply_reports: Callable[[float], None],
         on_report: Callable[[str, HostReport, float], None] | None = None,
+        packer: ReportPacker | None = None,
     ) -> None:
         super().__init__(links, members, make_report, apply_reports, on_report)
         self._relays = relays
+        # Without known names, all names are sent as they are.
+        self._packer = packer or ReportPacker(tuple, int)
         self._queue = RegionReportQueue()
         self._held = RegionReportQueue()
         self._held_before: RegionReports | None = None
         self._distributed_by_host: dict[str, ForwardedReport] = {}
         links.register(RegionReports, self._on_region_reports)
+        links.register(PackedReports, self._on_packed_reports)
 
     def send(self, now: float) -> None:
         """Send a report if it is due, and what the group reported if this host is a relay."""
@@ -138,7 +144,7 @@
         rank = self._relays.own_rank(now)
         if gathered is None or rank >= RELAYS_PER_REGION or not self._relays.in_use:
             return
-        self._links.send_all(self._relays.remote_relays(rank, now), gathered)
+        self._links.send_all(self._relays.remote_relays(rank, now), self._packed(gathered))
 
     def _distribute(self, report: HostReport, now: float) -> None:
         own = self._links.own
@@ -151,17 +157,30 @@
         if self._relays.is_neighbour(peer.host):
             self._queue.add(peer.host, peer.incarnation, report)
 
+    def _packed(self, reports: RegionReports) -> RegionReports | PackedReports:
+        return self._packer.pack(reports) if self._relays.by_domain else reports
+
     async def _on_region_reports(self, peer: Peer, reports: RegionReports) -> None:
+        self._take_in(peer, reports, reports)
+
+    async def _on_packed_reports(self, peer: Peer, packed: PackedReports) -> None:
+        self._take_in(peer, self._packer.unpack(packed), packed)
+
+    def _take_in(
+        self, peer: Peer, reports: RegionReports, received: RegionReports | PackedReports
+    ) -> None:
         if not self._relays.is_neighbour(peer.host):
-            self._distribute_remote(reports)
+            self._distribute_remote(reports, received)
         else:
             self._distributed_by_host.update({of.host: of for of in reports.reports})
         for forwarded in reports.reports:
             self._receive(forwarded.host, forwarded.incarnation, forwarded.report)
 
-    def _distribute_remote(self, reports: RegionReports) -> None:
+    def _distribute_remote(
+        self, reports: RegionReports, received: RegionReports | PackedReports
+    ) -> None:
         if self._relays.own_rank(asyncio.get_running_loop().time()) == 0:
-            self._links.send_all(self._relays.neighbours(), reports)
+            self._links.send_all(self._relays.neighbours(), received)
             return
         for forwarded in reports.reports:
             self._held.add(forwarded.host, forwarded.incarnation, forwarded.report)
@@ -173,7 +192,7 @@
             return
         missed = tuple(of for of in due.reports if not self._was_distributed(of))
         if missed:
-            self._links.send_all(self._relays.neighbours(), RegionReports(missed))
+            self._links.send_all(self._relays.neighbours(), self._packed(RegionReports(missed)))
 
     def _was_distributed(self, forwarded: ForwardedReport) -> bool:
         known = self._distributed_by_host.get(forwarded.host)
--- a/src/flamingoladder/fleet/messages.py
+++ b/src/flamingoladder/fleet/messages.py
@@ -62,4 +62,30 @@
     reports: tuple[ForwardedReport, ...]
 
 
-FleetMessage = LinkMessage | HostReport | RegionReports | PoisonMessage | FeedMessage
+class PackedReport(msgspec.Struct, frozen=True, array_like=True):
+    """A forwarded report with hashes for names.
+
+    ``workspaces`` and ``targets`` are sequences of hashes. ``admitted`` and ``demands`` (in tenths
+    per second) are in the order of the workspaces, ``in_flight`` in that of the targets. ``report``
+    holds the rest.
+    """
+
+    host: str
+    incarnation: str
+    report: HostReport
+    workspaces: bytes
+    admitted: tuple[int, ...]
+    demands: tuple[int, ...]
+    targets: bytes
+    in_flight: tuple[int, ...]
+
+
+class PackedReports(msgspec.Struct, frozen=True, tag="rp"):
+    """The compact form of ``RegionReports``."""
+
+    reports: tuple[PackedReport, ...]
+
+
+FleetMessage = (
+    LinkMessage | HostReport | RegionReports | PackedReports | PoisonMessage | FeedMessage
+)
--- a/src/flamingoladder/fleet/relays.py
+++ b/src/flamingoladder/fleet/relays.py
@@ -41,6 +41,11 @@
         """Return whether the fleet is so large that its groups hear each other by relays."""
         return self._members.host_count > MAX_DIRECT_HOSTS
 
+    @property
+    def by_domain(self) -> bool:
+        """Return whether hosts are grouped by failure domain; all then read packed reports."""
+        return False
+
     def own_rank(self, now: float) -> int:
         """Return this host's rank in its group, 0 for the first relay."""
         if self.leaving:
@@ -120,6 +125,11 @@
         super().__init__(own, members)
         self._by_domain = False
 
+    @property
+    def by_domain(self) -> bool:
+        """Return whether hosts are grouped by failure domain."""
+        return self._by_domain
+
     def update(self) -> None:
         """Take in changed registrations."""
         members = self._members.members_by_host.values()
--- a/tests/fleet/test_region_reports.py
+++ b/tests/fleet/test_region_reports.py
@@ -8,19 +8,23 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from msgspec import structs
 
 from flamingoladder.fleet.exchange import FleetPoisonExchange
 from flamingoladder.fleet.exchange import RegionalReportExchange
 from flamingoladder.fleet.members import REPORT_INTERVAL_S
 from flamingoladder.fleet.members import REPORT_LIFETIME_INTERVALS
 from flamingoladder.fleet.members import MemberRegistry
+from flamingoladder.fleet.messages import ForwardedReport
 from flamingoladder.fleet.messages import HostReport
+from flamingoladder.fleet.messages import PackedReports
 from flamingoladder.fleet.messages import RegionReports
 from flamingoladder.fleet.region_reports import joined
 from flamingoladder.fleet.relays import MAX_DIRECT_HOSTS
 from flamingoladder.fleet.relays import RELAYS_PER_REGION
 from flamingoladder.fleet.relays import DomainRelays
 from flamingoladder.fleet.relays import RegionRelays
+from flamingoladder.fleet.report_packing import ReportPacker
 from flamingoladder.limits.rate_limiter import RateReport
 from flamingoladder.members.member import Member
 from flamingoladder.poison.messages import EndReport
@@ -34,6 +38,7 @@
 
 SETTLE_S = 8.0
 REGIONS = ("r1", "r2", "r3")
+PACKER = ReportPacker(lambda: ["w", "t"], lambda: 1)
 
 
 class Host:
@@ -47,7 +52,7 @@
         self.crashes: Counter[str] = Counter()
         links = network.join(member.host, member.incarnation)
         self.exchange = RegionalReportExchange(
-            links, self.members, self.relays, self._report, lambda _now: None
+            links, self.members, self.relays, self._report, lambda _now: None, packer=PACKER
         )
         self.poison_exchange = FleetPoisonExchange(links, self.relays)
         self.poison_exchange.serve(
@@ -285,7 +290,7 @@
         def count(sender: str, receiver: str, content: msgspec.Struct | None) -> None:
             nonlocal reports
             if domains[sender] != domains[receiver]:
-                reports += len(content.reports) if isinstance(content, RegionReports) else 1
+                reports += len(content.reports) if isinstance(content, PackedReports) else 1
 
         await asyncio.sleep(SETTLE_S)
         fleet.network.tap = count
@@ -314,3 +319,21 @@
     relays.update()
     assert relays.neighbours() == ["h2", "h4"]
     assert not relays.is_neighbour("h1")
+
+
+def test_packed_reports_tell_the_same_of_all_names_that_both_hosts_know() -> None:
+    """A name without a hash, or with one that two names share, goes as it is."""
+    names = {"w1", "w2", "t1", "t2"}
+    sender = ReportPacker(lambda: names - {"t2"}, lambda: 1)
+    receiver = ReportPacker(lambda: names - {"w2"}, lambda: 1)
+    report = HostReport(
+        rates_by_workspace={"w1": RateReport(7, 0.3), "w2": RateReport(8, 1.7)},
+        in_flight_by_target={"t1": 3, "t2": 300},
+        objects_by_service={"s": ("x",)},
+        sequence=5,
+    )
+    reports = RegionReports((ForwardedReport("h1", "i1", report),))
+    known = structs.replace(report, rates_by_workspace={"w1": RateReport(7, 0.3)})
+    [unpacked] = receiver.unpack(sender.pack(reports)).reports
+    assert unpacked == ForwardedReport("h1", "i1", known)
+    assert sender.unpack(sender.pack(reports)) == reports
