--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -12,6 +12,7 @@
 from flamingoladder.entry.host_reports import HostReporter
 from flamingoladder.entry.load_balancer import LoadBalancer
 from flamingoladder.entry.probing import TargetProber
+from flamingoladder.entry.region_planner import RegionPlanner
 from flamingoladder.entry.send_check import SendCheck
 from flamingoladder.entry.silence_check import SilenceCheck
 from flamingoladder.entry.target_ends import TargetEnds
@@ -29,6 +30,7 @@
 from flamingoladder.fleet.processor_use import ProcessorUse
 from flamingoladder.fleet.relays import DomainRelays
 from flamingoladder.fleet.relays import RegionRelays
+from flamingoladder.fleet.report_packing import ReportPacker
 from flamingoladder.limits.rate_limiter import FleetRateLimiter
 from flamingoladder.limits.retry_budgets import RetryBudgets
 from flamingoladder.members.member import Member
@@ -74,6 +76,7 @@
         "poison_upkeep",
         "prober",
         "recorder",
+        "region_planner",
         "relays",
         "report_exchange",
         "report_relays",
@@ -120,6 +123,7 @@
             self.memory,
         )
         notices = NoticeLearner(self.targets, self.members, self.recorder)
+        self.region_planner = RegionPlanner(self.targets, self.members, settings.region)
         self.reporter = HostReporter(
             self.targets,
             self.configuration,
@@ -129,6 +133,7 @@
             self.members,
             notices,
             processor_use,
+            self.region_planner,
         )
         poison_exchange = FleetPoisonExchange(self.peer_links, self.report_relays)
         poison_detector = PoisonDetector(
@@ -146,6 +151,7 @@
             self.reporter.build_report,
             self.reporter.apply_reports,
             self.reporter.receive_report,
+            ReportPacker(self._known_names, self._names_version),
         )
         self.prober = TargetProber(
             self.targets,
@@ -210,6 +216,17 @@
             MIN_CONNECTIONS_PER_TARGET, configured.max_connections // self.members.host_count
         )
 
+    def _known_names(self) -> list[str]:
+        """Return the names of all workspaces and targets."""
+        routing = self.configuration.routing
+        workspaces = () if routing is None else routing.workspaces_by_name
+        return [*workspaces, *self.targets.by_id]
+
+    def _names_version(self) -> tuple[int | None, int]:
+        routing = self.configuration.routing
+        version = None if routing is None else routing.version
+        return version, self.targets.eligibility_changes
+
     def _hosts_to_ask(self) -> list[str] | None:
         """Return the other hosts, or None while the store has told this host nothing."""
         return None if self.configuration.routing is None else self.relays.nearest_first()
--- a/src/flamingoladder/fleet/messages.py
+++ b/src/flamingoladder/fleet/messages.py
@@ -19,6 +19,7 @@
     "leaving_targets": "q",
     "sequence": "n",
     "busy_tenths": "b",
+    "offered_by_service": "d",
 }
 
 
@@ -32,6 +33,8 @@
     targets said of their rate limits to this host lately, ``leaving_targets`` the starts (Unix ms)
     of targets that said lately that they leave. ``sequence`` numbers the reports of one
     incarnation. ``busy_tenths`` is the host's use of the processor in tenths of its capacity.
+    ``offered_by_service`` holds tenths of the slots that its callers ask for; it is None if the
+    host does not tell.
     """
 
     unavailable: bool = False
@@ -42,6 +45,7 @@
     leaving_targets: dict[str, int | None] = {}
     sequence: int = 0
     busy_tenths: int = 0
+    offered_by_service: dict[str, int] | None = None
 
 
 class ForwardedReport(msgspec.Struct, frozen=True, array_like=True):
@@ -58,4 +62,30 @@
     reports: tuple[ForwardedReport, ...]
 
 
-FleetMessage = LinkMessage | HostReport | RegionReports | PoisonMessage | FeedMessage
+class PackedReport(msgspec.Struct, frozen=True, array_like=True):
+    """A forwarded report with hashes for names.
+
+    ``workspaces`` and ``targets`` are sequences of hashes. ``admitted`` and ``demands`` (in tenths
+    per second) are in the order of the workspaces, ``in_flight`` in that of the targets. ``report``
+    holds the rest.
+    """
+
+    host: str
+    incarnation: str
+    report: HostReport
+    workspaces: bytes
+    admitted: tuple[int, ...]
+    demands: tuple[int, ...]
+    targets: bytes
+    in_flight: tuple[int, ...]
+
+
+class PackedReports(msgspec.Struct, frozen=True, tag="rp"):
+    """The compact form of ``RegionReports``."""
+
+    reports: tuple[PackedReport, ...]
+
+
+FleetMessage = (
+    LinkMessage | HostReport | RegionReports | PackedReports | PoisonMessage | FeedMessage
+)
