Learn by service how much faster warm runs are

Runs for an object that the target handled recently counted as 0.3 of other runs at all services. Where they take as long, requests queued at the home of a popular object while other targets were free.

The ratio is now learned by service from the times of runs that did not wait, each route compared by itself. Today's costs hold unless the measured ratio certainly (two standard errors) differs from 0.3 by a factor of 1.4. Where it is certainly above 0.8, targets are chosen by load and distance alone, within the overflow cap.

--- a/src/flamingoladder/entry/costs.py
+++ b/src/flamingoladder/entry/costs.py
@@ -22,21 +22,34 @@
     return CROSS_REGION_COST if cross_region else 0.0
 
 
-def run_cost(target: TargetState, home: TargetState | None, object_key: str | None) -> float:
-    """Return the cost of a run.
+class RunCosts:
+    """The costs of runs of one service, by whether the target handled the object recently.
 
     Away from the object's home, a target that handled it may no longer be warm for it.
     """
-    if target is home:
-        return WARM_RUN_COST
-    return RECENT_RUN_COST if target.recently_handled(object_key) else COLD_RUN_COST
 
+    __slots__ = ("recent", "warm")
 
-def queueing_cost(queue_position: int, slots: int) -> float:
-    """Return the cost of waiting for a slot at this queue position."""
-    return queue_position * WARM_RUN_COST / slots
+    def __init__(self, warm: float) -> None:
+        self.warm = warm
+        gain = (COLD_RUN_COST - warm) / (COLD_RUN_COST - WARM_RUN_COST)
+        self.recent = warm + gain * (RECENT_RUN_COST - WARM_RUN_COST)
 
+    def run(self, target: TargetState, *, is_home: bool, object_key: str | None) -> float:
+        """Return the cost of a run."""
+        if is_home:
+            return self.warm
+        return self.recent if target.recently_handled(object_key) else COLD_RUN_COST
 
-def expected_s(cost: float, typical_s: float, *, warm: bool) -> float:
-    """Return ``cost`` in seconds; ``typical_s`` is that of a typical run, ``warm`` or cold."""
-    return typical_s * cost / (WARM_RUN_COST if warm else 1.0)
+    def queueing(self, queue_position: int, slots: int) -> float:
+        """Return the cost of waiting for a slot at this queue position."""
+        return queue_position * self.warm / slots
+
+    def expected_s(self, cost: float, typical_s: float, *, warm: bool) -> float:
+        """Return ``cost`` in seconds; ``typical_s`` is that of a typical run, warm or cold."""
+        return typical_s * cost / (self.warm if warm else COLD_RUN_COST)
+
+
+USUAL_RUN_COSTS = RunCosts(WARM_RUN_COST)
+# Where affinity gains nothing, runs take the same time everywhere.
+EVEN_RUN_COSTS = RunCosts(COLD_RUN_COST)
--- a/src/flamingoladder/entry/load_balancer.py
+++ b/src/flamingoladder/entry/load_balancer.py
@@ -11,6 +11,7 @@
 from flamingoladder.entry import costs
 from flamingoladder.entry.request_targets import RequestTargets
 from flamingoladder.entry.service_targets import ServiceTargetsCache
+from flamingoladder.entry.warm_ratio import WarmRatio
 from flamingoladder.steering.home_assignment import HomeAssignment
 from flamingoladder.steering.overflow_cap import OverflowCap
 from flamingoladder.steering.target_rankings import ALL_REGIONS
@@ -23,6 +24,7 @@
     from collections.abc import Iterable
 
     from flamingoladder.entry.active_configuration import ActiveConfiguration
+    from flamingoladder.entry.costs import RunCosts
     from flamingoladder.entry.request import RoutedRequest
     from flamingoladder.entry.service_targets import ServiceTargets
     from flamingoladder.fleet.members import MemberRegistry
@@ -42,8 +44,9 @@
     """A chosen target, with its ``load`` in requests and its ``cost`` in units of a cold run.
 
     ``is_home`` is set if the target is the object's home. ``is_warm`` is set if the target has
-    probably handled the object recently, or if the request concerns no object. Work at the target
-    takes ``pace`` times its usual duration now.
+    probably handled the object recently, or if the request concerns no object; ``handled`` if it
+    certainly has, and ``is_new`` if no host is known to have asked for the object before. Work at
+    the target takes ``pace`` times its usual duration now.
     """
 
     target: TargetState
@@ -52,6 +55,8 @@
     load: int
     cost: float
     pace: float = 1.0
+    handled: bool = False
+    is_new: bool = False
 
     @property
     def queue_position(self) -> int:
@@ -84,6 +89,7 @@
         "_run_times",
         "_service_targets",
         "_slow_start_limit",
+        "_warm_ratios_by_service",
     )
 
     def __init__(
@@ -103,6 +109,7 @@
         self._overflow = OverflowCap()
         self._service_targets = ServiceTargetsCache(targets)
         self._random = Random()
+        self._warm_ratios_by_service: dict[str, WarmRatio] = {}
 
     @property
     def region(self) -> str:
@@ -159,13 +166,19 @@
 
     def record_run(self, request: RoutedRequest, choice: Choice, seconds: float) -> None:
         """Record a successful run: its duration, and that the target handled the object."""
-        if request.object_key is not None:
-            choice.target.record_object(request.object_key)
+        key, route = request.object_key, request.route.name
+        if key is not None:
+            choice.target.record_object(key)
         if choice.queue_position:
             return
-        if choice.is_home or request.object_key is None:
-            # The expected duration is multiplied by the pace of the target that is chosen.
-            self._run_times.record(request.service, request.route.name, seconds / choice.pace)
+        # The expected duration is multiplied by the pace of the target that is chosen.
+        usual_s = seconds / choice.pace
+        if choice.is_home or key is None or self._costs_of(request) is costs.EVEN_RUN_COSTS:
+            self._run_times.record(request.service, route, usual_s)
+        is_cold = not choice.handled and (choice.is_new or not choice.is_home)
+        if key is not None and (choice.handled or is_cold):
+            ratio = self._warm_ratios_by_service.setdefault(request.service, WarmRatio())
+            ratio.record(route, usual_s, warm=choice.handled)
 
     def homes_of(self, service: str) -> HomeAssignment:
         """Return the assignment of a service's objects to home targets."""
@@ -200,29 +213,63 @@
         targets: RequestTargets,
         now: float,
     ) -> Choice | None:
-        """Return the cheapest of the reachable targets.
-
-        The object's home is the first of its ranked targets that may be one for this request.
-        """
-        key = request.object_key
+        """Return the cheapest of the reachable targets."""
+        key, run_costs = request.object_key, self._costs_of(request)
         if key is None:
-            return self._best_without_object(service, targets, now)
+            return self._best_without_object(service, targets, run_costs, now)
         homes = self.homes_of(request.service)
         homes.set_targets(service.regions_by_target)
+        is_new = key not in homes.known
         homes.add_objects((key,), self._region)
+        if run_costs is costs.EVEN_RUN_COSTS:
+            best = self._best_by_load(service, targets, run_costs, now)
+            return best and _with_history(best, key, is_new=is_new)
+        best = self._best_for_object(key, homes, targets, run_costs, now)
+        return best and _with_history(best, key, is_new=is_new)
+
+    def _best_for_object(
+        self,
+        key: ObjectKey,
+        homes: HomeAssignment,
+        targets: RequestTargets,
+        run_costs: RunCosts,
+        now: float,
+    ) -> Choice | None:
+        """Return the cheapest of the object's highest ranked targets.
+
+        Its home is the first of its ranked targets that may be one for this request.
+        """
         candidates = map(targets.home_candidate, homes.ranked_targets(key))
         home = next(filter(None, candidates), None)
-        best = self._cheapest(_first_ranked(homes, key, targets), home, key, now)
+        best = self._cheapest(_first_ranked(homes, key, targets), home, key, run_costs, now)
         if best is None or home is None or not self._exceeds_overflow_cap(home, best, now):
             return best
         near = _first_ranked(homes, key, targets, self._region)
-        nearest = self._cheapest(near, home, key, now)
+        nearest = self._cheapest(near, home, key, run_costs, now)
         if nearest is None or (nearest.queue_position and home.region != self._region):
             return best
         return nearest
 
+    def _best_by_load(
+        self, service: ServiceTargets, targets: RequestTargets, run_costs: RunCosts, now: float
+    ) -> Choice | None:
+        """Return the cheapest of some targets, drawn at random so that hosts don't all choose one.
+
+        Beyond the overflow cap it is one of this host's region, if one can take the request.
+        """
+        drawn = self._random.sample(service.started, min(MAX_COMPARED, len(service.started)))
+        reachable = list(filter(targets.is_reachable, drawn))
+        best = self._cheapest(reachable, None, None, run_costs, now)
+        if best is None or best.queue_position:
+            reachable = list(targets.reachable())
+            best = self._cheapest(reachable, None, None, run_costs, now)
+        if best is None or best.target.region == self._region or self._overflow.may_overflow(now):
+            return best
+        near = (target for target in reachable if target.region == self._region)
+        return self._cheapest(near, None, None, run_costs, now) or best
+
     def _best_without_object(
-        self, service: ServiceTargets, targets: RequestTargets, now: float
+        self, service: ServiceTargets, targets: RequestTargets, run_costs: RunCosts, now: float
     ) -> Choice | None:
         """Return the cheapest target, of some drawn at random if there are many.
 
@@ -230,10 +277,10 @@
         """
         if len(service.started) > MAX_COMPARED:
             drawn = self._random.sample(service.started, MAX_COMPARED)
-            best = self._cheapest(filter(targets.is_reachable, drawn), None, None, now)
+            best = self._cheapest(filter(targets.is_reachable, drawn), None, None, run_costs, now)
             if best is not None and not best.queue_position:
                 return best
-        return self._cheapest(targets.reachable(), None, None, now)
+        return self._cheapest(targets.reachable(), None, None, run_costs, now)
 
     def _overload_of(self, request: RoutedRequest, best: Choice, now: float) -> Overload | None:
         late_s = now + self._expected_s(request, best) - request.admission_deadline
@@ -286,9 +333,10 @@
         targets: Iterable[TargetState],
         home: TargetState | None,
         object_key: str | None,
+        run_costs: RunCosts,
         now: float,
     ) -> Choice | None:
-        choices = (self._choice(target, home, object_key, now) for target in targets)
+        choices = (self._choice(target, home, object_key, run_costs, now) for target in targets)
         return min(choices, key=_cost_of, default=None)
 
     def _choice(
@@ -296,12 +344,13 @@
         target: TargetState,
         home: TargetState | None,
         object_key: str | None,
+        run_costs: RunCosts,
         now: float,
     ) -> Choice:
         load = target.load(now)
         network = costs.network_cost(cross_region=target.region != self._region)
-        run = costs.run_cost(target, home, object_key)
-        queueing = costs.queueing_cost(target.queue_position(load), target.record.slots)
+        run = run_costs.run(target, is_home=target is home, object_key=object_key)
+        queueing = run_costs.queueing(target.queue_position(load), target.record.slots)
         is_warm = object_key is None or run < costs.COLD_RUN_COST
         pace = target.pace_factor(now)
         cost = network + (run + queueing) * pace
@@ -312,7 +361,15 @@
         typical_s = self._run_times.typical_s(request.service, request.route.name)
         if typical_s is None:
             return 0.0
-        return costs.expected_s(choice.cost, typical_s, warm=request.object_key is not None)
+        run_costs = self._costs_of(request)
+        is_warm = request.object_key is not None and run_costs is not costs.EVEN_RUN_COSTS
+        return run_costs.expected_s(choice.cost, typical_s, warm=is_warm)
+
+    def _costs_of(self, request: RoutedRequest) -> RunCosts:
+        ratio = self._warm_ratios_by_service.get(request.service)
+        if request.object_key is None or ratio is None:
+            return costs.USUAL_RUN_COSTS
+        return ratio.run_costs()
 
     def _cheapest_in_slow_start(
         self, request: RoutedRequest, targets: Iterable[TargetState], now: float
@@ -332,7 +389,7 @@
                 now,
             )
         ]
-        return self._cheapest(within_limit, None, None, now)
+        return self._cheapest(within_limit, None, None, costs.USUAL_RUN_COSTS, now)
 
 
 def _first_ranked(
@@ -343,5 +400,12 @@
     return list(islice(filter(None, reachable), MAX_CANDIDATES))
 
 
+def _with_history(choice: Choice, key: ObjectKey, *, is_new: bool) -> Choice:
+    handled = choice.target.recently_handled(key)
+    if not handled and not is_new:
+        return choice
+    return msgspec.structs.replace(choice, handled=handled, is_new=is_new)
+
+
 def _cost_of(choice: Choice) -> float:
     return choice.cost
