--- a/src/flamingoladder/steering/offered_load.py
+++ b/src/flamingoladder/steering/offered_load.py
@@ -14,10 +14,10 @@
 
     __slots__ = ("per_s", "run_s", "updated_at")
 
-    def __init__(self, now: float) -> None:
+    def __init__(self) -> None:
         self.per_s = 0.0
         self.run_s = 0.0
-        self.updated_at = now
+        self.updated_at = 0.0
 
     def decay(self, now: float) -> None:
         self.per_s *= math.exp(-max(0.0, now - self.updated_at) / SMOOTHING_S)
@@ -38,13 +38,13 @@
 
     def record_arrival(self, service: str, now: float) -> None:
         """Record a request from a caller; retries of the host do not count."""
-        found = self._of(service, now)
+        found = self._of(service)
         found.decay(now)
         found.per_s += 1 / SMOOTHING_S
 
-    def record_run(self, service: str, seconds: float, now: float) -> None:
+    def record_run(self, service: str, seconds: float) -> None:
         """Record the duration of a run that did not wait at its target."""
-        found = self._of(service, now)
+        found = self._of(service)
         weight = RUN_TIME_WEIGHT if found.run_s else 1.0
         found.run_s += (seconds - found.run_s) * weight
 
@@ -58,8 +58,5 @@
         }
         return {service: load for service, load in tenths.items() if load}
 
-    def _of(self, service: str, now: float) -> _Service:
-        found = self._by_service.get(service)
-        if found is None:
-            found = self._by_service[service] = _Service(now)
-        return found
+    def _of(self, service: str) -> _Service:
+        return self._by_service.setdefault(service, _Service())
