Give popular objects several homes, by the demand at all hosts

Requests for one popular object went to its only home, which then had twice the mean load while other targets were free, and homes were balanced by number of objects, whatever work they asked for and whatever slots the targets had.

Hosts report the slots that requests for their most popular objects keep busy (a new optional field of the report; fleets of more than eight hosts send it once a second). From the sums all hosts derive the same number of homes for each object, added at once and removed slowly, and balance this work over the targets. Of two homes the less loaded takes a request; a new home is warmed by one request in eight. Room for other objects is in proportion to slots.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -122,10 +122,11 @@
 
 
 def _choose(balancer: LoadBalancer, key: str) -> None:
-    balancer.choose(_request(key), (), NOW)
+    balancer.choose(routed_request(key, NOW), (), NOW)
 
 
-def _request(key: str) -> RoutedRequest:
+def routed_request(key: str, now: float) -> RoutedRequest:
+    """Return a request for an object, or for none."""
     incoming = IncomingRequest(
         request_id="q",
         method="GET",
@@ -143,7 +144,7 @@
         service=SERVICE,
         workspace=None,
         regions=None,
-        started=NOW,
+        started=now,
         admission_deadline=inf,
         deadline=inf,
         target_deadline=inf,
--- a/src/flamingoladder/entry/host_reports.py
+++ b/src/flamingoladder/entry/host_reports.py
@@ -81,6 +81,7 @@
             self._objects(with_repeated=self._rate_deltas.is_full),
             self._rate_limits(now),
             self._notices.leaving_targets(now),
+            work_by_object=self._balancer.demand.report(self._members.host_count, now),
         )
 
     def receive_report(self, host: str, report: HostReport, now: float) -> None:
@@ -102,6 +103,7 @@
         rates = {host: report.rates_by_workspace for host, report in reports.items()}
         self._rate_limiter.update(self._members.host_count, rates, self._members.report_interval_s)
         self._budgets.set_host_count(self._members.host_count)
+        self._balancer.demand.apply((report.work_by_object for report in reports.values()), now)
         remote_in_flight: dict[str, int] = {}
         for report in reports.values():
             for name, count in report.in_flight_by_target.items():
--- a/src/flamingoladder/entry/load_balancer.py
+++ b/src/flamingoladder/entry/load_balancer.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from flamingoladder.entry import costs
+from flamingoladder.entry.new_homes import NewHomes
+from flamingoladder.entry.object_demand import ObjectDemand
 from flamingoladder.entry.request_targets import RequestTargets
 from flamingoladder.entry.service_targets import ServiceTargetsCache
 from flamingoladder.entry.warm_ratio import WarmRatio
@@ -83,6 +85,7 @@
         "_configuration",
         "_homes_by_service",
         "_members",
+        "_new_homes",
         "_overflow",
         "_random",
         "_region",
@@ -90,6 +93,7 @@
         "_service_targets",
         "_slow_start_limit",
         "_warm_ratios_by_service",
+        "demand",
     )
 
     def __init__(
@@ -110,6 +114,8 @@
         self._service_targets = ServiceTargetsCache(targets)
         self._random = Random()
         self._warm_ratios_by_service: dict[str, WarmRatio] = {}
+        self._new_homes = NewHomes(self._random)
+        self.demand = ObjectDemand(self._service_targets, self.homes_of)
 
     @property
     def region(self) -> str:
@@ -127,6 +133,9 @@
         the time of several warm ones; or if requests recently timed out at that queue position.
         """
         service = self._service_targets.get(request.service, now)
+        if request.object_key is not None and not tried:
+            typical_s = self._run_times.typical_s(request.service, request.route.name)
+            self.demand.add(request.service, request.object_key, typical_s or 0.0, now)
         targets = RequestTargets(service, request, tried, self._allows_send, now)
         best = self._best(request, service, targets, now)
         if best is None:
@@ -218,7 +227,7 @@
         if key is None:
             return self._best_without_object(service, targets, run_costs, now)
         homes = self.homes_of(request.service)
-        homes.set_targets(service.regions_by_target)
+        homes.set_targets(service.regions_by_target, service.slots_by_target)
         is_new = key not in homes.known
         homes.add_objects((key,), self._region)
         if run_costs is costs.EVEN_RUN_COSTS:
@@ -235,13 +244,21 @@
         run_costs: RunCosts,
         now: float,
     ) -> Choice | None:
-        """Return the cheapest of the object's highest ranked targets.
+        """Return the cheapest of the object's highest ranked targets, its home first.
 
-        Its home is the first of its ranked targets that may be one for this request.
+        Of several homes it is the less loaded of two. If none may be the home for this request, it
+        is the first of its ranked targets that may.
         """
-        candidates = map(targets.home_candidate, homes.ranked_targets(key))
-        home = next(filter(None, candidates), None)
-        best = self._cheapest(_first_ranked(homes, key, targets), home, key, run_costs, now)
+        own = list(filter(None, map(targets.home_candidate, homes.homes(key))))
+        if len(own) > 1:
+            home: TargetState | None = self._less_loaded(key, own, run_costs, now)
+        else:
+            candidates = map(targets.home_candidate, homes.ranked_targets(key))
+            home = next(filter(None, candidates), None)
+        first = _first_ranked(homes, key, targets)
+        if home is not None and home not in first and targets.is_reachable(home):
+            first = [home, *first[: MAX_CANDIDATES - 1]]
+        best = self._cheapest(first, home, key, run_costs, now)
         if best is None or home is None or not self._exceeds_overflow_cap(home, best, now):
             return best
         near = _first_ranked(homes, key, targets, self._region)
@@ -250,6 +267,14 @@
             return best
         return nearest
 
+    def _less_loaded(
+        self, key: ObjectKey, homes: list[TargetState], run_costs: RunCosts, now: float
+    ) -> TargetState:
+        """Return the less loaded of two homes of an object, as far as they are warm."""
+        drawn = self._new_homes.draw(key, homes, now)
+        choices = [self._choice(home, home, key, run_costs, now) for home in drawn]
+        return min(choices, key=_cost_and_load_of).target
+
     def _best_by_load(
         self, service: ServiceTargets, targets: RequestTargets, run_costs: RunCosts, now: float
     ) -> Choice | None:
@@ -407,5 +432,9 @@
     return msgspec.structs.replace(choice, handled=handled, is_new=is_new)
 
 
+def _cost_and_load_of(choice: Choice) -> tuple[float, float]:
+    return choice.cost, choice.load / max(1, choice.target.record.slots)
+
+
 def _cost_of(choice: Choice) -> float:
     return choice.cost
--- a/src/flamingoladder/entry/service_targets.py
+++ b/src/flamingoladder/entry/service_targets.py
@@ -25,6 +25,7 @@
         "_valid_until",
         "eligible",
         "regions_by_target",
+        "slots_by_target",
         "started",
         "started_by_id",
         "starting",
@@ -37,6 +38,7 @@
         self.starting = [target for target in eligible if target.in_slow_start(now)]
         self.started_by_id = {target.record.target_id: target for target in self.started}
         self.regions_by_target = {name: t.region for name, t in self.started_by_id.items()}
+        self.slots_by_target = {name: t.record.slots for name, t in self.started_by_id.items()}
         ends = (target.slow_start_until for target in self.starting)
         self._valid_until = min(ends, default=inf)
 
--- a/src/flamingoladder/fleet/members.py
+++ b/src/flamingoladder/fleet/members.py
@@ -84,7 +84,10 @@
             self._recorder.record("host.heard", peer=host)
         previous_rates = {} if previous is None else previous.report.rates_by_workspace
         rates = {**previous_rates, **report.rates_by_workspace}
-        merged = msgspec.structs.replace(report, rates_by_workspace=rates)
+        work = report.work_by_object
+        if not work and previous is not None:
+            work = previous.report.work_by_object
+        merged = msgspec.structs.replace(report, rates_by_workspace=rates, work_by_object=work)
         self.reports_by_host[host] = ReceivedReport(merged, incarnation, now)
         self._silent_since[host] = now
 
--- a/src/flamingoladder/fleet/messages.py
+++ b/src/flamingoladder/fleet/messages.py
@@ -18,6 +18,7 @@
     "rate_limits_by_target": "m",
     "leaving_targets": "q",
     "sequence": "n",
+    "work_by_object": "h",
 }
 
 
@@ -30,7 +31,8 @@
     host's region: new ones at once, all others in turn. ``rate_limits_by_target`` holds what
     targets said of their rate limits to this host lately, ``leaving_targets`` the starts (Unix ms)
     of targets that said lately that they leave. ``sequence`` numbers the reports of one
-    incarnation.
+    incarnation. ``work_by_object`` holds, by service, the objects that the host's callers ask for
+    most, with the slots that they keep busy, in hundredths; it is empty if the latest one holds.
     """
 
     unavailable: bool = False
@@ -40,6 +42,7 @@
     rate_limits_by_target: dict[str, RateLimitReport] = {}
     leaving_targets: dict[str, int | None] = {}
     sequence: int = 0
+    work_by_object: dict[str, dict[str, int]] = {}
 
 
 class ForwardedReport(msgspec.Struct, frozen=True, array_like=True):
--- a/src/flamingoladder/fleet/region_reports.py
+++ b/src/flamingoladder/fleet/region_reports.py
@@ -44,5 +44,6 @@
         rates_by_workspace={**earlier.rates_by_workspace, **later.rates_by_workspace},
         objects_by_service=objects,
         rate_limits_by_target={**earlier.rate_limits_by_target, **later.rate_limits_by_target},
+        work_by_object=later.work_by_object or earlier.work_by_object,
         leaving_targets={**earlier.leaving_targets, **later.leaving_targets},
     )
--- a/src/flamingoladder/steering/assignment_pass.py
+++ b/src/flamingoladder/steering/assignment_pass.py
@@ -3,35 +3,43 @@
 from __future__ import annotations
 
 from itertools import chain
+from math import ceil
 from typing import TYPE_CHECKING
 
+from flamingoladder.hashing import stable_hash
+from flamingoladder.steering.hot_objects import MAX_WORK_FACTOR
 from flamingoladder.steering.target_rankings import ALL_REGIONS
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from collections.abc import Mapping
 
+    from flamingoladder.steering.hot_objects import HotObject
     from flamingoladder.steering.known_objects import KnownObjects
     from flamingoladder.steering.known_objects import ObjectKey
     from flamingoladder.steering.target_rankings import TargetRankings
 
 
 class AssignmentPass:
-    """Assigns all objects anew: first those for which their own region has room.
+    """Assigns all objects anew: the hot ones, then those for which their own region has room.
 
     The result depends on the targets and objects at its start alone. Objects that come or go later
     are in the next pass.
     """
 
     __slots__ = (
+        "_capacity_by_target",
         "_capacity_left",
         "_free_by_scope",
         "_known",
         "_left_over",
+        "_most_work",
         "_next",
         "_rankings",
         "_regions_by_target",
+        "_work",
         "homes_by_object",
+        "more_homes_by_object",
     )
 
     def __init__(
@@ -39,12 +47,14 @@
         known: KnownObjects,
         rankings: TargetRankings,
         regions_by_target: Mapping[str, str],
-        most_objects: int,
+        capacity_by_target: Mapping[str, int],
+        hot_objects: Mapping[ObjectKey, HotObject],
     ) -> None:
         self._known = known
         self._rankings = rankings
         self._regions_by_target = regions_by_target
-        self._capacity_left = dict.fromkeys(regions_by_target, most_objects)
+        self._capacity_by_target = capacity_by_target
+        self._capacity_left = dict(capacity_by_target)
         self._free_by_scope: dict[str, dict[str, None]] = {
             ALL_REGIONS: dict.fromkeys(regions_by_target)
         }
@@ -56,6 +66,13 @@
             ((key, False) for key in self._left_over),
         )
         self.homes_by_object: dict[ObjectKey, str] = {}
+        self.more_homes_by_object: dict[ObjectKey, tuple[str, ...]] = {}
+        self._work = dict.fromkeys(regions_by_target, 0.0)
+        work = sum(hot.homes * hot.part for hot in hot_objects.values())
+        self._most_work = MAX_WORK_FACTOR * work / max(1, len(regions_by_target))
+        for key in sorted(hot_objects, key=stable_hash):
+            if key in known:
+                self._assign_hot(key, hot_objects[key])
 
     def step(self, objects: int, hashes: int) -> bool:
         """Assign up to ``objects`` objects, or for about ``hashes``; return whether it is over."""
@@ -71,7 +88,7 @@
 
     def _assign(self, key: ObjectKey, near_only: bool) -> None:
         region = self._known.regions_by_key.get(key)
-        if region is None:
+        if region is None or key in self.homes_by_object:
             return
         home = self._best_free(key, region if near_only else ALL_REGIONS)
         if home is None:
@@ -79,10 +96,29 @@
                 self._left_over.append(key)
             return
         self.homes_by_object[key] = home
-        self._capacity_left[home] -= 1
-        if not self._capacity_left[home]:
-            del self._free_by_scope[ALL_REGIONS][home]
-            del self._free_by_scope[self._regions_by_target[home]][home]
+        self._take(home, 1)
+
+    def _assign_hot(self, key: ObjectKey, hot: HotObject) -> None:
+        """Give an object its homes, own region first, each with room for its part of requests."""
+        region = self._known.regions_by_key[key]
+        near = self._rankings.present(key, region)
+        ranked = dict.fromkeys(chain(near, self._rankings.present(key, ALL_REGIONS)))
+        needed = {name: ceil(hot.part * self._capacity_by_target[name]) for name in ranked}
+        most = max(self._most_work, hot.part)
+        roomy = [name for name in ranked if self._work[name] + hot.part <= most]
+        homes = list(dict.fromkeys(chain(roomy, ranked)))[: hot.homes]
+        for home in homes:
+            self._work[home] += hot.part
+            self._take(home, needed[home])
+        if homes:
+            self.homes_by_object[key], *others = homes
+            self.more_homes_by_object[key] = tuple(others)
+
+    def _take(self, target: str, room: int) -> None:
+        left = self._capacity_left[target] = max(0, self._capacity_left[target] - room)
+        if not left:
+            self._free_by_scope[ALL_REGIONS].pop(target, None)
+            self._free_by_scope[self._regions_by_target[target]].pop(target, None)
 
     def _best_free(self, key: ObjectKey, scope: str) -> str | None:
         """Return the highest ranked target that has room, or None."""
--- a/src/flamingoladder/steering/home_assignment.py
+++ b/src/flamingoladder/steering/home_assignment.py
@@ -27,6 +27,7 @@
     from collections.abc import Iterator
     from collections.abc import Mapping
 
+    from flamingoladder.steering.hot_objects import HotObject
     from flamingoladder.steering.known_objects import ObjectKey
 
 # With 1.1, five joining targets moved many homes; 2.0 scored lower than 1.4 in the benchmark of
@@ -46,10 +47,13 @@
     __slots__ = (
         "_added",
         "_homes_by_object",
+        "_hot_by_object",
+        "_more_homes_by_object",
         "_objects_by_target",
         "_pass",
         "_rankings",
         "_regions_by_target",
+        "_slots_by_target",
         "_stale",
         "known",
     )
@@ -57,6 +61,9 @@
     def __init__(self, max_objects: int = MAX_OBJECTS) -> None:
         self.known = KnownObjects(max_objects)
         self._regions_by_target: Mapping[str, str] = {}
+        self._slots_by_target: Mapping[str, int] | None = None
+        self._hot_by_object: Mapping[ObjectKey, HotObject] = {}
+        self._more_homes_by_object: dict[ObjectKey, tuple[str, ...]] = {}
         self._rankings = TargetRankings()
         self._homes_by_object: dict[ObjectKey, str] = {}
         self._objects_by_target: dict[str, int] = {}
@@ -64,12 +71,21 @@
         self._pass: AssignmentPass | None = None
         self._stale = False
 
-    def set_targets(self, regions_by_target: Mapping[str, str]) -> None:
-        """Replace the targets to assign objects to; the mapping must not change any more."""
+    def set_targets(
+        self,
+        regions_by_target: Mapping[str, str],
+        slots_by_target: Mapping[str, int] | None = None,
+    ) -> None:
+        """Replace the targets to assign objects to; the mappings must not change any more.
+
+        Without ``slots_by_target`` all targets count the same.
+        """
         if regions_by_target is self._regions_by_target:
             return
         is_same = regions_by_target == self._regions_by_target
+        is_same &= slots_by_target == self._slots_by_target
         self._regions_by_target = regions_by_target
+        self._slots_by_target = slots_by_target
         if is_same:
             return
         self._rankings.set_targets(self._regions_by_target)
@@ -87,6 +103,20 @@
             self._added.append(key)
             self._stale = True
 
+    def set_hot(self, hot_by_object: Mapping[ObjectKey, HotObject]) -> None:
+        """Replace the objects that take a considerable part of a target."""
+        if hot_by_object != self._hot_by_object:
+            self._hot_by_object = hot_by_object
+            self._stale = True
+
+    def homes(self, key: ObjectKey) -> tuple[str, ...]:
+        """Return all homes of the object."""
+        home = self.home(key)
+        if home is None:
+            return ()
+        more = self._more_homes_by_object.get(key, ())
+        return (home, *(t for t in more if t != home and t in self._regions_by_target))
+
     def home(self, key: ObjectKey) -> str | None:
         """Return the object's home, or None without targets or for an object that is not known."""
         self._assign_if_few()
@@ -134,7 +164,11 @@
         self._stale = False
         self._added.clear()
         self._pass = AssignmentPass(
-            self.known, self._rankings, self._regions_by_target, self._most_objects()
+            self.known,
+            self._rankings,
+            self._regions_by_target,
+            self._capacity_by_target(),
+            self._hot_by_object,
         )
         return self._pass
 
@@ -147,12 +181,30 @@
             if home is not None:
                 homes[key] = home
         self._homes_by_object = homes
+        self._more_homes_by_object = whole.more_homes_by_object
         self._objects_by_target = dict(Counter(homes.values()))
 
     def _most_objects(self) -> int:
-        """Return the number of objects that a target may be home to."""
+        """Return the number of objects that an average target may be home to."""
         return ceil(len(self.known) * MAX_LOAD_FACTOR / len(self._regions_by_target))
 
+    def _capacity_by_target(self) -> dict[str, int]:
+        """Return the number of objects that each target may be home to, by its slots.
+
+        The targets that hot objects fill are left out of the average.
+        """
+        targets = len(self._regions_by_target)
+        filled = sum(hot.homes * hot.part for hot in self._hot_by_object.values())
+        even = len(self.known) * MAX_LOAD_FACTOR / max(targets - filled, targets / 2)
+        slots_by_target = self._slots_by_target
+        if slots_by_target is None or len(set(slots_by_target.values())) <= 1:
+            return dict.fromkeys(self._regions_by_target, ceil(even))
+        average = max(1.0, sum(slots_by_target.values()) / targets)
+        return {
+            target: max(1, ceil(even * slots_by_target[target] / average))
+            for target in self._regions_by_target
+        }
+
     def _assign_alone(self, key: ObjectKey) -> str:
         """Give an object a home by what is known at this moment, until the next assignment."""
         region, most = self.known.regions_by_key[key], self._most_objects()
@@ -171,9 +223,11 @@
 
     def _forget(self, key: ObjectKey) -> None:
         self._rankings.forget(key)
+        self._more_homes_by_object.pop(key, None)
         self._forget_home(key)
         if self._pass is not None:
             self._pass.homes_by_object.pop(key, None)
+            self._pass.more_homes_by_object.pop(key, None)
 
     def _forget_home(self, key: ObjectKey) -> None:
         home = self._homes_by_object.pop(key, None)
--- a/src/flamingoladder/steering/target_rankings.py
+++ b/src/flamingoladder/steering/target_rankings.py
@@ -23,6 +23,8 @@
 KEPT_RANKS = 8
 # A ranking that is further behind is computed anew.
 MAX_ADDITIONS_BEHIND = 64
+# A ranking that is computed anew takes as long as this many hashes, besides its hashes.
+HASHES_PER_SORT = 24
 
 
 class TargetRankings:
@@ -69,6 +71,7 @@
         ranked = nsmallest(KEPT_RANKS, self._hashed(key, scope.codes_by_target.items()))
         ranks = tuple(target for _, target in ranked)
         scope.kept[key] = (scope.version, ranks)
+        self.hashes += HASHES_PER_SORT
         return ranks
 
     def present(self, key: ObjectKey, scope_name: str) -> Iterator[str]:
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -90,3 +90,14 @@
     registry.receive("h1", "1", HostReport(False, {"b": RateReport(9, 2.0)}, {}, {}), 0.2)
     rates = registry.live_reports(0.3)["h1"].rates_by_workspace
     assert rates == {"a": RateReport(5, 1.0), "b": RateReport(9, 2.0)}
+
+
+def test_work_of_objects_holds_until_a_report_names_services_again(
+    registry: MemberRegistry,
+) -> None:
+    """Most reports of large fleets leave it out; homes of popular objects came and went."""
+    seen = []
+    for number, work in enumerate(({"s": {"o": 40}}, {}, {"s": {}})):
+        registry.receive("h1", "1", HostReport(work_by_object=work, sequence=number), 0.0)
+        seen.append(registry.live_reports(0.1)["h1"].work_by_object)
+    assert seen == [{"s": {"o": 40}}, {"s": {"o": 40}}, {"s": {}}]
