--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -97,7 +97,8 @@
 ) -> None:
     """Most reports of large fleets leave it out; homes of popular objects came and went."""
     seen = []
-    for number, work in enumerate(({"s": {"o": 40}}, {}, {"s": {}})):
+    reported: list[dict[str, dict[str, int]]] = [{"s": {"o": 40}}, {}, {"s": {}}]
+    for number, work in enumerate(reported):
         registry.receive("h1", "1", HostReport(work_by_object=work, sequence=number), 0.0)
         seen.append(registry.live_reports(0.1)["h1"].work_by_object)
     assert seen == [{"s": {"o": 40}}, {"s": {"o": 40}}, {"s": {}}]
