--- a/bench/placement.py
+++ b/bench/placement.py
@@ -122,17 +122,18 @@
 
 
 def _choose(balancer: LoadBalancer, key: str) -> None:
-    balancer.choose(_request(key), (), NOW)
+    balancer.choose(routed_request(key, NOW), (), NOW)
 
 
-def _request(key: str) -> RoutedRequest:
+def routed_request(key: str, now: float, body: bytes = b"") -> RoutedRequest:
+    """Return a request for an object, or for none."""
     incoming = IncomingRequest(
         request_id="q",
         method="GET",
         host="a.example",
         path="/",
         headers=(),
-        body=b"",
+        body=body,
         keys=(),
         affinity_key=key or None,
         caller_timeout_s=None,
@@ -143,7 +144,7 @@
         service=SERVICE,
         workspace=None,
         regions=None,
-        started=NOW,
+        started=now,
         admission_deadline=inf,
         deadline=inf,
         target_deadline=inf,
--- a/src/flamingoladder/entry/host_reports.py
+++ b/src/flamingoladder/entry/host_reports.py
@@ -92,6 +92,7 @@
             self._notices.leaving_targets(now),
             busy_tenths=self._processor_use.observe(time.process_time(), now),
             offered_by_service=self._planner.report(now),
+            work_by_object=self._balancer.demand.report(self._members.host_count, now),
         )
 
     def receive_report(self, host: str, report: HostReport, now: float) -> None:
@@ -114,6 +115,7 @@
         rates = {host: report.rates_by_workspace for host, report in reports.items()}
         self._rate_limiter.update(self._members.host_count, rates, self._members.report_interval_s)
         self._budgets.set_host_count(self._members.host_count)
+        self._balancer.demand.apply((report.work_by_object for report in reports.values()), now)
         remote_in_flight: dict[str, int] = {}
         for report in reports.values():
             for name, count in report.in_flight_by_target.items():
--- a/src/flamingoladder/fleet/members.py
+++ b/src/flamingoladder/fleet/members.py
@@ -83,7 +83,7 @@
         if not self.is_alive(host, now):
             self._recorder.record("host.heard", peer=host)
         if previous is not None:
-            report = _with_rates_of(previous.report, report)
+            report = _with_kept_figures(previous.report, report)
         self.reports_by_host[host] = ReceivedReport(report, incarnation, now)
         self._silent_since[host] = now
 
@@ -134,12 +134,13 @@
         ]
 
 
-def _with_rates_of(previous: HostReport, report: HostReport) -> HostReport:
-    """Return ``report`` with the rates that only ``previous`` has.
+def _with_kept_figures(previous: HostReport, report: HostReport) -> HostReport:
+    """Return ``report`` with what only ``previous`` has of rates and of objects' work.
 
     Without news the rates are those of ``previous`` themselves, so that no one compares them.
     """
     rates = previous.rates_by_workspace
     if report.rates_by_workspace:
         rates = {**rates, **report.rates_by_workspace}
-    return msgspec.structs.replace(report, rates_by_workspace=rates)
+    work = report.work_by_object or previous.work_by_object
+    return msgspec.structs.replace(report, rates_by_workspace=rates, work_by_object=work)
--- a/src/flamingoladder/fleet/messages.py
+++ b/src/flamingoladder/fleet/messages.py
@@ -20,6 +20,7 @@
     "sequence": "n",
     "busy_tenths": "b",
     "offered_by_service": "d",
+    "work_by_object": "h",
 }
 
 
@@ -35,6 +36,8 @@
     incarnation. ``busy_tenths`` is the host's use of the processor in tenths of its capacity.
     ``offered_by_service`` holds tenths of the slots that its callers ask for; it is None if the
     host does not tell.
+    ``work_by_object`` holds, by service, the objects that the host's callers ask for
+    most, with the slots that they keep busy, in hundredths; it is empty if the latest one holds.
     """
 
     unavailable: bool = False
@@ -46,6 +49,7 @@
     sequence: int = 0
     busy_tenths: int = 0
     offered_by_service: dict[str, int] | None = None
+    work_by_object: dict[str, dict[str, int]] = {}
 
 
 class ForwardedReport(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -141,3 +141,15 @@
     before = registry.live_reports(0.4)["h1"].rates_by_workspace
     registry.receive("h1", "1", REPORT, 0.6)
     assert registry.live_reports(0.6)["h1"].rates_by_workspace is before
+
+
+def test_work_of_objects_holds_until_a_report_names_services_again(
+    registry: MemberRegistry,
+) -> None:
+    """Most reports of large fleets leave it out; homes of popular objects came and went."""
+    seen = []
+    reported: list[dict[str, dict[str, int]]] = [{"s": {"o": 40}}, {}, {"s": {}}]
+    for number, work in enumerate(reported):
+        registry.receive("h1", "1", HostReport(work_by_object=work, sequence=number), 0.0)
+        seen.append(registry.live_reports(0.1)["h1"].work_by_object)
+    assert seen == [{"s": {"o": 40}}, {"s": {"o": 40}}, {"s": {}}]
