--- a/src/flamingoladder/memory/budget.py
+++ b/src/flamingoladder/memory/budget.py
@@ -49,6 +49,7 @@
         "_shares",
         "_small_bytes",
         "_waiters",
+        "_was_used",
         "limit_bytes",
         "transfers",
         "unread_bytes",
@@ -59,6 +60,7 @@
         self._small_bytes = 0
         self._large_bytes = 0
         self._connection_bytes = 0
+        self._was_used = False
         self.unread_bytes = 0
         self._shares = Shares()
         self._waiters: set[asyncio.Future[None]] = set()
@@ -89,8 +91,11 @@
         return self.unread_bytes < self._reserved_bytes
 
     def measure_rest(self) -> None:
-        """Take the present size of the process as its size at rest, unless bytes are in use."""
-        if self._memory_bytes and not self._large_bytes and not self.unread_bytes:
+        """Take the present size of the process as its size at rest, until a large body was held.
+
+        From then on it may hold free memory that is used again.
+        """
+        if self._memory_bytes and not self._was_used:
             self._set_limit(limit_for(self._memory_bytes, resident_bytes()))
 
     def take(self, more_bytes: int, accounts: tuple[Account, ...], now: float) -> bool:
@@ -102,6 +107,7 @@
         if not fits or not self._shares.allows(accounts, more_bytes, share_bytes, now):
             self._shares.note_wanted(accounts, now)
             return False
+        self._was_used = True
         self._large_bytes += more_bytes
         self._shares.add(accounts, more_bytes)
         return True
--- a/src/flamingoladder/memory/caller_connections.py
+++ b/src/flamingoladder/memory/caller_connections.py
@@ -14,6 +14,8 @@
 STORE_DESCRIPTORS = 32
 DESCRIPTORS_PER_PEER = 3
 MIN_CONNECTIONS = 16
+LONG_HEAD_BYTES = 131_072
+OLD_HEAD_S = 1.0
 
 
 class CallerConnections:
@@ -90,9 +92,19 @@
         """Note that the connection has a request."""
         self._idle.pop(guard, None)
 
-    def shorten_unread(self) -> None:
-        """Close the oldest unfinished head, as those of all connections take too much memory."""
+    def shorten_unread(self, newest: IdleConnection) -> None:
+        """Close an unfinished head, as the unread input of all connections is too much.
+
+        A whole head is taken up in the next turns of the loop, and its body stays within the read
+        buffer; so only long and old heads are unfinished.
+        """
+        if newest.head_bytes > LONG_HEAD_BYTES:
+            self.close(newest, "unread_input")
+            return
+        now = asyncio.get_running_loop().time()
         for guard in self._idle:
+            if now - guard.idle_since < OLD_HEAD_S:
+                return
             if guard.has_head:
                 self.close(guard, "unread_input")
                 return
--- a/src/flamingoladder/memory/connection_guard.py
+++ b/src/flamingoladder/memory/connection_guard.py
@@ -66,7 +66,7 @@
             return
         self._protocol.data_received(data)
         if not self._connections.budget.may_buffer:
-            self._connections.shorten_unread()
+            self._connections.shorten_unread(self)
 
     def eof_received(self) -> bool | None:
         """Pass on the end of what is received."""
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -34,6 +34,7 @@
 
     from flamingoladder.gateway.request import CallerRequest
     from flamingoladder.gateway.stages import RequestRunner
+    from flamingoladder.memory.budget import MemoryBudget
     from flamingoladder.verdict import Outcome
 
 
@@ -131,7 +132,12 @@
         "state",
     )
 
-    def __init__(self, state: FixedState, dispatcher: Dispatcher | None = None) -> None:
+    def __init__(
+        self,
+        state: FixedState,
+        dispatcher: Dispatcher | None = None,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         self.state = state
         self.admission = GatedAdmission()
         self.ledger = MemoryLedger()
@@ -146,7 +152,7 @@
             lookups=MemberLookup(state, "north-a", "north"),
             recorder=self.recorder,
         )
-        self.server = GatewayServer(self.stages, "127.0.0.1", 0)
+        self.server = GatewayServer(self.stages, "127.0.0.1", 0, memory=memory)
         self.session = aiohttp.ClientSession()
 
     @property
@@ -189,10 +195,12 @@
 
 @asynccontextmanager
 async def running_gateway(
-    state: FixedState | None = None, dispatcher: Dispatcher | None = None
+    state: FixedState | None = None,
+    dispatcher: Dispatcher | None = None,
+    memory: MemoryBudget | None = None,
 ) -> AsyncIterator[Gateway]:
     """Run a gateway for one test."""
-    gateway = Gateway(state or FixedState(agreed()), dispatcher)
+    gateway = Gateway(state or FixedState(agreed()), dispatcher, memory)
     await gateway.server.start()
     try:
         yield gateway
