Release a request's body once its exchange ends

Cause: the callbacks of a kept connection to a target hold the context of the exchange that opened it, and the exchange's last check held the request with its body. A host's budget showed 67 MB in use after a body of 64 MiB was answered. Change: an exchange drops its check when it ends, and the body that was written is dropped with it.

--- a/src/flamingoladder/transport/exchange.py
+++ b/src/flamingoladder/transport/exchange.py
@@ -112,6 +112,9 @@
         No other request can then meet what still comes from that connection.
         """
         self._timeout = None
+        # A kept connection's callbacks hold the context of this exchange for as long as it lives,
+        # and the check holds the request with its body.
+        self._last_check = None
         is_kept = whole and self._may_be_kept
         if self.guard is not None and self.guard.answer is self.answer:
             self.guard.answer = None
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -135,12 +135,13 @@
     The connection is closed if this fails or is cancelled. ``room`` bounds the answer's body.
     """
     reservation = room.reservation()
+    data = _data(outgoing.body)
     token = current_exchange.set(exchange)
     exchange.target = outgoing.target
     whole = False
     try:
         async with exchange.open():
-            result = await _exchange(session, outgoing, exchange, reservation)
+            result = await _exchange(session, outgoing, data, exchange, reservation)
             whole = isinstance(result, HeldAnswer)
             return _joined(result) if isinstance(result, Answer) and not room.parted else result
     except TimeoutError:
@@ -152,18 +153,21 @@
         exchange.end(whole=whole)
         if not whole:
             reservation.release()
+        if isinstance(data, BodyPayload):
+            data.forget()
 
 
 async def _exchange(
     session: aiohttp.ClientSession,
     outgoing: Outgoing,
+    data: bytes | BodyPayload | None,
     exchange: Exchange,
     reservation: Reservation,
 ) -> Answer | SendFailure:
     response = await session.request(
         outgoing.method,
         outgoing.url,
-        data=_data(outgoing.body),
+        data=data,
         headers=outgoing.headers,
         allow_redirects=False,
     )
--- a/tests/transport/test_receive_guard.py
+++ b/tests/transport/test_receive_guard.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from contextlib import suppress
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
+from weakref import ref
 
 import pytest
 from multidict import CIMultiDict
@@ -232,3 +234,26 @@
     guard.data_received(bytes(50_000))
     guard.eof_received()
     assert sum(parser.parts) == 50_000
+
+
+class Request:
+    """Stands for a request with a large body."""
+
+    def check(self, _now: float) -> None:
+        """Refuse nothing."""
+
+
+async def test_a_kept_connection_does_not_hold_the_request_that_it_was_opened_for() -> None:
+    """Its callbacks held the exchange, whose last check held the request and so its body."""
+    server, connections = FixedServer([WHOLE]), pool()
+    async with server.serving() as url:
+        request = Request()
+        held = ref(request)
+        deadline = asyncio.get_running_loop().time() + DEADLINE_S
+        exchange = Exchange(deadline, request.check)
+        outgoing = Outgoing("GET", url, CIMultiDict(), b"", "")
+        assert isinstance(await connections.send(outgoing, exchange), Answer)
+        del request
+        gc.collect()
+        assert held() is None
+        await connections.retire()
