--- a/src/flamingoladder/memory/caller_connections.py
+++ b/src/flamingoladder/memory/caller_connections.py
@@ -14,6 +14,8 @@
 STORE_DESCRIPTORS = 32
 DESCRIPTORS_PER_PEER = 3
 MIN_CONNECTIONS = 16
+LONG_HEAD_BYTES = 131_072
+OLD_HEAD_S = 1.0
 
 
 class CallerConnections:
@@ -65,6 +67,7 @@
     def add(self, guard: IdleConnection) -> None:
         """Count a new connection; beyond the bound one is closed."""
         self._count += 1
+        self.budget.count_connections(1)
         self.note_idle(guard)
         if self.max_connections and self._count > self.max_connections:
             self.close(next(iter(self._idle)), "too_many_connections")
@@ -72,6 +75,7 @@
     def remove(self, guard: IdleConnection) -> None:
         """Count a connection that is closed no more."""
         self._count -= 1
+        self.budget.count_connections(-1)
         self._idle.pop(guard, None)
 
     def note_idle(self, guard: IdleConnection) -> None:
@@ -88,9 +92,19 @@
         """Note that the connection has a request."""
         self._idle.pop(guard, None)
 
-    def shorten_unread(self) -> None:
-        """Close the oldest unfinished head, as those of all connections take too much memory."""
+    def shorten_unread(self, newest: IdleConnection) -> None:
+        """Close an unfinished head, as the unread input of all connections is too much.
+
+        A whole head is taken up in the next turns of the loop, and its body stays within the read
+        buffer; so only long and old heads are unfinished.
+        """
+        if newest.head_bytes > LONG_HEAD_BYTES:
+            self.close(newest, "unread_input")
+            return
+        now = asyncio.get_running_loop().time()
         for guard in self._idle:
+            if now - guard.idle_since < OLD_HEAD_S:
+                return
             if guard.has_head:
                 self.close(guard, "unread_input")
                 return
