Move the limits of sends out of the load balancer

The load balancer had grown past the size of a readable module. What targets said of the requests that they want, and their limits in slow start, are now in a class of their own. Behaviour is unchanged.

--- a/src/flamingoladder/entry/load_balancer.py
+++ b/src/flamingoladder/entry/load_balancer.py
@@ -12,6 +12,7 @@
 from flamingoladder.entry.new_homes import NewHomes
 from flamingoladder.entry.object_demand import ObjectDemand
 from flamingoladder.entry.request_targets import RequestTargets
+from flamingoladder.entry.send_limits import SendLimits
 from flamingoladder.entry.service_targets import ServiceTargetsCache
 from flamingoladder.entry.target_choice import Choice
 from flamingoladder.entry.target_choice import Overload
@@ -20,12 +21,10 @@
 from flamingoladder.steering.home_assignment import HomeAssignment
 from flamingoladder.steering.overflow_cap import OverflowCap
 from flamingoladder.steering.target_rankings import ALL_REGIONS
-from flamingoladder.targets.fleet_share import fleet_share
 from flamingoladder.targets.run_times import RunTimes
 
 if TYPE_CHECKING:
     from collections.abc import Collection
-    from collections.abc import Iterable
 
     from flamingoladder.entry.active_configuration import ActiveConfiguration
     from flamingoladder.entry.costs import RunCosts
@@ -34,7 +33,6 @@
     from flamingoladder.fleet.members import MemberRegistry
     from flamingoladder.steering.known_objects import KnownObjects
     from flamingoladder.steering.known_objects import ObjectKey
-    from flamingoladder.targets.notices import TargetNotices
     from flamingoladder.targets.registry import TargetRegistry
     from flamingoladder.targets.slow_start import SlowStartLimit
     from flamingoladder.targets.state import TargetState
@@ -49,17 +47,15 @@
     """Chooses by network cost, queue length and whether the target recently handled the object."""
 
     __slots__ = (
-        "_configuration",
         "_failure_domain",
         "_homes_by_service",
-        "_members",
+        "_limits",
         "_new_homes",
         "_overflow",
         "_random",
         "_region",
         "_run_times",
         "_service_targets",
-        "_slow_start_limit",
         "_warm_ratios_by_service",
         "demand",
     )
@@ -73,9 +69,7 @@
         region: str,
         failure_domain: str = "",
     ) -> None:
-        self._configuration = configuration
-        self._members = members
-        self._slow_start_limit = slow_start_limit
+        self._limits = SendLimits(configuration, members, slow_start_limit)
         self._region = region
         self._failure_domain = failure_domain
         self._homes_by_service: dict[str, HomeAssignment] = {}
@@ -106,11 +100,13 @@
         if request.object_key is not None and not tried:
             typical_s = self._run_times.typical_s(request.service, request.route.name)
             self.demand.add(request.service, request.object_key, typical_s or 0.0, now)
-        targets = RequestTargets(service, request, tried, self._allows_send, now)
+        targets = RequestTargets(service, request, tried, self._limits.allows_send, now)
         compare = self._comparison(request, service, now)
         best = self._best(request, service, targets, compare, now)
         if best is None:
-            return self._cheapest_in_slow_start(request, targets.untried_starting(), compare, now)
+            starting = targets.untried_starting()
+            within_limit = self._limits.within_slow_start(request.service, starting, now)
+            return compare.without_object().cheapest(within_limit)
         if not self._all_busy(targets, best, now):
             return best
         return self._overload_of(request, best, now) or best
@@ -306,20 +302,6 @@
             if not stays_local or target.region == self._region
         )
 
-    def _allows_send(self, target: TargetState, notices: TargetNotices, now: float) -> bool:
-        if notices.pause is not None and not notices.pause.allows_send(now):
-            return False
-        limit = notices.rate_limit
-        if limit is None or limit.per_s is None:
-            return True
-        share = fleet_share(
-            limit.fleet_requests,
-            target.record.target_id,
-            self._members.own_host,
-            self._members.members_by_host,
-        )
-        return limit.allows_send(share, now)
-
     def _exceeds_overflow_cap(self, home: TargetState, best: Choice, now: float) -> bool:
         """Return whether the request would leave this host's region beyond the overflow cap.
 
@@ -346,30 +328,6 @@
             return costs.USUAL_RUN_COSTS
         return ratio.run_costs()
 
-    def _cheapest_in_slow_start(
-        self,
-        request: RoutedRequest,
-        targets: Iterable[TargetState],
-        compare: TargetComparison,
-        now: float,
-    ) -> Choice | None:
-        routing = self._configuration.routing
-        service = None if routing is None else routing.services_by_name.get(request.service)
-        if service is None:
-            return None
-        hosts = self._members.members_by_host.keys()
-        within_limit = [
-            target
-            for target in targets
-            if target.slow_start_sends.allows(
-                self._slow_start_limit.allowance(
-                    target.record.target_id, service.slow_start_rate_per_s, hosts
-                ),
-                now,
-            )
-        ]
-        return compare.without_object().cheapest(within_limit)
-
 
 def _first_ranked(
     homes: HomeAssignment, key: ObjectKey, targets: RequestTargets, region: str = ALL_REGIONS
