Offer the replays of popular objects as measurements

The replay moves to bench, with a table of its own, so that the figures in the design note can be taken again.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
     "floods",
     "capacity",
     "placement",
+    "placement_replay",
 )
 
 
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -64,7 +64,7 @@
 
 
 def _row(targets: int, objects: int) -> str:
-    registry, balancer = _balancer(targets)
+    registry, balancer = balancer_of(targets)
     homes = balancer.homes_of(SERVICE)
     for number in range(objects):
         homes.add_objects((f"r\0{number}",), REGIONS[number % len(REGIONS)])
@@ -100,7 +100,8 @@
     return at_once + sum(steps), max(at_once, *steps)
 
 
-def _balancer(targets: int) -> tuple[TargetRegistry, LoadBalancer]:
+def balancer_of(targets: int) -> tuple[TargetRegistry, LoadBalancer]:
+    """Return the load balancer of a host that has ``targets`` targets in three regions."""
     recorder = Recorder("h0", "i", kept_events=0)
     registry = TargetRegistry({region: region for region in REGIONS}, recorder)
     limiter = FleetRateLimiter(RateTolerance(), start_full=True)
--- a/tests/entry/placement_replay.py
+++ b/bench/placement_replay.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from heapq import heappop
 from heapq import heappush
 from itertools import count
 from random import Random
-from typing import TYPE_CHECKING
 
 from bench.placement import REGIONS
 from bench.placement import SERVICE
 from bench.placement import routed_request
-
 from flamingoladder.entry.active_configuration import ActiveConfiguration
 from flamingoladder.entry.load_balancer import LoadBalancer
 from flamingoladder.entry.target_choice import Choice
@@ -25,9 +24,6 @@
 from flamingoladder.targets.slow_start import SlowStartLimit
 from flamingoladder.timeline.recorder import Recorder
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 SLOTS = 3
 WARM_OBJECTS = 24
 REPORT_S = 0.25
@@ -35,6 +31,28 @@
 WARM_S = 0.12
 
 
+REPLAY_HOSTS = 6
+REPLAY_TARGETS = 24
+OBJECTS = 60
+POPULAR_FOR_S = 5.0
+ONCE = count()
+
+Draw = Callable[[Random, float], str]
+
+
+def one_with_a_third(random: Random, now: float) -> str:
+    return "hot" if random.random() < 1 / 3 else f"o{random.randrange(OBJECTS)}"
+
+
+def moving_popularity(random: Random, now: float) -> str:
+    is_hot = random.random() < 1 / 3
+    return f"hot{int(now / POPULAR_FOR_S)}" if is_hot else f"o{random.randrange(OBJECTS)}"
+
+
+def many_requested_once(random: Random, now: float) -> str:
+    return f"once{next(ONCE)}" if random.random() < 0.3 else f"o{random.randrange(OBJECTS)}"
+
+
 class Target:
     """Runs requests in ``SLOTS`` slots; those for one of its latest objects are warm."""
 
@@ -60,7 +78,7 @@
         self.work: dict[int, dict[str, dict[str, int]]] = {n: {} for n in range(hosts)}
         self._at(REPORT_S, self._exchange)
 
-    def run(self, seconds: float, rate: float, draw: Callable[[Random, float], str]) -> None:
+    def run(self, seconds: float, rate: float, draw: Draw) -> None:
         """Send ``rate`` requests a second for the objects that ``draw`` returns."""
         end = at = self.now
         end += seconds
@@ -186,3 +204,25 @@
         if target.waiting:
             self._enqueue(target, *target.waiting.pop(0))
         end()
+
+
+def measure(quick: bool) -> None:
+    """Print how many runs were warm, and the load of the busiest target, for each replay."""
+    print(f"{'replay':20} {'warm':>6} {'largest':>8} {'refused':>8} {'most waiting':>12}")
+    half = REPLAY_TARGETS * SLOTS / WARM_S / 2
+    loads: tuple[tuple[Draw, float], ...] = (
+        (one_with_a_third, half),
+        (moving_popularity, half),
+        (many_requested_once, half / 2),
+    )
+    for draw, rate in loads:
+        replay = Replay(REPLAY_HOSTS, REPLAY_TARGETS, 1)
+        replay.run(5.0 if quick else 10.0, rate, draw)
+        replay.reset_counts()
+        replay.run(5.0 if quick else 15.0, rate, draw)
+        waiting = max(target.most_waiting for target in replay.targets.values())
+        print(
+            f"{draw.__name__:20} {replay.warm / replay.could_be_warm:6.3f}"
+            f" {replay.largest_load:8.2f} {replay.refused:8} {waiting:12}",
+            flush=True,
+        )
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -6,45 +6,33 @@
 
 from __future__ import annotations
 
-from itertools import count
-from typing import TYPE_CHECKING
+from statistics import median
+from time import perf_counter
 
 import pytest
+from bench.placement import NOW
 from bench.placement import SERVICE
-
-from tests.entry.placement_replay import COLD_S
-from tests.entry.placement_replay import SLOTS
-from tests.entry.placement_replay import WARM_S
-from tests.entry.placement_replay import Replay
-
-if TYPE_CHECKING:
-    from random import Random
+from bench.placement import balancer_of
+from bench.placement import routed_request
+from bench.placement_replay import COLD_S
+from bench.placement_replay import SLOTS
+from bench.placement_replay import WARM_S
+from bench.placement_replay import Draw
+from bench.placement_replay import Replay
+from bench.placement_replay import many_requested_once
+from bench.placement_replay import moving_popularity
+from bench.placement_replay import one_with_a_third
 
 HOSTS = 6
 TARGETS = 24
-OBJECTS = 60
 HALF_OF_ALL_SLOTS = TARGETS * SLOTS / WARM_S / 2
 QUARTER = HALF_OF_ALL_SLOTS / 2
 SETTLE_S = 10.0
 MEASURED_S = 15.0
-POPULAR_FOR_S = 5.0
 MAX_LOAD = 1.5
 MIN_WARM = 0.9
 HOT = "r\0hot"
-ONCE = count()
-
-
-def one_with_a_third(random: Random, now: float) -> str:
-    return "hot" if random.random() < 1 / 3 else f"o{random.randrange(OBJECTS)}"
-
-
-def moving_popularity(random: Random, now: float) -> str:
-    is_hot = random.random() < 1 / 3
-    return f"hot{now // POPULAR_FOR_S}" if is_hot else f"o{random.randrange(OBJECTS)}"
-
-
-def many_requested_once(random: Random, now: float) -> str:
-    return f"once{next(ONCE)}" if random.random() < 0.3 else f"o{random.randrange(OBJECTS)}"
+MOST_SECONDS_PER_CHOICE = 0.000_2
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -57,12 +45,12 @@
     ],
 )
 def test_popular_objects_stay_warm_and_overload_no_target(
-    draw: object, rate: float, seed: int
+    draw: Draw, rate: float, seed: int
 ) -> None:
     replay = Replay(HOSTS, TARGETS, seed)
-    replay.run(SETTLE_S, rate, draw)  # type: ignore[arg-type]
+    replay.run(SETTLE_S, rate, draw)
     replay.reset_counts()
-    replay.run(MEASURED_S, rate, draw)  # type: ignore[arg-type]
+    replay.run(MEASURED_S, rate, draw)
     assert replay.warm >= MIN_WARM * replay.could_be_warm
     assert replay.largest_load <= MAX_LOAD
     assert replay.refused <= replay.sent / 1_000
@@ -90,3 +78,18 @@
     replay.run(MEASURED_S, rate, one_with_a_third)
     assert replay.largest_load <= MAX_LOAD
     assert max(target.most_waiting for target in replay.targets.values()) <= SLOTS
+
+
+def test_a_choice_costs_little_with_many_targets_and_objects() -> None:
+    """It took 0.3 ms and more at 1,024 targets, which hosts with half a core can't afford."""
+    registry, balancer = balancer_of(1_024)
+    for number in range(1_000_000):
+        balancer.homes_of(SERVICE).add_objects((f"r\0{number}",), "north")
+    seconds = []
+    for number in range(999_000, 1_000_000):
+        for _ in range(2):
+            started = perf_counter()
+            balancer.choose(routed_request(str(number), NOW), (), NOW)
+            seconds.append(perf_counter() - started)
+    assert len(registry.by_id) == 1_024
+    assert median(seconds[1::2]) < MOST_SECONDS_PER_CHOICE
