Count an object's work only if it takes a considerable part of a target

Cause: objects that take 4% of a target got homes by their reported demand. Where all objects are about as popular, as on the deployments with hard load, homes of hundreds of them moved with each wave of demand, and every move costs a cold run. Change: only objects that take 30% of a target count.

--- a/src/flamingoladder/steering/hot_objects.py
+++ b/src/flamingoladder/steering/hot_objects.py
@@ -22,9 +22,9 @@
 MIN_PART_FOR_HOME = 0.3
 # The most that one target gets of the objects that count, in units of the average of all targets.
 MAX_WORK_FACTOR = 1.4
-# Below this part of a target, an object counts like any other. With 0.15, targets with several
-# fairly popular objects had 1.8 times the mean load in the replay of objects requested once.
-MIN_PART_OF_TARGET = 0.04
+# Below this part of a target, an object counts like any other. Homes that followed the demand of
+# objects that take a tenth of a target moved with each wave, and every move costs a cold run.
+MIN_PART_OF_TARGET = 0.3
 # A home is removed only once the others would stay below this part of what adds one.
 REMOVAL_FACTOR = 0.7
 REMOVAL_DELAY_S = 5.0
