--- a/tests/steering/test_hot_objects.py
+++ b/tests/steering/test_hot_objects.py
@@ -14,7 +14,7 @@
 
 
 @pytest.mark.parametrize(
-    ("busy_slots", "homes"), [(0.5, 0), (1.0, 1), (1.7, 2), (10.0, 7), (1_000.0, TARGETS)]
+    ("busy_slots", "homes"), [(0.5, 0), (0.8, 0), (1.0, 2), (1.7, 2), (10.0, 7), (1_000.0, TARGETS)]
 )
 def test_an_object_gets_homes_by_the_slots_that_it_keeps_busy(
     busy_slots: float, homes: int
