Refuse a body that only this host has no room for with 503

Cause: a host whose memory budget is smaller than max_body_bytes refused bodies between the two with 413, which callers do not retry, although another host may take them. Change: such a body gets 503 with Retry-After before a byte of it is read; 413 is left for bodies over the configured limit.

--- a/src/flamingoladder/memory/body_reader.py
+++ b/src/flamingoladder/memory/body_reader.py
@@ -47,10 +47,14 @@
         self._setting = setting
 
     def length_refusal(self, request: web.BaseRequest, max_bytes: int) -> Refusal | None:
-        """Return the refusal of a request whose declared length is over the limit."""
-        if (request.content_length or 0) > min(max_bytes, self._budget.large_limit_bytes):
+        """Return the refusal of a request whose declared length is over the limit.
+
+        A body that only this host has no room for is refused as one that another may take.
+        """
+        declared_bytes = request.content_length or 0
+        if declared_bytes > max_bytes:
             return self._too_large(max_bytes)
-        return None
+        return _no_room() if declared_bytes > self._budget.large_limit_bytes else None
 
     async def read(
         self,
@@ -142,10 +146,7 @@
         return body.joined() if len(body) <= SMALL_BYTES else body
 
     def _too_large(self, max_bytes: int) -> Refusal:
-        limit_bytes = self._budget.large_limit_bytes
-        detail = f"the body is over the {limit_bytes} bytes that this host's memory has room for"
-        if max_bytes <= limit_bytes:
-            detail = f"the body is over the limit of {max_bytes} bytes (setting {self._setting})"
+        detail = f"the body is over the limit of {max_bytes} bytes (setting {self._setting})"
         return Refusal.not_run(Reason.BODY_TOO_LARGE, detail)
 
 
