Queue requests at the host while all targets of a service are busy

Less urgent requests filled the queues of busy targets, so that the most urgent found no place in which they could be in time. They now wait in a bounded queue at the host once the wait at the best target is longer than the most urgent route of the service can bear; so do requests over their workspace's max-min share of a rank, and repeats in a storm.

Existing tests of entry, limits and fleet pass unchanged but for the harness, which builds the admission control.

--- /dev/null
+++ b/src/flamingoladder/admission/service_admission.py
@@ -0,0 +1,96 @@
+"""Decides for one service which requests wait at the host."""
+
+from __future__ import annotations
+
+from math import inf
+from typing import TYPE_CHECKING
+
+from flamingoladder.admission.host_queue import HostQueue
+from flamingoladder.admission.host_queue import Standing
+from flamingoladder.admission.rank_shares import RankShares
+from flamingoladder.admission.refusals import Repeat
+from flamingoladder.admission.refusals import RepeatBudget
+
+if TYPE_CHECKING:
+    from flamingoladder.admission.demand import DemandEstimate
+    from flamingoladder.admission.host_queue import QueuedRequest
+    from flamingoladder.entry.load_balancer import Choice
+
+RUN_WEIGHT = 0.1
+
+
+class ServiceAdmission:
+    """The queue of one service, the shares of its ranks, and the mean duration of its runs.
+
+    Load: bursts, a workspace far over its usual demand, and retry storms, while all targets of the
+    service are busy.
+    """
+
+    __slots__ = ("_budget", "_mean_run_s", "_shares_by_rank", "queue", "service")
+
+    def __init__(self, service: str, now: float) -> None:
+        self.queue = HostQueue(now)
+        self.service = service
+        self._shares_by_rank: dict[int, RankShares] = {}
+        self._budget = RepeatBudget()
+        self._mean_run_s: float | None = None
+
+    def take_share(self, rank: int, workspace: str, now: float) -> bool:
+        """Count an arrival, and return whether it is within its workspace's share of the rank."""
+        return self._shares_of(rank, now).take(workspace, now)
+
+    def standing(self, repeat: Repeat, *, in_share: bool) -> Standing:
+        """Return the standing of a request that finds all targets busy."""
+        if repeat is Repeat.FIRST_ATTEMPT:
+            return Standing.IN_SHARE if in_share else Standing.OVER_SHARE
+        if repeat is Repeat.DUE and self._budget.take():
+            return Standing.PREFERRED_REPEAT
+        return Standing.SURPLUS_REPEAT
+
+    def max_wait_s(self, standing: Standing, bearable_s: float | None, slots: int) -> float:
+        """Return the longest expected wait at a target with which a request is sent to it.
+
+        Requests over the share, and repeats in a storm, queue one at a time at a target, so that it
+        is not idle between two of them.
+        """
+        bearable = inf if bearable_s is None else bearable_s
+        if standing <= Standing.IN_SHARE:
+            return bearable
+        return min(bearable, self.expected_wait_s(1, slots))
+
+    def expected_wait_s(self, queue_position: int, slots: int) -> float:
+        """Return the expected wait for a slot; 0 until the duration of runs is known."""
+        return queue_position * (self._mean_run_s or 0.0) / slots
+
+    def may_send(self, queued: QueuedRequest, choice: Choice) -> bool:
+        """Return whether a request may be sent to the chosen target now."""
+        if not choice.all_busy:
+            return True
+        slots = choice.target.record.slots
+        return self.expected_wait_s(choice.queue_position, slots) <= queued.max_wait_s
+
+    def update_shares(self, rank: int, demand: DemandEstimate, now: float) -> None:
+        """Compute the shares of a rank from the demand of all hosts, if they are not recent."""
+        shares = self._shares_of(rank, now)
+        if shares.is_due(now):
+            shares.update(demand.of_rank(self.service, rank, now), now)
+
+    def record_send(self) -> None:
+        """Count a request that is sent to a target."""
+        self._budget.deposit()
+
+    def record_end(self, rank: int, now: float) -> None:
+        """Count a request that ended at a target."""
+        self._shares_of(rank, now).record_end(now)
+
+    def record_run(self, seconds: float) -> None:
+        """Record the duration of a run that did not wait for a slot."""
+        if self._mean_run_s is None:
+            self._mean_run_s = seconds
+        self._mean_run_s += RUN_WEIGHT * (seconds - self._mean_run_s)
+
+    def _shares_of(self, rank: int, now: float) -> RankShares:
+        shares = self._shares_by_rank.get(rank)
+        if shares is None:
+            shares = self._shares_by_rank[rank] = RankShares(now)
+        return shares
--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -6,6 +6,7 @@
 from secrets import token_hex
 from typing import TYPE_CHECKING
 
+from flamingoladder.admission.control import AdmissionControl
 from flamingoladder.entry.active_configuration import ActiveConfiguration
 from flamingoladder.entry.forwarder import Forwarder
 from flamingoladder.entry.handler import RequestHandler
@@ -58,6 +59,7 @@
     """The components of one incarnation of a host; none of them is started."""
 
     __slots__ = (
+        "admission",
         "balancer",
         "configuration",
         "feed",
@@ -104,6 +106,9 @@
         balancer = self.balancer = LoadBalancer(
             self.targets, self.configuration, self.members, slow_start_limit, settings.region
         )
+        self.admission = AdmissionControl(
+            balancer, self.configuration, rate_limiter, self.members, self.recorder
+        )
         self.target_client = PlatformTargets(
             self.targets.removed,
             self._connections_of,
@@ -128,7 +133,7 @@
             self.members,
             self.relays,
             self.reporter.build_report,
-            self.reporter.apply_reports,
+            self._apply_reports,
             self.reporter.receive_report,
         )
         self.prober = TargetProber(
@@ -142,6 +147,7 @@
         self.silence_check = SilenceCheck(poison_detector, self.targets, self.prober, ends)
         forwarder = Forwarder(
             balancer,
+            self.admission,
             self.target_client,
             budgets,
             poison_detector,
@@ -179,6 +185,10 @@
         self.peer_links.close()
         await self.transport.close()
 
+    def _apply_reports(self, now: float) -> None:
+        self.reporter.apply_reports(now)
+        self.admission.drain()
+
     def _feed(self, propagation_s: float) -> FeedServices:
         timing = FeedTiming.from_bound(propagation_s)
         followers = FollowerSelection(self.relays, timing.proof_lifetime_s)
--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -40,6 +40,9 @@
 # A stopping host serves callers this much longer, as they may use a cached lookup answer.
 DEREGISTRATION_DELAY_S = 3.0
 EXIT_MARGIN_S = 0.4
+# Requests that still wait for a target are refused this long before the end of a stop, so that the
+# refusals are written out.
+QUEUE_MARGIN_S = 0.2
 LEAVE_TIMEOUT_S = 0.1
 MAINTENANCE_INTERVAL_S = 0.25
 NO_ROUTE_LABEL = "none"
@@ -61,6 +64,7 @@
         self._components = EntryComponents.from_config(settings)
         self._metrics = EntryMetrics(dropped_lines)
         self._metrics.count_events(self._components.recorder.events)
+        self._metrics.watch_queues(self._components.admission)
         self._gate = ShutdownGate(self._handle_caller, _refuse)
         self._ports = [
             (_port(self._gate.handle), settings.callers),
@@ -122,13 +126,22 @@
         caller_port, _ = self._ports[0]
         await caller_port.stop_listening()
         self._gate.phase = ShutdownPhase.STOPPING
-        finished = await self._gate.in_progress.wait_until_idle(stop_deadline - loop.time())
+        finished = await self._finish_requests(stop_deadline)
         self._cancel_tasks()
         leaving = asyncio.create_task(components.membership.leave())
         await asyncio.wait([leaving], timeout=LEAVE_TIMEOUT_S)
         components.recorder.record("host.stopped", requests_finished=finished)
         await self.close()
 
+    async def _finish_requests(self, stop_deadline: float) -> bool:
+        """Wait for the requests in progress, and refuse those that wait for a target to the end."""
+        loop = asyncio.get_running_loop()
+        in_progress = self._gate.in_progress
+        if await in_progress.wait_until_idle(stop_deadline - QUEUE_MARGIN_S - loop.time()):
+            return True
+        self._components.admission.stop()
+        return await in_progress.wait_until_idle(stop_deadline - loop.time())
+
     async def close(self) -> None:
         """Stop at once, without notifying other hosts."""
         self._cancel_tasks()
--- a/src/flamingoladder/entry/forwarder.py
+++ b/src/flamingoladder/entry/forwarder.py
@@ -17,6 +17,8 @@
 from flamingoladder.verdict import Refusal
 
 if TYPE_CHECKING:
+    from flamingoladder.admission.arrival import Arrival
+    from flamingoladder.admission.control import AdmissionControl
     from flamingoladder.entry.load_balancer import LoadBalancer
     from flamingoladder.entry.probing import TargetProber
     from flamingoladder.entry.request import RoutedRequest
@@ -91,6 +93,7 @@
     """Forwards requests to targets, with retries."""
 
     __slots__ = (
+        "_admission",
         "_balancer",
         "_budgets",
         "_client",
@@ -105,6 +108,7 @@
     def __init__(
         self,
         balancer: LoadBalancer,
+        admission: AdmissionControl,
         client: TargetClient,
         budgets: RetryBudgets,
         poison_detector: PoisonDetector,
@@ -114,6 +118,7 @@
         recorder: Recorder,
     ) -> None:
         self._balancer = balancer
+        self._admission = admission
         self._client = client
         self._budgets = budgets
         self._poison_detector = poison_detector
@@ -127,19 +132,27 @@
         """Return the target's answer, or a refusal that says whether the request may have run."""
         loop = asyncio.get_running_loop()
         attempts = Attempts(request)
+        arrival = self._admission.arrive(request, loop.time())
         self._budgets.deposit(request.service, loop.time())
         last = SendResult(SendStatus.NOT_RUN, "no target can take the request")
         while True:
             held_back = self._poison_detector.refusal_of(request.fingerprints, loop.time())
             if held_back is not None:
                 return Error(attempts.refusal_of(held_back))
-            choice = self._balancer.choose(request, attempts.tried, loop.time())
+            choice = await self._admission.admit(arrival, attempts.tried)
             if choice is None:
                 wait_s = self._balancer.rest_s(request, loop.time())
                 return self._failure(attempts, last, wait_s)
+            if isinstance(choice, Refusal):
+                return Error(attempts.refusal_of(choice))
             if isinstance(choice, Overload):
-                return self._overloaded(attempts, choice)
-            last = await self._send(request, choice)
+                return self._overloaded(attempts, arrival, choice)
+            # Others may have shown that it ends targets while it waited.
+            held_back = self._poison_detector.refusal_of(request.fingerprints, loop.time())
+            if held_back is not None:
+                self._admission.release(choice)
+                return Error(attempts.refusal_of(held_back))
+            last = await self._send(arrival, choice)
             self._record(attempts, choice, last, loop.time())
             if last.status is SendStatus.ANSWERED and last.answer is not None:
                 return Ok(last.answer)
@@ -149,15 +162,14 @@
             if not self._may_retry(attempts, last, loop.time()):
                 return self._failure(attempts, last)
 
-    async def _send(self, request: RoutedRequest, choice: Choice) -> SendResult:
-        # Counted before the next request chooses, so not in the task, which starts later.
+    async def _send(self, arrival: Arrival, choice: Choice) -> SendResult:
+        request = arrival.request
         sent_at = asyncio.get_running_loop().time()
-        self._balancer.count_send(choice.target, sent_at)
         work = self._poison_detector.begin(request.fingerprints, start_of(choice.target), sent_at)
-        task = asyncio.create_task(self._send_to(request, choice, work))
+        task = asyncio.create_task(self._send_to(arrival, choice, work))
         self._send_tasks.add(task)
         task.add_done_callback(self._send_tasks.discard)
-        task.add_done_callback(lambda _: self._balancer.count_end(choice.target))
+        task.add_done_callback(lambda _: self._admission.release(choice))
         try:
             async with asyncio.timeout_at(request.deadline):
                 return await asyncio.shield(task)
@@ -167,8 +179,8 @@
             task.cancel()
             raise
 
-    async def _send_to(self, request: RoutedRequest, choice: Choice, work: Work) -> SendResult:
-        target = choice.target
+    async def _send_to(self, arrival: Arrival, choice: Choice, work: Work) -> SendResult:
+        request, target = arrival.request, choice.target
         loop = asyncio.get_running_loop()
         try:
             result = await self._client.send(request, target)
@@ -178,6 +190,9 @@
         now = loop.time()
         if result.status is SendStatus.ANSWERED:
             self._balancer.record_run(request, choice, now - work.began)
+            self._admission.record_run(request, choice, now - work.began)
+        if result.may_have_run:
+            self._admission.record_end(arrival, now)
         if result.notice is not None:
             self._notices.learn(target, result.notice, work.began, now)
         self._end_work(work, result, now)
@@ -276,13 +291,13 @@
     def _is_suspect(self, request: RoutedRequest, now: float) -> bool:
         return self._poison_detector.standing(request.fingerprints, now).causes > 0
 
-    def _overloaded(self, attempts: Attempts, overload: Overload) -> Outcome:
+    def _overloaded(self, attempts: Attempts, arrival: Arrival, overload: Overload) -> Outcome:
         best = overload.best
         detail = (
             f"all targets are busy: {best.target.record.target_id} is the best with"
             f" {best.load} requests, and would {overload.reason}"
         )
-        wait_s = max(RETRY_AFTER_S, overload.late_s)
+        wait_s = self._admission.refuse_busy(arrival, max(RETRY_AFTER_S, overload.late_s))
         return Error(attempts.refusal(Reason.NO_CAPACITY, detail, wait_s))
 
     def _failure(self, attempts: Attempts, last: SendResult, wait_s: float = 0.0) -> Outcome:
--- a/src/flamingoladder/entry/load_balancer.py
+++ b/src/flamingoladder/entry/load_balancer.py
@@ -33,7 +33,8 @@
     """A chosen target, with its ``load`` in requests and its ``cost`` in units of a cold run.
 
     ``is_home`` is set if the target is the object's home. ``is_warm`` is set if the target has
-    probably handled the object recently, or if the request concerns no object.
+    probably handled the object recently, or if the request concerns no object. ``all_busy`` is set
+    if no target that the request may use has a free slot.
     """
 
     target: TargetState
@@ -41,6 +42,7 @@
     is_warm: bool
     load: int
     cost: float
+    all_busy: bool = False
 
     @property
     def queue_position(self) -> int:
@@ -122,6 +124,7 @@
             return self._cheapest_in_slow_start(request, starting, now)
         if not self._all_busy(reachable, best, now):
             return best
+        best = msgspec.structs.replace(best, all_busy=True)
         return self._overload_of(request, best, now) or best
 
     def count_send(self, target: TargetState, now: float) -> None:
@@ -162,6 +165,10 @@
         if choice.is_home or request.object_key is None:
             self._run_times.record(request.service, request.route.name, seconds)
 
+    def typical_run_s(self, service: str, route: str) -> float | None:
+        """Return the typical duration of a run in seconds, or None with too few runs recorded."""
+        return self._run_times.typical_s(service, route)
+
     def homes_of(self, service: str) -> HomeAssignment:
         """Return the assignment of a service's objects to home targets."""
         assignment = self._homes_by_service.get(service)
--- a/src/flamingoladder/limits/rate_limiter.py
+++ b/src/flamingoladder/limits/rate_limiter.py
@@ -142,6 +142,15 @@
             workspace.name, wait_s, buckets.fleet_tokens, share, demand, reporting_hosts
         )
 
+    def demand_by_workspace(self) -> dict[str, float]:
+        """Return the latest reported demand of all hosts in requests per second."""
+        demand_by_workspace = {name: own.demand_per_s for name, own in self._reported.items()}
+        for reports in self._reports_by_host.values():
+            for name, report in reports.items():
+                reported = demand_by_workspace.get(name, 0.0)
+                demand_by_workspace[name] = reported + report.demand_per_s
+        return demand_by_workspace
+
     def refund(self, workspace: Workspace) -> None:
         """Return the token of a request that was admitted and certainly has not run."""
         buckets = self._buckets_by_workspace.get(workspace.name)
--- a/src/flamingoladder/routing/model.py
+++ b/src/flamingoladder/routing/model.py
@@ -93,7 +93,7 @@
 
     def urgency(self, route: Route, workspace: Workspace | None) -> float:
         """Return the share of all priorities that are less urgent; 0 for the least urgent."""
-        own = _priority(route, workspace)
+        own = priority_of(route, workspace)
         return sum(priority > own for priority in self.priorities) / len(self.priorities)
 
 
@@ -103,7 +103,8 @@
     return frozenset({route.priority for route in routes} | overrides)
 
 
-def _priority(route: Route, workspace: Workspace | None) -> int:
+def priority_of(route: Route, workspace: Workspace | None) -> int:
+    """Return the priority of a request: the workspace's, or else the route's."""
     if workspace is None or workspace.priority is None:
         return route.priority
     return workspace.priority
--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of limits."""
+
+from __future__ import annotations
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from flamingoladder.admission.control import AdmissionControl
 from flamingoladder.entry.active_configuration import ActiveConfiguration
 from flamingoladder.entry.forwarder import Forwarder
 from flamingoladder.entry.handler import RequestHandler
@@ -190,6 +191,9 @@
         self.balancer = balancer = LoadBalancer(
             self.targets, self.configuration, self.members, SlowStartLimit(host, 1.5, 5.0), region
         )
+        self.admission = AdmissionControl(
+            balancer, self.configuration, self.rate_limiter, self.members, recorder
+        )
         self.notices = NoticeLearner(self.targets, self.members, recorder)
         self.prober = TargetProber(
             self.targets,
@@ -201,6 +205,7 @@
         )
         forwarder = Forwarder(
             balancer,
+            self.admission,
             client,
             self.budgets,
             self.poison_detector,
