Order the host queue by shares of workspaces, and replay the loads that it is for

Shares come into force only if some workspace certainly asks for less or more than its share, so that noise of even demand changes nothing. Requests over a share or behind others in order no longer take queue positions at targets; those whose answer can still be prompt go first.

--- a/src/flamingoladder/admission/arrival.py
+++ b/src/flamingoladder/admission/arrival.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from flamingoladder.admission.host_queue import Standing
 from flamingoladder.admission.refusals import Repeat
 from flamingoladder.entry.request import RoutedRequest
 
@@ -11,13 +12,13 @@
 class Arrival(msgspec.Struct, frozen=True):
     """A request with its ``rank`` (0 is the most urgent), and whether it repeats a refused one.
 
-    ``in_share`` is set if it is within its workspace's fair share of the rank.
+    ``by_share`` is its standing by its workspace's fair share of the rank.
     """
 
     request: RoutedRequest
     rank: int
     repeat: Repeat
-    in_share: bool
+    by_share: Standing
 
     @property
     def workspace(self) -> str:
--- a/src/flamingoladder/admission/control.py
+++ b/src/flamingoladder/admission/control.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from math import inf
+from math import isinf
 from typing import TYPE_CHECKING
 
 from flamingoladder.admission.arrival import Arrival
@@ -15,6 +16,7 @@
 from flamingoladder.admission.service_admission import ServiceAdmission
 from flamingoladder.admission.urgent_routes import UrgentRoutes
 from flamingoladder.admission.waiting_requests import WaitingRequests
+from flamingoladder.entry.load_balancer import Choice
 from flamingoladder.entry.load_balancer import Overload
 from flamingoladder.routing.model import priority_of
 
@@ -23,7 +25,6 @@
     from collections.abc import Mapping
 
     from flamingoladder.entry.active_configuration import ActiveConfiguration
-    from flamingoladder.entry.load_balancer import Choice
     from flamingoladder.entry.load_balancer import LoadBalancer
     from flamingoladder.entry.request import RoutedRequest
     from flamingoladder.fleet.members import MemberRegistry
@@ -87,8 +88,8 @@
         rank = priority_of(request.route, request.workspace)
         workspace = request.workspace_name or ""
         self._demand.record(request.service, rank, workspace, now)
-        in_share = self._admission_of(request.service, now).take_share(rank, workspace, now)
-        return Arrival(request, rank, self._refuser.take_repeat(request, now), in_share)
+        by_share = self._admission_of(request.service).take_share(rank, workspace, now)
+        return Arrival(request, rank, self._refuser.take_repeat(request, now), by_share)
 
     async def admit(
         self, arrival: Arrival, tried: Collection[str]
@@ -98,22 +99,25 @@
         While all targets are busy, the request may wait in the host's queue first.
         """
         now = asyncio.get_running_loop().time()
-        admission = self._admission_of(arrival.request.service, now)
+        admission = self._admission_of(arrival.request.service)
         if len(admission.queue):
             # Slots that became free go to the requests that wait already.
             self._waiting.drain(admission, now)
         choice = self._balancer.choose(arrival.request, tried, now)
         if choice is None:
             return None
-        if isinstance(choice, Overload):
-            self._update_shares(admission, arrival.rank, now)
+        if isinstance(choice, Choice) and not choice.all_busy:
+            return self._waiting.count_send(admission, choice, now)
+        self._update_shares(admission, arrival.rank, now)
+        if isinstance(choice, Overload) and (choice.late_s > 0 or not len(admission.queue)):
             return choice
-        if choice.all_busy:
-            self._update_shares(admission, arrival.rank, now)
-            queued = self._queued(admission, arrival, choice, tried)
-            if not admission.may_send(queued, choice):
-                return await self._waiting.wait(admission, queued, now)
-        return self._waiting.count_send(admission, choice, now)
+        # One that would need a cold run is not refused while those behind it wait for a slot.
+        best = choice.best if isinstance(choice, Overload) else choice
+        queued = self._queued(admission, arrival, best, tried)
+        is_next = not admission.queue.has_ahead(queued)
+        if is_next and isinstance(choice, Choice) and admission.may_send(queued, choice):
+            return self._waiting.count_send(admission, choice, now)
+        return await self._waiting.wait(admission, queued, now)
 
     def refuse_busy(self, arrival: Arrival, wait_s: float) -> float:
         """Record the refusal of a request that would be too late, and return its retry time."""
@@ -129,7 +133,7 @@
 
     def record_end(self, arrival: Arrival, now: float) -> None:
         """Count a request that a target worked on."""
-        self._admission_of(arrival.request.service, now).record_end(arrival.rank, now)
+        self._admission_of(arrival.request.service).record_end(arrival.rank, now)
 
     def release(self, choice: Choice) -> None:
         """Count the end of an attempt, whatever came of it; its place goes to who waits for it."""
@@ -143,10 +147,10 @@
         """Refuse all queued requests, and queue no more."""
         self._waiting.stop()
 
-    def _admission_of(self, service: str, now: float) -> ServiceAdmission:
+    def _admission_of(self, service: str) -> ServiceAdmission:
         admission = self._admission_by_service.get(service)
         if admission is None:
-            admission = self._admission_by_service[service] = ServiceAdmission(service, now)
+            admission = self._admission_by_service[service] = ServiceAdmission(service)
         return admission
 
     def _update_shares(self, admission: ServiceAdmission, rank: int, now: float) -> None:
@@ -179,8 +183,10 @@
         bearable_s = self._urgent_routes.bearable_wait_s(
             request.service, arrival.rank, typical_run_s
         )
-        standing = admission.standing(arrival.repeat, in_share=arrival.in_share)
+        standing = admission.standing(arrival.repeat, arrival.by_share)
         max_wait_s = admission.max_wait_s(standing, bearable_s, choice.target.record.slots)
-        run_s = typical_run_s(request.service, request.route.name) or 0.0
-        leave_by = min(request.admission_deadline, request.deadline) - run_s
-        return QueuedRequest(arrival, standing, max_wait_s, leave_by, tuple(tried))
+        typical_s = typical_run_s(request.service, request.route.name)
+        at_target_s = admission.run_s(typical_s) + (0.0 if isinf(max_wait_s) else max_wait_s)
+        prompt_by = arrival.wanted_at - at_target_s
+        leave_by = min(request.admission_deadline, request.deadline) - (typical_s or 0.0)
+        return QueuedRequest(arrival, standing, max_wait_s, prompt_by, leave_by, tuple(tried))
--- a/src/flamingoladder/admission/demand.py
+++ b/src/flamingoladder/admission/demand.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 from math import exp
+from math import sqrt
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from flamingoladder.limits.token_buckets import DEMAND_DECAY_S
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-DECAY_S = 5.0
+DECAY_S = 2.0
 # A host of a large fleet sees few requests of one workspace, so that the mix of all workspaces
 # counts as much as this number of requests of its own.
 MIX_REQUESTS = 4.0
 MIN_COUNT = 0.01
+DEVIATIONS = 2.0
 PRUNE_SIZE = 4_096
 
 
@@ -68,6 +74,27 @@
         self._counts_by_key = kept if len(kept) < PRUNE_SIZE else {}
 
 
+class Demand(msgspec.Struct, frozen=True):
+    """A workspace's demand in requests per second, estimated from about ``counted`` requests."""
+
+    per_s: float
+    counted: float
+
+    @property
+    def least_per_s(self) -> float:
+        """Return a demand that the real one is hardly below."""
+        return self.per_s * max(0.0, 1.0 - self._deviation)
+
+    @property
+    def most_per_s(self) -> float:
+        """Return a demand that the real one is hardly above."""
+        return self.per_s * (1.0 + self._deviation)
+
+    @property
+    def _deviation(self) -> float:
+        return DEVIATIONS / sqrt(max(self.counted, MIN_COUNT))
+
+
 class DemandEstimate:
     """Estimates demand over all hosts from the hosts' reports and this host's own requests.
 
@@ -101,17 +128,21 @@
         self._reported_by_workspace = demand_by_workspace
         self._host_count = host_count
 
-    def of_rank(self, service: str, rank: int, now: float) -> dict[str, float]:
-        """Return the demand in requests per second over all hosts, by workspace."""
-        counts = self._counts
-        mix = counts.at((service, rank), now) / max(1.0, counts.at(None, now))
-        demand_by_workspace = {}
-        for workspace in self._workspaces.keys() | self._reported_by_workspace.keys():
-            own = counts.at(workspace, now)
-            in_rank = counts.at((service, rank, workspace), now)
-            demand = self._reported_by_workspace.get(workspace)
-            if demand is None:
-                demand = own / DECAY_S * self._host_count
-            fraction = (in_rank + MIX_REQUESTS * mix) / (own + MIX_REQUESTS)
-            demand_by_workspace[workspace] = demand * min(1.0, fraction)
-        return demand_by_workspace
+    def of_rank(self, service: str, rank: int, now: float) -> dict[str, Demand]:
+        """Return the demand over all hosts, by workspace."""
+        mix = self._counts.at((service, rank), now) / max(1.0, self._counts.at(None, now))
+        return {
+            workspace: self._of_workspace(service, rank, workspace, mix, now)
+            for workspace in self._workspaces.keys() | self._reported_by_workspace.keys()
+        }
+
+    def _of_workspace(
+        self, service: str, rank: int, workspace: str, mix: float, now: float
+    ) -> Demand:
+        own = self._counts.at(workspace, now)
+        in_rank = self._counts.at((service, rank, workspace), now)
+        fraction = min(1.0, (in_rank + MIX_REQUESTS * mix) / (own + MIX_REQUESTS))
+        reported_per_s = self._reported_by_workspace.get(workspace)
+        if reported_per_s is None:
+            return Demand(own / DECAY_S * self._host_count * fraction, own * fraction)
+        return Demand(reported_per_s * fraction, reported_per_s * DEMAND_DECAY_S * fraction)
--- a/src/flamingoladder/admission/host_queue.py
+++ b/src/flamingoladder/admission/host_queue.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from bisect import bisect_left
+from bisect import bisect_right
 from bisect import insort
 from enum import Enum
 from enum import IntEnum
+from itertools import groupby
+from math import expm1
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
@@ -22,17 +25,25 @@
 MAX_QUEUED = 512
 # Each attempt to find a place looks at the targets of the service.
 MAX_FAILED_ATTEMPTS = 4
+# The longest queue of one rank and standing from which too little was sent to know its rate.
+MAX_UNPROVEN = 32
 DRAIN_DECAY_S = 2.0
 MIN_DRAINED = 4.0
 
 
 class Standing(IntEnum):
-    """The order within a rank; lower goes first."""
+    """The order within a rank; lower goes first.
+
+    ``UNDER_SHARE`` are the requests of workspaces that ask for no more than their share, or all
+    while shares are not in force. The other workspaces have some ``IN_SHARE`` and some
+    ``OVER_SHARE``.
+    """
 
     PREFERRED_REPEAT = 0
-    IN_SHARE = 1
-    OVER_SHARE = 2
-    SURPLUS_REPEAT = 3
+    UNDER_SHARE = 1
+    IN_SHARE = 2
+    OVER_SHARE = 3
+    SURPLUS_REPEAT = 4
 
 
 class LeaveReason(Enum):
@@ -48,23 +59,26 @@
 class QueuedRequest:
     """A request in the queue.
 
-    The request leaves by ``leave_by``: later it can't end by its admission deadline. It is not sent
-    while the wait at the target would be longer than ``max_wait_s``, nor to the targets ``tried``.
+    If it is sent by ``prompt_by``, its answer is expected when it is wanted. It leaves by
+    ``leave_by``: later it can't end by its admission deadline. It is not sent while the wait at the
+    target would be longer than ``max_wait_s``, nor to the targets ``tried``.
     """
 
-    __slots__ = ("arrival", "leave_by", "max_wait_s", "number", "standing", "tried")
+    __slots__ = ("arrival", "leave_by", "max_wait_s", "number", "prompt_by", "standing", "tried")
 
     def __init__(
         self,
         arrival: Arrival,
         standing: Standing,
         max_wait_s: float,
+        prompt_by: float,
         leave_by: float,
         tried: tuple[str, ...] = (),
     ) -> None:
         self.arrival = arrival
         self.standing = standing
         self.max_wait_s = max_wait_s
+        self.prompt_by = prompt_by
         self.leave_by = leave_by
         self.tried = tried
         self.number = 0
@@ -72,7 +86,31 @@
     @property
     def order(self) -> tuple[int, Standing, float, int]:
         """Return the sort key: rank, share of the workspace, wanted time, arrival."""
-        return (self.arrival.rank, self.standing, self.arrival.wanted_at, self.number)
+        return (self.arrival.rank, self.standing, self.prompt_by, self.number)
+
+
+class DrainRate:
+    """How fast requests of one rank and standing are sent from the queue."""
+
+    __slots__ = ("_count", "_since")
+
+    def __init__(self, now: float) -> None:
+        self._count = DecayingCount(now, DRAIN_DECAY_S)
+        self._since = now
+
+    def add(self, now: float) -> None:
+        """Count a request that is sent."""
+        if self._count.at(now) < MIN_DRAINED / 2:
+            self._since = min(now, max(self._since, now - DRAIN_DECAY_S))
+        self._count.add(now)
+
+    def wait_s(self, ahead: int, now: float) -> float | None:
+        """Return the expected wait behind so many requests, or None if too few were sent lately."""
+        sent = self._count.at(now)
+        if sent < MIN_DRAINED:
+            return None
+        counted_s = DRAIN_DECAY_S * -expm1((self._since - now) / DRAIN_DECAY_S)
+        return ahead * counted_s / sent
 
 
 class HostQueue:
@@ -82,12 +120,12 @@
     and not at the targets, so that urgent requests find short queues there.
     """
 
-    __slots__ = ("_drained", "_last_number", "_queued")
+    __slots__ = ("_drain_rates", "_last_number", "_queued")
 
-    def __init__(self, now: float) -> None:
+    def __init__(self) -> None:
         self._queued: list[QueuedRequest] = []
         self._last_number = 0
-        self._drained = DecayingCount(now, DRAIN_DECAY_S)
+        self._drain_rates: dict[tuple[int, Standing], DrainRate] = {}
 
     def __len__(self) -> int:
         return len(self._queued)
@@ -112,11 +150,19 @@
         del self._queued[index]
         return True
 
+    def has_ahead(self, queued: QueuedRequest) -> bool:
+        """Return whether a request goes before this one, which is not yet queued."""
+        return bool(self._queued) and _order_of(self._queued[0]) < queued.order
+
     def would_be_late(self, queued: QueuedRequest, now: float) -> bool:
         """Return whether a request that is not yet queued would leave before its turn."""
-        ahead = bisect_left(self._queued, queued.order, key=_order_of)
-        wait_s = self._expected_wait_s(ahead, now)
-        return wait_s is not None and now + wait_s > queued.leave_by
+        group = _standing_of(queued)
+        first = bisect_left(self._queued, group, key=_standing_of)
+        ahead = bisect_left(self._queued, queued.order, key=_order_of) - first
+        wait_s = self._rate_of(group, now).wait_s(ahead, now)
+        if wait_s is None:
+            return ahead >= MAX_UNPROVEN or now >= queued.leave_by
+        return now + wait_s >= queued.leave_by
 
     def take_leaving(self, now: float) -> list[tuple[QueuedRequest, LeaveReason]]:
         """Remove and return the requests that can't be in time any more, or whose callers left."""
@@ -137,15 +183,17 @@
     ) -> Iterator[tuple[QueuedRequest, Place]]:
         """Remove and yield the requests that have a place at a target, in order.
 
+        Of the same rank and standing, those whose answers can be prompt go before those that are
+        late already: in the order of time alone, all would wait until they are just too late.
         ``place_of`` reserves a place for a request, or returns None. A request without a place does
         not hold up those behind it, which may go to other targets, but few are tried.
         """
         failed = 0
-        for queued in self.queued:
+        for queued in self._in_sending_order(now):
             place = place_of(queued)
             if place is not None:
                 self.remove(queued)
-                self._drained.add(now)
+                self._rate_of(_standing_of(queued), now).add(now)
                 yield queued, place
                 continue
             failed += 1
@@ -156,15 +204,34 @@
         """Return when the next request can't be in time any more, or None if none is queued."""
         return min((queued.leave_by for queued in self._queued), default=None)
 
-    def clear_s(self, now: float) -> float:
-        """Return the expected time until the queue is empty; 0 while that is not known."""
-        return self._expected_wait_s(len(self._queued), now) or 0.0
+    def retry_wait_s(self, queued: QueuedRequest, now: float) -> float:
+        """Return the expected time until the requests like this one are sent; 0 if not known."""
+        group = _standing_of(queued)
+        first = bisect_left(self._queued, group, key=_standing_of)
+        behind = bisect_right(self._queued, group, key=_standing_of)
+        return self._rate_of(group, now).wait_s(behind - first, now) or 0.0
+
+    def _in_sending_order(self, now: float) -> Iterator[QueuedRequest]:
+        for _, group in groupby(self.queued, key=_standing_of):
+            of_standing = list(group)
+            prompt = bisect_left(of_standing, now, key=_prompt_by)
+            yield from of_standing[prompt:]
+            yield from of_standing[:prompt]
 
-    def _expected_wait_s(self, ahead: int, now: float) -> float | None:
-        """Return the wait behind so many requests, or None while too few were sent to know."""
-        drained = self._drained.at(now)
-        return None if drained < MIN_DRAINED else ahead * DRAIN_DECAY_S / drained
+    def _rate_of(self, group: tuple[int, Standing], now: float) -> DrainRate:
+        rate = self._drain_rates.get(group)
+        if rate is None:
+            rate = self._drain_rates[group] = DrainRate(now)
+        return rate
 
 
 def _order_of(queued: QueuedRequest) -> tuple[int, Standing, float, int]:
     return queued.order
+
+
+def _standing_of(queued: QueuedRequest) -> tuple[int, Standing]:
+    return (queued.arrival.rank, queued.standing)
+
+
+def _prompt_by(queued: QueuedRequest) -> float:
+    return queued.prompt_by
--- a/src/flamingoladder/admission/rank_shares.py
+++ b/src/flamingoladder/admission/rank_shares.py
@@ -7,15 +7,20 @@
 
 from flamingoladder.admission.demand import PRUNE_SIZE
 from flamingoladder.admission.demand import DecayingCount
+from flamingoladder.admission.host_queue import Standing
 
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Mapping
 
-# The served fraction of fewer requests than this says little.
+    from flamingoladder.admission.demand import Demand
+
+# The served fraction of fewer requests than this says little; a host of a large fleet needs the
+# longer time for so many.
 MIN_ARRIVALS = 8.0
+SERVED_DECAYS_S = (2.0, 8.0)
 SCARCE_FRACTION = 0.97
-# Shares are in force once a workspace would get this much more than its fair share without them.
+# A workspace that would get this much more than its fair share brings the shares into force.
 UNEVEN_RATIO = 1.25
 # What is left of the capacity serves requests over the share, and drains the targets' queues.
 SHARED_CAPACITY = 0.95
@@ -35,6 +40,36 @@
     return inf
 
 
+class ServedFraction:
+    """The fraction of recent arrivals that ended at a target, over the shorter time if it can."""
+
+    __slots__ = ("_counts",)
+
+    def __init__(self, now: float) -> None:
+        self._counts = [
+            (DecayingCount(now, decay_s), DecayingCount(now, decay_s))
+            for decay_s in SERVED_DECAYS_S
+        ]
+
+    def record_arrival(self, now: float) -> None:
+        """Count a request that arrived."""
+        for arrived, _ in self._counts:
+            arrived.add(now)
+
+    def record_end(self, now: float) -> None:
+        """Count a request that ended at a target."""
+        for _, ended in self._counts:
+            ended.add(now)
+
+    def at(self, now: float) -> float:
+        """Return the fraction, 1 with too few arrivals."""
+        for arrived, ended in self._counts:
+            count = arrived.at(now)
+            if count >= MIN_ARRIVALS:
+                return min(1.0, ended.at(now) / count)
+        return 1.0
+
+
 class RankShares:
     """Marks which requests of each workspace are within its fair share of a rank.
 
@@ -45,60 +80,59 @@
     """
 
     __slots__ = (
-        "_arrived",
         "_credit_by_workspace",
-        "_ended",
         "_in_share_by_workspace",
+        "_served",
         "_updated_at",
     )
 
     def __init__(self, now: float) -> None:
-        self._arrived = DecayingCount(now)
-        self._ended = DecayingCount(now)
+        self._served = ServedFraction(now)
         self._credit_by_workspace: dict[str, float] = {}
         self._in_share_by_workspace: dict[str, float] = {}
         self._updated_at = -inf
 
     def record_end(self, now: float) -> None:
         """Count a request of the rank that ended at a target."""
-        self._ended.add(now)
+        self._served.record_end(now)
 
     def is_due(self, now: float) -> bool:
         """Return whether the shares are to be computed anew."""
         return now - self._updated_at >= UPDATE_INTERVAL_S
 
-    def update(self, demand_by_workspace: Mapping[str, float], now: float) -> None:
+    def update(self, demand_by_workspace: Mapping[str, Demand], now: float) -> None:
         """Compute the fraction of each workspace's requests that is within its share."""
         self._updated_at = now
-        served = self._served_fraction(now)
-        demands = demand_by_workspace.values()
+        served = self._served.at(now)
+        demands = [demand.per_s for demand in demand_by_workspace.values()]
         level = water_level(demands, served * sum(demands))
-        uneven = any(served * demand > UNEVEN_RATIO * level for demand in demands)
+        # The noise of even demand must not bring the shares into force.
+        uneven = any(
+            demand.most_per_s <= level or served * demand.least_per_s > UNEVEN_RATIO * level
+            for demand in demand_by_workspace.values()
+            if demand.per_s > 0
+        )
         self._in_share_by_workspace = {}
         if served >= SCARCE_FRACTION or not uneven:
             return
         level = water_level(demands, SHARED_CAPACITY * served * sum(demands))
         self._in_share_by_workspace = {
-            workspace: level / demand
+            workspace: level / demand.per_s
             for workspace, demand in demand_by_workspace.items()
-            if demand > level
+            if demand.per_s > level
         }
 
-    def take(self, workspace: str, now: float) -> bool:
-        """Count an arrival, and return whether it is within the workspace's share."""
-        self._arrived.add(now)
+    def take(self, workspace: str, now: float) -> Standing:
+        """Count an arrival, and return its standing by the workspace's share."""
+        self._served.record_arrival(now)
         if not self._in_share_by_workspace or now - self._updated_at > IN_FORCE_S:
-            return True
+            return Standing.UNDER_SHARE
         fraction = self._in_share_by_workspace.get(workspace)
         if fraction is None:
-            return True
+            return Standing.UNDER_SHARE
         if len(self._credit_by_workspace) >= PRUNE_SIZE:
             self._credit_by_workspace.clear()
         credit = self._credit_by_workspace.get(workspace, 0.5) + fraction
         within = credit >= 1.0
         self._credit_by_workspace[workspace] = credit - within
-        return within
-
-    def _served_fraction(self, now: float) -> float:
-        arrived = self._arrived.at(now)
-        return 1.0 if arrived < MIN_ARRIVALS else min(1.0, self._ended.at(now) / arrived)
+        return Standing.IN_SHARE if within else Standing.OVER_SHARE
--- a/src/flamingoladder/admission/refusals.py
+++ b/src/flamingoladder/admission/refusals.py
@@ -16,9 +16,9 @@
 EARLY_TOLERANCE_S = 0.02
 MIN_RETRY_AFTER_S = 0.25
 MAX_RETRY_AFTER_S = 10.0
-# Preferred repeats as a fraction of the sent requests: the bound on what repeats may take from
-# first attempts.
-PREFERRED_FRACTION = 0.05
+# Preferred repeats as a fraction of the sent requests. A storm may take 5% of what first attempts
+# get, and some of that goes to repeats that find a free slot.
+PREFERRED_FRACTION = 0.03
 MAX_PREFERRED = 5.0
 
 
--- a/src/flamingoladder/admission/service_admission.py
+++ b/src/flamingoladder/admission/service_admission.py
@@ -17,6 +17,10 @@
     from flamingoladder.entry.load_balancer import Choice
 
 RUN_WEIGHT = 0.1
+# Of the wait that the most urgent route can bear, less urgent requests may fill so much. When they
+# filled all of it, 5% of the urgent requests of a replay were in time, as they also wait behind
+# each other.
+BEARABLE_FRACTION = 0.5
 
 
 class ServiceAdmission:
@@ -28,21 +32,21 @@
 
     __slots__ = ("_budget", "_mean_run_s", "_shares_by_rank", "queue", "service")
 
-    def __init__(self, service: str, now: float) -> None:
-        self.queue = HostQueue(now)
+    def __init__(self, service: str) -> None:
+        self.queue = HostQueue()
         self.service = service
         self._shares_by_rank: dict[int, RankShares] = {}
         self._budget = RepeatBudget()
         self._mean_run_s: float | None = None
 
-    def take_share(self, rank: int, workspace: str, now: float) -> bool:
-        """Count an arrival, and return whether it is within its workspace's share of the rank."""
+    def take_share(self, rank: int, workspace: str, now: float) -> Standing:
+        """Count an arrival, and return its standing by its workspace's share of the rank."""
         return self._shares_of(rank, now).take(workspace, now)
 
-    def standing(self, repeat: Repeat, *, in_share: bool) -> Standing:
+    def standing(self, repeat: Repeat, by_share: Standing) -> Standing:
         """Return the standing of a request that finds all targets busy."""
         if repeat is Repeat.FIRST_ATTEMPT:
-            return Standing.IN_SHARE if in_share else Standing.OVER_SHARE
+            return by_share
         if repeat is Repeat.DUE and self._budget.take():
             return Standing.PREFERRED_REPEAT
         return Standing.SURPLUS_REPEAT
@@ -50,14 +54,18 @@
     def max_wait_s(self, standing: Standing, bearable_s: float | None, slots: int) -> float:
         """Return the longest expected wait at a target with which a request is sent to it.
 
-        Requests over the share, and repeats in a storm, queue one at a time at a target, so that it
-        is not idle between two of them.
+        Requests of workspaces that ask for more than their share, and repeats in a storm, queue one
+        at a time at a target, so that it is not idle between two of them.
         """
-        bearable = inf if bearable_s is None else bearable_s
-        if standing <= Standing.IN_SHARE:
+        bearable = inf if bearable_s is None else BEARABLE_FRACTION * bearable_s
+        if standing <= Standing.UNDER_SHARE:
             return bearable
         return min(bearable, self.expected_wait_s(1, slots))
 
+    def run_s(self, typical_run_s: float | None) -> float:
+        """Return the expected duration of a run, of which ``typical_run_s`` is a low estimate."""
+        return max(typical_run_s or 0.0, self._mean_run_s or 0.0)
+
     def expected_wait_s(self, queue_position: int, slots: int) -> float:
         """Return the expected wait for a slot; 0 until the duration of runs is known."""
         return queue_position * (self._mean_run_s or 0.0) / slots
--- a/src/flamingoladder/admission/waiting_requests.py
+++ b/src/flamingoladder/admission/waiting_requests.py
@@ -154,7 +154,8 @@
         self, admission: ServiceAdmission, queued: QueuedRequest, reason: LeaveReason, now: float
     ) -> Refusal:
         self._log.note_refused(admission.service)
-        return self._refuser.refuse(queued.arrival, reason, admission.queue.clear_s(now), now)
+        wait_s = admission.queue.retry_wait_s(queued, now)
+        return self._refuser.refuse(queued.arrival, reason, wait_s, now)
 
     def _schedule(self, now: float) -> None:
         if self._timer is not None:
--- /dev/null
+++ b/tests/admission/replay.py
@@ -0,0 +1,202 @@
+"""Replays loads on injected time: a host, targets with slots, and callers; no network."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from flamingoladder.routing.model import RequestLimits
+from flamingoladder.routing.model import Route
+from flamingoladder.routing.model import RoutingConfig
+from flamingoladder.routing.model import Service
+from flamingoladder.routing.model import ServiceShare
+from flamingoladder.routing.model import Workspace
+from flamingoladder.standins.loop import run_on_injected_time
+from tests.entry.harness import ANSWER
+from tests.entry.harness import EntryHarness
+from tests.entry.harness import FakeTargetClient
+from tests.entry.harness import incoming
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from flamingoladder.entry.request import RoutedRequest
+    from flamingoladder.entry.results import SendResult
+    from flamingoladder.targets.state import TargetState
+    from flamingoladder.verdict import Outcome
+
+SLOTS = 3
+TARGETS = 4
+RUN_S = 0.1
+CAPACITY_PER_S = TARGETS * SLOTS / RUN_S
+OBJECTS = 100
+SEED = 11
+
+
+class SlotClient(FakeTargetClient):
+    """Targets that run ``SLOTS`` requests at once and queue the others, first in, first out."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ran: list[str] = []
+        self.deepest = 0
+        self._slots_by_target: dict[str, asyncio.Semaphore] = {}
+        self._waiting: Counter[str] = Counter()
+
+    async def send(self, request: RoutedRequest, target: TargetState) -> SendResult:
+        name = target.record.target_id
+        self.sent.append(request.incoming.request_id)
+        self._waiting[name] += 1
+        self.deepest = max(self.deepest, self._waiting[name] - SLOTS)
+        try:
+            async with self._slots_by_target.setdefault(name, asyncio.Semaphore(SLOTS)):
+                self.ran.append(request.incoming.request_id)
+                await asyncio.sleep(RUN_S)
+        finally:
+            self._waiting[name] -= 1
+        return ANSWER
+
+
+class Load(msgspec.Struct, frozen=True):
+    """Requests of one workspace for one route, at random times from ``start_s`` to ``end_s``.
+
+    ``retries`` is how often a refused caller repeats; it waits for ``Retry-After`` times
+    ``patience``.
+    """
+
+    workspace: str
+    route: str
+    per_s: float
+    start_s: float = 0.0
+    end_s: float = 20.0
+    retries: int = 0
+    patience: float = 1.0
+
+
+class Tally:
+    """Ends of requests by load: first attempts, and all attempts together."""
+
+    def __init__(self) -> None:
+        self.asked: Counter[Load] = Counter()
+        self.first_served: Counter[Load] = Counter()
+        self.in_time: Counter[Load] = Counter()
+        self.refused_ids: set[str] = set()
+        self.held_s = 0.0
+        self.retry_times: list[float] = []
+
+    def share(self, *loads: Load) -> float:
+        """Return the fraction of the loads' requests that was answered in time."""
+        return sum(self.in_time[of] for of in loads) / sum(self.asked[of] for of in loads)
+
+    def first_share(self, *loads: Load) -> float:
+        """Return the fraction of the loads' requests whose first attempt was answered."""
+        return sum(self.first_served[of] for of in loads) / sum(self.asked[of] for of in loads)
+
+
+def routing(
+    priorities: dict[str, int], slos_s: dict[str, float], names: Iterable[str]
+) -> RoutingConfig:
+    """Return a configuration with one service, a route for each priority, and workspaces."""
+    routes = tuple(
+        Route(
+            name=name,
+            host="a.example",
+            prefix=f"/{name}/",
+            idempotent=True,
+            timeout_s=2 * slos_s[name],
+            latency_slo_s=slos_s[name],
+            priority=priority,
+            shares=(ServiceShare("s", 1.0),),
+            max_targets=2,
+            open=False,
+            sticky=True,
+        )
+        for name, priority in priorities.items()
+    )
+    workspaces = {name: Workspace(name=name, rate_per_s=0.0, burst=0.0) for name in names}
+    service = Service(
+        name="s",
+        health_path="/healthz",
+        max_connections=100,
+        slow_start_s=3.0,
+        slow_start_rate_per_s=2.9,
+    )
+    return RoutingConfig(
+        version=1,
+        routes_by_host={"a.example": routes},
+        services_by_name={"s": service},
+        workspaces_by_key={f"k-{name}": of for name, of in workspaces.items()},
+        workspaces_by_name=workspaces,
+        limits=RequestLimits(),
+        priorities=frozenset(priorities.values()),
+    )
+
+
+class Replay:
+    """One host with targets of its own, and the callers of some loads."""
+
+    def __init__(
+        self, loads: Iterable[Load], priorities: dict[str, int], slos_s: dict[str, float]
+    ) -> None:
+        self.loads = tuple(loads)
+        names = {load.workspace for load in self.loads}
+        self.routing = routing(priorities, slos_s, names)
+        self.slos_s = slos_s
+        self.tally = Tally()
+        self.client = SlotClient()
+        self.random = Random(SEED)
+
+    def run(self) -> Tally:
+        """Return what came of all requests."""
+        return run_on_injected_time(self._run())
+
+    async def _run(self) -> Tally:
+        self.harness = EntryHarness(self.client, self.routing)
+        for name in ("t1", "t2"):
+            self.harness.targets.remove(name, "not of this replay")
+        for number in range(1, TARGETS):
+            self.harness.add(f"a{number}")
+        async with asyncio.TaskGroup() as group:
+            for load in self.loads:
+                at = load.start_s + self.random.expovariate(load.per_s)
+                while at < load.end_s:
+                    group.create_task(self._call(load, at, self.random.randrange(OBJECTS)))
+                    at += self.random.expovariate(load.per_s)
+        self.harness.close()
+        return self.tally
+
+    async def _call(self, load: Load, at: float, object_: int) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(at)
+        tally = self.tally
+        tally.asked[load] += 1
+        name = f"{load.workspace}-{load.route}-{at:.9f}"
+        for attempt in range(load.retries + 1):
+            started = loop.time()
+            outcome = await self._attempt(load, f"{name}-{attempt}", name, object_, started)
+            seconds = loop.time() - started
+            if outcome.is_ok():
+                tally.first_served[load] += attempt == 0
+                tally.in_time[load] += seconds <= self.slos_s[load.route]
+                return
+            tally.refused_ids.add(f"{name}-{attempt}")
+            tally.held_s = max(tally.held_s, seconds)
+            retry_after_s = outcome.error.retry_after_s or 0.25
+            tally.retry_times.append(loop.time() + retry_after_s)
+            await asyncio.sleep(retry_after_s * load.patience)
+
+    async def _attempt(
+        self, load: Load, request_id: str, name: str, object_: int, started: float
+    ) -> Outcome:
+        request = incoming(
+            f"/{load.route}/{name}",
+            keys=(f"k-{load.workspace}",),
+            request_id=request_id,
+            affinity_key=str(object_),
+            caller_timeout_s=2 * self.slos_s[load.route],
+        )
+        return await self.harness.handler.handle(request, started)
