Pace queued requests of several hosts, and keep them off long queues of their targets

All hosts see the same slot free in the same reports, so that each sent one request there. A host now sends mainly as many queued requests as it had ended. Queued requests also no longer join the long queue of their object's home while a slot is free elsewhere only for a cold run.

--- a/src/flamingoladder/admission/control.py
+++ b/src/flamingoladder/admission/control.py
@@ -71,7 +71,7 @@
         self._demand_updated_at = -inf
         self._urgent_routes = UrgentRoutes()
         self._refuser = Refuser()
-        self._waiting = WaitingRequests(balancer, self._refuser, QueueLog(recorder))
+        self._waiting = WaitingRequests(balancer, members, self._refuser, QueueLog(recorder))
 
     @property
     def queued_by_workspace(self) -> Mapping[str, int]:
@@ -88,7 +88,7 @@
         rank = priority_of(request.route, request.workspace)
         workspace = request.workspace_name or ""
         self._demand.record(request.service, rank, workspace, now)
-        by_share = self._admission_of(request.service).take_share(rank, workspace, now)
+        by_share = self._admission_of(request.service, now).take_share(rank, workspace, now)
         return Arrival(request, rank, self._refuser.take_repeat(request, now), by_share)
 
     async def admit(
@@ -99,21 +99,23 @@
         While all targets are busy, the request may wait in the host's queue first.
         """
         now = asyncio.get_running_loop().time()
-        admission = self._admission_of(arrival.request.service)
-        if len(admission.queue):
-            # Slots that became free go to the requests that wait already.
-            self._waiting.drain(admission, now)
+        admission = self._admission_of(arrival.request.service, now)
         choice = self._balancer.choose(arrival.request, tried, now)
         if choice is None:
             return None
-        if isinstance(choice, Choice) and not choice.all_busy:
+        is_idle = not len(admission.queue)
+        if isinstance(choice, Choice) and not choice.all_busy and is_idle:
             return self._waiting.count_send(admission, choice, now)
         self._update_shares(admission, arrival.rank, now)
-        if isinstance(choice, Overload) and (choice.late_s > 0 or not len(admission.queue)):
+        if isinstance(choice, Overload) and (choice.late_s > 0 or is_idle):
             return choice
         # One that would need a cold run is not refused while those behind it wait for a slot.
         best = choice.best if isinstance(choice, Overload) else choice
         queued = self._queued(admission, arrival, best, tried)
+        if admission.queue.has_ahead(queued):
+            # A slot that this request sees goes to one that waits already.
+            self._waiting.drain(admission, 1, now)
+            choice = self._balancer.choose(arrival.request, tried, now)
         is_next = not admission.queue.has_ahead(queued)
         if is_next and isinstance(choice, Choice) and admission.may_send(queued, choice):
             return self._waiting.count_send(admission, choice, now)
@@ -133,7 +135,7 @@
 
     def record_end(self, arrival: Arrival, now: float) -> None:
         """Count a request that a target worked on."""
-        self._admission_of(arrival.request.service).record_end(arrival.rank, now)
+        self._admission_of(arrival.request.service, now).record_end(arrival.rank, now)
 
     def release(self, choice: Choice) -> None:
         """Count the end of an attempt, whatever came of it; its place goes to who waits for it."""
@@ -147,10 +149,10 @@
         """Refuse all queued requests, and queue no more."""
         self._waiting.stop()
 
-    def _admission_of(self, service: str) -> ServiceAdmission:
+    def _admission_of(self, service: str, now: float) -> ServiceAdmission:
         admission = self._admission_by_service.get(service)
         if admission is None:
-            admission = self._admission_by_service[service] = ServiceAdmission(service)
+            admission = self._admission_by_service[service] = ServiceAdmission(service, now)
         return admission
 
     def _update_shares(self, admission: ServiceAdmission, rank: int, now: float) -> None:
@@ -189,4 +191,12 @@
         at_target_s = admission.run_s(typical_s) + (0.0 if isinf(max_wait_s) else max_wait_s)
         prompt_by = arrival.wanted_at - at_target_s
         leave_by = min(request.admission_deadline, request.deadline) - (typical_s or 0.0)
-        return QueuedRequest(arrival, standing, max_wait_s, prompt_by, leave_by, tuple(tried))
+        return QueuedRequest(
+            arrival,
+            standing,
+            max_wait_s,
+            prompt_by=prompt_by,
+            leave_by=leave_by,
+            target_id=choice.target.record.target_id,
+            tried=tuple(tried),
+        )
--- a/src/flamingoladder/admission/host_queue.py
+++ b/src/flamingoladder/admission/host_queue.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from enum import IntEnum
 from itertools import groupby
+from itertools import islice
 from math import expm1
 from typing import TYPE_CHECKING
 from typing import TypeVar
@@ -61,10 +62,20 @@
 
     If it is sent by ``prompt_by``, its answer is expected when it is wanted. It leaves by
     ``leave_by``: later it can't end by its admission deadline. It is not sent while the wait at the
-    target would be longer than ``max_wait_s``, nor to the targets ``tried``.
+    target would be longer than ``max_wait_s``, nor to the targets ``tried``. ``target_id`` is the
+    target chosen last.
     """
 
-    __slots__ = ("arrival", "leave_by", "max_wait_s", "number", "prompt_by", "standing", "tried")
+    __slots__ = (
+        "arrival",
+        "leave_by",
+        "max_wait_s",
+        "number",
+        "prompt_by",
+        "standing",
+        "target_id",
+        "tried",
+    )
 
     def __init__(
         self,
@@ -73,6 +84,7 @@
         max_wait_s: float,
         prompt_by: float,
         leave_by: float,
+        target_id: str = "",
         tried: tuple[str, ...] = (),
     ) -> None:
         self.arrival = arrival
@@ -80,6 +92,7 @@
         self.max_wait_s = max_wait_s
         self.prompt_by = prompt_by
         self.leave_by = leave_by
+        self.target_id = target_id
         self.tried = tried
         self.number = 0
 
@@ -179,25 +192,32 @@
         return leaving
 
     def take_sendable(
-        self, place_of: Callable[[QueuedRequest], Place | None], now: float
+        self,
+        place_of: Callable[[QueuedRequest], Place | None],
+        now: float,
+        limit: int = MAX_QUEUED,
+        ended_at: str = "",
     ) -> Iterator[tuple[QueuedRequest, Place]]:
-        """Remove and yield the requests that have a place at a target, in order.
+        """Remove and yield up to ``limit`` requests that have a place at a target, in order.
 
         Of the same rank and standing, those whose answers can be prompt go before those that are
         late already: in the order of time alone, all would wait until they are just too late.
         ``place_of`` reserves a place for a request, or returns None. A request without a place does
-        not hold up those behind it, which may go to other targets, but few are tried.
+        not hold up those behind it, which may go to other targets, but few are tried. After an end
+        at the target ``ended_at``, those that wait for it are tried first.
         """
         failed = 0
-        for queued in self._in_sending_order(now):
+        sent = 0
+        for queued in self._candidates(ended_at, now):
             place = place_of(queued)
             if place is not None:
                 self.remove(queued)
                 self._rate_of(_standing_of(queued), now).add(now)
                 yield queued, place
-                continue
-            failed += 1
-            if failed >= MAX_FAILED_ATTEMPTS:
+                sent += 1
+            else:
+                failed += 1
+            if failed >= MAX_FAILED_ATTEMPTS or sent >= limit:
                 return
 
     def next_leave_by(self) -> float | None:
@@ -211,6 +231,14 @@
         behind = bisect_right(self._queued, group, key=_standing_of)
         return self._rate_of(group, now).wait_s(behind - first, now) or 0.0
 
+    def _candidates(self, ended_at: str, now: float) -> Iterator[QueuedRequest]:
+        tried = []
+        if ended_at:
+            waiting = (of for of in self._in_sending_order(now) if of.target_id == ended_at)
+            tried = list(islice(waiting, MAX_FAILED_ATTEMPTS // 2))
+            yield from tried
+        yield from (of for of in self._in_sending_order(now) if of not in tried)
+
     def _in_sending_order(self, now: float) -> Iterator[QueuedRequest]:
         for _, group in groupby(self.queued, key=_standing_of):
             of_standing = list(group)
--- a/src/flamingoladder/admission/service_admission.py
+++ b/src/flamingoladder/admission/service_admission.py
@@ -7,6 +7,7 @@
 
 from flamingoladder.admission.host_queue import HostQueue
 from flamingoladder.admission.host_queue import Standing
+from flamingoladder.admission.pace import Pace
 from flamingoladder.admission.rank_shares import RankShares
 from flamingoladder.admission.refusals import Repeat
 from flamingoladder.admission.refusals import RepeatBudget
@@ -30,10 +31,11 @@
     service are busy.
     """
 
-    __slots__ = ("_budget", "_mean_run_s", "_shares_by_rank", "queue", "service")
+    __slots__ = ("_budget", "_mean_run_s", "_shares_by_rank", "pace", "queue", "service")
 
-    def __init__(self, service: str) -> None:
+    def __init__(self, service: str, now: float) -> None:
         self.queue = HostQueue()
+        self.pace = Pace(now)
         self.service = service
         self._shares_by_rank: dict[int, RankShares] = {}
         self._budget = RepeatBudget()
@@ -71,9 +73,11 @@
         return queue_position * (self._mean_run_s or 0.0) / slots
 
     def may_send(self, queued: QueuedRequest, choice: Choice) -> bool:
-        """Return whether a request may be sent to the chosen target now."""
-        if not choice.all_busy:
-            return True
+        """Return whether a request may be sent to the chosen target now.
+
+        A free slot elsewhere does not count: the chosen target is better in spite of its queue,
+        mostly as a run elsewhere would be cold and take the time of several warm ones.
+        """
         slots = choice.target.record.slots
         return self.expected_wait_s(choice.queue_position, slots) <= queued.max_wait_s
 
@@ -90,6 +94,7 @@
     def record_end(self, rank: int, now: float) -> None:
         """Count a request that ended at a target."""
         self._shares_of(rank, now).record_end(now)
+        self.pace.record_end(now)
 
     def record_run(self, seconds: float) -> None:
         """Record the duration of a run that did not wait for a slot."""
--- a/src/flamingoladder/admission/waiting_requests.py
+++ b/src/flamingoladder/admission/waiting_requests.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from flamingoladder.admission.host_queue import MAX_QUEUED
 from flamingoladder.admission.host_queue import LeaveReason
 from flamingoladder.entry.load_balancer import Choice
 from flamingoladder.entry.load_balancer import Overload
@@ -18,6 +19,7 @@
     from flamingoladder.admission.refuser import Refuser
     from flamingoladder.admission.service_admission import ServiceAdmission
     from flamingoladder.entry.load_balancer import LoadBalancer
+    from flamingoladder.fleet.members import MemberRegistry
     from flamingoladder.verdict import Refusal
 
 DRAIN_INTERVAL_S = 0.05
@@ -32,11 +34,15 @@
         "_future_by_queued",
         "_is_stopping",
         "_log",
+        "_members",
         "_refuser",
         "_timer",
     )
 
-    def __init__(self, balancer: LoadBalancer, refuser: Refuser, log: QueueLog) -> None:
+    def __init__(
+        self, balancer: LoadBalancer, members: MemberRegistry, refuser: Refuser, log: QueueLog
+    ) -> None:
+        self._members = members
         self._balancer = balancer
         self._refuser = refuser
         self._log = log
@@ -58,23 +64,33 @@
     def release(self, choice: Choice) -> None:
         """Count the end of an attempt, whatever came of it; its place goes to who waits for it."""
         self._balancer.count_end(choice.target)
-        admission = self._admission_by_service.get(choice.target.record.service)
+        record = choice.target.record
+        admission = self._admission_by_service.get(record.service)
         if admission is not None:
-            self.drain(admission, asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            self.drain(admission, 1, now, ended_at=record.target_id)
 
     def drain_all(self) -> None:
-        """Send what has a place now, and refuse what is too late."""
+        """Send what has a place now, within the pace, and refuse what is too late."""
         now = asyncio.get_running_loop().time()
         for admission in tuple(self._admission_by_service.values()):
-            self.drain(admission, now)
+            limit = admission.pace.limit(now)
+            admission.pace.take(self.drain(admission, limit, now))
+
+    def drain(self, admission: ServiceAdmission, limit: int, now: float, ended_at: str = "") -> int:
+        """Send up to ``limit`` requests that have a place, and refuse what is too late.
 
-    def drain(self, admission: ServiceAdmission, now: float) -> None:
-        """Send what has a place now, and refuse what is too late, in one service."""
+        The limit does not hold for a single host, which sees all that is sent. Return the number of
+        requests sent.
+        """
+        sent = 0
+        is_alone = self._members.host_count == 1
         if len(admission.queue):
             for queued, reason in admission.queue.take_leaving(now):
                 self._resolve(queued, self._refusal(admission, queued, reason, now))
-            self._send(admission, now)
+            sent = self._send(admission, MAX_QUEUED if is_alone else limit, now, ended_at)
         self._log.note_depth(admission.service, len(admission.queue), now)
+        return 0 if is_alone else sent
 
     def stop(self) -> None:
         """Refuse all queued requests, and queue no more."""
@@ -126,7 +142,9 @@
             if isinstance(place, Choice):
                 self.release(place)
 
-    def _send(self, admission: ServiceAdmission, now: float) -> None:
+    def _send(self, admission: ServiceAdmission, limit: int, now: float, ended_at: str) -> int:
+        if limit < 1:
+            return 0
         late: list[QueuedRequest] = []
 
         def place_of(queued: QueuedRequest) -> Choice | None:
@@ -135,15 +153,20 @@
             choice = self._balancer.choose(queued.arrival.request, queued.tried, now)
             if isinstance(choice, Overload) and choice.late_s > 0:
                 late.append(queued)
+            if isinstance(choice, Choice):
+                queued.target_id = choice.target.record.target_id
             if not isinstance(choice, Choice) or not admission.may_send(queued, choice):
                 return None
             return self.count_send(admission, choice, now)
 
-        for queued, choice in admission.queue.take_sendable(place_of, now):
+        sent = 0
+        for queued, choice in admission.queue.take_sendable(place_of, now, limit, ended_at):
             self._resolve(queued, choice)
+            sent += 1
         for queued in late:
             admission.queue.remove(queued)
             self._resolve(queued, self._refusal(admission, queued, LeaveReason.LATE, now))
+        return sent
 
     def _resolve(self, queued: QueuedRequest, place: Choice | Refusal) -> None:
         future = self._future_by_queued[queued]
--- a/tests/admission/replay.py
+++ b/tests/admission/replay.py
@@ -4,11 +4,15 @@
 
 import asyncio
 from collections import Counter
+from collections import OrderedDict
+from itertools import count
 from random import Random
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from flamingoladder.fleet.members import REPORT_INTERVAL_S
+from flamingoladder.members.member import Member
 from flamingoladder.routing.model import RequestLimits
 from flamingoladder.routing.model import Route
 from flamingoladder.routing.model import RoutingConfig
@@ -16,6 +20,8 @@
 from flamingoladder.routing.model import ServiceShare
 from flamingoladder.routing.model import Workspace
 from flamingoladder.standins.loop import run_on_injected_time
+from flamingoladder.targets.notices import LoadReport
+from flamingoladder.targets.record import TargetRecord
 from tests.entry.harness import ANSWER
 from tests.entry.harness import EntryHarness
 from tests.entry.harness import FakeTargetClient
@@ -33,19 +39,34 @@
 TARGETS = 4
 RUN_S = 0.1
 CAPACITY_PER_S = TARGETS * SLOTS / RUN_S
-OBJECTS = 100
+OBJECTS_PER_TARGET = 20
+WARM_OBJECTS = 40
 SEED = 11
+# So high that no request exceeds it, but hosts report the demand of workspaces that have a rate.
+RATE = 100_000.0
 
 
 class SlotClient(FakeTargetClient):
     """Targets that run ``SLOTS`` requests at once and queue the others, first in, first out."""
 
-    def __init__(self) -> None:
+    def __init__(self, run_s: float, cold_run_s: float) -> None:
         super().__init__()
+        self.run_s = run_s
+        self.cold_run_s = cold_run_s
         self.ran: list[str] = []
         self.deepest = 0
         self._slots_by_target: dict[str, asyncio.Semaphore] = {}
         self._waiting: Counter[str] = Counter()
+        self._warm_by_target: dict[str, OrderedDict[str, None]] = {}
+
+    def _run_s(self, target: str, object_key: str) -> float:
+        warm = self._warm_by_target.setdefault(target, OrderedDict())
+        is_warm = object_key in warm
+        warm[object_key] = None
+        warm.move_to_end(object_key)
+        if len(warm) > WARM_OBJECTS:
+            warm.popitem(last=False)
+        return self.run_s if is_warm else self.cold_run_s
 
     async def send(self, request: RoutedRequest, target: TargetState) -> SendResult:
         name = target.record.target_id
@@ -55,9 +76,12 @@
         try:
             async with self._slots_by_target.setdefault(name, asyncio.Semaphore(SLOTS)):
                 self.ran.append(request.incoming.request_id)
-                await asyncio.sleep(RUN_S)
+                await asyncio.sleep(self._run_s(name, request.object_key or ""))
         finally:
             self._waiting[name] -= 1
+        left = self._waiting[name]
+        load = LoadReport(min(left, SLOTS), max(0, left - SLOTS), SLOTS)
+        target.update_load(load, asyncio.get_running_loop().time())
         return ANSWER
 
 
@@ -65,7 +89,7 @@
     """Requests of one workspace for one route, at random times from ``start_s`` to ``end_s``.
 
     ``retries`` is how often a refused caller repeats; it waits for ``Retry-After`` times
-    ``patience``.
+    ``patience``. ``host`` is the number of the host that it uses, None for any.
     """
 
     workspace: str
@@ -75,6 +99,7 @@
     end_s: float = 20.0
     retries: int = 0
     patience: float = 1.0
+    host: int | None = None
 
 
 class Tally:
@@ -117,7 +142,7 @@
         )
         for name, priority in priorities.items()
     )
-    workspaces = {name: Workspace(name=name, rate_per_s=0.0, burst=0.0) for name in names}
+    workspaces = {name: Workspace(name=name, rate_per_s=RATE, burst=RATE) for name in names}
     service = Service(
         name="s",
         health_path="/healthz",
@@ -136,18 +161,45 @@
     )
 
 
+def record(target_id: str) -> TargetRecord:
+    """Return the registration of a target."""
+    return TargetRecord(
+        target_id=target_id,
+        service="s",
+        address="10.0.0.1:80",
+        failure_domain="d1",
+        slots=SLOTS,
+        draining=False,
+        slow_start_s=0.0,
+    )
+
+
+def member(host: str) -> Member:
+    """Return the registration of a host."""
+    return Member(host, "r1", "d1", "i", "", "", "")
+
+
 class Replay:
-    """One host with targets of its own, and the callers of some loads."""
+    """Hosts that report to each other, their targets, and the callers of some loads."""
 
     def __init__(
-        self, loads: Iterable[Load], priorities: dict[str, int], slos_s: dict[str, float]
+        self,
+        loads: Iterable[Load],
+        priorities: dict[str, int],
+        slos_s: dict[str, float],
+        host_count: int = 1,
+        run_s: float = RUN_S,
+        cold_run_s: float = RUN_S,
+        target_count: int = TARGETS,
     ) -> None:
+        self.target_count = target_count
+        self.host_count = host_count
         self.loads = tuple(loads)
         names = {load.workspace for load in self.loads}
         self.routing = routing(priorities, slos_s, names)
         self.slos_s = slos_s
         self.tally = Tally()
-        self.client = SlotClient()
+        self.client = SlotClient(run_s, cold_run_s)
         self.random = Random(SEED)
 
     def run(self) -> Tally:
@@ -155,20 +207,41 @@
         return run_on_injected_time(self._run())
 
     async def _run(self) -> Tally:
-        self.harness = EntryHarness(self.client, self.routing)
-        for name in ("t1", "t2"):
-            self.harness.targets.remove(name, "not of this replay")
-        for number in range(1, TARGETS):
-            self.harness.add(f"a{number}")
+        self.hosts = [
+            EntryHarness(
+                self.client,
+                self.routing,
+                host=f"h{number}",
+                records=[record(f"t{of}") for of in range(self.target_count)],
+            )
+            for number in range(self.host_count)
+        ]
+        for host in self.hosts:
+            for number in range(self.host_count):
+                host.members.put(member(f"h{number}"), 0.0)
+        reports = asyncio.create_task(self._report())
+        objects = OBJECTS_PER_TARGET * self.target_count
         async with asyncio.TaskGroup() as group:
             for load in self.loads:
                 at = load.start_s + self.random.expovariate(load.per_s)
                 while at < load.end_s:
-                    group.create_task(self._call(load, at, self.random.randrange(OBJECTS)))
+                    group.create_task(self._call(load, at, self.random.randrange(objects)))
                     at += self.random.expovariate(load.per_s)
-        self.harness.close()
+        reports.cancel()
         return self.tally
 
+    async def _report(self) -> None:
+        for sequence in count(1):
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            now = asyncio.get_running_loop().time()
+            reports = [host.reporter.build_report(now) for host in self.hosts]
+            for host in self.hosts:
+                for number, report in enumerate(reports):
+                    newer = msgspec.structs.replace(report, sequence=sequence)
+                    host.members.receive(f"h{number}", "i", newer, now)
+                host.reporter.apply_reports(now)
+                host.admission.drain()
+
     async def _call(self, load: Load, at: float, object_: int) -> None:
         loop = asyncio.get_running_loop()
         await asyncio.sleep(at)
@@ -199,4 +272,5 @@
             affinity_key=str(object_),
             caller_timeout_s=2 * self.slos_s[load.route],
         )
-        return await self.harness.handler.handle(request, started)
+        number = self.random.randrange(self.host_count) if load.host is None else load.host
+        return await self.hosts[number].handler.handle(request, started)
