--- a/src/flamingoladder/admission/host_queue.py
+++ b/src/flamingoladder/admission/host_queue.py
@@ -10,6 +10,7 @@
 from itertools import groupby
 from itertools import islice
 from math import expm1
+from sys import maxsize
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
@@ -94,7 +95,8 @@
         self.leave_by = leave_by
         self.target_id = target_id
         self.tried = tried
-        self.number = 0
+        # Until it is queued, it goes behind those that are like it.
+        self.number = maxsize
 
     @property
     def order(self) -> tuple[int, Standing, float, int]:
