--- a/src/flamingoladder/admission/arrival.py
+++ b/src/flamingoladder/admission/arrival.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from flamingoladder.admission.host_queue import Standing
 from flamingoladder.admission.refusals import Repeat
+from flamingoladder.admission.standing import Standing
 from flamingoladder.entry.request import RoutedRequest
 
 
--- a/src/flamingoladder/admission/control.py
+++ b/src/flamingoladder/admission/control.py
@@ -10,8 +10,8 @@
 from flamingoladder.admission.arrival import Arrival
 from flamingoladder.admission.demand import DemandEstimate
 from flamingoladder.admission.host_queue import LeaveReason
-from flamingoladder.admission.host_queue import QueuedRequest
 from flamingoladder.admission.queue_log import QueueLog
+from flamingoladder.admission.queued_request import QueuedRequest
 from flamingoladder.admission.refuser import Refuser
 from flamingoladder.admission.service_admission import ServiceAdmission
 from flamingoladder.admission.urgent_routes import UrgentRoutes
--- a/src/flamingoladder/admission/host_queue.py
+++ b/src/flamingoladder/admission/host_queue.py
@@ -6,21 +6,19 @@
 from bisect import bisect_right
 from bisect import insort
 from enum import Enum
-from enum import IntEnum
 from itertools import groupby
 from itertools import islice
-from math import expm1
-from sys import maxsize
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
-from flamingoladder.admission.demand import DecayingCount
+from flamingoladder.admission.drain_rate import DrainRate
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
 
-    from flamingoladder.admission.arrival import Arrival
+    from flamingoladder.admission.queued_request import QueuedRequest
+    from flamingoladder.admission.standing import Standing
 
 Place = TypeVar("Place")
 
@@ -29,23 +27,6 @@
 MAX_FAILED_ATTEMPTS = 4
 # The longest queue of one rank and standing from which too little was sent to know its rate.
 MAX_UNPROVEN = 32
-DRAIN_DECAY_S = 2.0
-MIN_DRAINED = 4.0
-
-
-class Standing(IntEnum):
-    """The order within a rank; lower goes first.
-
-    ``UNDER_SHARE`` are the requests of workspaces that ask for no more than their share, or all
-    while shares are not in force. The other workspaces have some ``IN_SHARE`` and some
-    ``OVER_SHARE``.
-    """
-
-    PREFERRED_REPEAT = 0
-    UNDER_SHARE = 1
-    IN_SHARE = 2
-    OVER_SHARE = 3
-    SURPLUS_REPEAT = 4
 
 
 class LeaveReason(Enum):
@@ -58,76 +39,6 @@
     STOPPING = "stopping"
 
 
-class QueuedRequest:
-    """A request in the queue.
-
-    If it is sent by ``prompt_by``, its answer is expected when it is wanted. It leaves by
-    ``leave_by``: later it can't end by its admission deadline. It is not sent while the wait at the
-    target would be longer than ``max_wait_s``, nor to the targets ``tried``. ``target_id`` is the
-    target chosen last.
-    """
-
-    __slots__ = (
-        "arrival",
-        "leave_by",
-        "max_wait_s",
-        "number",
-        "prompt_by",
-        "standing",
-        "target_id",
-        "tried",
-    )
-
-    def __init__(
-        self,
-        arrival: Arrival,
-        standing: Standing,
-        max_wait_s: float,
-        prompt_by: float,
-        leave_by: float,
-        target_id: str = "",
-        tried: tuple[str, ...] = (),
-    ) -> None:
-        self.arrival = arrival
-        self.standing = standing
-        self.max_wait_s = max_wait_s
-        self.prompt_by = prompt_by
-        self.leave_by = leave_by
-        self.target_id = target_id
-        self.tried = tried
-        # Until it is queued, it goes behind those that are like it.
-        self.number = maxsize
-
-    @property
-    def order(self) -> tuple[int, Standing, float, int]:
-        """Return the sort key: rank, share of the workspace, wanted time, arrival."""
-        return (self.arrival.rank, self.standing, self.prompt_by, self.number)
-
-
-class DrainRate:
-    """How fast requests of one rank and standing are sent from the queue."""
-
-    __slots__ = ("_count", "_since")
-
-    def __init__(self, now: float) -> None:
-        self._count = DecayingCount(now, DRAIN_DECAY_S)
-        self._since = now
-
-    def add(self, now: float) -> None:
-        """Count a request that is sent."""
-        if self._count.at(now) < MIN_DRAINED / 2:
-            self._since = min(now, max(self._since, now - DRAIN_DECAY_S))
-        self._count.add(now)
-
-    def wait_s(self, ahead: int, now: float) -> float | None:
-        """Return the expected wait behind so many requests, or None if too few were sent lately."""
-        sent = self._count.at(now)
-        if sent < MIN_DRAINED:
-            return None
-        counted_s = DRAIN_DECAY_S * -expm1((self._since - now) / DRAIN_DECAY_S)
-        return ahead * counted_s / sent
-
-
 class HostQueue:
     """Decides which queued requests are sent, and which leave.
 
--- a/src/flamingoladder/admission/rank_shares.py
+++ b/src/flamingoladder/admission/rank_shares.py
@@ -7,7 +7,7 @@
 
 from flamingoladder.admission.demand import PRUNE_SIZE
 from flamingoladder.admission.demand import DecayingCount
-from flamingoladder.admission.host_queue import Standing
+from flamingoladder.admission.standing import Standing
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/src/flamingoladder/admission/service_admission.py
+++ b/src/flamingoladder/admission/service_admission.py
@@ -6,15 +6,15 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.admission.host_queue import HostQueue
-from flamingoladder.admission.host_queue import Standing
 from flamingoladder.admission.pace import Pace
 from flamingoladder.admission.rank_shares import RankShares
 from flamingoladder.admission.refusals import Repeat
 from flamingoladder.admission.refusals import RepeatBudget
+from flamingoladder.admission.standing import Standing
 
 if TYPE_CHECKING:
     from flamingoladder.admission.demand import DemandEstimate
-    from flamingoladder.admission.host_queue import QueuedRequest
+    from flamingoladder.admission.queued_request import QueuedRequest
     from flamingoladder.entry.load_balancer import Choice
 
 RUN_WEIGHT = 0.1
--- a/src/flamingoladder/admission/waiting_requests.py
+++ b/src/flamingoladder/admission/waiting_requests.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from flamingoladder.admission.host_queue import QueuedRequest
     from flamingoladder.admission.queue_log import QueueLog
+    from flamingoladder.admission.queued_request import QueuedRequest
     from flamingoladder.admission.refuser import Refuser
     from flamingoladder.admission.service_admission import ServiceAdmission
     from flamingoladder.entry.load_balancer import LoadBalancer
--- a/tests/admission/test_decisions.py
+++ b/tests/admission/test_decisions.py
@@ -12,9 +12,8 @@
 from flamingoladder.admission.demand import DemandEstimate
 from flamingoladder.admission.host_queue import HostQueue
 from flamingoladder.admission.host_queue import LeaveReason
-from flamingoladder.admission.host_queue import QueuedRequest
-from flamingoladder.admission.host_queue import Standing
 from flamingoladder.admission.pace import Pace
+from flamingoladder.admission.queued_request import QueuedRequest
 from flamingoladder.admission.rank_shares import RankShares
 from flamingoladder.admission.rank_shares import water_level
 from flamingoladder.admission.refusals import MAX_REFUSALS
@@ -22,6 +21,7 @@
 from flamingoladder.admission.refusals import Repeat
 from flamingoladder.admission.refusals import RepeatBudget
 from flamingoladder.admission.refusals import spread_retry_after_s
+from flamingoladder.admission.standing import Standing
 from flamingoladder.admission.urgent_routes import UrgentRoutes
 from flamingoladder.entry.request import RoutedRequest
 from tests.admission.replay import routing
