Keep queueing by the wait at the chosen target for a second after all were busy

A host of several saw some slot free now and then, and sent requests over their workspace's share into the long queues of their objects' homes. The noise of even demand now brings shares into force less often (3 deviations in place of 2).

--- a/src/flamingoladder/admission/control.py
+++ b/src/flamingoladder/admission/control.py
@@ -104,9 +104,11 @@
         if choice is None:
             return None
         is_idle = not len(admission.queue)
-        if isinstance(choice, Choice) and not choice.all_busy and is_idle:
+        if isinstance(choice, Overload) or choice.all_busy:
+            admission.note_busy(now)
+            self._update_shares(admission, arrival.rank, now)
+        elif is_idle and (not choice.queue_position or not admission.was_busy(now)):
             return self._waiting.count_send(admission, choice, now)
-        self._update_shares(admission, arrival.rank, now)
         if isinstance(choice, Overload) and (choice.late_s > 0 or is_idle):
             return choice
         # One that would need a cold run is not refused while those behind it wait for a slot.
--- a/src/flamingoladder/admission/demand.py
+++ b/src/flamingoladder/admission/demand.py
@@ -18,7 +18,7 @@
 # counts as much as this number of requests of its own.
 MIX_REQUESTS = 4.0
 MIN_COUNT = 0.01
-DEVIATIONS = 2.0
+DEVIATIONS = 3.0
 PRUNE_SIZE = 4_096
 
 
--- a/src/flamingoladder/admission/service_admission.py
+++ b/src/flamingoladder/admission/service_admission.py
@@ -18,6 +18,7 @@
     from flamingoladder.entry.load_balancer import Choice
 
 RUN_WEIGHT = 0.1
+BUSY_LINGER_S = 1.0
 # Of the wait that the most urgent route can bear, less urgent requests may fill so much. When they
 # filled all of it, 5% of the urgent requests of a replay were in time, as they also wait behind
 # each other.
@@ -31,7 +32,15 @@
     service are busy.
     """
 
-    __slots__ = ("_budget", "_mean_run_s", "_shares_by_rank", "pace", "queue", "service")
+    __slots__ = (
+        "_budget",
+        "_busy_at",
+        "_mean_run_s",
+        "_shares_by_rank",
+        "pace",
+        "queue",
+        "service",
+    )
 
     def __init__(self, service: str, now: float) -> None:
         self.queue = HostQueue()
@@ -39,8 +48,21 @@
         self.service = service
         self._shares_by_rank: dict[int, RankShares] = {}
         self._budget = RepeatBudget()
+        self._busy_at = -inf
         self._mean_run_s: float | None = None
 
+    def note_busy(self, now: float) -> None:
+        """Note that a request found all targets busy."""
+        self._busy_at = now
+
+    def was_busy(self, now: float) -> bool:
+        """Return whether a request of this host recently found all targets busy.
+
+        While a service is short of slots, a host of several sees one free now and then, which does
+        not shorten the queues of the other targets.
+        """
+        return now - self._busy_at < BUSY_LINGER_S
+
     def take_share(self, rank: int, workspace: str, now: float) -> Standing:
         """Count an arrival, and return its standing by its workspace's share of the rank."""
         return self._shares_of(rank, now).take(workspace, now)
