Take out the planned split between regions until homes can follow it

Cause: the plan was computed and reported but nothing used it. It names a region for each request, while a request is only fast at its object's home. Result: none on behaviour.

--- a/src/flamingoladder/entry/components.py
+++ b/src/flamingoladder/entry/components.py
@@ -12,7 +12,6 @@
 from flamingoladder.entry.host_reports import HostReporter
 from flamingoladder.entry.load_balancer import LoadBalancer
 from flamingoladder.entry.probing import TargetProber
-from flamingoladder.entry.region_planner import RegionPlanner
 from flamingoladder.entry.send_check import SendCheck
 from flamingoladder.entry.silence_check import SilenceCheck
 from flamingoladder.entry.target_ends import TargetEnds
@@ -76,7 +75,6 @@
         "poison_upkeep",
         "prober",
         "recorder",
-        "region_planner",
         "relays",
         "report_exchange",
         "report_relays",
@@ -128,7 +126,6 @@
             self.memory,
         )
         notices = NoticeLearner(self.targets, self.members, self.recorder)
-        self.region_planner = RegionPlanner(self.targets, self.members, settings.region)
         self.reporter = HostReporter(
             self.targets,
             self.configuration,
@@ -138,7 +135,6 @@
             self.members,
             notices,
             processor_use,
-            self.region_planner,
         )
         poison_exchange = FleetPoisonExchange(self.peer_links, self.report_relays)
         poison_detector = PoisonDetector(
--- a/src/flamingoladder/entry/host_reports.py
+++ b/src/flamingoladder/entry/host_reports.py
@@ -5,7 +5,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from flamingoladder.entry.region_planner import RegionPlanner
 from flamingoladder.fleet.messages import HostReport
 from flamingoladder.fleet.processor_use import ProcessorUse
 from flamingoladder.limits.rate_deltas import RateDeltas
@@ -39,7 +38,6 @@
         "_members",
         "_next_object_by_service",
         "_notices",
-        "_planner",
         "_processor_use",
         "_rate_deltas",
         "_rate_limiter",
@@ -58,7 +56,6 @@
         members: MemberRegistry,
         notices: NoticeLearner,
         processor_use: ProcessorUse | None = None,
-        planner: RegionPlanner | None = None,
     ) -> None:
         self._targets = targets
         self._configuration = configuration
@@ -68,7 +65,6 @@
         self._members = members
         self._notices = notices
         self._processor_use = processor_use or ProcessorUse(0.0)
-        self._planner = planner or RegionPlanner(targets, members, balancer.region)
         self._next_object_by_service: dict[str, int] = {}
         self._reported_count_by_service: dict[str, int] = {}
         self._rate_deltas = RateDeltas()
@@ -91,7 +87,6 @@
             self._rate_limits(now),
             self._notices.leaving_targets(now),
             busy_tenths=self._processor_use.observe(time.process_time(), now),
-            offered_by_service=self._planner.report(now),
             work_by_object=self._balancer.demand.report(self._members.host_count, now),
         )
 
@@ -111,7 +106,6 @@
     def apply_reports(self, now: float) -> None:
         """Apply the newest reports of all hosts."""
         reports = self._members.live_reports(now)
-        self._planner.update(reports, now)
         rates = {host: report.rates_by_workspace for host, report in reports.items()}
         self._rate_limiter.update(self._members.host_count, rates, self._members.report_interval_s)
         self._budgets.set_host_count(self._members.host_count)
--- a/src/flamingoladder/fleet/exchange.py
+++ b/src/flamingoladder/fleet/exchange.py
@@ -88,7 +88,7 @@
 
     def _is_due(self, report: HostReport) -> bool:
         # Without what changes slowly, so that an idle host reports no more often for it.
-        compared = msgspec.structs.replace(report, busy_tenths=0, offered_by_service=None)
+        compared = msgspec.structs.replace(report, busy_tenths=0)
         is_empty = compared == EMPTY_REPORT
         self._empty_reports = self._empty_reports + 1 if is_empty else 0
         return self._empty_reports % EMPTY_REPORTS_PER_SEND == 0
--- a/src/flamingoladder/fleet/messages.py
+++ b/src/flamingoladder/fleet/messages.py
@@ -19,7 +19,6 @@
     "leaving_targets": "q",
     "sequence": "n",
     "busy_tenths": "b",
-    "offered_by_service": "d",
     "work_by_object": "h",
 }
 
@@ -34,10 +33,8 @@
     targets said of their rate limits to this host lately, ``leaving_targets`` the starts (Unix ms)
     of targets that said lately that they leave. ``sequence`` numbers the reports of one
     incarnation. ``busy_tenths`` is the host's use of the processor in tenths of its capacity.
-    ``offered_by_service`` holds tenths of the slots that its callers ask for; it is None if the
-    host does not tell.
-    ``work_by_object`` holds, by service, the objects that the host's callers ask for
-    most, with the slots that they keep busy, in hundredths; it is empty if the latest one holds.
+    ``work_by_object`` holds, by service, the objects that the host's callers ask for most, with the
+    slots that they keep busy, in hundredths; it is empty if the latest one holds.
     """
 
     unavailable: bool = False
@@ -48,7 +45,6 @@
     leaving_targets: dict[str, int | None] = {}
     sequence: int = 0
     busy_tenths: int = 0
-    offered_by_service: dict[str, int] | None = None
     work_by_object: dict[str, dict[str, int]] = {}
 
 
