Give small workspaces their rate in a large fleet

Cause: each host's demand counts 0.3 requests a second more when a rate is divided. At 91 hosts that is 27 a second, so hosts with all the demand of a small workspace had a small part of its rate; and one host's rise of demand was expected at each of the other 90. Change: from 20 hosts on the additions together stay what they are at 20, and a rise is extended in proportion to the shares. Up to 20 hosts nothing changes but for a host with more than an even share.

--- a/src/flamingoladder/limits/rate_limiter.py
+++ b/src/flamingoladder/limits/rate_limiter.py
@@ -23,7 +23,10 @@
     from flamingoladder.limits.tolerance import RateTolerance
     from flamingoladder.routing.model import Workspace
 
+# What counts as demand of each host in the division of a rate, so that none has no share. In a
+# large fleet all floors together stay what they are at 20 hosts, as small workspaces use few hosts.
 SHARE_DEMAND_FLOOR_PER_S = 0.3
+FLEET_DEMAND_FLOOR_PER_S = 20 * SHARE_DEMAND_FLOOR_PER_S
 MIN_REFILL_PER_S = 0.01
 REPORT_TRANSIT_S = 0.15
 # Starting empty refused requests right after a restart; 8 tokens stay below the slack.
@@ -171,13 +174,13 @@
     def _unreported(self, workspace: str, buckets: WorkspaceBuckets) -> float:
         """Return the requests beyond the tolerance that others may have admitted but not reported.
 
-        Reported demand lags, so that of each host is assumed to have risen as much as here.
+        Reported demand lags, so that of the others is assumed to have risen as much as here: alike
+        at each host, or in proportion to the shares if this host has more of the demand.
         """
         reported = self._own_demand(workspace)
         demand_rise = max(0.0, buckets.demand_per_s - reported)
-        remote_demand = (
-            self._fleet_demand(workspace) - reported + demand_rise * (self._host_count - 1)
-        )
+        others_rise = demand_rise * min(self._host_count - 1, 1 / self._own_share(workspace) - 1)
+        remote_demand = self._fleet_demand(workspace) - reported + others_rise
         return max(0.0, remote_demand * self._report_delay_s - self._tolerance.unreported_tokens)
 
     def _admitted_to_report(self, workspace: str, buckets: WorkspaceBuckets) -> int:
@@ -218,8 +221,8 @@
         return 0.0 if own is None else own.demand_per_s
 
     def _own_share(self, workspace: str) -> float:
-        floor = SHARE_DEMAND_FLOOR_PER_S
-        own_demand = floor + self._own_demand(workspace)
         reporting_hosts = len(self._reports_by_host)
+        floor = min(SHARE_DEMAND_FLOOR_PER_S, FLEET_DEMAND_FLOOR_PER_S / (1 + reporting_hosts))
+        own_demand = floor + self._own_demand(workspace)
         all_demand = self._fleet_demand(workspace) + floor * (1 + reporting_hosts)
         return own_demand / all_demand
--- a/tests/limits/test_rate_limiter.py
+++ b/tests/limits/test_rate_limiter.py
@@ -32,6 +32,7 @@
     silent: bool = False,
     full: bool = True,
     tolerance: RateTolerance = TOLERANCE,
+    report_interval_s: float = REPORT_INTERVAL_S,
 ) -> tuple[list[float], int]:
     """Return the times of admitted requests, and the number of requests."""
     random = Random(seed)
@@ -42,11 +43,11 @@
     for step in range(int(DURATION_S / STEP_S)):
         now = step * STEP_S
         if now >= next_report:
-            next_report += REPORT_INTERVAL_S
+            next_report += report_interval_s
             reports = {f"h{number}": host.report(now) for number, host in enumerate(hosts)}
             for number, host in enumerate(hosts):
                 others = {name: sent for name, sent in reports.items() if name != f"h{number}"}
-                host.update(len(hosts), {} if silent else others, REPORT_INTERVAL_S)
+                host.update(len(hosts), {} if silent else others, report_interval_s)
         for host, share in zip(hosts, shares, strict=True):
             if random.random() < load * limit.rate_per_s * share * STEP_S:
                 requested += 1
@@ -165,3 +166,38 @@
         for name in ("w0", "w1", "w2", "w3"):
             present = [found[name].demand_per_s for found in reports.values() if name in found]
             assert rates._fleet_demand(name) == pytest.approx(sum(present), abs=1e-6)
+
+
+LARGE_FLEET = 91
+LARGE_FLEET_INTERVAL_S = 0.71
+
+
+def shares_of(used: int) -> list[float]:
+    return [1 / used] * used + [0.0] * (LARGE_FLEET - used)
+
+
+@pytest.mark.parametrize(
+    ("rate", "burst", "used", "least"),
+    [(5.0, 12.0, 3, 0.8), (20.0, 25.0, 8, 0.85), (60.0, 60.0, 3, 0.95), (60.0, 60.0, 91, 0.8)],
+)
+def test_small_workspace_in_a_large_fleet_gets_most_of_what_is_within_its_rate(
+    rate: float, burst: float, used: int, least: float
+) -> None:
+    """Guards against hosts that refuse one of two requests while the fleet's bucket is full.
+
+    A workspace with few callers uses few hosts, and a share for each of the others left it little.
+    """
+    admitted, requested = simulate(
+        workspace(rate, burst), 0.6, shares_of(used), report_interval_s=LARGE_FLEET_INTERVAL_S
+    )
+    assert len(admitted) >= least * requested
+
+
+@pytest.mark.parametrize(
+    ("rate", "burst", "used"),
+    [(5.0, 12.0, 3), (5.0, 12.0, 8), (60.0, 60.0, 8), (60.0, 60.0, 91), (3.0, 6.0, 91)],
+)
+def test_no_window_exceeds_the_limit_in_a_large_fleet(rate: float, burst: float, used: int) -> None:
+    limit = workspace(rate, burst)
+    admitted, _ = simulate(limit, 8.0, shares_of(used), report_interval_s=LARGE_FLEET_INTERVAL_S)
+    assert within_limit(admitted, limit, TOLERANCE)
