Keep the eligible targets of a service in one place

Cause: the registry kept them by its count of changes, and so did the cache of a service's targets, its only caller. Change: the registry lists them anew; the cache asks once for each change. Its test keeps its assertions, and its text says what they guard. Result: tests of entry, targets, steering and fleet pass; no figure was taken.

--- a/src/flamingoladder/entry/service_targets.py
+++ b/src/flamingoladder/entry/service_targets.py
@@ -9,8 +9,6 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from flamingoladder.targets.registry import TargetRegistry
     from flamingoladder.targets.state import TargetState
 
@@ -34,7 +32,7 @@
         "starting",
     )
 
-    def __init__(self, eligible: Sequence[TargetState], changes: int, now: float) -> None:
+    def __init__(self, eligible: list[TargetState], changes: int, now: float) -> None:
         self._changes = changes
         self.eligible = eligible
         self.started = [target for target in eligible if not target.in_slow_start(now)]
--- a/src/flamingoladder/targets/registry.py
+++ b/src/flamingoladder/targets/registry.py
@@ -12,7 +12,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Mapping
-    from collections.abc import Sequence
 
     from flamingoladder.targets.notices import TargetNotices
     from flamingoladder.targets.record import TargetRecord
@@ -32,8 +31,6 @@
     """
 
     __slots__ = (
-        "_eligible_by_service",
-        "_eligible_since",
         "_notices_by_start",
         "_recorder",
         "_regions_by_domain",
@@ -52,8 +49,6 @@
         self.by_service: dict[str, list[TargetState]] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.eligibility_changes = 0
-        self._eligible_by_service: dict[str, tuple[TargetState, ...]] = {}
-        self._eligible_since = 0
         self.removed: Subject[str] = Subject()
         self.ended: Subject[TargetState] = Subject()
         self._notices_by_start: OrderedDict[tuple[str, int | None], TargetNotices] = OrderedDict()
@@ -118,17 +113,9 @@
         """Return whether the target may be a home of objects, regardless of ejection or outage."""
         return not target.leaving and target.record.failure_domain not in self.evacuated
 
-    def eligible_targets(self, service: str) -> Sequence[TargetState]:
+    def eligible_targets(self, service: str) -> list[TargetState]:
         """Return the targets of a service that may be homes of objects."""
-        if self._eligible_since != self.eligibility_changes:
-            self._eligible_since = self.eligibility_changes
-            self._eligible_by_service.clear()
-        eligible = self._eligible_by_service.get(service)
-        if eligible is None:
-            registered = self.by_service.get(service, ())
-            eligible = tuple(target for target in registered if self.is_eligible(target))
-            self._eligible_by_service[service] = eligible
-        return eligible
+        return [target for target in self.by_service.get(service, ()) if self.is_eligible(target)]
 
     def _add(self, record: TargetRecord, now: float) -> None:
         self.remove(record.target_id, "moved")
--- a/tests/targets/test_registry.py
+++ b/tests/targets/test_registry.py
@@ -50,7 +50,7 @@
 
 
 def test_each_change_shows_in_the_next_list_of_eligible_targets(registry: TargetRegistry) -> None:
-    """The list is kept between changes; one that is out of date would get requests for nothing."""
+    """A target that has left, or is of another service, would get requests for nothing."""
     assert eligible_ids(registry) == ["t1", "t2"]
     registry.put(record("t3"), 1.0)
     assert eligible_ids(registry) == ["t1", "t2", "t3"]
