Say in a word whether hosts of a look-up are weighed

Cause: a maximum above a constant stood for another way of selecting. Change: a flag says so, and the reason stands where it is set.

--- a/src/flamingoladder/fleet/host_selection.py
+++ b/src/flamingoladder/fleet/host_selection.py
@@ -46,12 +46,15 @@
     failure_domain: str,
     region: Sequence[Candidate],
     silent: Sequence[Member] = (),
-    max_selected: int = MAX_SELECTED,
+    most: int = MAX_SELECTED,
+    *,
+    weighed: bool = True,
 ) -> list[Member]:
     """Return the hosts of ``region`` for a caller, best first; the same at all hosts.
 
-    ``silent`` are the registered hosts of the region that don't serve now. A ``max_selected`` above
-    ``MAX_SELECTED`` selects as many as that of the hosts that count for half or more.
+    ``silent`` are the registered hosts of the region that don't serve now. Up to ``most`` hosts are
+    returned: two thirds of those that count, or, unless they are ``weighed``, all that count for
+    half or more.
 
     Loads: hosts of uneven capacity, a host that cannot keep up, a lost failure domain, many hosts
     killed at once, callers that move to another failure domain.
@@ -74,11 +77,11 @@
         for of, capacity, factor in zip(region, capacities, near, strict=True)
     ]
     wanted = max(MIN_SELECTED, round(sum(near) * 2 / 3))
-    if max_selected > MAX_SELECTED:
+    if not weighed:
         weights = [float(factor >= HALF) for factor in near]
-        wanted = max_selected
+        wanted = most
     eligible = [index for index, weight in enumerate(weights) if weight > 0]
-    count = min(max_selected, wanted, len(eligible))
+    count = min(most, wanted, len(eligible))
     fractions = _fractions([weights[index] for index in eligible], count)
     ranked = sorted(
         (_rank(caller, region[index].member.host, fraction), index)
--- a/src/flamingoladder/fleet/lookups.py
+++ b/src/flamingoladder/fleet/lookups.py
@@ -65,10 +65,12 @@
             candidates = [Candidate(member, self._busy_tenths(member)) for member in in_region]
             silent = self._silent_members(region, in_region)
             known = any(member.failure_domain == failure_domain for member in in_region)
-            max_selected = MAX_HOSTS_PER_ANSWER
-            if self._caller_addresses.are_many(failure_domain if known else "", caller, now):
-                max_selected = MAX_SELECTED
-            selected = select_hosts(caller, failure_domain, candidates, silent, max_selected)
+            # Callers that share an address would all get the same few hosts.
+            weighed = self._caller_addresses.are_many(failure_domain if known else "", caller, now)
+            most = MAX_SELECTED if weighed else MAX_HOSTS_PER_ANSWER
+            selected = select_hosts(
+                caller, failure_domain, candidates, silent, most, weighed=weighed
+            )
             return LookupAnswer(tuple(of.caller_url for of in selected), self._ttl_s)
         # Each host sorts differently, so that no host of a large region is in none of the answers.
         listed = sorted(in_region or members, key=self._order_hash)[:MAX_HOSTS_PER_ANSWER]
