--- a/review/lab2/parts.py
+++ b/review/lab2/parts.py
@@ -32,15 +32,24 @@
 }
 
 
+_given: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing uses now."""
-    held = [socket.socket() for _ in range(count)]
-    for one in held:
-        one.bind((LOOPBACK, 0))
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    return ports
+    """Return neighbouring ports that nothing uses now, below those of outgoing connections."""
+    while True:
+        ports = [random.randrange(10_000, 32_000 - count)]
+        ports += [ports[0] + more for more in range(1, count)]
+        if not _given.isdisjoint(ports):
+            continue
+        try:
+            for port in ports:
+                with socket.socket() as one:
+                    one.bind((LOOPBACK, port))
+        except OSError:
+            continue
+        _given.update(ports)
+        return ports
 
 
 class Record:
@@ -190,8 +199,8 @@
         listening = socket.socket()
         if self.receive_buffer:
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
-        listening.bind((LOOPBACK, 0))
-        self.port = listening.getsockname()[1]
+        self.port = free_ports(1)[0]
+        listening.bind((LOOPBACK, self.port))
         self._server = await asyncio.start_server(self._serve, sock=listening, limit=65_536)
         self.write_entry(store)
 
@@ -294,16 +303,7 @@
         self.number = number
         self.name = f"edge-{number}"
         self.zone = list(ZONES)[number % len(ZONES)]
-        front, ready, control, directory = free_ports(4)
-        while True:
-            internal = random.randrange(20_000, 30_000)
-            try:
-                for port in (internal, internal + 1):
-                    with socket.socket() as one:
-                        one.bind((LOOPBACK, port))
-                break
-            except OSError:
-                continue
+        front, ready, control, directory, internal, _ = free_ports(6)
         self.front, self.ready, self.directory = front, ready, directory
         self.path = folder / f"{self.name}.json"
         self.log = folder / f"{self.name}.log"
