--- a/review/lab2/parts.py
+++ b/review/lab2/parts.py
@@ -168,9 +168,10 @@
 class Run:
     """One run of a request at a target."""
 
-    def __init__(self, request_id: str, target: str) -> None:
+    def __init__(self, request_id: str, target: str, path: str) -> None:
         self.request_id = request_id
         self.target = target
+        self.path = path
         self.began = time.monotonic()
         self.ended = 0.0
         self.how = "at work"
@@ -193,6 +194,18 @@
         self._free: asyncio.Semaphore | None = None
         self._server: asyncio.Server | None = None
         self.waiting = 0
+        self.crash_path = ""  # A request whose path begins so crashes the target.
+        self.is_crashed = False
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    def crash(self) -> None:
+        """End as a process does that crashes: all connections and the port are gone."""
+        self.is_crashed = True
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self.record(f"{self.name} crashed")
 
     async def start(self, store: Store) -> None:
         self._free = asyncio.Semaphore(self.slots)
@@ -213,12 +226,14 @@
         })
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         try:
             while await self._serve_one(reader, writer):
                 pass
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
@@ -254,10 +269,13 @@
             await self._free.acquire()
         finally:
             self.waiting -= 1
-        run = Run(request_id, self.name)
+        run = Run(request_id, self.name, first.split()[1])
         self.runs.append(run)
         self.record(f"run of {request_id} begins at {self.name}")
         try:
+            if self.crash_path and run.path.startswith(self.crash_path):
+                self.crash()
+                raise ConnectionResetError
             await self._read(reader, int(fields.get("content-length", "0")))
             await self._work(reader)
             signed = f"{common}Flamingoladder-Response-Signature: 3e1b.07.{self.name}\r\n"
