--- a/review/10/case.py
+++ b/review/10/case.py
@@ -16,6 +16,11 @@
 PATH = "/tally/poison"
 PERIOD_S = 5.5
 BACK_AFTER_S = 3.0
+# An entry is removed after three heartbeat intervals of silence.
+ENTRY_LAPSES_S = 4.5
+# As the site has it.
+WARMUP_S = 3.0
+WARMUP_PER_S = 2.9
 DEADLINE_MS = 4_000
 TARGETS = 12
 ROUNDS = 2
@@ -52,11 +57,14 @@
             await asyncio.sleep(0.05)
 
     async def _replace(self, target: parts.Target) -> None:
+        store = self.deployment.store
+        asyncio.get_running_loop().call_later(ENTRY_LAPSES_S, store.drop, "servers", target.name)
         await asyncio.sleep(BACK_AFTER_S)
-        self.deployment.store.drop("servers", target.name)
         target = self.new_target(target.zone)
+        target.warmup_left_s = WARMUP_S
         self.deployment.targets.append(target)
-        await target.start(self.deployment.store)
+        await target.start(store)
+        self.record(f"{target.name} started, cold for {WARMUP_S} s")
 
     async def send(self) -> int:
         """Send the request to the next machine and return the status, 0 without an answer."""
@@ -89,6 +97,7 @@
         for daemon in daemons:
             await daemon.start()
             self.started_at[daemon.name] = time.monotonic()
+            self.record(f"{daemon.name} started again")
         while not all([await daemon.is_ready() for daemon in daemons]):
             await asyncio.sleep(0.05)
 
@@ -121,7 +130,10 @@
     zones = list(parts.ZONES)
     targets = [play.new_target(zones[n % 3]) for n in range(TARGETS)]
     try:
-        await deployment.start(parts.configuration(1, [route], ["tally"]), targets)
+        configuration = parts.configuration(1, [route], ["tally"])
+        for service in configuration["services"]:
+            service.update(warmup_s=WARMUP_S, warmup_per_s=WARMUP_PER_S)
+        await deployment.start(configuration, targets)
         play.started_at = {daemon.name: 0.0 for daemon in deployment.daemons}
         keeping = asyncio.create_task(play.keep_up())
         for number in range(ROUNDS):
--- a/review/lab2/parts.py
+++ b/review/lab2/parts.py
@@ -196,6 +196,7 @@
         self.waiting = 0
         self.crash_path = ""  # A request whose path begins so crashes the target.
         self.is_crashed = False
+        self.warmup_left_s = 0.0
         self._writers: set[asyncio.StreamWriter] = set()
 
     def crash(self) -> None:
@@ -221,7 +222,8 @@
         """Register."""
         store.put("servers", self.name, {
             "service": self.service, "address": f"{LOOPBACK}:{self.port}", "zone": self.zone,
-            "version": "1.0", "slots": self.slots, "state": state, "warmup_left_s": 0.0,
+            "version": "1.0", "slots": self.slots, "state": state,
+            "warmup_left_s": self.warmup_left_s,
             "seq": 1, "born": self.born,
         })
 
@@ -256,12 +258,12 @@
             self._write(writer, "200 OK", f"Flamingoladder-Instance-Id: {self.name}\r\n{common}", b"")
             return True
         if fields.get("flamingoladder-expect-instance", self.name) != self.name:
-            self._write(writer, "421 Misdirected Request", common, b"")
+            self._write(writer, "421 Misdirected Request", common + "Connection: close\r\n", b"")
             return False
         if self.waiting >= 9:
             self._write(
                 writer, "503 Service Unavailable",
-                common + "Flamingoladder-Not-Executed: 1\r\n", b"",
+                common + "Flamingoladder-Not-Executed: 1\r\nConnection: close\r\n", b"",
             )
             return False
         self.waiting += 1
