Close callers' connections without losing their last answer

Cause: the socket was closed right after the answer had been written. A close over unread input, or input after it, resets the connection, and the kernel drops what it holds for the caller. It held for each close by the host, at the ports of entry and daemon alike.

This replaces the wait of 0.5 s over refused bodies.

--- a/src/flamingoladder/memory/connection_guard.py
+++ b/src/flamingoladder/memory/connection_guard.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from flamingoladder.memory.idle_connection import IdleConnection
+from flamingoladder.transport.lingering_transport import LingeringTransport
 
 if TYPE_CHECKING:
     from aiohttp import StreamReader
@@ -18,7 +19,6 @@
 # What is read from a socket at once, before and after a request's head was judged.
 FIRST_RECEIVE_BYTES = 16_384
 BODY_RECEIVE_BYTES = 65_536
-DISCARD_RECEIVE_BYTES = 4_096
 # The HTTP parser bounds each field, but not all of them together.
 MAX_HEAD_BYTES = 1_048_576
 
@@ -26,10 +26,11 @@
 class ConnectionGuard(IdleConnection):
     """Stands between a caller's connection and the protocol that parses its requests.
 
-    It counts the bytes that came and that no request has asked for yet.
+    It counts the bytes that came and that no request has asked for yet, and drops those that come
+    after the protocol has closed the connection.
     """
 
-    __slots__ = ("_connections", "_content", "_protocol", "_unread_bytes")
+    __slots__ = ("_connections", "_content", "_lingering", "_protocol", "_unread_bytes")
 
     def __init__(self, protocol: RequestHandler, connections: CallerConnections) -> None:
         super().__init__()
@@ -37,6 +38,7 @@
         self._connections = connections
         self._unread_bytes = 0
         self._content: StreamReader | None = None
+        self._lingering: LingeringTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection, which may close another."""
@@ -44,12 +46,17 @@
         self.transport = transport
         self.client = str((transport.get_extra_info("peername") or ("",))[0])
         self._receive_at_once(FIRST_RECEIVE_BYTES)
-        self._protocol.connection_made(transport)
+        self._lingering = LingeringTransport(transport)
+        self._protocol.connection_made(self._lingering)
         self._connections.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Pass on what was received, and count it until a request asks for it."""
         size = len(data)
+        if self._lingering is not None and self._lingering.is_lingering:
+            self.forget_unread()
+            self._lingering.discard(size)
+            return
         if self._content is not None:
             if self._content.is_eof():
                 # The next request of a caller that doesn't wait for answers.
@@ -75,6 +82,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Pass on the end of the connection."""
+        if self._lingering is not None:
+            self._lingering.stop_lingering()
         self.forget_unread()
         self._connections.remove(self)
         self._protocol.connection_lost(exc)
@@ -99,10 +108,6 @@
         """Read more at once, as the rest of a body was admitted."""
         self._receive_at_once(BODY_RECEIVE_BYTES)
 
-    def discard_body(self) -> None:
-        """Read little at once, as it is discarded."""
-        self._receive_at_once(DISCARD_RECEIVE_BYTES)
-
     def end_request(self) -> None:
         """Note that the answer is written."""
         self._content = None
--- a/src/flamingoladder/memory/request_scope.py
+++ b/src/flamingoladder/memory/request_scope.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from flamingoladder.memory.budget import SMALL_BYTES
@@ -16,10 +15,6 @@
 
     Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
-# A caller that is still sending sees the refusal rather than a reset within this.
-LINGER_S = 0.5
-LINGER_BYTES = 262_144
-
 
 def is_worth_draining(request: web.BaseRequest) -> bool:
     """Return whether the connection is kept although the body is unread."""
@@ -37,23 +32,10 @@
     try:
         response = await handle(request)
         if not is_worth_draining(request):
-            guard.discard_body()
             response.force_close()
             await response.prepare(request)
             await response.write_eof()
-            await _linger(request)
+            request.protocol.force_close()
         return response
     finally:
         guard.end_request()
-
-
-async def _linger(request: web.BaseRequest) -> None:
-    """Discard what a caller still sends for a moment, then close the connection."""
-    left_bytes = LINGER_BYTES
-    try:
-        async with asyncio.timeout(LINGER_S):
-            while left_bytes > 0 and (part := await request.content.readany()):
-                left_bytes -= len(part)
-    except (TimeoutError, OSError):
-        pass
-    request.protocol.force_close()
