Wait at a stop until callers have taken their answers

Cause: a request counted as ended once its last part was handed to the transport. The process exited with up to 64 KiB of each answer in its own buffers, 2.6 s before its time was up. The daemon's gateway did the same.

Change: closing the port for callers ends each connection gently and waits for the callers' ends, within the time left to stop. The log says how many answers were cut.

--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -145,7 +145,8 @@
         self._cancel_tasks()
         leaving = asyncio.create_task(components.membership.leave())
         await asyncio.wait([leaving], timeout=LEAVE_TIMEOUT_S)
-        components.recorder.record("host.stopped", requests_finished=finished)
+        cut = await caller_port.close(max(0.0, stop_deadline - loop.time()))
+        components.recorder.record("host.stopped", requests_finished=finished, answers_cut=cut)
         await self.close()
 
     async def close(self) -> None:
--- a/src/flamingoladder/gateway/server.py
+++ b/src/flamingoladder/gateway/server.py
@@ -114,14 +114,18 @@
     async def stop(self, grace_s: float) -> bool:
         """Refuse new requests as not run, wait for those in flight, and close the port.
 
-        Return whether all of them finished within ``grace_s`` seconds.
+        Return whether all of them finished, and callers took their answers, within ``grace_s``
+        seconds.
         """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + grace_s
         self._phase = ShutdownPhase.STOPPING
         self._system_api.serving = False
-        finished = await self._in_flight.wait_until_idle(grace_s)
-        self._stages.recorder.record("gateway.stopped", cut=self._in_flight.count)
-        await self._listener.close()
-        return finished
+        await self._in_flight.wait_until_idle(grace_s)
+        cut = self._in_flight.count
+        cut += await self._listener.close(max(0.0, deadline - loop.time()))
+        self._stages.recorder.record("gateway.stopped", cut=cut)
+        return cut == 0
 
     def _application(self) -> web.Application:
         application = web.Application()
--- a/src/flamingoladder/memory/caller_connections.py
+++ b/src/flamingoladder/memory/caller_connections.py
@@ -27,6 +27,7 @@
     """
 
     __slots__ = (
+        "_all_closed",
         "_count",
         "_events",
         "_idle",
@@ -44,6 +45,8 @@
         # In the order in which they became idle, or began an unfinished head.
         self._idle: dict[IdleConnection, None] = {}
         self._count = 0
+        self._all_closed = asyncio.Event()
+        self._all_closed.set()
         self.header_timeout_s = 0.0
         self.idle_timeout_s = 0.0
         self.max_connections = 0
@@ -67,6 +70,7 @@
     def add(self, guard: IdleConnection) -> None:
         """Count a new connection; beyond the bound one is closed."""
         self._count += 1
+        self._all_closed.clear()
         self.budget.count_connections(1)
         self.note_idle(guard)
         if self.max_connections and self._count > self.max_connections:
@@ -75,6 +79,8 @@
     def remove(self, guard: IdleConnection) -> None:
         """Count a connection that is closed no more."""
         self._count -= 1
+        if not self._count:
+            self._all_closed.set()
         self.budget.count_connections(-1)
         self._idle.pop(guard, None)
 
@@ -123,6 +129,22 @@
             elif not guard.has_head and self.idle_timeout_s and age_s >= self.idle_timeout_s:
                 self.close(guard, "idle_timeout")
 
+    async def wait_until_closed(self, timeout_s: float) -> bool:
+        """Return whether all connections were closed within ``timeout_s`` seconds."""
+        try:
+            await asyncio.wait_for(self._all_closed.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
+    def abort_idle(self) -> int:
+        """Close all connections without a request; return how many answers are not written out."""
+        transports = [guard.transport for guard in self._idle if guard.transport is not None]
+        unwritten = sum(transport.get_write_buffer_size() > 0 for transport in transports)
+        for transport in transports:
+            transport.abort()
+        return unwritten
+
     def close(self, guard: IdleConnection, reason: str) -> None:
         """Close a connection that has no request."""
         self._idle.pop(guard, None)
--- a/src/flamingoladder/transport/port.py
+++ b/src/flamingoladder/transport/port.py
@@ -129,9 +129,16 @@
         if self._site is not None:
             await self._site.stop()
 
-    async def close(self) -> None:
-        """Close all connections."""
+    async def close(self, drain_timeout_s: float = 0.0) -> int:
+        """Close all connections, once their callers have taken what was written to them.
+
+        Return how many answers were cut, as their callers had not after ``drain_timeout_s``.
+        """
         await self._runner.cleanup()
+        if self._connections is None:
+            return 0
+        await self._connections.wait_until_closed(drain_timeout_s)
+        return self._connections.abort_idle()
 
 
 class _GuardedSite(web.SockSite):
