Take an answer with a status that no final answer has for none

What callers saw: a signed answer with status 000 or a final 101 reached them as an answer (MIXED); 600 to 999 were passed on as the target's own failure.

Cause: any three digits that aiohttp's client returns counted as the status of a final answer. With Flamingoladder-Not-Executed beside it, the request even counted as not run; a write that the store answered so counted as refused.

Change: statuses outside 200 to 599 make the answer invalid at the one place that entry, daemon and client library send through: the connection is closed, the request may have run, an idempotent one goes to another target. Such an answer of the store leaves a write in doubt.

--- a/src/flamingoladder/platform/http_transport.py
+++ b/src/flamingoladder/platform/http_transport.py
@@ -21,6 +21,7 @@
 from flamingoladder.transport.connector import ExchangeConnector
 from flamingoladder.transport.connector import current_exchange
 from flamingoladder.transport.exchange import Exchange
+from flamingoladder.transport.final_status import is_final_status
 
 CONNECTION_LIMIT = 32
 IDLE_CONNECTION_S = 30.0
@@ -87,7 +88,7 @@
         if reply.status in call.accepted:
             return reply
         described = f"{call.method} {call.path} got status {reply.status}"
-        if reply.status in UNKNOWN_OUTCOME_STATUSES:
+        if reply.status in UNKNOWN_OUTCOME_STATUSES or not is_final_status(reply.status):
             raise OutcomeUnknownError(described)
         if reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             raise OutcomeUnknownError(described)
--- a/src/flamingoladder/platform/target_wire.py
+++ b/src/flamingoladder/platform/target_wire.py
@@ -54,6 +54,11 @@
     }
 )
 
+# The target answered, but with nothing that can be passed on.
+UNUSABLE_ANSWERS = frozenset(
+    {FailureKind.INVALID_STATUS, FailureKind.NO_ANSWER, FailureKind.TOO_LARGE}
+)
+
 
 class PlatformTargets(TargetClient):
     """Kept connections to each target.
@@ -181,7 +186,7 @@
         return SendResult(SendStatus.REFUSED, failure.detail, refusal=refusal)
     if not failure.may_have_run:
         return SendResult(SendStatus.NO_CONNECTION, failure.detail)
-    if failure.kind in {FailureKind.NO_ANSWER, FailureKind.TOO_LARGE}:
+    if failure.kind in UNUSABLE_ANSWERS:
         return SendResult(SendStatus.FAILED, failure.detail, reused=failure.reused)
     if failure.kind is FailureKind.TIMEOUT:
         return SendResult(SendStatus.TIMEOUT, failure.detail, reused=failure.reused)
--- a/src/flamingoladder/steering/chooser.py
+++ b/src/flamingoladder/steering/chooser.py
@@ -17,11 +17,13 @@
 class AttemptOutcome(StrEnum):
     """The outcome of an attempt at a target.
 
-    ``UNREACHABLE``: no connection; ``LOST``: the connection broke; ``SILENT``: the connection
-    stayed open, but nothing came; ``CANCELLED``: ended by this host or its caller.
+    ``INVALID``: an answer with a status that no final answer has; ``UNREACHABLE``: no connection;
+    ``LOST``: the connection broke; ``SILENT``: the connection stayed open, but nothing came;
+    ``CANCELLED``: ended by this host or its caller.
     """
 
     ANSWERED = "answered"
+    INVALID = "invalid"
     SHED = "shed"
     UNREACHABLE = "unreachable"
     LOST = "lost"
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -19,6 +19,7 @@
 from flamingoladder.transport.bodies import MAX_ANSWER_BYTES
 from flamingoladder.transport.bodies import read_body
 from flamingoladder.transport.connector import current_exchange
+from flamingoladder.transport.final_status import is_final_status
 from flamingoladder.verdict import Answer
 from flamingoladder.verdict import Header
 
@@ -36,10 +37,15 @@
 
 
 class FailureKind(StrEnum):
-    """Why there is no whole answer; ``NO_ANSWER`` stands for bytes that are none, without end."""
+    """Why there is no whole answer.
+
+    ``INVALID_STATUS`` stands for an answer whose status no final answer has, ``NO_ANSWER`` for
+    bytes that are none, without end.
+    """
 
     NO_CONNECTION = "no_connection"
     LOST = "lost"
+    INVALID_STATUS = "invalid_status"
     NO_ANSWER = "no_answer"
     REFUSED = "refused"
     SILENT = "silent"
@@ -174,6 +180,9 @@
     exchange.answer.response = response
     if _is_crossed(response, outgoing, reused=exchange.reused):
         return _lost(exchange, "the answer is to another request")
+    if not is_final_status(response.status):
+        detail = f"the answer has status {response.status:03}, which no final answer has"
+        return SendFailure(FailureKind.INVALID_STATUS, detail, exchange.reused)
     if outgoing.request_id and outgoing.echo.field not in response.headers:
         exchange.use_connection_once()
     framed = _ends_detectably(response, outgoing.method)
--- a/src/flamingoladder/upstreams/connections.py
+++ b/src/flamingoladder/upstreams/connections.py
@@ -28,6 +28,7 @@
 OUTCOME_BY_FAILURE_KIND = {
     FailureKind.NO_CONNECTION: AttemptOutcome.UNREACHABLE,
     FailureKind.LOST: AttemptOutcome.LOST,
+    FailureKind.INVALID_STATUS: AttemptOutcome.INVALID,
     FailureKind.NO_ANSWER: AttemptOutcome.SILENT,
     FailureKind.REFUSED: AttemptOutcome.CANCELLED,
     FailureKind.SILENT: AttemptOutcome.SILENT,
--- a/src/flamingoladder/upstreams/dispatch_state.py
+++ b/src/flamingoladder/upstreams/dispatch_state.py
@@ -23,6 +23,7 @@
 
 REASON_BY_OUTCOME = {
     AttemptOutcome.ANSWERED: Reason.ANSWER_TOO_LARGE,
+    AttemptOutcome.INVALID: Reason.UPSTREAM_LOST,
     AttemptOutcome.UNREACHABLE: Reason.UPSTREAM_UNREACHABLE,
     AttemptOutcome.SHED: Reason.UPSTREAM_SHED,
     AttemptOutcome.LOST: Reason.UPSTREAM_LOST,
--- a/src/flamingoladder/upstreams/health.py
+++ b/src/flamingoladder/upstreams/health.py
@@ -23,8 +23,15 @@
 NEVER = float("-inf")
 
 FAILURE_OUTCOMES = frozenset(
-    {AttemptOutcome.UNREACHABLE, AttemptOutcome.LOST, AttemptOutcome.SILENT}
+    {
+        AttemptOutcome.INVALID,
+        AttemptOutcome.UNREACHABLE,
+        AttemptOutcome.LOST,
+        AttemptOutcome.SILENT,
+    }
 )
+# After these a target comes back as warm as it was.
+STILL_RUNNING_OUTCOMES = frozenset({AttemptOutcome.INVALID, AttemptOutcome.SILENT})
 
 
 class TargetHealth:
@@ -75,7 +82,7 @@
             return
         self._ejected_until = now + self._ejection_s
         self._ejection_s = min(2 * self._ejection_s, MAX_EJECTION_S)
-        if outcome is not AttemptOutcome.SILENT:
+        if outcome not in STILL_RUNNING_OUTCOMES:
             self._slow_start_since = self._ejected_until
 
     def record_probe(self, reply: ProbeReply) -> None:
--- a/tests/platform/test_target_wire.py
+++ b/tests/platform/test_target_wire.py
@@ -181,6 +181,39 @@
     assert result.may_have_run
 
 
+@pytest.mark.parametrize("head", [SIGNED, ECHO, SIGNED + NOT_RUN], ids=["signed", "bare", "marked"])
+@pytest.mark.parametrize(
+    "status",
+    ["000 None", "001 One", "099 Below", "101 Switching Protocols", "600 Above", "999 Odd"],
+)
+async def test_a_status_that_no_final_answer_has_is_not_passed_on(status: str, head: str) -> None:
+    """A target in trouble answered with status 000, and the caller got that as an answer."""
+    wire = targets_client()
+    raw = RawTarget(reply(head + LENGTH, status=status), reply(SIGNED + LENGTH))
+    async with raw.serving() as target:
+        first = await wire.send(request(), target)
+        second = await wire.send(request(), target)
+        await wire.close()
+    assert (first.status, first.answer, first.may_have_run) == (SendStatus.FAILED, None, True)
+    assert (second.status, raw.connections) == (SendStatus.ANSWERED, 2)
+
+
+@pytest.mark.parametrize("status", [200, 203, 299, 304, 404, 451, 500, 504, 599])
+async def test_a_final_status_is_passed_on_unchanged(status: int) -> None:
+    body = "" if status == 304 else "hello"
+    result = await send_once(RawTarget(reply(SIGNED + LENGTH, body, f"{status} Fine")))
+    assert result.answer is not None
+    assert (result.answer.status, result.answer.body.decode()) == (status, body)
+
+
+@pytest.mark.parametrize("interim", ["100 Continue", "102 Processing", "103 Early Hints"])
+async def test_an_interim_answer_goes_before_the_final_one(interim: str) -> None:
+    texts = reply("", "", interim) + reply(SIGNED + LENGTH)
+    result = await send_once(RawTarget(texts))
+    assert result.answer is not None
+    assert result.answer.body == b"hello"
+
+
 async def test_an_answer_without_length_ends_with_its_connection() -> None:
     result = await send_once(RawTarget(reply(SIGNED), close=True))
     assert result.answer is not None
--- a/tests/upstreams/scripted_target.py
+++ b/tests/upstreams/scripted_target.py
@@ -26,6 +26,7 @@
     CROSSED = "answers with another request's id"
     HUGE = "sends more than fits into memory, in chunks without end"
     HALF = "sends half of an answer and closes"
+    NO_STATUS = "answers with status 000"
     NO_LENGTH = "sends an answer that ends where the connection ends"
     SHED = "sheds"
     SILENT = "reads the request and is silent"
@@ -33,6 +34,7 @@
     SLOWER = "answers after 300 ms"
     SLOW_CLOSE = "closes after 150 ms"
     STALL = "sends half of an answer and is silent"
+    SWITCHES = "answers with status 101"
     UNMARKED_503 = "answers 503 of its own accord"
 
 
@@ -159,6 +161,10 @@
                 writer.write(_answer("shed", "503 Busy", f"{echo}Flamingoladder-Shed: 1\r\n"))
             case Behavior.UNMARKED_503:
                 writer.write(_answer("own", "503 Busy", echo))
+            case Behavior.NO_STATUS:
+                writer.write(_answer("none", "000 None", echo))
+            case Behavior.SWITCHES:
+                writer.write(_answer("other", "101 Switching Protocols", echo))
             case Behavior.CROSSED:
                 writer.write(_answer("other", extra="X-Request-Id: other\r\n"))
             case Behavior.COPY_LATE:
--- a/tests/upstreams/test_health.py
+++ b/tests/upstreams/test_health.py
@@ -12,6 +12,7 @@
 from flamingoladder.verdict import Answer
 
 ANSWERED = AttemptOutcome.ANSWERED
+INVALID = AttemptOutcome.INVALID
 LOST = AttemptOutcome.LOST
 SHED = AttemptOutcome.SHED
 SILENT = AttemptOutcome.SILENT
@@ -28,6 +29,7 @@
         ([LOST, LOST], ProbeReply(True), False),
         ([LOST, ANSWERED, LOST], ProbeReply(True), True),
         ([SILENT, SILENT], ProbeReply(True), False),
+        ([INVALID, INVALID], ProbeReply(True), False),
         ([SHED, SHED, SHED], ProbeReply(True), True),
     ],
 )
