Let targets read large bodies slowly

Cause: TCP_USER_TIMEOUT, which finds silent connections to targets after 1 s, also ends a connection whose window stays closed for that long.

Change: while a body over 16 KiB is sent, the bound is 10 s; a connection that is kept gets its bound back with the end of the request.

--- a/src/flamingoladder/transport/connector.py
+++ b/src/flamingoladder/transport/connector.py
@@ -4,6 +4,7 @@
 
 import socket
 from contextvars import ContextVar
+from functools import partial
 from typing import TYPE_CHECKING
 from weakref import WeakSet
 
@@ -12,6 +13,7 @@
 from flamingoladder.transport.exceptions import NotPermittedError
 from flamingoladder.transport.exceptions import SecondSendError
 from flamingoladder.transport.exceptions import UnusableConnectionError
+from flamingoladder.transport.proof_of_life import bound_unacknowledged
 from flamingoladder.transport.proof_of_life import require_acknowledgements
 from flamingoladder.transport.receive_guard import ReceiveGuard
 
@@ -26,6 +28,10 @@
     from flamingoladder.transport.exchange import Exchange
 
 SILENCE_S = 3.0
+# A body up to this size fits the other end's first window, so that its kernel acknowledges all of
+# it. Beyond, an end that reads slowly closes its window, at times for seconds.
+FIRST_WINDOW_BYTES = 16_384
+CLOSED_WINDOW_S = 10.0
 
 AddressInfo = tuple[
     int | socket.AddressFamily, int | socket.SocketKind, int, str, tuple[object, ...]
@@ -50,6 +56,7 @@
             super().__init__(limit=limit, force_close=True, socket_factory=open_socket)
         else:
             super().__init__(limit=limit, keepalive_timeout=keep_s, socket_factory=open_socket)
+        self._silence_s = silence_s
         self._used: WeakSet[Transport] = WeakSet()
 
     async def connect(
@@ -76,6 +83,7 @@
                 exchange.forbid_reuse = connection.protocol.force_close
             exchange.reused = self._is_used(connection)
             _put_guard(exchange)
+            self._allow_slow_reading(exchange)
         if connection.transport is not None:
             self._used.add(connection.transport)
         return connection
@@ -92,6 +100,14 @@
             if not was_used:
                 raise UnusableConnectionError
 
+    def _allow_slow_reading(self, exchange: Exchange) -> None:
+        """Allow for a closed window while a large body is sent."""
+        if exchange.transport is None or exchange.body_bytes <= FIRST_WINDOW_BYTES:
+            return
+        connection = exchange.transport.get_extra_info("socket")
+        bound_unacknowledged(connection, max(self._silence_s, CLOSED_WINDOW_S))
+        exchange.restore = partial(bound_unacknowledged, connection, self._silence_s)
+
     def _is_used(self, connection: Connection) -> bool:
         return connection.transport is None or connection.transport in self._used
 
--- a/src/flamingoladder/transport/exchange.py
+++ b/src/flamingoladder/transport/exchange.py
@@ -26,7 +26,8 @@
     wait between its answer and the write; its refusal, if any, is kept as ``refusal``. An exchange
     without a connection ends at ``connect_by``, one with a connection at ``deadline``, both in
     monotonic seconds. ``answer`` counts what came of the answer. ``target`` is the request target
-    to write, if it may differ from the URL's.
+    to write, if it may differ from the URL's, ``body_bytes`` the size of the body. ``restore``
+    gives a connection that is kept its bounds back.
     """
 
     __slots__ = (
@@ -35,12 +36,14 @@
         "_may_be_kept",
         "_timeout",
         "answer",
+        "body_bytes",
         "connected",
         "connection_error",
         "deadline",
         "forbid_reuse",
         "guard",
         "refusal",
+        "restore",
         "reused",
         "silent",
         "target",
@@ -58,9 +61,11 @@
         self._last_check = last_check
         self._may_be_kept = True
         self.refusal: Refusal | None = None
+        self.body_bytes = 0
         self.connected = False
         self.connection_error: Callable[[], BaseException | None] = _unknown
         self.forbid_reuse: Callable[[], None] = _nothing
+        self.restore: Callable[[], None] = _nothing
         self.silent = False
         self.target = ""
         self.reused = False
@@ -119,8 +124,12 @@
         if self.guard is not None and self.guard.answer is self.answer:
             self.guard.answer = None
             is_kept = is_kept and not self.guard.has_unparsed
-        if not is_kept and self.transport is not None:
+        if self.transport is None:
+            return
+        if not is_kept:
             self.transport.abort()
+        elif not self.transport.is_closing():
+            self.restore()
 
 
 def _unknown() -> BaseException | None:
--- a/src/flamingoladder/transport/sending.py
+++ b/src/flamingoladder/transport/sending.py
@@ -144,6 +144,7 @@
     data = _data(outgoing.body)
     token = current_exchange.set(exchange)
     exchange.target = outgoing.target
+    exchange.body_bytes = len(outgoing.body)
     whole = False
     try:
         async with exchange.open():
