Notice callers that leave behind unread requests

Cause: a close is found only by reading up to it, and a connection whose further requests fill the buffers isn't read.

Change: while it isn't, the kernel is asked each 0.2 s whether the other end has closed it; then the connection is closed, and its requests are cancelled.

--- a/src/flamingoladder/memory/connection_guard.py
+++ b/src/flamingoladder/memory/connection_guard.py
@@ -83,7 +83,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Pass on the end of the connection."""
         if self._lingering is not None:
-            self._lingering.stop_lingering()
+            self._lingering.note_closed()
         self.forget_unread()
         self._connections.remove(self)
         self._protocol.connection_lost(exc)
--- a/src/flamingoladder/transport/lingering_transport.py
+++ b/src/flamingoladder/transport/lingering_transport.py
@@ -1,4 +1,4 @@
-"""Closes callers' connections without losing the answer that is still under way."""
+"""The transport of callers' connections, which closes gently and notices callers that left."""
 
 from __future__ import annotations
 
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from flamingoladder.transport.close_watch import CloseWatch
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -24,13 +26,16 @@
     connection, and what the kernel still holds for the caller is lost. So ``close`` ends only the
     direction to the caller, once everything is written; what the caller still sends is to be
     discarded until it closes its end, or for ``LINGER_S``.
+
+    While reading is paused, a caller's close is noticed all the same.
     """
 
-    __slots__ = ("_bytes_left", "_socket_transport", "_timer", "is_lingering")
+    __slots__ = ("_bytes_left", "_close_watch", "_socket_transport", "_timer", "is_lingering")
 
     def __init__(self, socket_transport: asyncio.Transport) -> None:
         super().__init__()
         self._socket_transport = socket_transport
+        self._close_watch: CloseWatch | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._bytes_left = LINGER_BYTES
         self.is_lingering = False
@@ -41,7 +46,7 @@
             return
         self.is_lingering = True
         # Reading stops while further requests wait; the caller's end would not be noticed.
-        self._socket_transport.resume_reading()
+        self.resume_reading()
         can_end_one_direction = self._socket_transport.can_write_eof()
         if can_end_one_direction:
             self._socket_transport.write_eof()
@@ -53,8 +58,9 @@
         if self._bytes_left < 0:
             self._socket_transport.close()
 
-    def stop_lingering(self) -> None:
-        """Cancel the timer, as the connection is closed."""
+    def note_closed(self) -> None:
+        """Cancel what is scheduled, as the connection is closed."""
+        self._stop_watching()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -102,12 +108,16 @@
         return self._socket_transport.is_reading()
 
     def pause_reading(self) -> None:
-        """Stop reading, unless the transport lingers."""
-        if not self.is_lingering:
-            self._socket_transport.pause_reading()
+        """Stop reading, unless the transport is closing."""
+        if self.is_closing():
+            return
+        self._socket_transport.pause_reading()
+        self._stop_watching()
+        self._close_watch = CloseWatch(self._socket_transport, self._socket_transport.abort)
 
     def resume_reading(self) -> None:
         """Read on."""
+        self._stop_watching()
         self._socket_transport.resume_reading()
 
     def get_write_buffer_size(self) -> int:
@@ -122,6 +132,11 @@
         """Set the limits of the write buffer."""
         self._socket_transport.set_write_buffer_limits(high, low)
 
+    def _stop_watching(self) -> None:
+        if self._close_watch is not None:
+            self._close_watch.stop()
+            self._close_watch = None
+
     def _schedule(self, delay_s: float) -> None:
         self._timer = asyncio.get_running_loop().call_later(delay_s, self._expire)
 
--- a/tests/transport/test_lingering_close.py
+++ b/tests/transport/test_lingering_close.py
@@ -13,21 +13,14 @@
 import pytest
 from aiohttp import web
 
-from flamingoladder.memory.budget import MemoryBudget
-from flamingoladder.memory.caller_connections import CallerConnections
-from flamingoladder.memory.events import MemoryEvents
-from flamingoladder.timeline.recorder import Recorder
-from flamingoladder.transport.port import Port
+from tests.transport.ports import LOOPBACK
+from tests.transport.ports import daemon_port
+from tests.transport.ports import entry_port
+from tests.transport.ports import new_connections
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
-    from collections.abc import Callable
+    from tests.transport.ports import PortOf
 
-    Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
-LOOPBACK = "127.0.0.1"
-FIELD_BYTES = 8_192
-CLOSE_TIMEOUT_S = 0.1
 WORK_S = 0.1
 ANSWER_BYTES = 400_000
 # A caller with a small window that reads 2 MB a second.
@@ -52,16 +45,6 @@
     return response
 
 
-def entry_port(handle: Handle, connections: CallerConnections) -> Port:
-    return Port.of_handler(handle, FIELD_BYTES, CLOSE_TIMEOUT_S, connections)
-
-
-def daemon_port(handle: Handle, connections: CallerConnections) -> Port:
-    application = web.Application()
-    application.router.add_route("*", "/", handle)
-    return Port.of_application(application, FIELD_BYTES, 100, CLOSE_TIMEOUT_S, connections)
-
-
 class Caller:
     """Sends requests on one connection, and reads the answer to the first one slowly."""
 
@@ -136,12 +119,8 @@
         "unread_body",
     ],
 )
-async def test_a_closing_answer_arrives_whole(
-    port_of: Callable[[Handle, CallerConnections], Port], first: bytes, behind: bytes
-) -> None:
-    events = MemoryEvents(Recorder("h", "i"), lambda _kind, _reason: None)
-    connections = CallerConnections(MemoryBudget(), events)
-    port = port_of(answer_and_close, connections)
+async def test_a_closing_answer_arrives_whole(port_of: PortOf, first: bytes, behind: bytes) -> None:
+    port = port_of(answer_and_close, new_connections())
     number = await port.open(LOOPBACK, 0)
     callers = [Caller(number, first, behind) for _ in range(8)]
     missing = await asyncio.gather(*(caller.missing_bytes() for caller in callers))
