--- a/src/flamingoladder/daemon/directory_watcher.py
+++ b/src/flamingoladder/daemon/directory_watcher.py
@@ -7,6 +7,7 @@
 
 from flamingoladder.members.directory import read_directory
 from flamingoladder.storage.exceptions import PlatformError
+from flamingoladder.waiting import is_set_within
 
 if TYPE_CHECKING:
     from reactivex import Observable
@@ -52,10 +53,7 @@
                 pause_s = min(READ_INTERVAL_S, 2 * pause_s)
                 continue
             pause_s = RETRY_INTERVAL_S
-            try:
-                await asyncio.wait_for(self._outdated.wait(), READ_INTERVAL_S)
-            except TimeoutError:
-                continue
+            await is_set_within(self._outdated, READ_INTERVAL_S)
 
     async def read_once(self) -> bool:
         """Read the directory and pass it on; return whether it could be read."""
--- a/src/flamingoladder/freshness/announcer.py
+++ b/src/flamingoladder/freshness/announcer.py
@@ -11,6 +11,7 @@
 from flamingoladder.freshness.head import encode_head
 from flamingoladder.freshness.messages import HeadAcknowledged
 from flamingoladder.freshness.messages import HeadAnnounced
+from flamingoladder.waiting import is_set_within
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -84,10 +85,7 @@
     async def wait_for_answer(self, timeout_s: float) -> None:
         """Wait for another acknowledgement, at most ``timeout_s`` seconds."""
         self._answered.clear()
-        try:
-            await asyncio.wait_for(self._answered.wait(), timeout_s)
-        except TimeoutError:
-            return
+        await is_set_within(self._answered, timeout_s)
 
     def _all_installed(self) -> bool:
         return set(self._members_by_host) <= self.installed_on
--- a/src/flamingoladder/gateway/in_flight.py
+++ b/src/flamingoladder/gateway/in_flight.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from flamingoladder.waiting import is_set_within
+
 
 class InFlightCounter:
     """Counter of operations, each of which enters it as a context manager."""
@@ -28,8 +30,4 @@
 
     async def wait_until_idle(self, timeout_s: float) -> bool:
         """Return whether the count fell to 0 within ``timeout_s`` seconds."""
-        try:
-            await asyncio.wait_for(self._idle.wait(), timeout_s)
-        except TimeoutError:
-            return False
-        return True
+        return await is_set_within(self._idle, timeout_s)
--- a/src/flamingoladder/memory/caller_connections.py
+++ b/src/flamingoladder/memory/caller_connections.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from flamingoladder.waiting import is_set_within
+
 if TYPE_CHECKING:
     from flamingoladder.memory.budget import MemoryBudget
     from flamingoladder.memory.events import MemoryEvents
@@ -131,11 +133,7 @@
 
     async def wait_until_closed(self, timeout_s: float) -> bool:
         """Return whether all connections were closed within ``timeout_s`` seconds."""
-        try:
-            await asyncio.wait_for(self._all_closed.wait(), timeout_s)
-        except TimeoutError:
-            return False
-        return True
+        return await is_set_within(self._all_closed, timeout_s)
 
     def abort_idle(self) -> int:
         """Close all connections without a request; return how many answers are not written out."""
--- a/src/flamingoladder/poison/upkeep.py
+++ b/src/flamingoladder/poison/upkeep.py
@@ -8,6 +8,7 @@
 
 from flamingoladder.poison.repeat_schedule import REPORT_INTERVAL_S
 from flamingoladder.poison.repeat_schedule import RepeatSchedule
+from flamingoladder.waiting import is_set_within
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -82,18 +83,11 @@
             if hosts is not None:
                 until = min(until, loop.time() + MAX_ASKING_S)
                 answered = await self._ask_some(hosts)
-        restored = await self._wait_until_restored(until - loop.time())
+        # The store's evidence may still come later.
+        restored = await is_set_within(self._restored, until - loop.time())
         self._recorder.record("poison.asked", answered=answered, restored=restored)
         self.is_informed = True
 
-    async def _wait_until_restored(self, timeout_s: float) -> bool:
-        """Return whether the store's evidence is known; it may still come later."""
-        try:
-            await asyncio.wait_for(self._restored.wait(), timeout_s)
-        except TimeoutError:
-            return False
-        return True
-
     async def _ask_some(self, hosts: Sequence[str]) -> bool:
         """Return whether one of the hosts told what it knows."""
         replies = await asyncio.gather(*map(self._exchange.query, hosts[:ASKED_AT_ONCE]))
