Move an entry host's periodic work out of its daemon

The daemon starts and stops a host and serves its ports; what is done at intervals has nothing of that.

--- a/src/flamingoladder/entry/daemon.py
+++ b/src/flamingoladder/entry/daemon.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from flamingoladder.entry.components import EntryComponents
+from flamingoladder.entry.maintenance import Maintenance
 from flamingoladder.entry.metrics import CONTENT_TYPE
 from flamingoladder.entry.metrics import EntryMetrics
 from flamingoladder.entry.request_admission import RequestAdmission
@@ -43,9 +44,6 @@
 DEREGISTRATION_DELAY_S = 3.0
 EXIT_MARGIN_S = 0.4
 LEAVE_TIMEOUT_S = 0.1
-MAINTENANCE_INTERVAL_S = 0.25
-# Each takes 1 to 2 ms, so all take about a twentieth of the interval.
-HOME_STEPS_PER_MAINTENANCE = 8
 NO_ROUTE_LABEL = "none"
 MAX_HEADER_FIELD_BYTES = 65_536
 CLOSE_TIMEOUT_S = 0.2
@@ -123,7 +121,8 @@
         self._start_task("poison", components.poison_upkeep.run)
         self._start_task("evidence", components.evidence_keeper.run)
         self._start_task("silence", components.silence_check.run)
-        self._start_task("upkeep", self._run_maintenance)
+        maintenance = Maintenance(components, self._connections)
+        self._start_task("upkeep", maintenance.run)
         components.recorder.record("host.started", address=self._settings.callers)
 
     async def stop(self) -> None:
@@ -203,28 +202,6 @@
     def _start_task(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
         self._tasks.append(asyncio.create_task(supervised(name, work, self._components.recorder)))
 
-    async def _run_maintenance(self) -> None:
-        loop = asyncio.get_running_loop()
-        components = self._components
-        while True:
-            await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            now = loop.time()
-            components.targets.expire(now)
-            await self._correct_homes()
-            self._bound_connections(now)
-            if not components.members.has_lowest_name(now):
-                continue
-            for member in components.members.lost(now):
-                components.recorder.record("host.forgotten", peer=member.host)
-                await components.membership.forget(member.host)
-
-    async def _correct_homes(self) -> None:
-        """Take some steps, each in a turn of the event loop of its own."""
-        for _ in range(HOME_STEPS_PER_MAINTENANCE):
-            if not self._components.balancer.correct_homes():
-                return
-            await asyncio.sleep(0)
-
     async def _handle_caller(self, request: web.BaseRequest) -> web.StreamResponse:
         started = asyncio.get_running_loop().time()
         incoming = callers.incoming_request(request)
@@ -242,16 +219,6 @@
         route = None if routing is None else routing.find_route(incoming.host, incoming.path)
         return NO_ROUTE_LABEL if route is None else route.name
 
-    def _bound_connections(self, now: float) -> None:
-        components, connections = self._components, self._connections
-        components.memory.measure_rest()
-        connections.expect_peers(components.members.host_count)
-        if components.configuration.routing is not None:
-            limits = components.configuration.routing.limits
-            connections.header_timeout_s = limits.header_timeout_s
-            connections.idle_timeout_s = limits.idle_timeout_s
-        connections.close_expired(now)
-
     async def _handle_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if self._is_ready else 503)
 
