Take connections whose callers left out of the idle ones

Cause: a request that is cancelled as its caller left ends after its connection is lost; its end put the connection into the list of idle ones again. With more connections than descriptors allow, such an entry was closed in place of a live connection, so that the bound didn't hold.

Change: the end of a request on a lost connection notes nothing.

Evidence: test_a_caller_that_left_is_no_idle_connection failed before at both kinds of port, passes now.

--- a/src/flamingoladder/memory/connection_guard.py
+++ b/src/flamingoladder/memory/connection_guard.py
@@ -85,6 +85,7 @@
         if self._lingering is not None:
             self._lingering.note_closed()
         self.forget_unread()
+        self.transport = None
         self._connections.remove(self)
         self._protocol.connection_lost(exc)
 
@@ -109,8 +110,10 @@
         self._receive_at_once(BODY_RECEIVE_BYTES)
 
     def end_request(self) -> None:
-        """Note that the answer is written."""
+        """Note that the answer is written, or that the connection was lost before."""
         self._content = None
+        if self.transport is None:
+            return
         self._receive_at_once(FIRST_RECEIVE_BYTES)
         self._connections.note_idle(self)
 
--- a/tests/transport/test_callers_that_leave.py
+++ b/tests/transport/test_callers_that_leave.py
@@ -73,6 +73,25 @@
     await port.close()
 
 
+@pytest.mark.parametrize("port_of", [entry_port, daemon_port])
+async def test_a_caller_that_left_is_no_idle_connection(port_of: PortOf) -> None:
+    """One whose request was cancelled stayed in the list, and was closed in place of a live one."""
+    requests, connections = Requests(), new_connections()
+    port = port_of(requests.handle, connections)
+    number = await port.open(LOOPBACK, 0)
+    _, leaving = await asyncio.open_connection(LOOPBACK, number)
+    leaving.write(GET)
+    await eventually(lambda: requests.begun == ["GET"])
+    leaving.transport.abort()
+    await eventually(lambda: requests.cancelled == ["GET"] and connections.count == 0)
+    connections.max_connections = 1
+    opened = [await asyncio.open_connection(LOOPBACK, number) for _ in range(2)]
+    await eventually(lambda: connections.count == 1)
+    for _, writer in opened:
+        writer.close()
+    await port.close()
+
+
 @pytest.mark.parametrize("port_of", [entry_port, daemon_port])
 @pytest.mark.parametrize("behind", [put(100_000), CHUNKED_PUT], ids=["long_put", "chunked_put"])
 async def test_a_caller_that_stays_gets_all_answers(port_of: PortOf, behind: bytes) -> None:
