Keep evidence that another caller's answer doesn't clear

Cause: an answer to another caller clears the content that both ask for; the row of the evidence was deleted with it, though it still counted against the first caller's own request.

Change: what still counts under the same ends is written again.

Evidence: test_a_later_answer_removes_what_it_clears failed for another caller's answer before, passes now.

--- a/src/flamingoladder/poison/detector.py
+++ b/src/flamingoladder/poison/detector.py
@@ -116,7 +116,7 @@
         cleared = [of for of in work.fingerprints if self._history.note_answer(of, work.began)]
         if not cleared:
             return
-        self.evidence_changes.note_cleared(accused.intersection(cleared))
+        self._note_cleared(accused.intersection(cleared))
         age_ms = _age_ms(work.began, now)
         answers = tuple(AnswerReport(fingerprint, age_ms) for fingerprint in cleared)
         self._exchange.broadcast(PoisonReport(answers=answers))
@@ -204,6 +204,12 @@
         self._history.expire(now)
         self._trials = {of: until for of, until in self._trials.items() if until > now}
 
+    def _note_cleared(self, fingerprints: set[int]) -> None:
+        """Have the evidence against these removed, and that against others of their ends kept."""
+        self.evidence_changes.note_cleared(fingerprints)
+        for end in self._history.ends_under(fingerprints):
+            self.evidence_changes.note_accused(filter(self._history.is_accused, end.fingerprints))
+
     def _add(self, end: TargetEnd, source: str | None, now: float) -> bool:
         if not self._history.add(end):
             return False
--- a/src/flamingoladder/poison/history.py
+++ b/src/flamingoladder/poison/history.py
@@ -116,6 +116,11 @@
             for end in sorted(ends_by_key.values(), key=_time_of)
         ]
 
+    def ends_under(self, fingerprints: Iterable[int]) -> list[TargetEnd]:
+        """Return the ends under which a request with one of the fingerprints was at work."""
+        keys = {key for of in fingerprints for key in self._keys_by_fingerprint.get(of, ())}
+        return [self._ends_by_key[key] for key in keys]
+
     def add(self, end: TargetEnd) -> bool:
         """Add an end, or what is new of a known one; return whether anything is."""
         for key, known in reversed(self._ends_by_key.items()):
--- a/tests/poison/test_evidence.py
+++ b/tests/poison/test_evidence.py
@@ -25,9 +25,13 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from flamingoladder.poison.fingerprints import Fingerprints
+
 # Two requests, of which one runs beside the other at each target.
 REQUEST = (11, 12, 13)
 BYSTANDER = (1, 2, 3)
+# Another caller's request with the same content: it shares the widest fingerprint.
+ANOTHER_CALLERS = (11, 22, 23)
 GAP_S = 3.0
 UNIX_S = 1_800_000_000.0
 SETTLED_S = 5.0
@@ -69,10 +73,10 @@
         for start in starts:
             self.detector.target_ended(start, now)
 
-    async def answer(self) -> None:
-        """Let a target answer the request."""
+    async def answer(self, fingerprints: Fingerprints = REQUEST) -> None:
+        """Let a target answer a request."""
         now = asyncio.get_running_loop().time()
-        work = self.detector.begin(REQUEST, TargetStart("t9", 1, "d9"), now)
+        work = self.detector.begin(fingerprints, TargetStart("t9", 1, "d9"), now)
         await asyncio.sleep(1.0)
         self.detector.answered(work, now + 1.0)
 
@@ -130,18 +134,26 @@
     assert run_on_injected_time(scenario()) == 0
 
 
-def test_a_later_answer_removes_the_evidence() -> None:
+@pytest.mark.parametrize(
+    ("answered", "rows", "status"),
+    [(REQUEST, 0, Status.FREE), (ANOTHER_CALLERS, 1, Status.CONDEMNED)],
+)
+def test_a_later_answer_removes_what_it_clears(
+    answered: Fingerprints, rows: int, status: Status
+) -> None:
+    """An answer to another caller clears the content alone, not the caller's own request."""
+
     async def scenario() -> tuple[int, Status]:
         stored = StoredTable()
         host = Host(stored)
-        await host.crash(2)
-        await host.answer()
+        await host.crash(MAX_CAUSES)
+        await host.answer(answered)
         await asyncio.sleep(SETTLED_S)
         after = Host(stored)
         await after.keeper.restored.wait()
         return len(stored.read(EVIDENCE_PREFIX).rows), after.status
 
-    assert run_on_injected_time(scenario()) == (0, Status.FREE)
+    assert run_on_injected_time(scenario()) == (rows, status)
 
 
 @pytest.mark.parametrize("lost_answers", [0, 1])
