Watch an unread connection with one timer

A connection that is paused and resumed for each part of an upload set up a poll and a timer each time.

--- a/src/flamingoladder/transport/lingering_transport.py
+++ b/src/flamingoladder/transport/lingering_transport.py
@@ -35,7 +35,7 @@
     def __init__(self, socket_transport: asyncio.Transport) -> None:
         super().__init__()
         self._socket_transport = socket_transport
-        self._close_watch: CloseWatch | None = None
+        self._close_watch: CloseWatch | None = None  # Most connections need none.
         self._timer: asyncio.TimerHandle | None = None
         self._bytes_left = LINGER_BYTES
         self.is_lingering = False
@@ -60,7 +60,8 @@
 
     def note_closed(self) -> None:
         """Cancel what is scheduled, as the connection is closed."""
-        self._stop_watching()
+        if self._close_watch is not None:
+            self._close_watch.close()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -112,12 +113,14 @@
         if self.is_closing():
             return
         self._socket_transport.pause_reading()
-        self._stop_watching()
-        self._close_watch = CloseWatch(self._socket_transport, self._socket_transport.abort)
+        if self._close_watch is None:
+            self._close_watch = CloseWatch(self._socket_transport, self._socket_transport.abort)
+        self._close_watch.start()
 
     def resume_reading(self) -> None:
         """Read on."""
-        self._stop_watching()
+        if self._close_watch is not None:
+            self._close_watch.stop()
         self._socket_transport.resume_reading()
 
     def get_write_buffer_size(self) -> int:
@@ -132,11 +135,6 @@
         """Set the limits of the write buffer."""
         self._socket_transport.set_write_buffer_limits(high, low)
 
-    def _stop_watching(self) -> None:
-        if self._close_watch is not None:
-            self._close_watch.stop()
-            self._close_watch = None
-
     def _schedule(self, delay_s: float) -> None:
         self._timer = asyncio.get_running_loop().call_later(delay_s, self._expire)
 
