Choose the target that has load in the tests of leaving and of a pause

Both tests took the first target by number and asserted that it had had requests before it left or paused; all requests for one object go to its home, so that the first target may have none.

Now the target that got the most requests leaves or pauses. The checks are the same: it has had requests, gets none from then on, callers see only 200, and after the pause it gets some again.

--- a/tests/entry/test_end_to_end.py
+++ b/tests/entry/test_end_to_end.py
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from flamingoladder.platform.standins.targets import StandinTarget
+
 DRAIN_S = 2.5
 PAUSE_S = 4.0
 KEYS = {"turf": ["k-turf"], "moss": ["k-moss", "k-moss-2"]}
@@ -269,11 +271,16 @@
     return statuses
 
 
+def busiest(platform: LocalPlatform) -> StandinTarget:
+    """Return the target with the most arrivals, so that its share of the load is certain."""
+    return max(platform.targets, key=lambda target: len(target.arrivals))
+
+
 async def test_a_target_that_says_that_it_leaves_gets_nothing_while_its_row_is_ready(
     platform: LocalPlatform, caller: Caller
 ) -> None:
-    target = platform.targets[0]
     await serve_for(caller, 1.0)
+    target = busiest(platform)
     target.says_leaving = True
     statuses = await serve_for(caller, DRAIN_S)
     arrived = len(target.arrivals)
@@ -286,8 +293,8 @@
 async def test_a_target_gets_nothing_in_the_pause_that_it_named_and_callers_notice_nothing(
     platform: LocalPlatform, caller: Caller
 ) -> None:
-    target = platform.targets[0]
     await serve_for(caller, 1.0)
+    target = busiest(platform)
     target.pause_until = asyncio.get_running_loop().time() + PAUSE_S
     statuses = await serve_for(caller, PAUSE_S / 4)
     arrived = len(target.arrivals)
