--- a/tests/daemon/test_tls.py
+++ b/tests/daemon/test_tls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import ssl
 from datetime import UTC
 from datetime import datetime
@@ -18,10 +19,16 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 
 from flamingoladder.daemon.tls import tls_context
+from flamingoladder.transport.lingering_transport import TLS_LINGER_S
+from tests.transport.ports import daemon_port
+from tests.transport.ports import new_connections
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+ANSWER_BYTES = 400_000
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+PUT = b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + bytes(100_000)
 VALID_FOR = timedelta(days=1)
 
 
@@ -54,6 +61,12 @@
         )
 
 
+async def _answer_and_close(_request: web.BaseRequest) -> web.StreamResponse:
+    response = web.Response(body=bytes(ANSWER_BYTES))
+    response.force_close()
+    return response
+
+
 async def _scheme(request: web.Request) -> web.Response:
     return web.Response(text=request.scheme)
 
@@ -78,6 +91,25 @@
     await runner.cleanup()
 
 
+@pytest.mark.parametrize("behind", [b"", 60 * GET, PUT], ids=["nothing", "gets", "put"])
+async def test_a_closing_answer_arrives_whole_over_tls(tmp_path: Path, behind: bytes) -> None:
+    """TLS can't end one direction of a connection, so its socket stays open for a moment."""
+    files = PemFiles(tmp_path)
+    port = daemon_port(_answer_and_close, new_connections())
+    context = tls_context(str(files.certificate), str(files.key))
+    number = await port.open("127.0.0.1", 0, context)
+    trusting = ssl.create_default_context(cafile=str(files.certificate))
+    reader, writer = await asyncio.open_connection("127.0.0.1", number, ssl=trusting)
+    writer.write(GET)
+    head = await reader.readuntil(b"\r\n\r\n")
+    writer.write(behind)
+    assert b"connection: close" in head.lower()
+    assert len(await reader.readexactly(ANSWER_BYTES)) == ANSWER_BYTES
+    assert await asyncio.wait_for(reader.read(), 2 * TLS_LINGER_S) == b""
+    writer.close()
+    await port.close()
+
+
 def test_without_a_certificate_there_is_no_tls() -> None:
     assert tls_context(None, None) is None
 
