Treat values nested too deeply as malformed wherever one is read

Callers: while an entry of another writer, nested thousands of levels deep, stood in the list of targets, almost no request was served after a restart of all hosts.

Cause: msgspec raises RecursionError for such a value, also in a part that the type doesn't name. That is none of its own errors, and all readers caught those only. So the task that takes in the table ended amid its rows, and again at each restart a second later: targets whose keys come after the entry's were never known. Registrations of hosts (members) and the evidence of crashing requests (state) ended the same way, as did answers of the store, messages of peers, heads, claims, tickets of callers, probes' answers, bodies of operators and the settings file.

Change: decoding.py decodes for all of them and raises one error for whatever is wrong with a value; each reader turns it into its own, as before. The stand-in of a deployment can restart all hosts at once.

Rows of the table of known objects and of the operator's table did no harm before; their cases stay.

--- a/src/flamingoladder/client/entry_hosts.py
+++ b/src/flamingoladder/client/entry_hosts.py
@@ -5,13 +5,14 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import msgspec
 from expression import Error
 from expression import Ok
 from multidict import CIMultiDict
 from yarl import URL
 
 from flamingoladder import fields
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.memory.budget import MemoryBudget
 from flamingoladder.transport.exchange import Exchange
 from flamingoladder.transport.pool import PoolPair
@@ -31,6 +32,8 @@
 ANSWER_MARGIN_S = 0.1
 MS_PER_S = 1_000
 
+_refusal_decoder = Decoder.of_json(Refusal)
+
 
 class EntryHosts:
     """The connections to entry hosts, by base URL."""
@@ -79,7 +82,7 @@
             pools = self._pools_by_url[url] = PoolPair(self._settings.connections, self._memory)
         result = await pools.send(outgoing, Exchange(abort_at), idempotent=idempotent)
         if isinstance(result, Answer):
-            return _outcome(result)
+            return answer_outcome(result)
         if result.kind is FailureKind.TIMEOUT and result.reused:
             await pools.renew()
         return Error(_refusal(url, result))
@@ -98,7 +101,7 @@
     return max(1, int((left_s - margin_s) * MS_PER_S))
 
 
-def _outcome(answer: Answer) -> Outcome:
+def answer_outcome(answer: Answer) -> Outcome:
     """Return the answer, or the refusal that it contains.
 
     If it can't be read as either, the call may have run.
@@ -110,8 +113,8 @@
     if verdict is None and answer.status < 400:
         return Ok(answer)
     try:
-        return Error(msgspec.json.decode(answer.body, type=Refusal))
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return Error(_refusal_decoder.decode(answer.body))
+    except MalformedValueError:
         detail = f"the host answered {answer.status} without a verdict"
         return Error(Refusal.may_have_run(Reason.INTERNAL_ERROR, detail))
 
--- a/src/flamingoladder/freshness/head.py
+++ b/src/flamingoladder/freshness/head.py
@@ -11,6 +11,8 @@
 from flamingoladder.config.agreed import KeyGrant
 from flamingoladder.config.agreed import Shift
 from flamingoladder.config.model import Deployment
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.freshness.exceptions import StateUnreadableError
 from flamingoladder.members.member import Member
 
@@ -80,12 +82,12 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_head_decoder = msgspec.msgpack.Decoder(Head)
-_deployment_decoder = msgspec.msgpack.Decoder(Deployment)
-_grants_decoder = msgspec.msgpack.Decoder(tuple[KeyGrant, ...])
-_members_decoder = msgspec.msgpack.Decoder(tuple[Member, ...])
-_drains_decoder = msgspec.msgpack.Decoder(tuple[Drain, ...])
-_shifts_decoder = msgspec.msgpack.Decoder(tuple[Shift, ...])
+_head_decoder = Decoder.of_msgpack(Head)
+_deployment_decoder = Decoder.of_msgpack(Deployment)
+_grants_decoder = Decoder.of_msgpack(tuple[KeyGrant, ...])
+_members_decoder = Decoder.of_msgpack(tuple[Member, ...])
+_drains_decoder = Decoder.of_msgpack(tuple[Drain, ...])
+_shifts_decoder = Decoder.of_msgpack(tuple[Shift, ...])
 
 
 def encode_head(head: Head) -> bytes:
@@ -100,7 +102,7 @@
     """
     try:
         return _head_decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except MalformedValueError as error:
         raise StateUnreadableError(f"head of {len(value)} bytes: {error}") from error
 
 
@@ -142,7 +144,7 @@
     """
     try:
         return _decode_parts(head, content_by_name)
-    except msgspec.DecodeError as error:
+    except MalformedValueError as error:
         raise StateUnreadableError(f"version {head.version}: {error}") from error
 
 
--- a/src/flamingoladder/ledger/rows.py
+++ b/src/flamingoladder/ledger/rows.py
@@ -10,6 +10,8 @@
 from expression import Error
 from expression import Ok
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.ledger.exceptions import LedgerRowError
 from flamingoladder.verdict import Answer
 from flamingoladder.verdict import Outcome
@@ -92,10 +94,10 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_claim_decoder = msgspec.msgpack.Decoder(ClaimRow)
-_shutdown_decoder = msgspec.msgpack.Decoder(ShutdownRow)
-_marks_decoder = msgspec.msgpack.Decoder(RevisionMarksRow)
-_answer_decoder = msgspec.msgpack.Decoder(Answer)
+_claim_decoder = Decoder.of_msgpack(ClaimRow)
+_shutdown_decoder = Decoder.of_msgpack(ShutdownRow)
+_marks_decoder = Decoder.of_msgpack(RevisionMarksRow)
+_answer_decoder = Decoder.of_msgpack(Answer)
 
 T = TypeVar("T")
 
@@ -137,10 +139,10 @@
     return _decode(_answer_decoder, value)
 
 
-def _decode(decoder: msgspec.msgpack.Decoder[T], value: bytes) -> T:
+def _decode(decoder: Decoder[T], value: bytes) -> T:
     try:
         return decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except MalformedValueError as error:
         raise LedgerRowError(
             f"can't decode {len(value)} bytes as {decoder.type}: {error}"
         ) from error
--- a/src/flamingoladder/ledger/tickets.py
+++ b/src/flamingoladder/ledger/tickets.py
@@ -6,11 +6,12 @@
 import secrets
 from base64 import urlsafe_b64decode
 from base64 import urlsafe_b64encode
-from binascii import Error as Base64Error
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
+
 if TYPE_CHECKING:
     from flamingoladder.members.member import Member
 
@@ -41,7 +42,7 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Ticket)
+_decoder = Decoder.of_msgpack(Ticket)
 
 
 class TicketIssuer:
@@ -89,5 +90,5 @@
     payload, _, _ = text.removeprefix(TICKET_PREFIX).partition(SEPARATOR)
     try:
         return _decoder.decode(urlsafe_b64decode(payload.encode()))
-    except (Base64Error, msgspec.DecodeError, ValueError):
+    except ValueError:
         return None
--- a/src/flamingoladder/operators/server.py
+++ b/src/flamingoladder/operators/server.py
@@ -16,6 +16,8 @@
 from flamingoladder.config.changes import ApplyConfiguration
 from flamingoladder.config.reader import read_deployment
 from flamingoladder.daemon.settings import Role
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.keys.changes import GrantKey
 from flamingoladder.keys.changes import WithdrawKey
 from flamingoladder.keys.issue import issue_key
@@ -211,8 +213,8 @@
 
 async def _body(request: web.Request, body_type: type[B]) -> B:
     try:
-        return msgspec.json.decode(await request.read(), type=body_type)
-    except msgspec.DecodeError as error:
+        return Decoder.of_json(body_type).decode(await request.read())
+    except MalformedValueError as error:
         raise BadRequestError(f"body: {error}") from error
 
 
--- a/src/flamingoladder/peers/envelope.py
+++ b/src/flamingoladder/peers/envelope.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.peers.exceptions import PeerMessageError
 
 # Smaller bodies hardly shrink.
@@ -49,10 +51,8 @@
 
     def __init__(self, body_type: Any) -> None:
         self._encoder = msgspec.msgpack.Encoder()
-        self._frame_decoder = msgspec.msgpack.Decoder(_Frame)
-        self._body_decoder: msgspec.msgpack.Decoder[msgspec.Struct | bytes | None] = (
-            msgspec.msgpack.Decoder(body_type | bytes | None)
-        )
+        self._frame_decoder = Decoder.of_msgpack(_Frame)
+        self._body_decoder = Decoder.of_msgpack(body_type | bytes | None)
 
     def encode(self, envelope: Envelope, *, compress: bool = False) -> bytes:
         """Return the envelope encoded as MessagePack; ``compress`` holds for large bodies."""
@@ -79,7 +79,7 @@
             body = self._body_decoder.decode(decoded.body)
             if isinstance(body, bytes):
                 body = self._body_decoder.decode(_decompressed(body))
-        except (msgspec.DecodeError, zlib.error) as error:
+        except (MalformedValueError, zlib.error) as error:
             raise PeerMessageError(f"peer message of {len(frame)} bytes: {error}") from error
         if isinstance(body, bytes):
             raise PeerMessageError(f"peer message of {len(frame)} bytes: compressed twice")
--- a/src/flamingoladder/platform/configuration.py
+++ b/src/flamingoladder/platform/configuration.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
 from flamingoladder.platform.exceptions import UnreadableRowError
 from flamingoladder.routing.model import RequestLimits
 from flamingoladder.routing.model import Route
@@ -81,15 +82,18 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+_decoder = Decoder.of_json(_Document)
+
+
 def decode_configuration(value: bytes) -> RoutingConfig:
     """Return the configuration in a row's value.
 
     :raises UnreadableRowError: if it can't be read.
     """
     try:
-        document = msgspec.json.decode(value, type=_Document)
+        document = _decoder.decode(value)
         version = int(document.version, VERSION_BASE)
-    except (msgspec.DecodeError, ValueError) as error:
+    except ValueError as error:
         raise UnreadableRowError(f"configuration: {error}") from error
     workspaces = [(_workspace(tenant), tenant.api_keys) for tenant in document.tenants]
     routes_by_host = {
--- a/src/flamingoladder/platform/memberships.py
+++ b/src/flamingoladder/platform/memberships.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.feed.reader import TableReader
 from flamingoladder.members.member import Member
 from flamingoladder.storage.exceptions import OutcomeUnknownError
@@ -25,6 +27,8 @@
 TABLE = "members"
 RETRY_PAUSE_S = 0.5
 
+_decoder = Decoder.of_json(Member)
+
 
 class MembershipReader(TableReader):
     """Brings registrations to the registry of members, and repeats this host's if it is lost."""
@@ -72,8 +76,8 @@
                 self._handle_removal(row.key)
                 continue
             try:
-                member = msgspec.json.decode(row.value, type=Member)
-            except msgspec.DecodeError as error:
+                member = _decoder.decode(row.value)
+            except MalformedValueError as error:
                 self._recorder.record("member.unreadable", peer=row.key, error=error)
                 continue
             self._members.put(member, now)
--- a/src/flamingoladder/platform/object_rows.py
+++ b/src/flamingoladder/platform/object_rows.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.fleet.object_snapshots import ObjectsByService
 from flamingoladder.fleet.object_snapshots import ObjectSnapshotStore
 from flamingoladder.storage.exceptions import PlatformError
@@ -17,6 +19,8 @@
 TABLE = "objects"
 MAX_ROW_BYTES = 60_000
 
+_decoder = Decoder.of_json(ObjectsByService)
+
 
 class ObjectRows(ObjectSnapshotStore):
     """One row for each region."""
@@ -42,8 +46,8 @@
         objects: dict[str, ObjectsByService] = {}
         for row in found.rows:
             try:
-                objects[row.key] = msgspec.json.decode(row.value or b"{}", type=ObjectsByService)
-            except msgspec.DecodeError as error:
+                objects[row.key] = _decoder.decode(row.value or b"{}")
+            except MalformedValueError as error:
                 self._recorder.record("objects.unreadable", region=row.key, error=error)
         return objects
 
--- a/src/flamingoladder/platform/registry.py
+++ b/src/flamingoladder/platform/registry.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.feed.reader import TableReader
 from flamingoladder.platform.exceptions import UnreadableRowError
 from flamingoladder.targets.record import TargetRecord
@@ -33,6 +35,9 @@
     born: int | None = None
 
 
+_decoder = Decoder.of_json(_Entry)
+
+
 class RegistryReader(TableReader):
     """Brings the targets' entries to the registry of targets.
 
@@ -87,8 +92,8 @@
     :raises UnreadableRowError: if it can't be read, or names no usable state.
     """
     try:
-        entry = msgspec.json.decode(value, type=_Entry)
-    except msgspec.DecodeError as error:
+        entry = _decoder.decode(value)
+    except MalformedValueError as error:
         raise UnreadableRowError(f"entry of {target_id}: {error}") from error
     address, _, port = entry.address.rpartition(":")
     if entry.state not in STATES or not address or not port.isdecimal():
--- a/src/flamingoladder/platform/rows.py
+++ b/src/flamingoladder/platform/rows.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.platform.headers import STORE_ERA
 from flamingoladder.platform.http_transport import HttpCall
 from flamingoladder.storage.exceptions import HistoryLostError
@@ -67,6 +69,10 @@
     ver: int
 
 
+_reply_decoder = Decoder.of_json(_Reply)
+_transaction_reply_decoder = Decoder.of_json(_TransactionReply)
+
+
 class RowStore(TableFeed):
     """The tables of the platform's store, all rows with an empty part.
 
@@ -173,8 +179,8 @@
         except PlatformUnavailableError as error:
             raise OutcomeUnknownError(str(error)) from error
         try:
-            found = msgspec.json.decode(reply.body, type=_TransactionReply)
-        except msgspec.DecodeError as error:
+            found = _transaction_reply_decoder.decode(reply.body)
+        except MalformedValueError as error:
             raise OutcomeUnknownError(f"malformed answer of the store: {error}") from error
         return TransactionResult(reply.status == HTTPStatus.OK, found.ver)
 
@@ -203,8 +209,8 @@
 
 def _decode_reply(reply: HttpReply) -> _Reply:
     try:
-        return msgspec.json.decode(reply.body, type=_Reply)
-    except msgspec.DecodeError as error:
+        return _reply_decoder.decode(reply.body)
+    except MalformedValueError as error:
         raise PlatformUnavailableError(f"malformed answer of the store: {error}") from error
 
 
--- a/src/flamingoladder/platform/settings.py
+++ b/src/flamingoladder/platform/settings.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.entry.settings import Bounds
 from flamingoladder.entry.settings import Endpoint
 from flamingoladder.entry.settings import HostSettings
@@ -88,16 +90,19 @@
     tolerances: _Tolerances
 
 
+_decoder = Decoder.of_json(_File)
+
+
 def read_settings_file(path: str) -> HostSettings:
     """Return the settings in the JSON file at ``path``; fields that nothing uses are ignored.
 
     :raises SettingsFileError: if the file can't be read or a field is missing or wrong.
     """
     try:
-        found = msgspec.json.decode(Path(path).read_bytes(), type=_File)
+        found = _decoder.decode(Path(path).read_bytes())
     except OSError as error:
         raise SettingsFileError(f"{path}: {error}; set {PATH_VARIABLE} to its path") from error
-    except msgspec.DecodeError as error:
+    except MalformedValueError as error:
         raise SettingsFileError(f"{path}: {error}; correct that field") from error
     return _settings(found, path)
 
--- a/src/flamingoladder/platform/standins/deployment.py
+++ b/src/flamingoladder/platform/standins/deployment.py
@@ -168,7 +168,17 @@
         await self.configure(1, keys)
         for target in self.targets:
             await target.start(self.store)
-        self.hosts = [EntryHost.from_config(self.settings(n)) for n in range(len(self._ports))]
+        await self._start_hosts(first_start=True)
+
+    async def restart_hosts(self) -> None:
+        """Stop all hosts at once, start them anew and wait until each serves."""
+        for host in self.hosts:
+            await host.close()
+        await self._start_hosts(first_start=False)
+
+    async def _start_hosts(self, *, first_start: bool) -> None:
+        settings = [self.settings(n, first_start=first_start) for n in range(len(self._ports))]
+        self.hosts = [EntryHost.from_config(each) for each in settings]
         for host in self.hosts:
             await host.start()
         await self._wait_until_ready()
@@ -181,9 +191,10 @@
             await asyncio.sleep(POLL_S)
         raise TimeoutError("the hosts did not hear one another in time")
 
-    def settings(self, number: int) -> HostSettings:
+    def settings(self, number: int, *, first_start: bool = True) -> HostSettings:
         """Return the settings of a host."""
-        return host_settings(number, self._ports[number], self._server.url)
+        port = self._ports[number]
+        return host_settings(number, port, self._server.url, first_start=first_start)
 
     async def stop(self) -> None:
         """Close everything at once."""
--- a/src/flamingoladder/platform/standins/store.py
+++ b/src/flamingoladder/platform/standins/store.py
@@ -15,6 +15,8 @@
 import msgspec
 from aiohttp import web
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.platform.headers import STORE_ERA
 from flamingoladder.standins.platform import FaultSettings
 from flamingoladder.standins.platform import HostSettings
@@ -244,8 +246,8 @@
 
 async def _decoded(request: web.Request, message_type: type[M]) -> M:
     try:
-        return msgspec.json.decode(await request.read(), type=message_type)
-    except msgspec.DecodeError as error:
+        return Decoder.of_json(message_type).decode(await request.read())
+    except MalformedValueError as error:
         raise web.HTTPBadRequest(text=str(error)) from error
 
 
--- a/src/flamingoladder/poison/evidence.py
+++ b/src/flamingoladder/poison/evidence.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.poison.history import RECORD_TTL_S
 from flamingoladder.poison.history import TargetEnd
 from flamingoladder.storage.exceptions import PlatformError
@@ -50,6 +52,9 @@
     ends: tuple[StoredEnd, ...]
 
 
+_decoder = Decoder.of_msgpack(Evidence)
+
+
 class EvidenceKeeper:
     """Restores the evidence at the start, then writes what this host finds.
 
@@ -108,8 +113,8 @@
     def _ends_of(self, row: Row, now: float) -> list[TargetEnd]:
         """Return the ends of a row that are not too old; none if it can't be read."""
         try:
-            evidence = msgspec.msgpack.decode(row.value, type=Evidence)
-        except msgspec.DecodeError as error:
+            evidence = _decoder.decode(row.value)
+        except MalformedValueError as error:
             self._recorder.record("poison.unreadable", key=row.key, error=error)
             return []
         lag_s = self._unix_time() - now
--- a/src/flamingoladder/soak/callers.py
+++ b/src/flamingoladder/soak/callers.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.platform import headers
 from flamingoladder.soak.caller_connection import CallerConnection
 from flamingoladder.soak.history import End
@@ -35,6 +37,9 @@
     verdict: str = ""
 
 
+_refusal_decoder = Decoder.of_json(_RefusalBody)
+
+
 class Call(msgspec.Struct, frozen=True):
     """A request to send; ``number`` names its object. With a body it is a booking."""
 
@@ -162,6 +167,6 @@
     if answer is None or answer.status == OK:
         return ""
     try:
-        return msgspec.json.decode(answer.body, type=_RefusalBody).verdict
-    except msgspec.DecodeError:
+        return _refusal_decoder.decode(answer.body).verdict
+    except MalformedValueError:
         return ""
--- a/src/flamingoladder/standins/upstream_server.py
+++ b/src/flamingoladder/standins/upstream_server.py
@@ -15,6 +15,8 @@
 from aiohttp import web
 
 from flamingoladder import fields
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.standins.exceptions import ShedError
 from flamingoladder.standins.server import ApplicationServer
 from flamingoladder.standins.upstream import MILLISECONDS_PER_SECOND
@@ -41,6 +43,8 @@
 CONTROL_PATHS = frozenset({"/control", "/runs"})
 NO_DEADLINE_MS = 3_600_000.0
 
+_control_decoder = Decoder.of_json(Control)
+
 
 class UpstreamServer:
     """Serves one target."""
@@ -127,8 +131,8 @@
 
     async def _control(self, request: web.Request) -> web.Response:
         try:
-            control = msgspec.json.decode(await request.read(), type=Control)
-        except msgspec.DecodeError as error:
+            control = _control_decoder.decode(await request.read())
+        except MalformedValueError as error:
             raise web.HTTPBadRequest(text=str(error)) from error
         self._target.control(control, _now())
         if control.silence:
--- a/src/flamingoladder/upstreams/probe_messages.py
+++ b/src/flamingoladder/upstreams/probe_messages.py
@@ -7,6 +7,9 @@
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
+
 if TYPE_CHECKING:
     from flamingoladder.verdict import Answer
 
@@ -42,26 +45,30 @@
     answered: bool = True
 
 
+_health_decoder = Decoder.of_json(HealthBody)
+_load_decoder = Decoder.of_json(LoadBody)
+
+
 def parse_probe(health: Answer | None, load: Answer | None) -> ProbeReply:
     """Parse the answers of ``/health`` and ``/load``; None stands for an answer not received.
 
     A target is healthy if ``/health`` has status 200, and draining if either body reports it.
     """
     ok = health is not None and health.status == OK
-    health_body = _decode_body(health, HealthBody)
-    load_body = _decode_body(load, LoadBody)
+    health_body = _decode_body(health, _health_decoder)
+    load_body = _decode_body(load, _load_decoder)
     draining = (health_body is not None and health_body.status == DRAINING) or bool(
         load_body and load_body.draining
     )
     return ProbeReply(ok, draining, _load(load_body), health is not None)
 
 
-def _decode_body(answer: Answer | None, body_type: type[B]) -> B | None:
+def _decode_body(answer: Answer | None, decoder: Decoder[B]) -> B | None:
     if answer is None:
         return None
     try:
-        return msgspec.json.decode(answer.body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decoder.decode(answer.body)
+    except MalformedValueError:
         return None
 
 
