Use no target whose address can't be one

Cause: of the address only "some text, a colon, decimal digits" was checked, and Unicode digits counted. Making a connection then raises OverflowError, ValueError or UnicodeError. Only an OSError means that the target can't be reached, so the request ended as a fault of the host, which promises nothing.

Change: an address is an IP address or a host name, and a port from 1 to 65535; else the entry names no target. The check of a configuration uses the same module; a bare IPv6 address before a port no longer passes there, as no URL can be made of it.

Evidence: 6 rows of tests/platform/test_registry.py and 3 cases of tests/entry/test_odd_rows.py failed before and pass now.

--- a/src/flamingoladder/config/checks.py
+++ b/src/flamingoladder/config/checks.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter
-from ipaddress import ip_address
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from flamingoladder.addresses import is_ip_address
 from flamingoladder.config.problems import Problem
 
 if TYPE_CHECKING:
@@ -19,7 +19,6 @@
     from flamingoladder.config.model import Target
 
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
-MAX_PORT = 65_535
 MAY_BE_ZERO = frozenset({"ramp_s", "retry_budget_ratio", "clock_drift"})
 
 
@@ -103,7 +102,7 @@
 
 
 def _target_problems(deployment: Deployment, target: Target, path: str) -> Iterator[Problem]:
-    if not _is_address(target.address):
+    if not is_ip_address(target.address):
         fix = "give an IP number and a port, such as 127.0.0.1:8001"
         yield Problem(f"{path}.address", f"{target.address!r} is not ip:port", fix)
     try:
@@ -124,12 +123,3 @@
             yield Problem(f"{path}.rate_per_s", "not above 0", "give requests per second above 0")
         if deployment.burst_of(name) < 1:
             yield Problem(f"{path}.burst", "below 1", "give 1 request or more")
-
-
-def _is_address(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    try:
-        ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return port.isdecimal() and 0 < int(port) <= MAX_PORT
--- a/src/flamingoladder/platform/registry.py
+++ b/src/flamingoladder/platform/registry.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from flamingoladder.addresses import is_address
 from flamingoladder.decoding import Decoder
 from flamingoladder.decoding import MalformedValueError
 from flamingoladder.feed.reader import TableReader
@@ -95,8 +96,7 @@
         entry = _decoder.decode(value)
     except MalformedValueError as error:
         raise UnreadableRowError(f"entry of {target_id}: {error}") from error
-    address, _, port = entry.address.rpartition(":")
-    if entry.state not in STATES or not address or not port.isdecimal():
+    if entry.state not in STATES or not is_address(entry.address):
         raise UnreadableRowError(f"entry of {target_id}: state or address")
     return TargetRecord(
         target_id=target_id,
--- a/tests/entry/test_nested_rows.py
+++ b/tests/entry/test_odd_rows.py
@@ -1,20 +1,25 @@
-"""Tests that a row nested too deeply to be decoded stops nothing but itself."""
+"""Tests that a row of another writer stops nothing but itself."""
 
 from __future__ import annotations
 
 import asyncio
 from random import Random
+from typing import TYPE_CHECKING
 
 import aiohttp
 import pytest
 
 from flamingoladder.platform.standins.deployment import BOUNDS
 from flamingoladder.platform.standins.deployment import local_platform
+from flamingoladder.platform.standins.targets import StandinTarget
 from tests.entry.test_end_to_end import KEYS
 from tests.entry.test_end_to_end import Caller
 from tests.nesting import NESTED_JSON
 from tests.nesting import NESTED_MSGPACK
 
+if TYPE_CHECKING:
+    from flamingoladder.platform.standins.deployment import LocalPlatform
+
 REQUESTS = 30
 
 
@@ -39,24 +44,37 @@
         await platform.store.write(table, key, value)
         if restarted:
             await platform.restart_hosts()
-        caller = Caller(platform)
-        try:
-            assert await _statuses(caller) == {200}
-            await platform.targets[0].drain(platform.store)
-            await platform.configure(2, {"turf": ["k-turf"]})
-            await asyncio.sleep(BOUNDS.propagation_s)
-            drained = len(platform.targets[0].runs)
-            assert await _statuses(caller) == {200}
-        finally:
-            await caller.close()
+        assert await _statuses(platform) == {200}
+        await platform.targets[0].drain(platform.store)
+        await platform.configure(2, {"turf": ["k-turf"]})
+        await asyncio.sleep(BOUNDS.propagation_s)
+        drained = len(platform.targets[0].runs)
+        assert await _statuses(platform) == {200}
         assert len(platform.targets[0].runs) == drained
         assert {host.configuration_version for host in platform.hosts} == {2}
         assert [url for url in platform.metrics_urls if await _has_failed_task(url)] == []
 
 
-async def _statuses(caller: Caller) -> set[int]:
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:65536", "127.0.0.1\r\nX: y:80", "\u2603" * 64 + ":80"]
+)
+async def test_no_request_goes_to_an_address_that_cannot_be_one(address: str) -> None:
+    """A request sent there failed with 502, though another target could have served it."""
+    async with local_platform(Random(), KEYS) as platform:
+        foreign = StandinTarget("i-z", "catalogue", "north-a")
+        foreign.advertised_address = address
+        await foreign.register(platform.store)
+        await platform.restart_hosts()
+        assert await _statuses(platform) == {200}
+
+
+async def _statuses(platform: LocalPlatform) -> set[int]:
     """Return the statuses of answers to requests of several objects."""
-    return {(await caller.send(f"/kit/{number}"))[0] for number in range(REQUESTS)}
+    caller = Caller(platform)
+    try:
+        return {(await caller.send(f"/kit/{number}"))[0] for number in range(REQUESTS)}
+    finally:
+        await caller.close()
 
 
 async def _has_failed_task(metrics_url: str) -> bool:
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -63,6 +63,13 @@
         b"[]",
         entry(state="asleep"),
         entry(address="nowhere"),
+        entry(address="10.128.0.9:0"),
+        entry(address="10.128.0.9:65536"),
+        entry(address="10.128.0.9:\u00b2"),
+        entry(address="10.128.0.9:" + "9" * 5_000),
+        entry(address="10.128.0.9\r\nX: y:80"),
+        entry(address="no host:80"),
+        entry(address="x" * 64 + ":80"),
         entry(slots="three"),
         msgspec.json.encode({"service": "s"}),
     ],
@@ -76,6 +83,11 @@
     assert list(targets.by_id) == ["t2"]
 
 
+@pytest.mark.parametrize("address", ["10.128.0.9:1", "[::1]:65535", "localhost:80", "a-1.b_c.d:80"])
+def test_an_address_is_an_ip_address_or_a_host_name(address: str) -> None:
+    assert decode_entry("t1", entry(address=address)).address == address
+
+
 def test_a_deleted_entry_is_gone_at_once(targets: TargetRegistry, reader: RegistryReader) -> None:
     reader.change([row("t1", None)], 1.0)
     assert list(targets.by_id) == ["t2"]
