Leave members that no link can be opened to out of the links

Cause: ZeroMQ raises for such an endpoint or key when the link is opened, which ends the reading of the table, again after each restart of the task. So the other hosts were never heard.

Change: the directory of peer links checks endpoint and key, and leaves such members out; peer.unusable names them once.

Evidence: 7 of the 8 cases of the new test in tests/peers/test_zmq_links.py failed before and pass now; a port over 65535 did no harm before, its case stays.

--- a/src/flamingoladder/peers/directory.py
+++ b/src/flamingoladder/peers/directory.py
@@ -2,26 +2,57 @@
 
 from __future__ import annotations
 
+import struct
 from typing import TYPE_CHECKING
 
+from zmq.utils import z85
+
+from flamingoladder.addresses import is_address
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from flamingoladder.members.member import Member
 
 
+ENDPOINT_PREFIX = "tcp://"
+PUBLIC_KEY_BYTES = 32
+
+
 class PeerDirectory:
-    """The other registered hosts, whose links are accepted."""
+    """The other registered hosts, whose links are accepted.
+
+    Those in ``unusable_by_host`` are registered with an endpoint or key that no link can have.
+    """
 
-    __slots__ = ("_own_host", "by_host", "by_public_key")
+    __slots__ = ("_own_host", "by_host", "by_public_key", "unusable_by_host")
 
     def __init__(self, own_host: str) -> None:
         self._own_host = own_host
         self.by_host: dict[str, Member] = {}
         self.by_public_key: dict[str, Member] = {}
+        self.unusable_by_host: dict[str, Member] = {}
 
     def replace(self, members: Iterable[Member]) -> None:
         """Replace the directory with ``members``, leaving out this host."""
         others = [member for member in members if member.host != self._own_host]
-        self.by_host = {member.host: member for member in others}
-        self.by_public_key = {member.peer_public_key: member for member in others}
+        self.by_host = {member.host: member for member in others if _can_be_linked(member)}
+        self.by_public_key = {member.peer_public_key: member for member in self.by_host.values()}
+        self.unusable_by_host = {
+            member.host: member for member in others if member.host not in self.by_host
+        }
+
+
+def _can_be_linked(member: Member) -> bool:
+    endpoint = member.peer_endpoint
+    has_address = endpoint.startswith(ENDPOINT_PREFIX) and is_address(
+        endpoint.removeprefix(ENDPOINT_PREFIX)
+    )
+    return has_address and _is_public_key(member.peer_public_key)
+
+
+def _is_public_key(key: str) -> bool:
+    try:
+        return len(z85.decode(key.encode("ascii"))) == PUBLIC_KEY_BYTES
+    except (ValueError, KeyError, struct.error):
+        return False
--- a/src/flamingoladder/peers/zmq_links.py
+++ b/src/flamingoladder/peers/zmq_links.py
@@ -145,8 +145,14 @@
         self._context.destroy(linger=0)
 
     def update_directory(self, members: Iterable[Member]) -> None:
-        """Accept and connect to only these members; a new incarnation gets a new connection."""
+        """Accept and connect to only these members; a new incarnation gets a new connection.
+
+        Members that no link can be opened to are left out.
+        """
+        known = self._directory.unusable_by_host
         self._directory.replace(members)
+        for host in self._directory.unusable_by_host.keys() - known.keys():
+            self._recorder.record("peer.unusable", peer=host)
         for host, connection in list(self._connections_by_host.items()):
             if self._directory.by_host.get(host) != connection.member:
                 connection.close()
--- a/tests/peers/test_zmq_links.py
+++ b/tests/peers/test_zmq_links.py
@@ -75,6 +75,31 @@
     assert await _request_until_reply(first, "h2") == ConfirmReply(1, True)
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"peer_endpoint": ""},
+        {"peer_endpoint": "127.0.0.1:7001"},
+        {"peer_endpoint": "tcp://127.0.0.1:65536"},
+        {"peer_endpoint": "tcp://a\0b:7001"},
+        {"peer_public_key": ""},
+        {"peer_public_key": "x" * 39},
+        {"peer_public_key": "#" * 40},
+        {"peer_public_key": "\u2603" * 40},
+    ],
+)
+async def test_a_member_that_no_link_can_be_opened_to_costs_no_other_link(
+    hosts: tuple[Host, Host], odd: dict[str, str]
+) -> None:
+    """The reading of the table of members ended there, so its other hosts got no link."""
+    first, second = hosts
+    unusable = msgspec.structs.replace(second.member, host="h0", **odd)
+    for host in hosts:
+        host.links.update_directory([unusable, first.member, second.member])
+    assert await _request_until_reply(first, "h2") == ConfirmReply(1, True)
+    assert await first.links.request("h0", ConfirmRequest(1), 0.1) is None
+
+
 @pytest.mark.parametrize("takes_compressed", [True, False])
 async def test_message_to_all_is_compressed_for_hosts_that_can_read_it(
     hosts: tuple[Host, Host], monkeypatch: pytest.MonkeyPatch, takes_compressed: bool
