Register a host only by the row of its own name

Callers: a copy of a host's row under another name, written by another writer, replaced the host's registration.

Cause: the name in the value was taken without regard to the row's key.

Change: such a row is unreadable, and recorded as that.

Evidence: the new test in tests/platform/test_memberships.py failed before and passes now.

--- a/src/flamingoladder/platform/memberships.py
+++ b/src/flamingoladder/platform/memberships.py
@@ -80,6 +80,9 @@
             except MalformedValueError as error:
                 self._recorder.record("member.unreadable", peer=row.key, error=error)
                 continue
+            if member.host != row.key:
+                self._recorder.record("member.unreadable", peer=row.key, error="names another host")
+                continue
             self._members.put(member, now)
         self._on_change()
 
--- a/tests/platform/test_memberships.py
+++ b/tests/platform/test_memberships.py
@@ -81,3 +81,17 @@
     reader.went_back([StoredRow("h1", msgspec.json.encode(OWN), 1)], 0.0)
     await asyncio.sleep(0.2)
     assert state.tables.version == version
+
+
+async def test_a_row_registers_no_host_but_that_of_its_key(reader: MembershipReader) -> None:
+    """A copy of a row under another name replaced the host's own registration."""
+    other = msgspec.structs.replace(OWN, host="h2")
+    copied = msgspec.structs.replace(other, incarnation="i0")
+    reader.replace(
+        [
+            StoredRow(of, msgspec.json.encode(found), 1)
+            for of, found in (("h2", other), ("h9", copied))
+        ],
+        0.0,
+    )
+    assert reader._members.members_by_host == {"h2": other}
