Skip rows of the directory of daemons that name no host

Callers: while an unreadable row stood among those of the daemons, daemons that started could not register, and those that run learned of no new ones: their links to them stayed closed.

Cause: the rows were decoded without regard to failure, so that the error of one ended the reading of all. Rows nested too deeply are one such kind; any other writer's bytes did the same.

Change: a row that can't be decoded, or that names another host than its key, names none. Whoever starts as the host of its key replaces it. When a change waits for hosts, one without a readable row does not count as restarted, which is the safe side.

Evidence: the four new cases of tests/members/test_directory.py failed before and pass now.

--- a/src/flamingoladder/members/directory.py
+++ b/src/flamingoladder/members/directory.py
@@ -6,11 +6,14 @@
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.members.member import Member
 from flamingoladder.storage.table import Condition
 from flamingoladder.storage.table import Write
 
 if TYPE_CHECKING:
+    from flamingoladder.storage.table import Row
     from flamingoladder.storage.table import TableService
 
 DIRECTORY_PREFIX = "hosts/"
@@ -23,7 +26,7 @@
     condition: Condition
 
 
-_decoder = msgspec.json.Decoder(Member)
+_decoder = Decoder.of_json(Member)
 
 
 async def read_directory(table: TableService, timeout_s: float) -> dict[str, Member]:
@@ -36,14 +39,15 @@
 
 
 async def read_entries(table: TableService, timeout_s: float) -> tuple[DirectoryEntry, ...]:
-    """Return the newest incarnation of each host that ever started.
+    """Return the newest incarnation of each host that ever started; unreadable rows name none.
 
     :raises PlatformUnavailableError: if no answer came within ``timeout_s`` seconds.
     """
     rows = await table.read(DIRECTORY_PREFIX, timeout_s)
     return tuple(
-        DirectoryEntry(_decoder.decode(row.value), Condition(row.key, row.revision))
+        DirectoryEntry(member, Condition(row.key, row.revision))
         for row in rows.rows
+        if (member := _member_in(row)) is not None
     )
 
 
@@ -57,7 +61,7 @@
     """
     key = DIRECTORY_PREFIX + member.host
     row = await table.get(key, timeout_s)
-    if row is not None and _decoder.decode(row.value).incarnation == member.incarnation:
+    if _incarnation_in(row) == member.incarnation:
         return True
     condition = Condition(key, row.revision if row else 0)
     write = Write(key, msgspec.json.encode(member))
@@ -72,6 +76,20 @@
     """
     key = DIRECTORY_PREFIX + member.host
     row = await table.get(key, timeout_s)
-    if row is None or _decoder.decode(row.value).incarnation != member.incarnation:
+    if row is None or _incarnation_in(row) != member.incarnation:
         return
     await table.transact((Condition(key, row.revision),), (Write(key, None),), timeout_s)
+
+
+def _member_in(row: Row) -> Member | None:
+    """Return the member in a row, or None if it holds none, or that of another key."""
+    try:
+        member = _decoder.decode(row.value)
+    except MalformedValueError:
+        return None
+    return member if row.key == DIRECTORY_PREFIX + member.host else None
+
+
+def _incarnation_in(row: Row | None) -> str | None:
+    member = None if row is None else _member_in(row)
+    return None if member is None else member.incarnation
--- a/tests/members/test_directory.py
+++ b/tests/members/test_directory.py
@@ -4,6 +4,10 @@
 
 import asyncio
 
+import msgspec
+import pytest
+
+from flamingoladder.members.directory import DIRECTORY_PREFIX
 from flamingoladder.members.directory import delete_entry
 from flamingoladder.members.directory import read_directory
 from flamingoladder.members.directory import write_entry
@@ -11,6 +15,8 @@
 from flamingoladder.standins.loop import run_on_injected_time
 from flamingoladder.standins.memory import MemoryTable
 from flamingoladder.standins.memory import StoredTable
+from flamingoladder.storage.table import Write
+from tests.nesting import json_with_nested_field
 
 TIMEOUT_S = 1.0
 FIRST_INCARNATION = Member("h1", "north", "n1", "i1", "", "", "")
@@ -41,3 +47,26 @@
         assert await read_directory(table, TIMEOUT_S) == {}
 
     run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("h0", b"\xff"),
+        ("h0", json_with_nested_field(FIRST_INCARNATION)),
+        ("h9", msgspec.json.encode(FIRST_INCARNATION)),
+        ("h1", b"{}"),
+    ],
+)
+def test_a_row_that_names_no_host_hides_no_other(key: str, value: bytes) -> None:
+    """Daemons that started while such a row stood could neither register nor learn of others."""
+
+    async def scenario() -> None:
+        table = MemoryTable(StoredTable())
+        await table.transact((), [Write(DIRECTORY_PREFIX + key, value)], TIMEOUT_S)
+        assert await write_entry(table, SECOND_INCARNATION, TIMEOUT_S)
+        assert await read_directory(table, TIMEOUT_S) == {"h1": SECOND_INCARNATION}
+        await delete_entry(table, SECOND_INCARNATION, TIMEOUT_S)
+        assert await read_directory(table, TIMEOUT_S) == {}
+
+    run_on_injected_time(scenario())
