Name the field when an exception's value has the wrong type

Operators: a configuration with a list as the value of an exception ended `flamingoladder check` with a traceback, and the call that applies it with status 500, in place of a problem that names the field.

Cause: the check of a document's shape passed over fields of several types, so the error came from the conversion after it.

Change: such a field is checked against all its types.

--- a/src/flamingoladder/config/shape.py
+++ b/src/flamingoladder/config/shape.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import reduce
+from operator import or_
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -63,9 +65,10 @@
 def _part_problems(value: object, info: inspect.Type, path: str) -> Iterator[Problem]:
     if isinstance(info, inspect.UnionType):
         present = [part for part in info.types if not isinstance(part, inspect.NoneType)]
-        if value is None or len(present) > 1:
+        if value is None:
             return
-        info = present[0]
+        if len(present) == 1:
+            info = present[0]
     yield from _problems(value, info, _python_type(info), path)
 
 
@@ -76,11 +79,14 @@
         return dict[str, _python_type(info.value_type)]  # type: ignore[misc]
     if isinstance(info, inspect.VarTupleType):
         return tuple[_python_type(info.item_type), ...]  # type: ignore[misc]
+    if isinstance(info, inspect.UnionType):
+        return reduce(or_, map(_python_type, info.types))
     types_by_info: dict[type, type] = {
         inspect.IntType: int,
         inspect.FloatType: float,
         inspect.StrType: str,
         inspect.BoolType: bool,
+        inspect.NoneType: type(None),
     }
     return types_by_info[type(info)]
 
