Refuse a configuration that is nested too deeply with its problem

Operators: such a file ended `flamingoladder check` with a traceback, and the call that applies it with status 500.

Change: the problem names the document and says what to do.

--- a/src/flamingoladder/config/reader.py
+++ b/src/flamingoladder/config/reader.py
@@ -28,11 +28,14 @@
 def read_deployment(text: str | bytes) -> Reading:
     """Return the deployment written in YAML (or JSON), its exceptions applied, or all problems."""
     try:
-        document = yaml.safe_load(text)
+        return validate(yaml.safe_load(text))
     except yaml.YAMLError as error:
         message = " ".join(str(error).split())
         return Error([Problem(ROOT, f"not YAML: {message}", "mend the syntax at that place")])
-    return validate(document)
+    except RecursionError:
+        return Error(
+            [Problem(ROOT, "nested too deeply", "use fewer levels, and no cyclic aliases")]
+        )
 
 
 def validate(document: object) -> Reading:
--- a/tests/config/test_reader.py
+++ b/tests/config/test_reader.py
@@ -97,6 +97,9 @@
     ]
 
 
+CYCLIC = EXAMPLE.read_text() + "\nexceptions: [{path: defaults, reason: r, value: &a [*a]}]\n"
+
+
 def test_a_list_as_the_value_of_an_exception_is_a_problem() -> None:
     """The program ended with a traceback, and the operators' call with status 500."""
     document = yaml.safe_load(EXAMPLE.read_text())
@@ -105,7 +108,9 @@
     assert [problem.path for problem in problems] == ["exceptions.0.value"]
 
 
-@pytest.mark.parametrize("text", ["", "- 1", "a: [", "name: 5", "\x00"])
+@pytest.mark.parametrize(
+    "text", ["", "- 1", "a: [", "name: 5", "\x00", "[" * 5_000, "[" * 5_000 + "]" * 5_000, CYCLIC]
+)
 def test_a_broken_document_is_one_clear_problem(text: str) -> None:
     assert all(str(problem) for problem in read_deployment(text).error)
 
