Ask the next host when a look-up's answer can't be read

Callers of the client library: an answer to a look-up that isn't one ended the call with the decoder's error, though other hosts could be asked.

Cause: the answer was decoded without regard to failure.

Change: such a host counts as one that did not answer.

Evidence: both cases of the new test in tests/client/test_caller.py failed before and pass now.

--- a/src/flamingoladder/client/lookups.py
+++ b/src/flamingoladder/client/lookups.py
@@ -8,8 +8,8 @@
 from urllib.parse import quote
 from uuid import uuid4
 
-import msgspec
-
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.steering.lookup import LookupAnswer
 
 if TYPE_CHECKING:
@@ -19,6 +19,8 @@
 
 LOOKUP_TIMEOUT_S = 0.5
 
+_decoder = Decoder.of_json(LookupAnswer)
+
 
 class CachedLookup:
     """A look-up answer and when it expires, in monotonic seconds."""
@@ -63,7 +65,10 @@
             outcome = await self._hosts.get(url, path, uuid4().hex, abort_at)
             if outcome.is_error():
                 continue
-            answer = msgspec.json.decode(outcome.ok.body, type=LookupAnswer)
+            try:
+                answer = _decoder.decode(outcome.ok.body)
+            except MalformedValueError:
+                continue
             self._cached_by_service[service] = CachedLookup(answer, requested_at)
             return self._cached_by_service[service]
         return None
--- a/tests/client/test_caller.py
+++ b/tests/client/test_caller.py
@@ -24,6 +24,7 @@
 from tests.gateway.states import KEY
 from tests.gateway.states import FixedState
 from tests.gateway.states import agreed
+from tests.nesting import NESTED_JSON
 from tests.upstreams.scripted_target import Behavior
 from tests.upstreams.scripted_target import ScriptedTarget
 from tests.upstreams.scripted_target import running_targets
@@ -158,6 +159,16 @@
         assert outcome.ok.body == b"/x"
 
 
+@pytest.mark.parametrize("answer", ["no look-up", NESTED_JSON.decode()])
+async def test_a_look_up_that_cannot_be_read_is_no_answer(answer: str) -> None:
+    """The call ended with the decoder's error."""
+    host = ScriptedTarget(answer)
+    async with running_targets(host), two_gateways() as (_, second, _caller):
+        urls = (f"http://{host.address}", second.url)
+        async with Caller(CallerSettings(entry_urls=urls, key=KEY), Random(1)) as caller:
+            assert (await caller.call(Call("desk", "/x"))).ok.body == b"/x"
+
+
 async def test_a_ticket_is_used_on_the_host_that_gave_it() -> None:
     ledger = StorelessLedger()
     async with two_gateways() as (first, second, caller):
