Tell operators that an answer which can't be read is lost

Operators: a command whose answer could not be decoded ended with a traceback, also after a change that may have been committed.

Cause: only errors' bodies were decoded with regard to failure, and those nested too deeply not either.

Change: such an answer counts as lost: a read failed, and the outcome of a change is unknown, with the exit status for that.

--- a/src/flamingoladder/console/operator_console.py
+++ b/src/flamingoladder/console/operator_console.py
@@ -16,6 +16,8 @@
 
 from flamingoladder.console import environment
 from flamingoladder.console.exit_codes import ExitCode
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
 from flamingoladder.operators.messages import ErrorCode
 from flamingoladder.operators.messages import OperatorError
 
@@ -33,6 +35,8 @@
     ErrorCode.OUTCOME_UNKNOWN: ExitCode.OUTCOME_UNKNOWN,
 }
 
+_error_decoder = Decoder.of_json(OperatorError)
+
 
 class Call(Generic[R]):
     """One call of the operator API."""
@@ -129,10 +133,10 @@
         async with request as response:
             body = await response.read()
             if response.ok:
-                return Ok(msgspec.json.decode(body, type=call.reply_type))
+                return _reply(call, body)
             try:
-                return Error(msgspec.json.decode(body, type=OperatorError))
-            except msgspec.DecodeError:
+                return Error(_error_decoder.decode(body))
+            except MalformedValueError:
                 detail = f"unexpected answer with status {response.status}"
                 return Error(OperatorError(ErrorCode.BAD_REQUEST, detail))
 
@@ -153,6 +157,13 @@
         return EXIT_CODES_BY_ERROR.get(error.code, ExitCode.REFUSED)
 
 
+def _reply(call: Call[R], body: bytes) -> Result[R, OperatorError]:
+    try:
+        return Ok(Decoder.of_json(call.reply_type).decode(body))
+    except MalformedValueError as error:
+        return Error(_answer_lost(call, error))
+
+
 def _answer_lost(call: Call[R], error: Exception) -> OperatorError:
     described = f"{type(error).__name__}: {error}".rstrip(": ")
     if call.method == "GET":
