Let rows of other writers stand through the soak

The tables of targets and hosts now hold, from the start on, rows that are nested too deeply, that are no JSON, and whose address can't be one, with keys before and after the system's own. The tests of such rows share the stand-in that writes them.

--- a/src/flamingoladder/soak/deployment.py
+++ b/src/flamingoladder/soak/deployment.py
@@ -14,6 +14,7 @@
 from flamingoladder.platform.standins.deployment import REGIONS_BY_DOMAIN
 from flamingoladder.platform.standins.deployment import configuration
 from flamingoladder.platform.standins.deployment import host_settings
+from flamingoladder.platform.standins.foreign_rows import write_foreign_rows
 from flamingoladder.platform.standins.settings_file import settings_file
 from flamingoladder.platform.standins.state import PlatformState
 from flamingoladder.platform.standins.store import platform_application
@@ -233,6 +234,7 @@
         await removed.target.server.stop()
 
     async def _start(self) -> None:
+        await write_foreign_rows(self.store)
         await self.configure()
         for service in SERVICES:
             for number in range(self._targets_per_service):
--- a/tests/client/test_caller.py
+++ b/tests/client/test_caller.py
@@ -15,6 +15,7 @@
 from flamingoladder.client.call import Call
 from flamingoladder.client.caller import Caller
 from flamingoladder.client.settings import CallerSettings
+from flamingoladder.platform.standins.foreign_rows import NESTED_JSON
 from flamingoladder.steering.lookup import MemberLookup
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
@@ -24,7 +25,6 @@
 from tests.gateway.states import KEY
 from tests.gateway.states import FixedState
 from tests.gateway.states import agreed
-from tests.nesting import NESTED_JSON
 from tests.upstreams.scripted_target import Behavior
 from tests.upstreams.scripted_target import ScriptedTarget
 from tests.upstreams.scripted_target import running_targets
--- a/tests/console/test_operator_console.py
+++ b/tests/console/test_operator_console.py
@@ -8,7 +8,7 @@
 from flamingoladder.console.operator_console import OperatorConsole
 from flamingoladder.freshness.commit_results import CommitReport
 from flamingoladder.operators.messages import ErrorCode
-from tests.nesting import NESTED_JSON
+from flamingoladder.platform.standins.foreign_rows import NESTED_JSON
 from tests.upstreams.scripted_target import ScriptedTarget
 from tests.upstreams.scripted_target import running_targets
 
--- a/tests/entry/test_odd_rows.py
+++ b/tests/entry/test_odd_rows.py
@@ -11,10 +11,10 @@
 
 from flamingoladder.platform.standins.deployment import BOUNDS
 from flamingoladder.platform.standins.deployment import local_platform
+from flamingoladder.platform.standins.foreign_rows import NESTED_JSON
 from flamingoladder.platform.standins.targets import StandinTarget
 from tests.entry.test_end_to_end import KEYS
 from tests.entry.test_end_to_end import Caller
-from tests.nesting import NESTED_JSON
 from tests.nesting import NESTED_MSGPACK
 
 if TYPE_CHECKING:
--- a/tests/nesting.py
+++ b/tests/nesting.py
@@ -1,12 +1,13 @@
-"""Values nested deeper than any decoder follows, smaller than a row may be."""
+"""Values that are good but for an unknown part, which is nested too deeply to be decoded."""
 
 from __future__ import annotations
 
 import msgspec
 
-LEVELS = 9_000
-NESTED_JSON = b'{"a":' * LEVELS + b"0" + b"}" * LEVELS
-NESTED_MSGPACK = b"\x81\xa1a" * LEVELS + b"\xc0"
+from flamingoladder.platform.standins.foreign_rows import NESTED_JSON
+from flamingoladder.platform.standins.foreign_rows import NESTING_LEVELS
+
+NESTED_MSGPACK = b"\x81\xa1a" * NESTING_LEVELS + b"\xc0"
 UNKNOWN_FIELD = b"\xa1~"
 
 
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -35,6 +35,7 @@
 from flamingoladder.platform.registry import decode_entry
 from flamingoladder.platform.rows import RowStore
 from flamingoladder.platform.settings import read_settings_file
+from flamingoladder.platform.standins.foreign_rows import NESTED_JSON
 from flamingoladder.storage.exceptions import OutcomeUnknownError
 from flamingoladder.storage.exceptions import PlatformUnavailableError
 from flamingoladder.upstreams.probe_messages import parse_probe
@@ -42,7 +43,6 @@
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Refusal
 from flamingoladder.verdict import Verdict
-from tests.nesting import NESTED_JSON
 from tests.nesting import encoded_with_nested_part
 from tests.nesting import json_with_nested_field
 from tests.nesting import msgpack_with_nested_part
