--- a/src/flamingoladder/peers/directory.py
+++ b/src/flamingoladder/peers/directory.py
@@ -44,11 +44,12 @@
 
 
 def _can_be_linked(member: Member) -> bool:
-    endpoint = member.peer_endpoint
-    has_address = endpoint.startswith(ENDPOINT_PREFIX) and is_address(
-        endpoint.removeprefix(ENDPOINT_PREFIX)
-    )
-    return has_address and _is_public_key(member.peer_public_key)
+    return _is_endpoint(member.peer_endpoint) and _is_public_key(member.peer_public_key)
+
+
+def _is_endpoint(endpoint: str) -> bool:
+    address = endpoint.removeprefix(ENDPOINT_PREFIX)
+    return address != endpoint and is_address(address)
 
 
 def _is_public_key(key: str) -> bool:
