Nest the tests' values deeper than later Pythons follow

msgspec follows some 1,000 levels on Python 3.11 and, by the limits of the interpreter, up to 10,000 on later ones; 9,000 were written. Now 30,000, as a list within a mapping, in 60 KB.

--- a/src/flamingoladder/platform/standins/foreign_rows.py
+++ b/src/flamingoladder/platform/standins/foreign_rows.py
@@ -12,9 +12,9 @@
 if TYPE_CHECKING:
     from flamingoladder.platform.rows import RowStore
 
-NESTING_LEVELS = 9_000
-# Deeper than any decoder follows, and smaller than a row may be.
-NESTED_JSON = b'{"a":' * NESTING_LEVELS + b"0" + b"}" * NESTING_LEVELS
+# Deeper than the decoders of any supported Python follow, and smaller than a row may be.
+NESTING_LEVELS = 30_000
+NESTED_JSON = b'{"a":' + b"[" * NESTING_LEVELS + b"]" * NESTING_LEVELS + b"}"
 NO_ADDRESS = "127.0.0.1:65536"
 
 
--- a/tests/nesting.py
+++ b/tests/nesting.py
@@ -7,7 +7,7 @@
 from flamingoladder.platform.standins.foreign_rows import NESTED_JSON
 from flamingoladder.platform.standins.foreign_rows import NESTING_LEVELS
 
-NESTED_MSGPACK = b"\x81\xa1a" * NESTING_LEVELS + b"\xc0"
+NESTED_MSGPACK = b"\x81\xa1a" + b"\x91" * NESTING_LEVELS + b"\xc0"
 UNKNOWN_FIELD = b"\xa1~"
 
 
