Prune the rows beside one that can't be read

Operators: an unreadable row in a shard of the ledger, once old enough, kept all rows of that shard from being pruned, with a line ledger.prune_failed each time.

Cause: one row's LedgerRowError ended the work on the shard.

Change: such a row stays until it is old, then goes like any other. A ticket's row names its issuer; without that, the issuer's row of its stop is not deleted with it.

Evidence: 2 of the 4 cases of the new test in tests/ledger/test_pruner.py failed before; all pass now.

--- a/src/flamingoladder/ledger/pruner.py
+++ b/src/flamingoladder/ledger/pruner.py
@@ -29,6 +29,7 @@
 
     from flamingoladder.config.agreed import StateInForce
     from flamingoladder.ledger.revision_marks import RevisionMarks
+    from flamingoladder.ledger.rows import ClaimRow
     from flamingoladder.peers.link import PeerLinks
     from flamingoladder.storage.table import Row
     from flamingoladder.storage.table import TableService
@@ -106,7 +107,7 @@
     async def _prune_shard(self, prefix: str, horizon: RetentionHorizon) -> None:
         try:
             row_count = await self.prune(prefix, horizon)
-        except (LedgerRowError, PlatformError) as error:
+        except PlatformError as error:
             self._recorder.record("ledger.prune_failed", error=error)
             return
         if row_count:
@@ -127,13 +128,21 @@
         return None
     if row.revision > horizon.answer_revision:
         return row.value
-    claim = decode_claim(row.value)
-    if claim.outcome is None or claim.outcome.refusal is not None:
+    claim = _claim_in(row)
+    if claim is None or claim.outcome is None or claim.outcome.refusal is not None:
         return row.value
     return encode(msgspec.structs.replace(claim, outcome=StoredOutcome(refusal=ANSWER_NOT_KEPT)))
 
 
 def _shutdown_row_keys(rows: Collection[Row]) -> list[str]:
     tickets = [row for row in rows if row.key.startswith(TICKETS_PREFIX)]
-    claims = [decode_claim(row.value) for row in tickets]
+    claims = [claim for row in tickets if (claim := _claim_in(row)) is not None]
     return sorted({shutdown_row_key(claim.host, claim.incarnation) for claim in claims})
+
+
+def _claim_in(row: Row) -> ClaimRow | None:
+    """Return the claim in a row, or None if it can't be read."""
+    try:
+        return decode_claim(row.value)
+    except LedgerRowError:
+        return None
--- a/tests/ledger/test_pruner.py
+++ b/tests/ledger/test_pruner.py
@@ -38,15 +38,7 @@
             row = ClaimRow(f"h{number}", "i1", 1, "digest", ClaimState.DONE)
             shutdown = Write(shutdown_row_key(row.host, "i1"), encode(ShutdownRow(0.0)))
             stored.transact([], [Write(f"{prefix}camp/abc{number:03}", encode(row)), shutdown])
-        table = MemoryTable(stored)
-        pruner = Pruner(
-            table,
-            RevisionMarks(table),
-            Network(Random(1)).join("h1", "i1"),
-            FixedState(agreed({})),
-            Recorder("h1", "i1"),
-            Random(1),
-        )
+        pruner = _pruner(stored)
         horizon = RetentionHorizon(stored.revision, stored.revision)
         while await pruner.prune(f"{prefix}camp/abc", horizon):
             continue
@@ -55,3 +47,37 @@
         assert shutdowns == (0 if prefix == TICKETS_PREFIX else ROWS)
 
     run_on_injected_time(scenario())
+
+
+@pytest.mark.parametrize("prefix", [CLAIMS_PREFIX, TICKETS_PREFIX])
+@pytest.mark.parametrize(("is_old", "kept"), [(True, []), (False, [b"\xff"])])
+def test_a_row_that_cannot_be_read_keeps_no_other_from_being_pruned(
+    prefix: str, is_old: bool, kept: list[bytes]
+) -> None:
+    """No row of its shard was ever pruned."""
+
+    async def scenario() -> None:
+        stored = StoredTable()
+        old = encode(ClaimRow("h1", "i1", 1, "digest", ClaimState.DONE))
+        stored.transact([], [Write(f"{prefix}camp/abc1", old)])
+        old_revision = stored.revision
+        stored.transact([], [Write(f"{prefix}camp/abc2", b"\xff")])
+        key_revision = stored.revision if is_old else old_revision
+        answer_revision = stored.revision if prefix == CLAIMS_PREFIX else key_revision
+        horizon = RetentionHorizon(answer_revision, key_revision)
+        assert await _pruner(stored).prune(f"{prefix}camp/abc", horizon) > 0
+        assert [row.value for row in stored.read(prefix).rows] == kept
+
+    run_on_injected_time(scenario())
+
+
+def _pruner(stored: StoredTable) -> Pruner:
+    table = MemoryTable(stored)
+    return Pruner(
+        table,
+        RevisionMarks(table),
+        Network(Random(1)).join("h1", "i1"),
+        FixedState(agreed({})),
+        Recorder("h1", "i1"),
+        Random(1),
+    )
