--- a/tests/ledger/fleet.py
+++ b/tests/ledger/fleet.py
@@ -243,3 +243,13 @@
     def hosts(self) -> tuple[Host, ...]:
         """Return the present incarnations of all hosts."""
         return tuple(self.by_name.values())
+
+
+async def abandon_claim(fleet: Fleet) -> None:
+    """Let host ``a`` give up a request with key ``k`` whose claim the store has."""
+    host = fleet["a"]
+    host.faults.lost_answers = 1
+    request = asyncio.create_task(host.send("k"))
+    await asyncio.sleep(0.1)
+    host.faults.down = True
+    await request
--- a/tests/ledger/test_failures.py
+++ b/tests/ledger/test_failures.py
@@ -14,6 +14,7 @@
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
 from tests.ledger.fleet import Fleet
+from tests.ledger.fleet import abandon_claim
 
 if TYPE_CHECKING:
     from flamingoladder.verdict import Outcome
@@ -123,11 +124,7 @@
 def test_abandoned_claim_is_taken_over_after_its_holder_confirms_it_never_ran() -> None:
     async def scenario() -> None:
         fleet = Fleet("a", "b")
-        fleet["a"].faults.lost_answers = 1
-        booking = asyncio.create_task(fleet["a"].send("k"))
-        await asyncio.sleep(0.1)
-        fleet["a"].faults.down = True
-        await booking
+        await abandon_claim(fleet)
         assert result_of(await fleet["b"].send("k")) == RAN
         fleet["a"].faults.down = False
         await asyncio.sleep(LONG_WAIT_S)
--- a/tests/ledger/test_tickets.py
+++ b/tests/ledger/test_tickets.py
@@ -14,6 +14,7 @@
 from flamingoladder.verdict import Reason
 from flamingoladder.verdict import Verdict
 from tests.ledger.fleet import Fleet
+from tests.ledger.fleet import abandon_claim
 from tests.ledger.test_failures import LONG_WAIT_S
 from tests.ledger.test_failures import RAN
 from tests.ledger.test_failures import UNREACHABLE
@@ -148,11 +149,7 @@
 def test_claim_left_after_graceful_shutdown_is_taken_over() -> None:
     async def scenario() -> None:
         fleet = Fleet("a", "b")
-        fleet["a"].faults.lost_answers = 1
-        booking = asyncio.create_task(fleet["a"].send("k"))
-        await asyncio.sleep(0.1)
-        fleet["a"].faults.down = True
-        await booking
+        await abandon_claim(fleet)
         row = next(iter(fleet.stored.rows_by_key.values()))
         fleet["a"].faults.down = False
         assert await _shut_down(fleet, "a")
