Decode a host's row in one place

The readers of both tables of hosts decoded a member and compared its name with the row's key, each for itself. decode_member does both; behaviour stays as it is.

--- a/src/flamingoladder/members/directory.py
+++ b/src/flamingoladder/members/directory.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from flamingoladder.decoding import Decoder
 from flamingoladder.decoding import MalformedValueError
 from flamingoladder.members.member import Member
+from flamingoladder.members.member import decode_member
 from flamingoladder.storage.table import Condition
 from flamingoladder.storage.table import Write
 
@@ -26,9 +26,6 @@
     condition: Condition
 
 
-_decoder = Decoder.of_json(Member)
-
-
 async def read_directory(table: TableService, timeout_s: float) -> dict[str, Member]:
     """Return the newest incarnation of each host that ever started, by host.
 
@@ -84,10 +81,9 @@
 def _member_in(row: Row) -> Member | None:
     """Return the member in a row, or None if it holds none, or that of another key."""
     try:
-        member = _decoder.decode(row.value)
+        return decode_member(row.key.removeprefix(DIRECTORY_PREFIX), row.value)
     except MalformedValueError:
         return None
-    return member if row.key == DIRECTORY_PREFIX + member.host else None
 
 
 def _incarnation_in(row: Row | None) -> str | None:
--- a/src/flamingoladder/members/member.py
+++ b/src/flamingoladder/members/member.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from flamingoladder.decoding import Decoder
+from flamingoladder.decoding import MalformedValueError
+
 
 class Member(msgspec.Struct, frozen=True):
     """An entry host as registered in the platform's table.
@@ -28,3 +31,17 @@
     takes_compressed: bool = False
     capacity_cores: float = 0.0
     relays_by_domain: bool = False
+
+
+_decoder = Decoder.of_json(Member)
+
+
+def decode_member(host: str, value: bytes) -> Member:
+    """Return the member in the row of ``host``.
+
+    :raises MalformedValueError: if the value holds none, or that of another host.
+    """
+    member = _decoder.decode(value)
+    if member.host != host:
+        raise MalformedValueError("names another host")
+    return member
--- a/src/flamingoladder/platform/memberships.py
+++ b/src/flamingoladder/platform/memberships.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from flamingoladder.decoding import Decoder
 from flamingoladder.decoding import MalformedValueError
 from flamingoladder.feed.reader import TableReader
 from flamingoladder.members.member import Member
+from flamingoladder.members.member import decode_member
 from flamingoladder.storage.exceptions import OutcomeUnknownError
 from flamingoladder.storage.exceptions import PlatformError
 from flamingoladder.storage.exceptions import PlatformUnavailableError
@@ -27,8 +27,6 @@
 TABLE = "members"
 RETRY_PAUSE_S = 0.5
 
-_decoder = Decoder.of_json(Member)
-
 
 class MembershipReader(TableReader):
     """Brings registrations to the registry of members, and repeats this host's if it is lost."""
@@ -76,13 +74,10 @@
                 self._handle_removal(row.key)
                 continue
             try:
-                member = _decoder.decode(row.value)
+                member = decode_member(row.key, row.value)
             except MalformedValueError as error:
                 self._recorder.record("member.unreadable", peer=row.key, error=error)
                 continue
-            if member.host != row.key:
-                self._recorder.record("member.unreadable", peer=row.key, error="names another host")
-                continue
             self._members.put(member, now)
         self._on_change()
 
