--- a/src/flamingoladder/peers/directory.py
+++ b/src/flamingoladder/peers/directory.py
@@ -22,16 +22,16 @@
 class PeerDirectory:
     """The other registered hosts, whose links are accepted.
 
-    Those in ``unusable_by_host`` are registered with an endpoint or key that no link can have.
+    ``unusable_hosts`` are registered with an endpoint or key that no link can have.
     """
 
-    __slots__ = ("_own_host", "by_host", "by_public_key", "unusable_by_host")
+    __slots__ = ("_own_host", "by_host", "by_public_key", "unusable_hosts")
 
     def __init__(self, own_host: str) -> None:
         self._own_host = own_host
         self.by_host: dict[str, Member] = {}
         self.by_public_key: dict[str, Member] = {}
-        self.unusable_by_host: dict[str, Member] = {}
+        self.unusable_hosts: frozenset[str] = frozenset()
 
     def replace(self, members: Iterable[Member]) -> None:
         """Replace the directory with ``members``, leaving out this host."""
@@ -43,9 +43,7 @@
             if self.by_host.get(member.host) == member or _can_be_linked(member)
         }
         self.by_public_key = {member.peer_public_key: member for member in self.by_host.values()}
-        self.unusable_by_host = {
-            member.host: member for member in others if member.host not in self.by_host
-        }
+        self.unusable_hosts = frozenset(member.host for member in others) - self.by_host.keys()
 
 
 def _can_be_linked(member: Member) -> bool:
--- a/src/flamingoladder/peers/zmq_links.py
+++ b/src/flamingoladder/peers/zmq_links.py
@@ -149,9 +149,9 @@
 
         Members that no link can be opened to are left out.
         """
-        known = self._directory.unusable_by_host
+        known = self._directory.unusable_hosts
         self._directory.replace(members)
-        for host in self._directory.unusable_by_host.keys() - known.keys():
+        for host in self._directory.unusable_hosts - known:
             self._recorder.record("peer.unusable", peer=host)
         for host, connection in list(self._connections_by_host.items()):
             if self._directory.by_host.get(host) != connection.member:
