--- a/tests/transport/test_callers_that_leave.py
+++ b/tests/transport/test_callers_that_leave.py
@@ -12,6 +12,8 @@
 from tests.transport.ports import daemon_port
 from tests.transport.ports import entry_port
 from tests.transport.ports import new_connections
+from tests.transport.raw_requests import GET
+from tests.transport.raw_requests import put
 from tests.waiting import eventually
 
 if TYPE_CHECKING:
@@ -20,11 +22,6 @@
 WORK_S = 2.0
 LEAVES_AFTER_S = 0.1
 NOTICED_WITHIN_S = 0.5
-GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-
-
-def put(size: int) -> bytes:
-    return b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size + bytes(size)
 
 
 CHUNKED_PUT = (
--- a/tests/transport/test_lingering_close.py
+++ b/tests/transport/test_lingering_close.py
@@ -17,6 +17,8 @@
 from tests.transport.ports import daemon_port
 from tests.transport.ports import entry_port
 from tests.transport.ports import new_connections
+from tests.transport.raw_requests import GET
+from tests.transport.raw_requests import put
 
 if TYPE_CHECKING:
     from tests.transport.ports import PortOf
@@ -29,11 +31,6 @@
 READ_PER_S = 2_000_000
 FURTHER_GAP_S = 0.005
 MAX_FURTHER = 60
-GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-
-
-def put(size: int) -> bytes:
-    return b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size + bytes(size)
 
 
 async def answer_and_close(request: web.BaseRequest) -> web.StreamResponse:
