Review cases 11 and 12: an error of the script ends it with 2

Cause: an exception that nobody expected, or stand-ins that weren't built, ended a script with 1, which says that the rule was broken.

--- a/review/lab3/deployment.py
+++ b/review/lab3/deployment.py
@@ -556,7 +556,7 @@
 
 
 def run_case(main, limit_s: float = 112.0) -> None:  # noqa: ANN001
-    """Run a case and exit with its result; SIGTERM and the time limit end it with 2."""
+    """Run a case and exit with its result; any error, SIGTERM and the time limit end it with 2."""
 
     async def bounded() -> int:
         task = asyncio.current_task()
@@ -567,7 +567,7 @@
 
     try:
         result = asyncio.run(bounded())
-    except (TimeoutError, OSError, asyncio.CancelledError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
         print(f"could not run: {type(error).__name__}: {error}", file=sys.stderr)
         result = 2
     sys.exit(result)
