--- a/review/lab3/deployment.py
+++ b/review/lab3/deployment.py
@@ -97,8 +97,8 @@
     "booking-lodge": ("booking-svc", "non_idempotent", 2.0, 0.4, 1, 2),
     "cert-issue": ("issue-svc", "non_idempotent", 1.2, 0.3, 0, 2),
     "drift-read": ("issue-svc", "idempotent", 1.2, 0.25, 1, 2),
-    "booking-read": ("booking-svc", "idempotent", 1.5, 0.4, 1, 2),
 }
+DEADLINE_S = {"cert-lookup": 2.0, "booking-lodge": 2.5, "cert-issue": 1.2, "drift-read": 0.8}
 WORK_S = {"archive-svc": 0.36, "booking-svc": 0.48, "issue-svc": 0.2}
 QUEUE = 9
 BEAT_S = 1.5
